build: set up modules, core interfaces and the design page

Cause: the project starts empty; every part needs shared identifiers, the seams to the platform and to peers, and one page that says who owns which state. Conclusion: the parts can be built side by side against these interfaces.

--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/core/RendezvousHash.kt
@@ -0,0 +1,41 @@
+package io.limpetfold.core
+
+/** Ranks candidates for a key by rendezvous hashing, so that all instances agree without any message. */
+object RendezvousHash {
+    private const val FNV_OFFSET = -0x340d631b7bdddcdbL
+    private const val FNV_PRIME = 0x100000001b3L
+    private const val MIX_FIRST = -0x61c8864680b583ebL
+    private const val MIX_SECOND = -0x4b47d0c5bd1c6d6dL
+    private const val SHIFT_FIRST = 30
+    private const val SHIFT_SECOND = 27
+    private const val SHIFT_THIRD = 31
+    private const val BYTE_MASK = 0xffL
+
+    /** Returns [candidates] ordered from the highest score for [key] to the lowest. */
+    fun <T> rank(
+        key: String,
+        candidates: Iterable<T>,
+        identity: (T) -> String,
+    ): List<T> = candidates.sortedWith(compareByDescending<T> { score(key, identity(it)) }.thenBy { identity(it) })
+
+    /** Returns the score of [candidate] for [key]; the same on every JVM. */
+    fun score(
+        key: String,
+        candidate: String,
+    ): Long = mix(hash(key) xor mix(hash(candidate)))
+
+    private fun hash(text: String): Long {
+        var hash = FNV_OFFSET
+        for (byte in text.encodeToByteArray()) {
+            hash = (hash xor (byte.toLong() and BYTE_MASK)) * FNV_PRIME
+        }
+        return hash
+    }
+
+    /** Spreads nearby inputs over the whole range; FNV alone leaves similar names close together. */
+    private fun mix(value: Long): Long {
+        val first = (value xor (value ushr SHIFT_FIRST)) * MIX_FIRST
+        val second = (first xor (first ushr SHIFT_SECOND)) * MIX_SECOND
+        return second xor (second ushr SHIFT_THIRD)
+    }
+}
--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/peer/ListedInstance.kt
@@ -0,0 +1,29 @@
+package io.limpetfold.peer
+
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.ZoneId
+import kotlinx.serialization.Serializable
+
+/**
+ * An instance as the platform's list shows it: a router or an endpoint.
+ *
+ * @property service the service that the instance runs, as in `jezik`; routers are listed under [ROUTER_SERVICE].
+ * @property host an IP address.
+ * @property port the peer port of a router, the service port of an endpoint.
+ */
+@Serializable
+data class ListedInstance(
+    val instance: InstanceId,
+    val service: String,
+    val version: VersionId,
+    val zone: ZoneId,
+    val host: String,
+    val port: Int,
+    val isLeaving: Boolean = false,
+) {
+    companion object {
+        /** The service name under which the platform lists the routers of the fleet. */
+        const val ROUTER_SERVICE = "limpetfold-router"
+    }
+}
--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/peer/PeerNetwork.kt
@@ -0,0 +1,26 @@
+package io.limpetfold.peer
+
+import com.github.michaelbull.result.Result
+import io.limpetfold.core.InstanceId
+import kotlinx.collections.immutable.ImmutableSet
+import java.time.Duration
+
+/** Request and reply messages between the routers of a fleet; safe for concurrent use. */
+interface PeerNetwork {
+    /** Registers the handler of [topic]; call it before the network starts. */
+    fun <Q : Any, A : Any> handle(
+        topic: PeerTopic<Q, A>,
+        handler: PeerHandler<Q, A>,
+    )
+
+    /** Sends [message] to [to] and waits up to [timeout] for its reply. */
+    suspend fun <Q : Any, A : Any> ask(
+        to: InstanceId,
+        topic: PeerTopic<Q, A>,
+        message: Q,
+        timeout: Duration,
+    ): Result<A, PeerError>
+
+    /** The peers with an open connection. */
+    fun reachable(): ImmutableSet<InstanceId>
+}
--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectPage.kt
@@ -0,0 +1,13 @@
+package io.limpetfold.store
+
+import kotlinx.collections.immutable.ImmutableList
+
+/**
+ * Objects of a listing or a watch, in the order of their versions.
+ *
+ * @property position the store-wide version up to which the page is complete; pass it to the next watch.
+ */
+data class ObjectPage(
+    val objects: ImmutableList<StoredObject>,
+    val position: ObjectVersion,
+)
--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectStore.kt
@@ -0,0 +1,31 @@
+package io.limpetfold.store
+
+import com.github.michaelbull.result.Result
+import java.time.Duration
+
+/**
+ * The platform's object API.
+ *
+ * Implementations are safe for concurrent use, never block the calling thread, and bound every call by a timeout of their own.
+ */
+interface ObjectStore {
+    /** Reads one object, or null when it does not exist. */
+    suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError>
+
+    /** Writes [value] if the object is still at [expected] and returns the new version. */
+    suspend fun put(
+        key: ObjectKey,
+        value: String,
+        expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError>
+
+    /** Lists all objects whose path starts with [prefix]. */
+    suspend fun list(prefix: String): Result<ObjectPage, StoreError>
+
+    /** Waits up to [wait] for objects under [prefix] with a version above [after]; the page is empty when the wait ends. */
+    suspend fun watch(
+        prefix: String,
+        after: ObjectVersion,
+        wait: Duration,
+    ): Result<ObjectPage, StoreError>
+}
--- /dev/null
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
@@ -0,0 +1,88 @@
+package io.limpetfold.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** One object of the platform's object API, decoded as [T] and changed by conditional updates only. */
+class TypedObject<T : Any>(
+    private val store: ObjectStore,
+    val key: ObjectKey,
+    private val serializer: KSerializer<T>,
+) {
+    /** Reads the object. */
+    suspend fun read(): Result<Versioned<T>, StoreError> =
+        store.get(key).fold(
+            success = { stored -> if (stored == null) Ok(Versioned(null, ObjectVersion.NONE)) else decode(stored) },
+            failure = { Err(it) },
+        )
+
+    /**
+     * Applies [change] to the current value and writes the result conditionally.
+     *
+     * A conflict repeats the change on the newer value. After an answer was lost the object is read again and [isApplied] tells whether
+     * the write took effect, so a change must leave a trace by which its author recognises it. [change] may run several times and must be pure.
+     */
+    suspend fun <E> update(
+        isApplied: (T) -> Boolean,
+        change: (T?) -> Change<T, E>,
+    ): Result<Versioned<T>, UpdateError<E>> {
+        var isOutcomeUnknown = false
+        var lastError: StoreError = StoreError.Unavailable("no attempt was made")
+        repeat(MAX_ATTEMPTS) {
+            val current =
+                read().fold(
+                    success = { it },
+                    failure = { return failed(it, isOutcomeUnknown) },
+                )
+            if (isOutcomeUnknown && current.value?.let(isApplied) == true) return Ok(current)
+            val next =
+                when (val decided = change(current.value)) {
+                    is Change.Keep -> return Ok(current)
+                    is Change.Refuse -> return Err(UpdateError.Refused(decided.reason))
+                    is Change.Write -> decided.value
+                }
+            lastError = store.put(key, JSON.encodeToString(serializer, next), current.version).fold(
+                success = { return Ok(Versioned(next, it)) },
+                failure = { it },
+            )
+            when (lastError) {
+                is StoreError.Conflict -> Unit
+                is StoreError.OutcomeUnknown -> isOutcomeUnknown = true
+                else -> return failed(lastError, isOutcomeUnknown)
+            }
+        }
+        return failed(lastError, isOutcomeUnknown)
+    }
+
+    private fun <E> failed(
+        error: StoreError,
+        isOutcomeUnknown: Boolean,
+    ): Result<Versioned<T>, UpdateError<E>> = Err(UpdateError.Failed(if (isOutcomeUnknown) unknown(error) else error))
+
+    /** An earlier write of this update may have taken effect, so a later failure must not report that nothing was written. */
+    private fun unknown(error: StoreError): StoreError = StoreError.OutcomeUnknown(error.message)
+
+    private fun decode(stored: StoredObject): Result<Versioned<T>, StoreError> =
+        try {
+            Ok(Versioned(JSON.decodeFromString(serializer, stored.value), stored.version))
+        } catch (e: SerializationException) {
+            Err(StoreError.Rejected("$key: ${e.message}"))
+        }
+
+    companion object {
+        /** Bounds the rounds lost to other writers; with random order eight rounds suffice for a few dozen writers. */
+        private const val MAX_ATTEMPTS = 8
+
+        /** The encoding of all stored objects; unknown keys come from newer programs and are ignored. */
+        val JSON: Json =
+            Json {
+                ignoreUnknownKeys = true
+                encodeDefaults = true
+            }
+    }
+}
--- /dev/null
+++ b/limpetfold-core/src/test/kotlin/io/limpetfold/store/TypedObjectTest.kt
@@ -0,0 +1,82 @@
+package io.limpetfold.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.Serializable
+import java.time.Duration
+
+class TypedObjectTest :
+    FunSpec({
+        test("a write whose answer was lost is recognised and not repeated") {
+            val store = LossyStore(loseAnswers = 1)
+            val counter = TypedObject(store, ObjectKey("counter"), Counter.serializer())
+
+            val updated = counter.update<Nothing>({ "a" in it.authors }) { Change.Write((it ?: Counter()).add("a")) }
+
+            updated.get()?.value shouldBe Counter(1, setOf("a"))
+            store.writeCount shouldBe 1
+        }
+
+        test("an outage after a lost answer is reported as unknown, not as nothing written") {
+            val store = LossyStore(loseAnswers = 1, isDownAfterLoss = true)
+            val counter = TypedObject(store, ObjectKey("counter"), Counter.serializer())
+
+            val error = counter.update<Nothing>({ "a" in it.authors }) { Change.Write((it ?: Counter()).add("a")) }.getError()
+
+            (error as UpdateError.Failed).error::class shouldBe StoreError.OutcomeUnknown::class
+        }
+
+        test("a refused change writes nothing") {
+            val store = LossyStore()
+            val counter = TypedObject(store, ObjectKey("counter"), Counter.serializer())
+
+            counter.update({ false }) { Change.Refuse("full") }.getError() shouldBe UpdateError.Refused("full")
+            store.writeCount shouldBe 0
+        }
+    }) {
+    @Serializable
+    data class Counter(
+        val count: Int = 0,
+        val authors: Set<String> = emptySet(),
+    ) {
+        fun add(author: String) = Counter(count + 1, authors + author)
+    }
+
+    private class LossyStore(
+        private var loseAnswers: Int = 0,
+        private val isDownAfterLoss: Boolean = false,
+    ) : ObjectStore {
+        private var stored: StoredObject? = null
+        private var isDown = false
+        var writeCount = 0
+
+        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> =
+            if (isDown) Err(StoreError.Unavailable("down")) else Ok(stored)
+
+        override suspend fun put(
+            key: ObjectKey,
+            value: String,
+            expected: ObjectVersion,
+        ): Result<ObjectVersion, StoreError> {
+            writeCount++
+            stored = StoredObject(key, ObjectVersion(expected.number + 1), value)
+            if (loseAnswers-- <= 0) return Ok(ObjectVersion(expected.number + 1))
+            isDown = isDownAfterLoss
+            return Err(StoreError.OutcomeUnknown("lost"))
+        }
+
+        override suspend fun list(prefix: String) = Ok(ObjectPage(persistentListOf(), ObjectVersion.NONE))
+
+        override suspend fun watch(
+            prefix: String,
+            after: ObjectVersion,
+            wait: Duration,
+        ) = list(prefix)
+    }
+}
