membership: add members, seats and bounded peer selection

Cause: routers need to know which peers run, which incarnations ended and which share of an endpoint's capacity is theirs without a coordination service. Ruled out: seats with a time to live (a router cut off from the platform would have to stop although it is the only one its callers reach); absence in the heartbeat as a proof of an end. Conclusion: a seat changes hands only on proof from the platform's list or a newer incarnation.

--- /dev/null
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Member.kt
@@ -0,0 +1,16 @@
+package io.limpetfold.membership
+
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.ZoneId
+
+/** A router of the fleet as this router knows it from heartbeats. */
+data class Member(
+    val incarnation: Incarnation,
+    val zone: ZoneId,
+    val generation: Long,
+    val seat: Int?,
+    val isDraining: Boolean,
+) {
+    val instance: InstanceId get() = incarnation.instance
+}
--- /dev/null
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -0,0 +1,124 @@
+package io.limpetfold.membership
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.peer.InstanceDirectory
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.store.StoreError
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
+
+class MembershipTest :
+    FunSpec({
+        test("a restarted router replaces its earlier incarnation, and a late heartbeat of the old one changes nothing") {
+            val fleet = Fleet()
+            val a = fleet.start("a", 1)
+            fleet.start("b", 1)
+            a.maintain()
+            fleet.hub.leave(InstanceId("b"))
+            fleet.start("b", 2)
+            fleet.clock.advance(Duration.ofSeconds(3))
+            a.maintain()
+
+            a.members().map { it.incarnation } shouldContainExactly listOf(Incarnation(InstanceId("b"), 2))
+            a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe true
+            a.hasEnded(Incarnation(InstanceId("b"), 2)) shouldBe false
+        }
+
+        test("a silent router is not taken for an ended one while the platform lists it") {
+            val fleet = Fleet()
+            val a = fleet.start("a", 1)
+            fleet.start("b", 1)
+            a.maintain()
+            fleet.hub.leave(InstanceId("b"))
+            repeat(120) {
+                fleet.clock.advance(Duration.ofSeconds(1))
+                a.maintain()
+            }
+
+            a.members() shouldHaveSize 0
+            a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe false
+        }
+
+        test("an instance absent from the platform's list for the bound has ended, but an outage of the list proves nothing") {
+            val fleet = Fleet()
+            val a = fleet.start("a", 1)
+            fleet.start("b", 1)
+            a.maintain()
+            fleet.isDown = true
+            fleet.remove("b")
+            repeat(120) {
+                fleet.clock.advance(Duration.ofSeconds(1))
+                a.maintain()
+            }
+            a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe false
+
+            fleet.isDown = false
+            repeat(66) {
+                fleet.clock.advance(Duration.ofSeconds(1))
+                a.maintain()
+            }
+            a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe true
+        }
+
+        test("a router that starts while the platform is down takes the list from a peer") {
+            val fleet = Fleet()
+            fleet.start("a", 1).maintain()
+            fleet.isDown = true
+            val late = fleet.start("b", 1)
+            late.maintain()
+
+            late.listedRouters().map { it.instance.value } shouldContainExactly listOf("a")
+        }
+
+        test("a router of a large fleet opens a bounded number of connections and the fleet stays connected") {
+            val routers = (1..330).map { InstanceId("router-$it") }
+            val edges = routers.associateWith { PeerSelection.select(it, routers, MembershipPolicy()) }
+
+            edges.values.maxOf { it.size } shouldBe MembershipPolicy().maxConnections
+            val reached = mutableSetOf(routers.first())
+            var frontier = reached.toSet()
+            while (frontier.isNotEmpty()) {
+                frontier = frontier.flatMap { edges.getValue(it) }.toSet() - reached
+                reached += frontier
+            }
+            reached shouldHaveSize routers.size
+        }
+    }) {
+    private class Fleet : InstanceDirectory {
+        val clock = TestClock()
+        val hub = FakePeerHub()
+        var isDown = false
+        private val listed = mutableMapOf<String, ListedInstance>()
+
+        fun start(
+            name: String,
+            number: Long,
+        ): Membership {
+            val zone = ZoneId("zone-$name")
+            listed[name] =
+                ListedInstance(InstanceId(name), ListedInstance.ROUTER_SERVICE, VersionId("1"), zone, "127.0.0.1", 7000)
+            val incarnation = Incarnation(InstanceId(name), number)
+            return Membership(this, hub.join(incarnation), clock.monotonic) { Heartbeat(incarnation, zone, 0, null, false) }
+        }
+
+        fun remove(name: String) {
+            listed.remove(name)
+        }
+
+        override suspend fun list(): Result<ImmutableList<ListedInstance>, StoreError> =
+            if (isDown) Err(StoreError.Unavailable("down")) else Ok(listed.values.toImmutableList())
+    }
+}
--- /dev/null
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatKeeperTest.kt
@@ -0,0 +1,80 @@
+package io.limpetfold.membership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.StoreCall
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class SeatKeeperTest :
+    FunSpec({
+        test("each router gets a seat of its own and one router too many gets none") {
+            val store = FakeObjectStore()
+            val keepers = (1..4).map { keeper("router-$it", store) }
+            keepers.forEach { it.maintain(3) }
+
+            keepers.mapNotNull { it.seat } shouldContainExactlyInAnyOrder listOf(0, 1, 2)
+        }
+
+        test("a claim whose answer was lost does not leave the router with two seats") {
+            val shared = FakeObjectStore()
+            var isFirst = true
+            val lossy =
+                shared.withFaults { call ->
+                    if (call is StoreCall.Put && isFirst) StoreFault.ANSWER_LOST.also { isFirst = false } else StoreFault.NONE
+                }
+            val keeper = keeper("router-1", lossy)
+            keeper.maintain(3)
+            keeper.maintain(3)
+
+            (keeper.seat != null) shouldBe true
+            shared.writeCount shouldBe 1
+        }
+
+        test("a router that was paused past the bound does not use a seat that was taken over") {
+            val store = FakeObjectStore()
+            val clock = TestClock()
+            val ended = mutableSetOf<InstanceId>()
+            val paused = keeper("router-1", store, clock) { it.instance in ended }
+            paused.maintain(1)
+            clock.advance(Duration.ofMinutes(2))
+            ended += InstanceId("router-1")
+            val successor = keeper("router-2", store, clock) { it.instance in ended }
+            successor.maintain(1)
+
+            successor.seat shouldBe 0
+            paused.seat shouldBe null
+            paused.maintain(1)
+            paused.seat shouldBe null
+        }
+
+        test("a router cut off from the platform keeps its seat") {
+            val shared = FakeObjectStore()
+            var isDown = false
+            val clock = TestClock()
+            val keeper = keeper("router-1", shared.withFaults { if (isDown) StoreFault.UNAVAILABLE else StoreFault.NONE }, clock)
+            keeper.maintain(2)
+            val seat = keeper.seat
+            isDown = true
+            repeat(600) {
+                clock.advance(Duration.ofSeconds(1))
+                keeper.maintain(2)
+            }
+
+            keeper.seat shouldBe seat
+        }
+    }) {
+    private companion object {
+        fun keeper(
+            name: String,
+            store: FakeObjectStore,
+            clock: TestClock = TestClock(),
+            hasEnded: (Incarnation) -> Boolean = { false },
+        ) = SeatKeeper(Incarnation(InstanceId(name), 1), store, clock.monotonic, hasEnded = hasEnded)
+    }
+}
