--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/CallerGoneException.kt
@@ -0,0 +1,6 @@
+package io.limpetfold.http
+
+import java.io.IOException
+
+/** The caller closed its connection before the answer ended. */
+class CallerGoneException : IOException("the caller closed the connection before the answer ended")
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -0,0 +1,310 @@
+package io.limpetfold.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+import kotlin.math.max
+
+/** One connection to an endpoint; all state belongs to its event loop. */
+internal class ClientConnection(
+    val address: UpstreamAddress,
+    private val channel: Channel,
+    private val settings: UpstreamSettings,
+    private val budget: BufferBudget,
+    private val owner: Owner,
+) : ChannelInboundHandlerAdapter() {
+    private val decoder = ResponseDecoder(settings.maxHeaderBytes, budget.pieceBytes, ::acceptBytes) { exchange?.request?.method == "HEAD" }
+    private var exchange: ClientExchange? = null
+    private var isUsable = true
+    private var isRequestWritten = false
+    private var isAnswerComplete = false
+    private var isAnswerKeepAlive = false
+    private var activityNanos = System.nanoTime()
+
+    /** Adds the handlers of this connection to its channel. */
+    fun install() {
+        channel.pipeline().addLast(decoder, HttpRequestEncoder(), this)
+        scheduleTick()
+    }
+
+    /**
+     * Starts [request] unless the connection can't be used any more; then returns null and no byte was written.
+     *
+     * Check and write happen in one step on the event loop, so that a connection closed by the peer in between is replaced.
+     */
+    suspend fun start(request: UpstreamRequest): ClientExchange? {
+        val started = CompletableDeferred<ClientExchange?>()
+        channel.eventLoop().execute { started.complete(startOnLoop(request)) }
+        return withContext(NonCancellable) { started.await() }
+    }
+
+    /** Writes the end of a streamed request body. */
+    fun endRequest(ended: ClientExchange) {
+        channel.eventLoop().execute {
+            if (exchange === ended) {
+                channel.writeAndFlush(DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)).addListener { if (it.isSuccess) onRequestWritten() }
+            }
+        }
+    }
+
+    /** Ends [ended]; the connection returns to the pool only when both messages were complete and nothing else was received. */
+    fun release(
+        ended: ClientExchange,
+        isReadToEnd: Boolean,
+    ) {
+        channel.eventLoop().execute {
+            if (exchange === ended) {
+                exchange = null
+                ended.bodyJob?.cancel()
+                val isClean = isReadToEnd && isAnswerComplete && isRequestWritten && isAnswerKeepAlive && decoder.undecodedBytes == 0
+                activityNanos = System.nanoTime()
+                if (isClean && isUsable && channel.isActive) {
+                    channel.config().isAutoRead = true
+                    owner.onIdle(this)
+                } else {
+                    discard()
+                }
+            }
+        }
+    }
+
+    /** Closes the connection. */
+    fun discard() {
+        channel.eventLoop().execute {
+            isUsable = false
+            channel.close()
+        }
+    }
+
+    fun updateRead() {
+        channel.config().isAutoRead = exchange?.hasRoom != false
+    }
+
+    /** Fails the running exchange and closes the connection. */
+    fun fail(failure: UpstreamFailure) {
+        channel.eventLoop().execute {
+            isUsable = false
+            exchange?.fail(failure)
+            channel.close()
+        }
+    }
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        msg: Any,
+    ) {
+        try {
+            if (msg is HttpResponse) onHead(msg)
+            if (msg is HttpContent) onContent(msg)
+        } finally {
+            ReferenceCountUtil.release(msg)
+        }
+    }
+
+    override fun channelReadComplete(ctx: ChannelHandlerContext) = updateRead()
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        isUsable = false
+        if (!isAnswerComplete) exchange?.fail(UpstreamFailure(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"))
+        owner.onClosed(this)
+        ctx.fireChannelInactive()
+    }
+
+    @Deprecated("Deprecated in Netty", ReplaceWith(""))
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        if (!isAnswerComplete) exchange?.fail(UpstreamFailure(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"))
+        discard()
+    }
+
+    private fun acceptBytes(bytes: ByteBuf): Boolean {
+        activityNanos = System.nanoTime()
+        val isExpected = isUsable && exchange != null && !isAnswerComplete
+        if (!isExpected && isUsable && bytes.isReadable) onUnsolicited()
+        return isExpected
+    }
+
+    private fun onUnsolicited() {
+        isUsable = false
+        owner.onUnsolicitedBytes(this)
+        // A reader that has not yet taken the complete answer still gets it: the bytes behind it change nothing of it.
+        if (exchange == null) channel.close()
+    }
+
+    private fun startOnLoop(request: UpstreamRequest): ClientExchange? {
+        if (!isUsable || !channel.isActive || exchange != null) return null
+        val started = ClientExchange(request, this, channel, budget)
+        exchange = started
+        isRequestWritten = false
+        isAnswerComplete = false
+        activityNanos = System.nanoTime()
+        val body = request.body
+        if (body is UpstreamBody.Stream) {
+            channel.writeAndFlush(prepare(request, DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target)))
+        } else {
+            val bytes = (body as? UpstreamBody.Bytes)?.bytes ?: ByteArray(0)
+            val message =
+                DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(request.method),
+                    request.target,
+                    Unpooled.wrappedBuffer(bytes),
+                )
+            budget.add(bytes.size, 0)
+            channel.writeAndFlush(prepare(request, message)).addListener {
+                budget.remove(bytes.size, 0)
+                if (it.isSuccess) onRequestWritten()
+            }
+        }
+        return started
+    }
+
+    private fun prepare(
+        request: UpstreamRequest,
+        message: HttpRequest,
+    ): HttpRequest {
+        val headers = message.headers()
+        request.headers.forwardable().entries.forEach { (name, value) -> headers.add(name, value) }
+        headers.set("Host", address.toString())
+        when (val body = request.body) {
+            is UpstreamBody.Bytes -> headers.set("Content-Length", body.bytes.size)
+            is UpstreamBody.Stream ->
+                if (body.lengthBytes == null) HttpUtil.setTransferEncodingChunked(message, true) else headers.set("Content-Length", body.lengthBytes)
+            UpstreamBody.None -> if (request.method !in setOf("GET", "HEAD", "DELETE")) headers.set("Content-Length", 0)
+        }
+        return message
+    }
+
+    private fun onRequestWritten() {
+        isRequestWritten = true
+        activityNanos = System.nanoTime()
+    }
+
+    private fun onHead(response: HttpResponse) {
+        val running = exchange ?: return discard()
+        val status = response.status().code()
+        if (response.decoderResult().isFailure) return fail(malformed("the head is malformed"))
+        if (status == CONTINUE) return
+        val headers = Headers.of(response.headers().entries().map { it.key to it.value })
+        val encodings = headers.all("Transfer-Encoding")
+        val isChunked = encodings.size == 1 && encodings[0].equals("chunked", ignoreCase = true)
+        val isBodiless = running.request.method == "HEAD" || status == NO_CONTENT || status == NOT_MODIFIED
+        val echo = headers["X-Request-Id"]
+        val isEchoRequired = running.request.echo == EchoRule.REQUIRED
+        when {
+            running.isAnswered -> onUnsolicited()
+            status < OK -> fail(malformed("status $status is not supported"))
+            encodings.isNotEmpty() && !isChunked -> fail(malformed("Transfer-Encoding is not exactly 'chunked'"))
+            // Without a length a truncated answer looks like a whole one.
+            !isBodiless && !isChunked && headers["Content-Length"] == null -> fail(malformed("the answer has no length"))
+            running.requestId != null && (if (echo == null) isEchoRequired else echo != running.requestId) -> {
+                owner.onIdentityMismatch(this)
+                fail(UpstreamFailure(UpstreamError.Reason.IDENTITY_MISMATCH, "$address answered another request"))
+            }
+            else -> {
+                isAnswerKeepAlive = HttpUtil.isKeepAlive(response)
+                running.onHead(ResponseHead(status, headers))
+            }
+        }
+    }
+
+    private fun onContent(content: HttpContent) {
+        val running = exchange ?: return
+        if (!isUsable || !running.isAnswered || isAnswerComplete) return
+        if (content.decoderResult().isFailure) return fail(malformed("the body is malformed"))
+        running.onPiece(ByteBufUtil.getBytes(content.content()))
+        if (content is LastHttpContent) {
+            isAnswerComplete = true
+            running.onEnd()
+        }
+    }
+
+    private fun malformed(detail: String) = UpstreamFailure(UpstreamError.Reason.MALFORMED_ANSWER, "$address: $detail")
+
+    private fun scheduleTick() {
+        val running = exchange
+        val shortest = minOf(firstByteTimeout(running), idleTimeout(running), settings.pooledIdleTimeout)
+        val tickMillis = (shortest.toMillis() / TICKS_PER_TIMEOUT).coerceIn(MIN_TICK_MILLIS, MAX_TICK_MILLIS)
+        channel.eventLoop().schedule(::tick, tickMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun tick() {
+        if (!channel.isActive) return
+        val now = System.nanoTime()
+        val running = exchange
+        if (running == null) {
+            if (now - activityNanos > settings.pooledIdleTimeout.toNanos()) discard()
+        } else if (!isAnswerComplete) {
+            checkRunning(running, now)
+        }
+        scheduleTick()
+    }
+
+    private fun checkRunning(
+        running: ClientExchange,
+        now: Long,
+    ) {
+        val isReading = isRequestWritten && channel.config().isAutoRead
+        val isWriting = !isRequestWritten && (running.request.body !is UpstreamBody.Stream || !running.outbound.isEmpty)
+        val sinceActivityNanos = now - max(activityNanos, if (isWriting) running.outbound.progressNanos else activityNanos)
+        when {
+            isReading && !running.isAnswered ->
+                if (sinceActivityNanos > firstByteTimeout(running).toNanos()) {
+                    fail(UpstreamFailure(UpstreamError.Reason.FIRST_BYTE_TIMEOUT, "$address sent no answer in time"))
+                }
+            isReading || isWriting ->
+                if (sinceActivityNanos > idleTimeout(running).toNanos()) {
+                    fail(UpstreamFailure(UpstreamError.Reason.IDLE_TIMEOUT, "$address neither took nor gave a byte in time"))
+                }
+        }
+        // The time in which nobody reads is the reader's, not the endpoint's.
+        if (isRequestWritten && !isReading) activityNanos = now
+    }
+
+    private fun firstByteTimeout(running: ClientExchange?): Duration = running?.request?.firstByteTimeout ?: settings.firstByteTimeout
+
+    private fun idleTimeout(running: ClientExchange?): Duration = running?.request?.idleTimeout ?: settings.idleTimeout
+
+    /** The pool that owns the connection; called on the event loop. */
+    interface Owner {
+        fun onIdle(connection: ClientConnection)
+
+        fun onClosed(connection: ClientConnection)
+
+        fun onUnsolicitedBytes(connection: ClientConnection)
+
+        fun onIdentityMismatch(connection: ClientConnection)
+    }
+
+    private companion object {
+        const val CONTINUE = 100
+        const val OK = 200
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
+        const val TICKS_PER_TIMEOUT = 4
+        const val MIN_TICK_MILLIS = 10L
+        const val MAX_TICK_MILLIS = 250L
+    }
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ConnectionPool.kt
@@ -0,0 +1,107 @@
+package io.limpetfold.http
+
+/** The connections of an [UpstreamClient], by address. */
+internal class ConnectionPool(
+    private val maxConnectionsPerAddress: Int,
+    private val listener: UpstreamListener,
+) : ClientConnection.Owner {
+    private class Entry {
+        val idle = ArrayDeque<ClientConnection>()
+        val open = mutableSetOf<ClientConnection>()
+        var connecting = 0
+    }
+
+    private val entries = HashMap<UpstreamAddress, Entry>()
+    private var isClosed = false
+
+    /** The result of asking for a connection. */
+    sealed interface Slot {
+        class Pooled(
+            val connection: ClientConnection,
+        ) : Slot
+
+        /** The caller may connect and must report the end of the attempt with [connected] or [connectFailed]. */
+        data object New : Slot
+
+        data object Exhausted : Slot
+
+        data object Closed : Slot
+    }
+
+    /** Takes the most recently used idle connection, or permission for a new one. */
+    fun take(address: UpstreamAddress): Slot =
+        synchronized(entries) {
+            if (isClosed) return Slot.Closed
+            val entry = entries.getOrPut(address, ::Entry)
+            entry.idle.removeLastOrNull()?.let { return Slot.Pooled(it) }
+            if (entry.open.size + entry.connecting >= maxConnectionsPerAddress) return Slot.Exhausted
+            entry.connecting++
+            Slot.New
+        }
+
+    /** Returns false when the pool was closed meanwhile; the caller then closes the connection. */
+    fun connected(connection: ClientConnection): Boolean {
+        val isKept =
+            synchronized(entries) {
+                entries[connection.address]?.let { it.connecting-- }
+                if (!isClosed) entries.getOrPut(connection.address, ::Entry).open += connection
+                !isClosed
+            }
+        if (isKept) listener.onOpened(connection.address)
+        return isKept
+    }
+
+    fun connectFailed(address: UpstreamAddress) {
+        synchronized(entries) {
+            entries[address]?.let { it.connecting-- }
+            removeIfUnused(address)
+        }
+    }
+
+    /** The number of open connections to [address]. */
+    fun openCount(address: UpstreamAddress): Int = synchronized(entries) { entries[address]?.open?.size ?: 0 }
+
+    fun close() {
+        val open =
+            synchronized(entries) {
+                isClosed = true
+                entries.values.flatMap { it.open }
+            }
+        open.forEach { it.fail(UpstreamFailure(UpstreamError.Reason.POOL_CLOSED, "the client was closed")) }
+    }
+
+    override fun onIdle(connection: ClientConnection) {
+        val isKept =
+            synchronized(entries) {
+                val entry = entries[connection.address]
+                if (entry == null || isClosed || connection !in entry.open) {
+                    false
+                } else {
+                    entry.idle.addLast(connection)
+                    true
+                }
+            }
+        if (!isKept) connection.discard()
+    }
+
+    override fun onClosed(connection: ClientConnection) {
+        val remaining =
+            synchronized(entries) {
+                val entry = entries[connection.address] ?: return
+                entry.idle.remove(connection)
+                if (!entry.open.remove(connection)) return
+                removeIfUnused(connection.address)
+                entry.open.size
+            }
+        listener.onClosed(connection.address, remaining)
+    }
+
+    override fun onUnsolicitedBytes(connection: ClientConnection) = listener.onUnsolicitedBytes(connection.address)
+
+    override fun onIdentityMismatch(connection: ClientConnection) = listener.onIdentityMismatch(connection.address)
+
+    private fun removeIfUnused(address: UpstreamAddress) {
+        val entry = entries[address] ?: return
+        if (entry.open.isEmpty() && entry.connecting == 0) entries.remove(address)
+    }
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServerSettings.kt
@@ -0,0 +1,35 @@
+package io.limpetfold.http
+
+import java.time.Duration
+
+/**
+ * Address and bounds of an [HttpServer].
+ *
+ * @property port the port to bind; 0 chooses a free one.
+ * @property headerTimeout bound from the first byte of a head to its end.
+ * @property idleTimeout bound on an open connection without a request.
+ * @property bodyIdleTimeout bound between two reads of a body that the handler waits for.
+ * @property writeIdleTimeout bound on a caller that takes no byte of a pending answer.
+ */
+data class HttpServerSettings(
+    val host: String = "127.0.0.1",
+    val port: Int = 0,
+    val maxRequestLineBytes: Int = 8 * 1024,
+    val maxHeaderBytes: Int = DEFAULT_MAX_HEADER_BYTES,
+    val maxHeaderCount: Int = 100,
+    val maxBodyBytes: Long = 8L * 1024 * 1024,
+    val maxConnections: Int = 10_000,
+    val headerTimeout: Duration = Duration.ofSeconds(10),
+    val idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT,
+    val bodyIdleTimeout: Duration = DEFAULT_BODY_IDLE_TIMEOUT,
+    val writeIdleTimeout: Duration = DEFAULT_WRITE_IDLE_TIMEOUT,
+) {
+    private companion object {
+        const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+
+        /** Longer than the 60 s after which load balancers usually drop an idle connection, so that the server is not the first to close. */
+        val DEFAULT_IDLE_TIMEOUT: Duration = Duration.ofSeconds(75)
+        val DEFAULT_BODY_IDLE_TIMEOUT: Duration = Duration.ofSeconds(30)
+        val DEFAULT_WRITE_IDLE_TIMEOUT: Duration = Duration.ofSeconds(120)
+    }
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseSink.kt
@@ -0,0 +1,13 @@
+package io.limpetfold.http
+
+/** The body of a streamed answer. */
+interface ResponseSink {
+    /** Writes [bytes], suspending until the connection has room for them. Throws [CallerGoneException]. */
+    suspend fun write(bytes: ByteArray)
+
+    /** Ends the answer and suspends until it was handed to the network. Throws [CallerGoneException]. */
+    suspend fun finish()
+
+    /** Closes the connection so that the caller sees a truncated answer. */
+    fun abort()
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamAddress.kt
@@ -0,0 +1,9 @@
+package io.limpetfold.http
+
+/** Where an endpoint listens; [host] is an IP address or a name. */
+data class UpstreamAddress(
+    val host: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamBody.kt
@@ -0,0 +1,17 @@
+package io.limpetfold.http
+
+/** The body of a request to an endpoint. */
+sealed interface UpstreamBody {
+    data object None : UpstreamBody
+
+    /** A body held in memory. */
+    class Bytes(
+        val bytes: ByteArray,
+    ) : UpstreamBody
+
+    /** A body that is passed on piece by piece, chunked unless [lengthBytes] is known. */
+    class Stream(
+        val source: BodySource,
+        val lengthBytes: Long? = null,
+    ) : UpstreamBody
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -0,0 +1,165 @@
+package io.limpetfold.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Sends requests to endpoints over pooled connections, with one request on a connection at a time.
+ *
+ * An answer is passed on only when the connection was clean before the request and the echoed `X-Request-Id`, if any, is the one sent.
+ * Cancelling [send] closes the connection of the request.
+ */
+class UpstreamClient(
+    private val settings: UpstreamSettings,
+    loops: HttpEventLoops,
+    private val budget: BufferBudget,
+    listener: UpstreamListener = UpstreamListener.NONE,
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
+) : AutoCloseable {
+    private val pool = ConnectionPool(settings.maxConnectionsPerAddress, listener)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val bootstrap =
+        Bootstrap()
+            .group(loops.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.toMillis().toInt())
+            .option(ChannelOption.RECVBUF_ALLOCATOR, HttpServer.receiveAllocator(budget))
+
+    /** The number of open connections to [address], used or not. */
+    fun openConnections(address: UpstreamAddress): Int = pool.openCount(address)
+
+    /** Sends [request] and suspends until the head of its answer. The caller must read the answer to its end or close it. */
+    suspend fun send(
+        address: UpstreamAddress,
+        request: UpstreamRequest,
+    ): Result<UpstreamAnswer, UpstreamError> {
+        invalidity(request)?.let { return Err(UpstreamError.NotSent(UpstreamError.Reason.INVALID_REQUEST, it)) }
+        while (true) {
+            val connection =
+                when (val slot = pool.take(address)) {
+                    is ConnectionPool.Slot.Pooled -> slot.connection
+                    ConnectionPool.Slot.New -> connect(address).getOrElse { return Err(it) }
+                    ConnectionPool.Slot.Exhausted ->
+                        return notSent(UpstreamError.Reason.POOL_EXHAUSTED, "all connections to $address are in use")
+                    ConnectionPool.Slot.Closed -> return notSent(UpstreamError.Reason.POOL_CLOSED, "the client was closed")
+                }
+            // A connection that can't be used has written nothing, so that the request may go out on the next one.
+            val exchange = connection.start(request) ?: continue
+            return answer(connection, exchange)
+        }
+    }
+
+    /** Closes all connections; running exchanges fail. */
+    override fun close() {
+        pool.close()
+        scope.cancel()
+    }
+
+    private suspend fun answer(
+        connection: ClientConnection,
+        exchange: ClientExchange,
+    ): Result<UpstreamAnswer, UpstreamError> {
+        val body = exchange.request.body
+        if (body is UpstreamBody.Stream) exchange.bodyJob = scope.launch(start = CoroutineStart.ATOMIC) { pump(connection, exchange, body) }
+        val head =
+            try {
+                exchange.awaitHead()
+            } catch (e: CancellationException) {
+                exchange.close()
+                throw e
+            }
+        return head.map { exchange as UpstreamAnswer }.onFailure { exchange.close() }
+    }
+
+    private suspend fun pump(
+        connection: ClientConnection,
+        exchange: ClientExchange,
+        body: UpstreamBody.Stream,
+    ) {
+        try {
+            var writtenBytes = 0L
+            while (true) {
+                val piece = body.source.next() ?: break
+                writtenBytes += piece.size
+                check(body.lengthBytes == null || writtenBytes <= body.lengthBytes) { "the body exceeds its declared length" }
+                exchange.outbound.write(piece)
+            }
+            check(body.lengthBytes == null || writtenBytes == body.lengthBytes) { "the body is shorter than its declared length" }
+            connection.endRequest(exchange)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: UpstreamFailure) {
+            connection.fail(e)
+        } catch (e: Exception) {
+            connection.fail(UpstreamFailure(UpstreamError.Reason.REQUEST_BODY_FAILED, "the request body failed: ${e.message}"))
+        }
+    }
+
+    private suspend fun connect(address: UpstreamAddress): Result<ClientConnection, UpstreamError> {
+        val created = AtomicReference<ClientConnection>()
+        val future =
+            bootstrap
+                .clone()
+                .handler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) {
+                            created.set(ClientConnection(address, channel, settings, budget, pool).also { it.install() })
+                        }
+                    },
+                ).connect(address.host, address.port)
+        // The attempt is bounded by the connect timeout, and its outcome must reach the pool in any case.
+        val failure = withContext(NonCancellable) { future.awaitCause() }
+        if (failure != null) {
+            pool.connectFailed(address)
+            val reason = if (failure is ConnectTimeoutException) UpstreamError.Reason.CONNECT_TIMEOUT else UpstreamError.Reason.REFUSED
+            return notSent(reason, "no connection to $address: ${failure.message}")
+        }
+        val connection = created.get()
+        if (!pool.connected(connection)) {
+            connection.discard()
+            return notSent(UpstreamError.Reason.POOL_CLOSED, "the client was closed")
+        }
+        return Ok(connection)
+    }
+
+    private fun invalidity(request: UpstreamRequest): String? {
+        val isTargetValid = request.target.startsWith("/") && request.target.all { it in '!'..'~' }
+        val isMethodValid = request.method.isNotEmpty() && request.method.all { it in 'A'..'Z' }
+        val invalidHeader = request.headers.entries.firstOrNull { (name, value) -> !isToken(name) || value.any { it < ' ' && it != '\t' } }
+        return when {
+            !isTargetValid -> "the target is not a path: use origin form"
+            !isMethodValid -> "the method is not valid: use upper-case letters"
+            invalidHeader != null -> "the header field '${invalidHeader.first}' is not valid: remove control characters"
+            else -> null
+        }
+    }
+
+    private fun isToken(name: String): Boolean = name.isNotEmpty() && name.all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in "-_." }
+
+    private fun notSent(
+        reason: UpstreamError.Reason,
+        message: String,
+    ) = Err(UpstreamError.NotSent(reason, message))
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamError.kt
@@ -0,0 +1,42 @@
+package io.limpetfold.http
+
+/** Why a request to an endpoint failed, by what the endpoint may have received. */
+sealed interface UpstreamError {
+    val reason: Reason
+    val message: String
+
+    /** The cause of a failure. */
+    enum class Reason {
+        REFUSED,
+        CONNECT_TIMEOUT,
+        POOL_CLOSED,
+        POOL_EXHAUSTED,
+        INVALID_REQUEST,
+        CONNECTION_CLOSED,
+        FIRST_BYTE_TIMEOUT,
+        IDLE_TIMEOUT,
+        MALFORMED_ANSWER,
+        IDENTITY_MISMATCH,
+        REQUEST_BODY_FAILED,
+        CANCELLED,
+    }
+
+    /** No byte of the request was written. */
+    data class NotSent(
+        override val reason: Reason,
+        override val message: String,
+    ) : UpstreamError
+
+    /** The request may have reached the endpoint and no answer was passed on. */
+    data class OutcomeUnknown(
+        override val reason: Reason,
+        override val message: String,
+    ) : UpstreamError
+
+    /** The answer began and did not end; [bytesPassed] bytes of its body were returned to the reader. */
+    data class BrokenAnswer(
+        override val reason: Reason,
+        override val message: String,
+        val bytesPassed: Long,
+    ) : UpstreamError
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamListener.kt
@@ -0,0 +1,24 @@
+package io.limpetfold.http
+
+/** Sees the connections of an [UpstreamClient]; called on event loops and must not block. */
+interface UpstreamListener {
+    /** A connection was opened. */
+    fun onOpened(address: UpstreamAddress) {}
+
+    /** A connection to [address] was closed and [openConnections] remain. */
+    fun onClosed(
+        address: UpstreamAddress,
+        openConnections: Int,
+    ) {}
+
+    /** A connection was closed because of bytes that no request asked for. */
+    fun onUnsolicitedBytes(address: UpstreamAddress) {}
+
+    /** An answer carried the identity of another request. */
+    fun onIdentityMismatch(address: UpstreamAddress) {}
+
+    companion object {
+        /** Ignores all events. */
+        val NONE: UpstreamListener = object : UpstreamListener {}
+    }
+}
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamRequest.kt
@@ -0,0 +1,21 @@
+package io.limpetfold.http
+
+import java.time.Duration
+
+/**
+ * A request to an endpoint.
+ *
+ * @property target path and query in origin form.
+ * @property headers fields to send; those of the connection itself are ignored. `X-Request-Id` is compared with the echo in the answer.
+ * @property firstByteTimeout replaces the client's setting for this request.
+ * @property idleTimeout replaces the client's setting for this request.
+ */
+data class UpstreamRequest(
+    val method: String,
+    val target: String,
+    val headers: Headers = Headers.EMPTY,
+    val body: UpstreamBody = UpstreamBody.None,
+    val echo: EchoRule = EchoRule.IF_PRESENT,
+    val firstByteTimeout: Duration? = null,
+    val idleTimeout: Duration? = null,
+)
--- /dev/null
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/WhileConnected.kt
@@ -0,0 +1,23 @@
+package io.limpetfold.http
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.ensureActive
+
+/** Runs [block] and cancels it when the caller goes; then throws [CallerGoneException]. */
+suspend fun <T> HttpExchange.whileConnected(block: suspend CoroutineScope.() -> T): T =
+    coroutineScope {
+        val work = async { block() }
+        val handle = onCallerGone { work.cancel() }
+        try {
+            work.await()
+        } catch (e: CancellationException) {
+            ensureActive()
+            if (callerGone.isCompleted) throw CallerGoneException()
+            throw e
+        } finally {
+            handle.dispose()
+        }
+    }
