config: add the fleet configuration and its keeper

Cause: routers need one joint configuration that never reverts and that a router can get from peers while the platform is down. Ruled out: verifying a signature (the platform and the peers are authenticated already); a hash over all fields (routers of an older version would refuse every new default). Change: FleetConfig with checks that report every fault at once, StructureCheck for ranges and units, ConfigKeeper with watch, jittered poll and peers. Conclusion: the router can be wired against FleetConfig and ConfigKeeper.

--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/AllowedText.kt
@@ -0,0 +1,29 @@
+package io.limpetfold.config
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialInfo
+
+/** The regular expression that a text field, or each item of a list of texts, matches as a whole. */
+@OptIn(ExperimentalSerializationApi::class)
+@SerialInfo
+@Target(AnnotationTarget.PROPERTY)
+annotation class AllowedText(
+    val pattern: String,
+) {
+    companion object {
+        /** Names appear in object keys, metrics and log lines, so their characters are few. */
+        const val NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+
+        /** Lower-case hexadecimal SHA-256. */
+        const val SHA256 = "[0-9a-f]{64}"
+
+        /** An absolute path without a trailing slash, or `/` itself. */
+        const val PATH = "/|(/[A-Za-z0-9._~-]+)+"
+
+        /** An absolute path whose segments may be placeholders, as in `/bookings/{id}`. */
+        const val PATH_TEMPLATE = "/|(/([A-Za-z0-9._~-]+|\\{[a-z]+}))+"
+
+        /** An HTTP method. */
+        const val METHOD = "GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS"
+    }
+}
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/CallRule.kt
@@ -0,0 +1,32 @@
+package io.limpetfold.config
+
+import kotlinx.serialization.Serializable
+
+/**
+ * How calls of one method and path of a route are treated.
+ *
+ * @property path absolute; a segment such as `{id}` matches any one segment.
+ * @property isRepeatable whether the call may be sent again after an unknown outcome.
+ * @property isKeyRequired whether a call without an `Idempotency-Key` is refused.
+ */
+@Serializable
+data class CallRule(
+    @AllowedText(AllowedText.METHOD)
+    val method: String,
+    @AllowedText(AllowedText.PATH_TEMPLATE)
+    val path: String,
+    val isRepeatable: Boolean,
+    val isKeyRequired: Boolean = false,
+) {
+    /** Whether this rule covers a call. */
+    fun matches(
+        method: String,
+        path: String,
+    ): Boolean {
+        if (method != this.method) return false
+        val expected = this.path.split('/')
+        val actual = path.split('/')
+        return expected.size == actual.size &&
+            expected.zip(actual).all { (rule, segment) -> rule == segment || (rule.startsWith("{") && segment.isNotEmpty()) }
+    }
+}
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigListener.kt
@@ -0,0 +1,21 @@
+package io.limpetfold.config
+
+/** Events of a [ConfigKeeper]; called on the coroutine that found the generation. */
+interface ConfigListener {
+    /** [config] replaced an older generation. */
+    fun onAccepted(
+        config: FleetConfig,
+        source: ConfigSource,
+    ) = Unit
+
+    /** A newer [generation] was refused as a whole. */
+    fun onRefused(
+        generation: Long,
+        source: ConfigSource,
+        problems: List<ConfigProblem>,
+    ) = Unit
+
+    companion object {
+        val NONE: ConfigListener = object : ConfigListener {}
+    }
+}
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ServiceVersion.kt
@@ -0,0 +1,17 @@
+package io.limpetfold.config
+
+import io.limpetfold.core.VersionId
+import kotlinx.serialization.Serializable
+
+/**
+ * A version of a service that may receive traffic.
+ *
+ * @property maxInFlightPerEndpoint requests that one endpoint handles at the same time, over all routers.
+ */
+@Serializable
+data class ServiceVersion(
+    @AllowedText(AllowedText.NAME)
+    val version: VersionId,
+    @AllowedRange("1", "100000")
+    val maxInFlightPerEndpoint: Int,
+)
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/WorkspaceConfig.kt
@@ -0,0 +1,24 @@
+package io.limpetfold.config
+
+import io.limpetfold.core.WorkspaceId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.serialization.Serializable
+
+/**
+ * A workspace that may call the fleet.
+ *
+ * @property keyHashes SHA-256 of each valid key in lower-case hexadecimal; see [KeyHash].
+ * @property weight share of a contended queue relative to other workspaces.
+ * @property budget preset of its budget grants.
+ */
+@Serializable
+data class WorkspaceConfig(
+    @AllowedText(AllowedText.NAME)
+    val workspace: WorkspaceId,
+    @AllowedText(AllowedText.SHA256)
+    @Serializable(with = ImmutableListSerializer::class)
+    val keyHashes: ImmutableList<String>,
+    @AllowedRange("1", "1000")
+    val weight: Int = 1,
+    val budget: Preset = Preset.AVAILABILITY,
+)
