config: add the publisher and the generation property test

Cause: operators race, answers of the platform are lost, and a router must never go back. Ruled out: a read before each write in the publisher's caller (the compared generation decides, not the time of reading).

--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigPublisher.kt
@@ -0,0 +1,85 @@
+package io.limpetfold.config
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import io.limpetfold.store.Change
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
+import io.limpetfold.store.UpdateError
+import java.time.InstantSource
+
+/** Writes generations by conditional update on the generation that they were compared with. */
+class ConfigPublisher(
+    store: ObjectStore,
+    private val clock: InstantSource = InstantSource.system(),
+) {
+    private val stored = TypedObject(store, FleetConfig.KEY, FleetConfig.serializer())
+
+    /** Reads the newest generation, or null before the first one. */
+    suspend fun read(): Result<FleetConfig?, PublishError> =
+        stored.read().map { it.value }.mapError { PublishError.Unavailable(it) }
+
+    /**
+     * Publishes the content of [config] as the generation after [comparedWith], which is 0 before the first one.
+     *
+     * An own write whose answer was lost is recognised by content hash and [author].
+     */
+    suspend fun publish(
+        config: FleetConfig,
+        comparedWith: Long,
+        author: String,
+    ): Result<Published, PublishError> {
+        val problems = config.problems()
+        if (problems.isNotEmpty()) return Err(PublishError.Invalid(problems))
+        val hash = config.contentHash()
+        val next =
+            config.sorted().copy(
+                generation = comparedWith + 1,
+                publication = Publication(author, clock.instant(), hash),
+            )
+        val isOwn: (FleetConfig) -> Boolean = {
+            it.generation == next.generation && it.publication?.contentHash == hash && it.publication.author == author
+        }
+        return stored
+            .update<PublishError.LostRace>(isOwn) { current -> decide(current, next, comparedWith, isOwn) }
+            .map { Published(it.value ?: next, isChanged = it.value?.generation == next.generation) }
+            .mapError { failure(it) }
+    }
+
+    private fun decide(
+        current: FleetConfig?,
+        next: FleetConfig,
+        comparedWith: Long,
+        isOwn: (FleetConfig) -> Boolean,
+    ): Change<FleetConfig, PublishError.LostRace> {
+        val generation = current?.generation ?: 0
+        val publication = current?.publication
+        return when {
+            current != null && isOwn(current) -> Change.Keep
+            generation != comparedWith ->
+                Change.Refuse(
+                    PublishError.LostRace(
+                        comparedWith,
+                        generation,
+                        publication?.author ?: "an unknown author",
+                        publication?.publishedAt,
+                    ),
+                )
+            publication?.contentHash == next.publication?.contentHash && current != null -> Change.Keep
+            else -> Change.Write(next)
+        }
+    }
+
+    private fun failure(error: UpdateError<PublishError.LostRace>): PublishError =
+        when (error) {
+            is UpdateError.Refused -> error.reason
+            is UpdateError.Failed ->
+                when (val cause = error.error) {
+                    is StoreError.OutcomeUnknown -> PublishError.OutcomeUnknown(cause)
+                    else -> PublishError.Unavailable(cause)
+                }
+        }
+}
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/PublishError.kt
@@ -0,0 +1,44 @@
+package io.limpetfold.config
+
+import io.limpetfold.store.StoreError
+import java.time.Instant
+
+/** Why a configuration was not published. */
+sealed interface PublishError {
+    val message: String
+
+    /** The configuration has faults; nothing was written. */
+    data class Invalid(
+        val problems: List<ConfigProblem>,
+    ) : PublishError {
+        override val message get() = "the configuration has ${problems.size} faults: ${problems.joinToString("; ")}"
+    }
+
+    /** Another publication came between the comparison and the write. */
+    data class LostRace(
+        val comparedWith: Long,
+        val generation: Long,
+        val author: String,
+        val publishedAt: Instant?,
+    ) : PublishError {
+        override val message get() =
+            "generation $generation of $author, published at $publishedAt, is in force instead of generation $comparedWith " +
+                "that this publication was compared with; run diff again and decide anew"
+    }
+
+    /** The platform failed before anything was written. */
+    data class Unavailable(
+        val error: StoreError,
+    ) : PublishError {
+        override val message get() = error.message
+    }
+
+    /** The write may have taken effect; publishing the same content again is safe. */
+    data class OutcomeUnknown(
+        val error: StoreError,
+    ) : PublishError {
+        override val message get() =
+            "it is unknown whether the generation was written (${error.message}); publish the same files again, " +
+                "which recognises an earlier write"
+    }
+}
--- /dev/null
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/Published.kt
@@ -0,0 +1,11 @@
+package io.limpetfold.config
+
+/**
+ * A publication that is in force.
+ *
+ * @property isChanged false when the same content was in force before, so that nothing was written.
+ */
+data class Published(
+    val config: FleetConfig,
+    val isChanged: Boolean,
+)
--- /dev/null
+++ b/limpetfold-config/src/test/kotlin/io/limpetfold/config/FleetConfigTest.kt
@@ -0,0 +1,52 @@
+package io.limpetfold.config
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.store.TypedObject
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
+
+class FleetConfigTest :
+    FunSpec({
+        test("guards against a stored form that loses a field") {
+            val config = sampleConfig()
+            val text = TypedObject.JSON.encodeToString(FleetConfig.serializer(), config)
+
+            TypedObject.JSON.decodeFromString(FleetConfig.serializer(), text) shouldBe config
+            config.problems() shouldBe emptyList()
+        }
+
+        test("guards against a prefix that matches half a segment or hides a longer one") {
+            val base = sampleConfig()
+            val route = base.routes[0]
+            val all = route.copy(route = RouteId("all"), pathPrefix = "/")
+            val config = base.copy(routes = (persistentListOf(all) + base.routes).toImmutableList())
+
+            config.routeFor("/v1/chat/completions")?.route shouldBe RouteId("chat")
+            config.routeFor("/v1/chatter")?.route shouldBe RouteId("all")
+        }
+
+        test("guards against a foreign key and against a repeat of a call that must not be repeated") {
+            val config = sampleConfig()
+            config.workspaceByKey("demo-key-dom")?.workspace shouldBe WorkspaceId("dom")
+            config.workspaceByKey("demo-key-do") shouldBe null
+
+            val rules = persistentListOf(CallRule("POST", "/v1/chat/{id}/retry", isRepeatable = true))
+            val route = config.routes[0].copy(calls = rules)
+            route.callRule("POST", "/v1/chat/7/retry").isRepeatable shouldBe true
+            route.callRule("POST", "/v1/chat").isRepeatable shouldBe false
+            route.callRule("GET", "/v1/chat").isRepeatable shouldBe true
+        }
+
+        test("guards against units that change in a round trip") {
+            for (text in listOf("0ms", "250ms", "18s", "5m", "24h")) {
+                DurationText.format(DurationText.parse(text) ?: Duration.ZERO) shouldBe text
+            }
+            for (text in listOf("0B", "512B", "64KiB", "1536B", "3MiB", "1GiB")) ByteSize.parse(text).toString() shouldBe text
+            DurationText.parse("18") shouldBe null
+            ByteSize.parse("64kb") shouldBe null
+        }
+    })
--- /dev/null
+++ b/limpetfold-config/src/test/kotlin/io/limpetfold/config/GenerationPropertyTest.kt
@@ -0,0 +1,211 @@
+package io.limpetfold.config
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.onSuccess
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectPage
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.StoredObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
+import kotlin.random.Random
+
+class GenerationPropertyTest :
+    FunSpec({
+        test("guards against a router that goes back, a lost publication and a router left on an old generation") {
+            var accepted = 0
+            for (seed in 1..SEEDS) {
+                withClue("seed $seed") {
+                    val fleet = Fleet(seed)
+                    repeat(STEPS) { fleet.step() }
+                    fleet.settle(isPlatformUp = seed % 2 == 0)
+                    accepted += fleet.acceptedCount
+                }
+            }
+            accepted shouldBeGreaterThan SEEDS
+        }
+    }) {
+    /** Answers reads from an older state now and then, as a lagging replica of the platform does. */
+    private class LaggingStore(
+        private val store: FakeObjectStore,
+        private val random: Random,
+    ) : ObjectStore {
+        private val past = mutableListOf<StoredObject>()
+        var isDown = false
+        var isLagging = true
+
+        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> {
+            if (isDown) return Err(StoreError.Unavailable("outage"))
+            return store.get(key).onSuccess { it?.let(past::add) }.let { if (isStale()) Ok(past.random(random)) else it }
+        }
+
+        override suspend fun put(
+            key: ObjectKey,
+            value: String,
+            expected: ObjectVersion,
+        ): Result<ObjectVersion, StoreError> =
+            if (isDown) Err(StoreError.Unavailable("outage")) else store.put(key, value, expected)
+
+        override suspend fun list(prefix: String): Result<ObjectPage, StoreError> = store.list(prefix)
+
+        override suspend fun watch(
+            prefix: String,
+            after: ObjectVersion,
+            wait: Duration,
+        ): Result<ObjectPage, StoreError> {
+            if (isDown) return Err(StoreError.Unavailable("outage"))
+            if (!isStale()) return store.watch(prefix, after, wait)
+            val late = past.random(random)
+            return Ok(ObjectPage(listOf(late).toImmutableList(), late.version))
+        }
+
+        private fun isStale() = isLagging && past.isNotEmpty() && random.nextInt(3) == 0
+    }
+
+    private class Router(
+        val keeper: ConfigKeeper,
+        val seen: MutableList<Long>,
+    )
+
+    private class Fleet(
+        seed: Int,
+    ) {
+        private val random = Random(seed)
+        private val clock = TestClock()
+        private val truth = FakeObjectStore()
+        private val platform = LaggingStore(truth, random)
+        private val faultyWrites =
+            truth.withFaults {
+                when (random.nextInt(6)) {
+                    0 -> StoreFault.ANSWER_LOST
+                    1 -> StoreFault.REQUEST_LOST
+                    2 -> StoreFault.UNAVAILABLE
+                    else -> StoreFault.NONE
+                }
+            }
+        private val cut = mutableSetOf<Set<InstanceId>>()
+        private val hub =
+            FakePeerHub { from, to -> if (setOf(from, to) in cut) PeerFault.REQUEST_LOST else PeerFault.NONE }
+        private val instances = List(3 + random.nextInt(4)) { InstanceId("r$it") }
+        private val routers = mutableMapOf<InstanceId, Router>()
+        private val contents = mutableMapOf<Long, String>()
+        private var starts = 0L
+        private var drafts = 0
+        var acceptedCount = 0
+
+        init {
+            instances.forEach(::start)
+        }
+
+        private fun start(instance: InstanceId) {
+            val seen = mutableListOf<Long>()
+            val listener =
+                object : ConfigListener {
+                    override fun onAccepted(
+                        config: FleetConfig,
+                        source: ConfigSource,
+                    ) {
+                        seen += config.generation
+                        acceptedCount++
+                        contents.getOrPut(config.generation) { config.contentHash() } shouldBe config.contentHash()
+                    }
+                }
+            val network = hub.join(Incarnation(instance, ++starts))
+            routers[instance] =
+                Router(ConfigKeeper(platform, network, clock.monotonic, random, listener = listener), seen)
+        }
+
+        suspend fun step() {
+            val before = routers.mapValues { it.value.keeper to (it.value.keeper.current?.generation ?: 0) }
+            val instance = instances.random(random)
+            val keeper = routers.getValue(instance).keeper
+            when (random.nextInt(12)) {
+                0 -> race()
+                1 -> platform.isDown = !platform.isDown
+                2 -> start(instance)
+                3 -> cut += setOf(instance, instances.random(random))
+                4 -> cut.clear()
+                5 -> keeper.observe(instances.random(random), random.nextLong(10))
+                6, 7 -> keeper.watch()
+                else -> {
+                    clock.advance(Duration.ofSeconds(random.nextLong(9)))
+                    keeper.maintain()
+                }
+            }
+            check(before)
+        }
+
+        private fun check(before: Map<InstanceId, Pair<ConfigKeeper, Long>>) {
+            for ((instance, old) in before) {
+                val now = routers.getValue(instance)
+                if (now.keeper !== old.first) continue
+                (now.keeper.current?.generation ?: 0) shouldBeGreaterThanOrEqualTo old.second
+                now.seen shouldBe now.seen.sorted().distinct()
+            }
+        }
+
+        /** Two operators compare with the same generation and publish different contents. */
+        private suspend fun race() {
+            if (platform.isDown) return
+            val publishers = List(2) { ConfigPublisher(faultyWrites, clock) }
+            val base = ConfigPublisher(truth).read().get()?.generation ?: 0
+            val results =
+                publishers.mapIndexed { index, publisher ->
+                    publisher.publish(sampleConfig(maxRouters = 1 + drafts++ % 900), base, "operator-$index")
+                }
+            val winners = results.mapNotNull { it.get() }
+            winners.forEach { it.config.generation shouldBe base + 1 }
+            winners.map { it.config.contentHash() }.distinct().size shouldBe winners.size.coerceAtMost(1)
+            val lost = results.mapNotNull { it.getError() }.filterIsInstance<PublishError.LostRace>()
+            lost.forEach {
+                it.comparedWith shouldBe base
+                it.publishedAt shouldNotBe null
+            }
+        }
+
+        /** Once the platform or the peers can be reached, everyone gets the newest generation that is left. */
+        suspend fun settle(isPlatformUp: Boolean) {
+            platform.isDown = !isPlatformUp
+            platform.isLagging = false
+            cut.clear()
+            if (isPlatformUp) hub.fault = { _, _ -> PeerFault.REQUEST_LOST }
+            val newest =
+                if (isPlatformUp) {
+                    ConfigPublisher(truth).read().get()?.generation ?: 0
+                } else {
+                    routers.values.maxOf { it.keeper.current?.generation ?: 0 }
+                }
+            instances.randomOrNull(random)?.let { if (isPlatformUp) start(it) }
+            repeat(ROUNDS) {
+                clock.advance(Duration.ofSeconds(9))
+                routers.values.forEach { it.keeper.maintain() }
+            }
+            routers.mapValues { it.value.keeper.current?.generation ?: 0 } shouldBe instances.associateWith { newest }
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 300
+        const val STEPS = 80
+        const val ROUNDS = 12
+    }
+}
