--- /dev/null
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimShard.kt
@@ -0,0 +1,9 @@
+package io.limpetfold.claim
+
+import kotlinx.serialization.Serializable
+
+/** The stored value of `claim/<shard>`: records by key hash. */
+@Serializable
+internal data class ClaimShard(
+    val records: Map<String, ClaimRecord> = emptyMap(),
+)
--- /dev/null
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/Refusal.kt
@@ -0,0 +1,215 @@
+package io.limpetfold.request
+
+import io.limpetfold.core.EndpointId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import java.time.Duration
+import java.time.Instant
+
+/**
+ * Why a request got no regular answer.
+ *
+ * A refusal alone is not an answer: the caller is told only what [RequestLifecycle] put into [RequestState.Refused] or
+ * [RequestState.Unknown].
+ *
+ * @property type the stable machine-readable name in the answer.
+ * @property status the HTTP status of the answer.
+ * @property remedy what the caller or operator can do.
+ * @property retryAfter when a retry is useful, or null when waiting alone does not help.
+ */
+sealed interface Refusal {
+    val ran: Ran
+    val type: String
+    val status: Int
+    val message: String
+    val remedy: String
+    val retryAfter: Duration?
+
+    /** A refusal that is true only when nothing was sent to an endpoint or the endpoint said that it did not start. */
+    sealed interface NotRun : Refusal {
+        override val ran: Ran get() = Ran.NO
+    }
+
+    /** A refusal about a request that was sent, or whose key was used before. */
+    sealed interface MayHaveRun : Refusal
+
+    /** The key is missing or matches no workspace. */
+    data object Unauthenticated : NotRun {
+        override val type get() = "unauthenticated"
+        override val status get() = 401
+        override val message get() = "the request carries no valid key"
+        override val remedy get() = "send Authorization: Bearer with a key of the workspace"
+        override val retryAfter: Duration? get() = null
+    }
+
+    /** No route matches the request. */
+    data class UnknownRoute(
+        val path: String,
+    ) : NotRun {
+        override val type get() = "unknown_route"
+        override val status get() = 404
+        override val message get() = "no route matches the path"
+        override val remedy get() = "check the path against the configured routes"
+        override val retryAfter: Duration? get() = null
+    }
+
+    /** The request is malformed; [reason] names the fault without quoting the body. */
+    data class InvalidRequest(
+        val reason: String,
+        override val status: Int = 400,
+    ) : NotRun {
+        override val type get() = "invalid_request"
+        override val message get() = "the request is invalid: $reason"
+        override val remedy get() = "correct the request and send it again"
+        override val retryAfter: Duration? get() = null
+    }
+
+    /** The workspace has no tokens left. */
+    data class BudgetExhausted(
+        val workspace: WorkspaceId,
+        override val retryAfter: Duration? = null,
+    ) : NotRun {
+        override val type get() = "budget_exhausted"
+        override val status get() = 402
+        override val message get() = "the prepaid budget of workspace $workspace does not cover the request"
+        override val remedy get() = "top up the budget or lower the output limit"
+    }
+
+    /** No grant could be obtained in time, although the budget may hold tokens. */
+    data class BudgetUnavailable(
+        val workspace: WorkspaceId,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "budget_unavailable"
+        override val status get() = 503
+        override val message get() = "tokens of workspace $workspace could not be reserved in time"
+        override val remedy get() = "retry; the platform or the peers that hold the tokens are unreachable"
+    }
+
+    /** Every endpoint of the route is at its limit. */
+    data class EndpointCapacity(
+        val route: RouteId,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "endpoint_capacity"
+        override val status get() = 503
+        override val message get() = "the endpoints of route $route stayed at their limit until the deadline"
+        override val remedy get() = "retry later, or add endpoints if this persists"
+    }
+
+    /** No endpoint of the route is in rotation. */
+    data class NoEndpoint(
+        val route: RouteId,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "no_endpoint"
+        override val status get() = 503
+        override val message get() = "route $route has no usable endpoint"
+        override val remedy get() = "check that endpoints of the active version are running"
+    }
+
+    /** The router is at a bound of its own, such as buffered bytes. */
+    data class RouterOverloaded(
+        val bound: String,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "router_overloaded"
+        override val status get() = 503
+        override val message get() = "the router reached its bound of $bound"
+        override val remedy get() = "retry; another router may have room"
+    }
+
+    /** The router is stopping and takes no new requests. */
+    data class Draining(
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "draining"
+        override val status get() = 503
+        override val message get() = "the router is stopping"
+        override val remedy get() = "retry on a new connection"
+    }
+
+    /** The caller sends more than its rate allows. */
+    data class RateExceeded(
+        val workspace: WorkspaceId,
+        override val retryAfter: Duration,
+    ) : NotRun {
+        override val type get() = "rate_exceeded"
+        override val status get() = 429
+        override val message get() = "workspace $workspace exceeds its request rate"
+        override val remedy get() = "send requests more slowly"
+    }
+
+    /** The endpoint proved that it did not start the request, and no attempt was left. */
+    data class EndpointRefused(
+        val endpoint: EndpointId,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "endpoint_refused"
+        override val status get() = 503
+        override val message get() = "endpoint $endpoint did not start the request"
+        override val remedy get() = "retry; another endpoint may take it"
+    }
+
+    /** The idempotency key could not be claimed, so the request was not forwarded. */
+    data class ClaimUnavailable(
+        val reason: String,
+        override val retryAfter: Duration?,
+    ) : NotRun {
+        override val type get() = "claim_unavailable"
+        override val status get() = 503
+        override val message get() = "the idempotency key could not be claimed: $reason"
+        override val remedy get() = "retry with the same key"
+    }
+
+    /** A call with the same key was claimed earlier and has no recorded outcome; this call was not forwarded. */
+    data class DuplicateUnfinished(
+        val claimedAt: Instant,
+        override val retryAfter: Duration?,
+    ) : MayHaveRun {
+        override val ran get() = Ran.UNKNOWN
+        override val type get() = "duplicate_unfinished"
+        override val status get() = 409
+        override val message get() = "a call with this key was made at $claimedAt and its outcome is not recorded"
+        override val remedy get() = "ask the service for the effect of the key before using a new key"
+    }
+
+    /** A call with the same key finished with [recordedStatus], and its body was not kept. */
+    data class DuplicateFinished(
+        val recordedStatus: Int,
+    ) : MayHaveRun {
+        override val ran get() = Ran.YES
+        override val type get() = "duplicate_finished"
+        override val status get() = 409
+        override val message get() = "a call with this key ended with status $recordedStatus; its body was not kept"
+        override val remedy get() = "read the result from the service"
+        override val retryAfter: Duration? get() = null
+    }
+
+    /** The endpoint began to answer and failed before the end. */
+    data class UpstreamFailed(
+        val endpoint: EndpointId,
+        val request: RequestId,
+    ) : MayHaveRun {
+        override val ran get() = Ran.YES
+        override val type get() = "upstream_failed"
+        override val status get() = 502
+        override val message get() = "endpoint $endpoint failed while it answered request $request"
+        override val remedy get() = "retry with the same X-Request-Id if the call may be repeated"
+        override val retryAfter: Duration? get() = null
+    }
+
+    /** The request was written to an endpoint and nothing shows whether it ran. */
+    data class UnknownOutcome(
+        val endpoint: EndpointId,
+        val request: RequestId,
+    ) : MayHaveRun {
+        override val ran get() = Ran.UNKNOWN
+        override val type get() = "unknown_outcome"
+        override val status get() = 504
+        override val message get() = "no answer to request $request came from endpoint $endpoint"
+        override val remedy get() = "check for the request's effect before sending it again"
+        override val retryAfter: Duration? get() = null
+    }
+}
