--- /dev/null
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/RouteQueue.kt
@@ -0,0 +1,8 @@
+package io.limpetfold.limits
+
+/** The waiting requests of one route. */
+internal class RouteQueue(
+    var limit: RouteLimit,
+) {
+    val waiters = FairQueue<Waiter> { limit.weights[it] ?: 1 }
+}
