--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -0,0 +1,474 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.store.Change
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
+import io.limpetfold.store.UpdateError
+import io.limpetfold.store.Versioned
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/**
+ * Spends prepaid budgets on behalf of one router process.
+ *
+ * Safe for concurrent use; callers' threads are held only for short critical sections. The constructor registers the
+ * transfer topic with [peers].
+ *
+ * @param self the incarnation of this process; it must never be used again after the process has ended.
+ */
+class BudgetAgent(
+    private val self: Incarnation,
+    private val store: ObjectStore,
+    private val peers: PeerNetwork,
+    private val policy: BudgetPolicy = BudgetPolicy.availability,
+    timeSource: TimeSource = TimeSource.Monotonic,
+    private val random: Random = Random.Default,
+    private val listener: BudgetListener = BudgetListener.NONE,
+) {
+    private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
+    private val start = timeSource.markNow()
+    private val slots = ConcurrentHashMap<WorkspaceId, AccountSlot>()
+
+    @Volatile
+    private var isClosed = false
+
+    init {
+        peers.handle(TRANSFER_TOPIC) { from, message -> give(from, message) }
+    }
+
+    /**
+     * Reserves [tokens] for one run of [request].
+     *
+     * Tries the local account, then the platform, then peers, and waits up to [patience] for tokens to become available.
+     * With a patience of zero one attempt is made and nothing is waited for beyond its calls. Two calls for the same
+     * request are two runs with a reservation each.
+     */
+    suspend fun reserve(
+        workspace: WorkspaceId,
+        request: RequestId,
+        tokens: Long,
+        patience: Duration,
+    ): Result<Reservation, BudgetRefusal> {
+        require(tokens >= 0) { "a reservation of $tokens tokens is negative" }
+        val slot =
+            slotOf(workspace)
+                ?: return refused(
+                    if (isClosed) {
+                        BudgetRefusal.RouterClosed(workspace, policy.maxRetryDelay)
+                    } else {
+                        BudgetRefusal.UnknownWorkspace(workspace, policy.maxRetryDelay)
+                    },
+                )
+        slot.change { it.demanded(tokens, nowMillis(), policy.demandWindow.toMillis()) }
+        tryReserve(slot, request, tokens)?.let { return Ok(it) }
+        slot.locked { waitingTokens += tokens }
+        return try {
+            awaitTokens(slot, request, tokens, patience.toMillis())
+        } finally {
+            slot.locked { waitingTokens -= tokens }
+        }
+    }
+
+    /**
+     * Charges [usedTokens], at most the reservation, and releases the rest; a second call changes nothing.
+     *
+     * After [close] nothing is charged any more: the close has charged open reservations in full.
+     */
+    fun settle(
+        reservation: Reservation,
+        usedTokens: Long,
+    ): Settlement {
+        val slot = checkNotNull(slots[reservation.workspace]) { "reservation ${reservation.number} is of another agent" }
+        var before: LocalAccount? = null
+        val after =
+            slot.change {
+                before = it
+                it.settle(reservation.number, usedTokens)
+            }
+        val isRepeated = before === after
+        val charged = after.spentTokens - (before?.spentTokens ?: 0)
+        return Settlement(charged, if (isRepeated) 0 else reservation.tokens - charged, after.spentTokens, isRepeated)
+    }
+
+    /**
+     * Brings the ledgers of at most [BudgetPolicy.reportsPerRound] workspaces up to date, those longest not synchronised
+     * first: reports spend, records transfers, and learns of top-ups, closed peers and unseen transfers.
+     */
+    suspend fun maintain() {
+        if (isClosed) return
+        val now = nowMillis()
+        val due =
+            slots.values
+                .map { it to it.locked { if (isRegistering && account.state == AccountState.OPEN) syncedAtMillis else Long.MAX_VALUE } }
+                .filter { (_, syncedAt) -> syncedAt <= now - policy.reportInterval.toMillis() }
+                .sortedBy { (_, syncedAt) -> syncedAt }
+                .take(policy.reportsPerRound)
+        due.forEach { (slot, _) -> synchronise(slot) { _, _ -> 0 } }
+    }
+
+    /**
+     * Returns all grants; nothing can be reserved or charged from the call on. After an error call it again: the entries
+     * that are not closed yet stay counted as granted.
+     */
+    suspend fun close(): Result<Unit, StoreError> {
+        isClosed = true
+        var firstError: StoreError? = null
+        for (slot in slots.values) {
+            slot.change { it.closing() }
+            closeSlot(slot)?.let { error -> firstError = firstError ?: error }
+        }
+        return firstError?.let { Err(it) } ?: Ok(Unit)
+    }
+
+    /** The local accounts, ordered by workspace. */
+    fun accounts(): ImmutableList<AccountStatus> =
+        slots.values
+            .map { slot -> status(slot.workspace, slot.locked { account }) }
+            .sortedBy { it.workspace.value }
+            .toImmutableList()
+
+    private fun status(
+        workspace: WorkspaceId,
+        account: LocalAccount,
+    ) = AccountStatus(
+        workspace,
+        account.state,
+        account.grantedTokens,
+        account.spentTokens,
+        account.reservedTokens,
+        account.availableTokens,
+        account.reportedSpentTokens,
+        account.demand.tokensPerSecond,
+    )
+
+    /** Returns null when the agent is closed or the name can't be a workspace. */
+    private fun slotOf(workspace: WorkspaceId): AccountSlot? {
+        slots[workspace]?.let { return it }
+        if (isClosed) return null
+        try {
+            BudgetLedgers.keyOf(workspace)
+        } catch (e: IllegalArgumentException) {
+            return null
+        }
+        return slots.computeIfAbsent(workspace) { AccountSlot(it, self) }
+    }
+
+    private fun tryReserve(
+        slot: AccountSlot,
+        request: RequestId,
+        tokens: Long,
+    ): Reservation? {
+        if (isClosed) return null
+        return slot.locked {
+            val before = account
+            val after = change { it.reserve(tokens) ?: it }
+            if (after === before) null else Reservation(workspace, request, before.nextReservation, tokens)
+        }
+    }
+
+    private suspend fun awaitTokens(
+        slot: AccountSlot,
+        request: RequestId,
+        tokens: Long,
+        patienceMillis: Long,
+    ): Result<Reservation, BudgetRefusal> {
+        val deadlineMillis = nowMillis() + patienceMillis
+        var remainingMillis = patienceMillis
+        var rounds = 0
+        while (true) {
+            val seenChanges = slot.changes.value
+            val failure = refill(slot, tokens, remainingMillis)
+            tryReserve(slot, request, tokens)?.let { return Ok(it) }
+            if (isClosed || failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) {
+                return refused(refusal(slot, tokens, failure))
+            }
+            remainingMillis = minOf(remainingMillis, deadlineMillis - nowMillis())
+            // Other callers may take what an attempt brought; a few more attempts do not need patience.
+            if (failure == null && rounds++ < MAX_LOST_REFILLS) continue
+            if (remainingMillis <= 0) return refused(refusal(slot, tokens, failure))
+            val waitMillis = minOf(remainingMillis, maxOf(1, slot.locked { retryAtMillis } - nowMillis()))
+            if (withTimeoutOrNull(waitMillis) { slot.changes.first { it != seenChanges } } == null) remainingMillis -= waitMillis
+        }
+    }
+
+    /** Joins the refill under way or makes one; returns null when it covered the need, else why not. */
+    private suspend fun refill(
+        slot: AccountSlot,
+        tokens: Long,
+        remainingMillis: Long,
+    ): RefillFailure? {
+        val own = CompletableDeferred<Unit>()
+        val running =
+            slot.locked {
+                if (refill == null && isDelayed(tokens, nowMillis())) return failure
+                refill ?: own.also { refill = it }
+            }
+        if (running === own) return makeRefill(slot, own, tokens, remainingMillis)
+        withTimeoutOrNull(remainingMillis) { running.await() }
+        return slot.locked { failure } ?: if (running.isCompleted) null else RefillFailure.Unavailable("a refill is under way")
+    }
+
+    private suspend fun makeRefill(
+        slot: AccountSlot,
+        own: CompletableDeferred<Unit>,
+        tokens: Long,
+        remainingMillis: Long,
+    ): RefillFailure? {
+        try {
+            val outcome = attemptWithin(slot, tokens, remainingMillis)
+            slot.locked { noteOutcome(outcome) }
+            return outcome
+        } finally {
+            slot.locked { refill = null }
+            own.complete(Unit)
+        }
+    }
+
+    private suspend fun attemptWithin(
+        slot: AccountSlot,
+        tokens: Long,
+        remainingMillis: Long,
+    ): RefillFailure? {
+        if (remainingMillis <= 0) return attempt(slot, tokens, policy.peerTimeout.toMillis())
+        val attempted = withTimeoutOrNull(remainingMillis) { Attempted(attempt(slot, tokens, remainingMillis)) }
+        return if (attempted == null) RefillFailure.Unavailable("no answer in time") else attempted.failure
+    }
+
+    private fun AccountSlot.noteOutcome(outcome: RefillFailure?) {
+        failure = outcome
+        if (outcome == null) {
+            retryDelayMillis = 0
+        } else {
+            retryDelayMillis = (retryDelayMillis * 2).coerceIn(policy.retryDelay.toMillis(), policy.maxRetryDelay.toMillis())
+            retryAtMillis = nowMillis() + retryDelayMillis
+        }
+    }
+
+    private class Attempted(
+        val failure: RefillFailure?,
+    )
+
+    private suspend fun attempt(
+        slot: AccountSlot,
+        tokens: Long,
+        patienceMillis: Long,
+    ): RefillFailure? {
+        val failure =
+            synchronise(slot) { account, freeTokens ->
+                val allTokens = slot.locked { maxOf(tokens, waitingTokens) }
+                val grant = policy.grantSize(account, allTokens, freeTokens)
+                if (grant > 0) grant else policy.grantSize(account, tokens, freeTokens)
+            }
+        if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
+        if (slot.locked { account.availableTokens } >= tokens) return null
+        askPeers(slot, tokens, patienceMillis)
+        if (slot.locked { account.availableTokens } >= tokens) return null
+        return if (failure is RefillFailure.Insufficient) failure.copy(neededTokens = tokens) else failure
+    }
+
+    /** Reads the ledger and writes what it lacks; returns null or [RefillFailure.Insufficient] when the platform answered. */
+    private suspend fun synchronise(
+        slot: AccountSlot,
+        grantSize: (LocalAccount, Long) -> Long,
+    ): RefillFailure? =
+        slot.platformAccess.withLock {
+            repeat(2) { round ->
+                if (isClosed || slot.locked { account.state } != AccountState.OPEN) return RefillFailure.Closed
+                slot.locked {
+                    isRegistering = true
+                    syncedAtMillis = nowMillis()
+                }
+                val snapshot = slot.change { it.writing() }
+                var isOwnWriteUnseen = false
+                val written =
+                    ledger(slot).update<LedgerRefusal>({ (it.holders[self.key]?.sequence ?: 0) > snapshot.sequence }) { ledger ->
+                        if (ledger == null) {
+                            Change.Refuse(LedgerRefusal.UnknownWorkspace)
+                        } else {
+                            isOwnWriteUnseen = (ledger.holders[self.key]?.sequence ?: snapshot.sequence) != snapshot.sequence
+                            ledger.update(self, snapshot.update()) { grantSize(snapshot, it) }.fold(
+                                success = { if (it === ledger) Change.Keep else Change.Write(it) },
+                                failure = { Change.Refuse(it) },
+                            )
+                        }
+                    }
+                val failure = written.fold({ observed(slot, it) }, { failureOf(slot, it) })
+                // A write with a lost answer was found and credited; what it lacks is written in a second round.
+                if (round > 0 || failure !is RefillFailure.Insufficient || !isOwnWriteUnseen) return failure
+            }
+            null
+        }
+
+    private fun observed(
+        slot: AccountSlot,
+        seen: Versioned<BudgetLedger>,
+    ): RefillFailure {
+        val ledger = checkNotNull(seen.value) { "an accepted change leaves a ledger" }
+        val before = slot.locked { account }
+        val after = slot.change { it.observe(ledger, seen.version) }
+        if (after.state == AccountState.ENDED) logEnded(slot)
+        listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens))
+        return RefillFailure.Insufficient(0, ledger.freeTokens)
+    }
+
+    private fun failureOf(
+        slot: AccountSlot,
+        error: UpdateError<LedgerRefusal>,
+    ): RefillFailure =
+        when (error) {
+            is UpdateError.Failed -> unavailable(slot, error.error.message)
+            is UpdateError.Refused ->
+                when (val reason = error.reason) {
+                    is LedgerRefusal.UnknownWorkspace -> RefillFailure.UnknownWorkspace
+                    is LedgerRefusal.HolderEnded -> {
+                        slot.change { it.copy(state = AccountState.ENDED) }
+                        logEnded(slot)
+                        RefillFailure.Closed
+                    }
+                    else -> unavailable(slot, reason.message)
+                }
+        }
+
+    private fun unavailable(
+        slot: AccountSlot,
+        message: String,
+    ): RefillFailure {
+        listener.onEvent(BudgetEvent.PlatformFailed(slot.workspace, message))
+        return RefillFailure.Unavailable(message)
+    }
+
+    private fun logEnded(slot: AccountSlot) =
+        log.warn("budget: the entry was reclaimed while its holder runs workspace={} holder={}", slot.workspace, self)
+
+    private suspend fun askPeers(
+        slot: AccountSlot,
+        tokens: Long,
+        patienceMillis: Long,
+    ) {
+        val reachable = peers.reachable()
+        val known = slot.locked { account }.openPeers.mapNotNull { Incarnation.parse(it) }
+        val asked = synchronized(random) { known.filter { it.instance in reachable }.sorted().shuffled(random) }
+        val timeout = minOf(policy.peerTimeout, Duration.ofMillis(patienceMillis))
+        for (peer in asked.take(policy.peersAsked)) {
+            if (slot.locked { account.availableTokens } >= tokens) return
+            askPeer(slot, peer, tokens, timeout)
+        }
+    }
+
+    private suspend fun askPeer(
+        slot: AccountSlot,
+        peer: Incarnation,
+        tokens: Long,
+        timeout: Duration,
+    ) {
+        val account = slot.locked { account }
+        val neededTokens = tokens - account.availableTokens
+        val wantedTokens = maxOf(neededTokens, policy.wantedTokens(account))
+        val seenTokens = account.receivedTokens[peer.key] ?: 0
+        val request = TransferRequest(slot.workspace, peer, neededTokens, wantedTokens, seenTokens)
+        val reply = peers.ask(peer.instance, TRANSFER_TOPIC, request, timeout).get()
+        if (reply == null || reply.sender != peer) return
+        val after = slot.change { it.receive(peer.key, reply.totalTokens) }
+        val receivedTokens = (after.receivedTokens[peer.key] ?: 0) - seenTokens
+        if (receivedTokens > 0) listener.onEvent(BudgetEvent.TransferReceived(slot.workspace, peer.instance, receivedTokens))
+    }
+
+    /** Answers a peer that needs tokens: lowers the own account first, then tells the total. */
+    private suspend fun give(
+        from: Incarnation,
+        message: TransferRequest,
+    ): TransferReply {
+        val slot = slots[message.workspace]
+        if (slot == null || message.sender != self) return TransferReply(self, 0)
+        if (from.key !in slot.locked { account }.openPeers) readView(slot)
+        var sentTokens = 0L
+        val after =
+            slot.change {
+                sentTokens = it.sendable(from.key, message, policy.transferFraction)
+                it.send(from.key, sentTokens)
+            }
+        if (sentTokens > 0) listener.onEvent(BudgetEvent.TransferSent(slot.workspace, from.instance, sentTokens))
+        return TransferReply(self, after.sentTokens[from.key] ?: 0)
+    }
+
+    /** Looks for holders that registered since the last read; not more often than the longest retry delay. */
+    private suspend fun readView(slot: AccountSlot) {
+        val now = nowMillis()
+        val isDue =
+            slot.locked {
+                val isDue = viewReadAtMillis?.let { now - it >= policy.maxRetryDelay.toMillis() } ?: true
+                if (isDue) viewReadAtMillis = now
+                isDue
+            }
+        if (!isDue) return
+        val seen = ledger(slot).read().get() ?: return
+        seen.value?.let { ledger -> slot.change { it.observe(ledger, seen.version) } }
+    }
+
+    private suspend fun closeSlot(slot: AccountSlot): StoreError? =
+        slot.platformAccess.withLock {
+            val account = slot.locked { account }
+            if (account.state != AccountState.CLOSING) return null
+            if (slot.locked { isRegistering }) {
+                val error =
+                    ledger(slot)
+                        .update<Nothing>({ it.holders[self.key]?.isEnded ?: true }) { ledger ->
+                            val closed = ledger?.close(self, account.update())
+                            if (closed == null || closed === ledger) Change.Keep else Change.Write(closed)
+                        }.fold({ null }, { (it as UpdateError.Failed).error })
+                if (error != null) return error
+            }
+            slot.change { it.copy(state = AccountState.CLOSED) }
+            null
+        }
+
+    private fun refusal(
+        slot: AccountSlot,
+        tokens: Long,
+        failure: RefillFailure?,
+    ): BudgetRefusal {
+        val retryAfter = Duration.ofMillis(maxOf(policy.retryDelay.toMillis(), slot.locked { retryAtMillis } - nowMillis()))
+        if (isClosed) return BudgetRefusal.RouterClosed(slot.workspace, retryAfter)
+        return when (failure) {
+            is RefillFailure.Insufficient ->
+                BudgetRefusal.InsufficientBudget(slot.workspace, tokens, failure.freeTokens, retryAfter)
+            is RefillFailure.Unavailable -> BudgetRefusal.PlatformUnavailable(slot.workspace, failure.reason, retryAfter)
+            RefillFailure.UnknownWorkspace -> BudgetRefusal.UnknownWorkspace(slot.workspace, retryAfter)
+            RefillFailure.Closed -> BudgetRefusal.RouterClosed(slot.workspace, retryAfter)
+            null -> BudgetRefusal.InsufficientBudget(slot.workspace, tokens, 0, retryAfter)
+        }
+    }
+
+    private fun refused(refusal: BudgetRefusal): Result<Reservation, BudgetRefusal> {
+        listener.onEvent(BudgetEvent.Refused(refusal))
+        return Err(refusal)
+    }
+
+    private fun ledger(slot: AccountSlot) =
+        TypedObject(store, BudgetLedgers.keyOf(slot.workspace), BudgetLedger.serializer())
+
+    private fun nowMillis(): Long = start.elapsedNow().inWholeMilliseconds
+
+    private companion object {
+        const val MAX_LOST_REFILLS = 3
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -0,0 +1,42 @@
+package io.limpetfold.budget
+
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.WorkspaceId
+
+/** Something a [BudgetAgent] did, for metrics. */
+sealed interface BudgetEvent {
+    val workspace: WorkspaceId
+
+    /** The ledger was read, and written if something had changed; [acquiredTokens] were credited. */
+    data class Synchronised(
+        override val workspace: WorkspaceId,
+        val acquiredTokens: Long,
+    ) : BudgetEvent
+
+    /** The platform did not serve a call; [message] says why. */
+    data class PlatformFailed(
+        override val workspace: WorkspaceId,
+        val message: String,
+    ) : BudgetEvent
+
+    /** A peer gave tokens. */
+    data class TransferReceived(
+        override val workspace: WorkspaceId,
+        val from: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
+    /** Tokens were given to a peer. */
+    data class TransferSent(
+        override val workspace: WorkspaceId,
+        val to: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
+    /** A reservation was refused. */
+    data class Refused(
+        val refusal: BudgetRefusal,
+    ) : BudgetEvent {
+        override val workspace get() = refusal.workspace
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -0,0 +1,233 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.limpetfold.core.Incarnation
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.Serializable
+
+/**
+ * The prepaid budget of one workspace, as stored under `budget/<workspace>`.
+ *
+ * In every version `settledTokens + sum(grantedTokens) <= paidTokens`. All functions are pure and return the same
+ * instance when nothing changes.
+ *
+ * An ended holder may have sent tokens that no write has recorded yet. Its remainder is therefore freed only after each
+ * holder that was open at its end has recorded its transfers with it ([HolderEntry.confirmedEnds]). Transfers go only to
+ * holders that have an entry, so no other incarnation can hold tokens of the ended one.
+ *
+ * @property holders entries by [Incarnation.key].
+ * @property transfers cumulative tokens by ordered pair, as in `sender@1>receiver@2`. A pair is dropped when both ends
+ * are closed, or when one is and the other has recorded its final total.
+ * @property topUps tokens by identity. When the list is full, its oldest day is dropped and [topUpsForgottenThrough]
+ * rises to that day. A later top-up of that day or before is refused, because it may be a repeated one; so an identity is
+ * dropped without ever being applied twice, and no clock is needed.
+ * @property endCount number of holders that were ended by a reclaim.
+ */
+@Serializable
+data class BudgetLedger(
+    val paidTokens: Long = 0,
+    val settledTokens: Long = 0,
+    @Serializable(with = PersistentMapSerializer::class)
+    val holders: PersistentMap<String, HolderEntry> = persistentMapOf(),
+    @Serializable(with = PersistentMapSerializer::class)
+    val transfers: PersistentMap<String, Long> = persistentMapOf(),
+    @Serializable(with = PersistentMapSerializer::class)
+    val topUps: PersistentMap<String, Long> = persistentMapOf(),
+    val topUpsForgottenThrough: String = "",
+    val endCount: Long = 0,
+) {
+    /** Tokens paid and neither settled nor granted. */
+    val freeTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
+
+    /** Adds [tokens] under [id]; a repeated identity changes nothing. */
+    fun topUp(
+        id: TopUpId,
+        tokens: Long,
+    ): Result<BudgetLedger, LedgerRefusal> {
+        require(tokens in 1..MAX_TOP_UP_TOKENS) { "a top-up has 1 to $MAX_TOP_UP_TOKENS tokens, not $tokens" }
+        val applied = topUps[id.value]
+        if (applied != null) return if (applied == tokens) Ok(this) else Err(LedgerRefusal.TopUpMismatch(id, applied))
+        if (id.date <= topUpsForgottenThrough) return Err(LedgerRefusal.TopUpTooOld(id, topUpsForgottenThrough))
+        val added = copy(paidTokens = Math.addExact(paidTokens, tokens), topUps = topUps.put(id.value, tokens))
+        if (added.topUps.size <= MAX_TOP_UPS) return Ok(added.normalised())
+        val oldest = added.topUps.keys.minOf { TopUpId(it).date }
+        if (id.date == oldest) return Err(LedgerRefusal.TooManyTopUps(oldest))
+        val kept = added.topUps.filterKeys { TopUpId(it).date > oldest }.toPersistentMap()
+        return Ok(added.copy(topUps = kept, topUpsForgottenThrough = oldest).normalised())
+    }
+
+    /**
+     * Records the totals of [holder] and grants what [grantSize] asks for, given the free tokens.
+     *
+     * Returns this ledger when an earlier write of the holder is in it that the holder has not seen: the holder first
+     * takes over that write's effect, so that a lost answer never doubles a grant.
+     */
+    fun update(
+        holder: Incarnation,
+        update: HolderUpdate,
+        grantSize: (freeTokens: Long) -> Long = { 0 },
+    ): Result<BudgetLedger, LedgerRefusal> {
+        val key = holder.key
+        val present = holders[key]
+        if (present?.isEnded == true || (present == null && update.knownSequence > 0)) return Err(LedgerRefusal.HolderEnded(key))
+        if (present != null && present.sequence != update.knownSequence) return Ok(this)
+        if (present == null && holders.size >= MAX_HOLDERS) return Err(LedgerRefusal.TooManyHolders)
+        val entry = present ?: HolderEntry(confirmedEnds = endCount)
+        val recorded = copy(holders = holders.put(key, entry)).recorded(key, update)
+        val grant = grantSize(recorded.freeTokens).coerceIn(0, maxOf(0, recorded.freeTokens))
+        val next =
+            recorded.changed(key) {
+                it.copy(
+                    grantedTokens = it.grantedTokens + grant,
+                    acquiredTokens = it.acquiredTokens + grant,
+                    reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens),
+                )
+            }
+        if (present != null && next == this) return Ok(this)
+        return Ok(next.changed(key) { it.copy(sequence = it.sequence + 1) })
+    }
+
+    /** Closes the entry of [holder] on its own order: its spend is settled and the rest is free. */
+    fun close(
+        holder: Incarnation,
+        update: HolderUpdate,
+    ): BudgetLedger {
+        val entry = holders[holder.key]
+        if (entry == null || entry.isEnded) return this
+        val recorded = recorded(holder.key, update)
+        return recorded
+            .copy(settledTokens = settledTokens + update.spentTokens, holders = recorded.holders.remove(holder.key))
+            .withDebtOf(holder.key, recorded.holders.getValue(holder.key).grantedTokens - update.spentTokens)
+            .normalised()
+    }
+
+    /**
+     * Ends the entry of [holder], whose process is known to have ended, with the larger of its reported spend and
+     * [copiedSpentTokens]. Its remainder is freed when every open holder has confirmed its transfers.
+     */
+    fun reclaim(
+        holder: Incarnation,
+        copiedSpentTokens: Long,
+    ): Result<BudgetLedger, LedgerRefusal> {
+        val entry = holders[holder.key] ?: return Err(LedgerRefusal.UnknownHolder(holder.key))
+        if (entry.isEnded) return Ok(this)
+        val spentTokens = maxOf(entry.reportedSpentTokens, copiedSpentTokens)
+        val ended =
+            entry.copy(
+                grantedTokens = entry.grantedTokens - spentTokens,
+                reportedSpentTokens = spentTokens,
+                endNumber = endCount + 1,
+            )
+        return Ok(
+            copy(
+                settledTokens = settledTokens + spentTokens,
+                holders = holders.put(holder.key, ended),
+                endCount = endCount + 1,
+            ).normalised(),
+        )
+    }
+
+    private fun recorded(
+        key: String,
+        update: HolderUpdate,
+    ): BudgetLedger {
+        var next = this
+        update.receivedTokens.forEach { (sender, total) -> next = next.merged(sender, key, total) }
+        update.sentTokens.forEach { (receiver, total) -> next = next.merged(key, receiver, total) }
+        next = next.changed(key) { it.copy(confirmedEnds = maxOf(it.confirmedEnds, update.confirmedEnds)) }
+        val gone = update.gonePeers.filter { it !in next.holders }
+        val kept = gone.fold(next.transfers) { pairs, peer -> pairs.remove(pair(key, peer)).remove(pair(peer, key)) }
+        return next.copy(transfers = kept).normalised()
+    }
+
+    /**
+     * Raises the total of a pair to [totalTokens] and moves the difference between the entries.
+     *
+     * A sender without an entry has closed it and has recorded its final totals then. What goes to a closed receiver is
+     * free: the receiver can't have accepted it.
+     */
+    private fun merged(
+        sender: String,
+        receiver: String,
+        totalTokens: Long,
+    ): BudgetLedger {
+        val name = pair(sender, receiver)
+        val differenceTokens = totalTokens - (transfers[name] ?: 0)
+        if (differenceTokens <= 0 || sender !in holders) return this
+        return copy(transfers = transfers.put(name, totalTokens))
+            .changed(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
+            .changed(receiver) { it.copy(grantedTokens = it.grantedTokens + differenceTokens) }
+    }
+
+    private fun changed(
+        key: String,
+        change: (HolderEntry) -> HolderEntry,
+    ): BudgetLedger {
+        val entry = holders[key] ?: return this
+        val next = change(entry)
+        return if (next == entry) this else copy(holders = holders.put(key, next))
+    }
+
+    /** Keeps an entry for spend that a transfer not yet recorded covers; the tokens are still counted at its sender. */
+    private fun withDebtOf(
+        key: String,
+        remainderTokens: Long,
+    ): BudgetLedger =
+        if (remainderTokens >= 0) {
+            this
+        } else {
+            copy(holders = holders.put(key, HolderEntry(remainderTokens, endNumber = endCount + 1)), endCount = endCount + 1)
+        }
+
+    /**
+     * Frees the remainders of ended holders that all open holders have confirmed, covers negative remainders of ended
+     * holders from free tokens, and drops pairs with two closed ends.
+     *
+     * Negative remainders are covered in the same step that frees tokens: until then the sum of the grants is smaller
+     * than what may be spent, and the difference must not be granted again.
+     */
+    private fun normalised(): BudgetLedger {
+        val confirmed = holders.values.filter { !it.isEnded }.minOfOrNull { it.confirmedEnds } ?: endCount
+        val isFreed = { entry: HolderEntry -> entry.endNumber in 1..confirmed && entry.grantedTokens >= 0 }
+        var kept = holders.filterValues { !isFreed(it) }
+        var free = paidTokens - settledTokens - kept.values.sumOf { it.grantedTokens }
+        if (kept.values.any { it.isEnded && it.grantedTokens < 0 }) {
+            val covered =
+                kept.mapValues { (_, entry) ->
+                    val cover = if (entry.isEnded) minOf(maxOf(0, free), maxOf(0, -entry.grantedTokens)) else 0
+                    free -= cover
+                    entry.copy(grantedTokens = entry.grantedTokens + cover)
+                }
+            kept = covered.filterValues { !isFreed(it) }
+        }
+        val pairs = transfers.filterKeys { it.substringBefore(SEPARATOR) in kept || it.substringAfter(SEPARATOR) in kept }
+        return if (kept == holders && pairs.size == transfers.size) {
+            this
+        } else {
+            copy(holders = kept.toPersistentMap(), transfers = pairs.toPersistentMap())
+        }
+    }
+
+    companion object {
+        /** With the largest entries, pairs and identities the object stays below half of the platform's 1 MB. */
+        const val MAX_HOLDERS: Int = 600
+
+        /** About 100 KB of identities; at one top-up a day this is almost three years. */
+        const val MAX_TOP_UPS: Int = 1_000
+
+        /** Keeps sums of thousands of top-ups far below the range of a Long. */
+        const val MAX_TOP_UP_TOKENS: Long = 1_000_000_000_000_000
+
+        private const val SEPARATOR = '>'
+
+        /** The key of a pair in [transfers]. */
+        fun pair(
+            sender: String,
+            receiver: String,
+        ): String = "$sender$SEPARATOR$receiver"
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -0,0 +1,68 @@
+package io.limpetfold.budget
+
+import java.time.Duration
+
+/**
+ * How a router sizes its grants and how often it calls the platform.
+ *
+ * @property horizon a grant lasts this long at the local demand rate.
+ * @property grantFraction a grant takes at most this part of the free tokens, unless one reservation needs more.
+ * @property transferFraction a peer gives at most this part of its unreserved tokens, unless one reservation needs more.
+ * @property demandWindow the time over which the demand rate is averaged.
+ * @property reportInterval spend is reported at most this often for each workspace.
+ * @property reportsPerRound the most workspaces for which one round of maintenance calls the platform. With a round a
+ * second, one keeps 330 routers below the several hundred writes a second that the platform takes.
+ * @property retryDelay the shortest time between two attempts to refill one workspace after a failed one; doubles up to
+ * [maxRetryDelay].
+ * @property peerTimeout the longest wait for one peer.
+ * @property peersAsked the most peers asked in one attempt.
+ */
+data class BudgetPolicy(
+    val horizon: Duration,
+    val grantFraction: Double,
+    val transferFraction: Double = 0.5,
+    val demandWindow: Duration = Duration.ofSeconds(10),
+    val reportInterval: Duration = Duration.ofSeconds(10),
+    val reportsPerRound: Int = 1,
+    val retryDelay: Duration = Duration.ofMillis(100),
+    val maxRetryDelay: Duration = Duration.ofSeconds(2),
+    val peerTimeout: Duration = Duration.ofMillis(100),
+    val peersAsked: Int = 4,
+) {
+    init {
+        require(grantFraction > 0 && grantFraction <= 1) { "grantFraction $grantFraction is not in (0, 1]" }
+        require(transferFraction > 0 && transferFraction <= 1) { "transferFraction $transferFraction is not in (0, 1]" }
+        require(!horizon.isNegative && demandWindow > Duration.ZERO) { "horizon and demandWindow must not be negative" }
+        require(retryDelay > Duration.ZERO && maxRetryDelay >= retryDelay) { "retryDelay must be positive and not above maxRetryDelay" }
+        require(reportsPerRound > 0 && peersAsked >= 0) { "reportsPerRound must be positive and peersAsked not negative" }
+    }
+
+    /**
+     * The tokens to ask the platform for, given the [account]'s needs and the [freeTokens] of the ledger; 0 when the free
+     * tokens do not cover [neededTokens].
+     */
+    fun grantSize(
+        account: LocalAccount,
+        neededTokens: Long,
+        freeTokens: Long,
+    ): Long {
+        val shortTokens = maxOf(0, neededTokens - account.availableTokens)
+        if (shortTokens > freeTokens) return 0
+        val wantedTokens = wantedTokens(account) - account.availableTokens
+        val cappedTokens = minOf(wantedTokens, (freeTokens * grantFraction).toLong())
+        return maxOf(shortTokens, cappedTokens)
+    }
+
+    /** The unreserved tokens that last for the horizon at the account's demand rate. */
+    fun wantedTokens(account: LocalAccount): Long = (account.demand.tokensPerSecond * horizon.toMillis() / MILLIS_PER_SECOND).toLong()
+
+    companion object {
+        private const val MILLIS_PER_SECOND = 1000.0
+
+        /** Large grants that outlast long outages of the platform; more tokens are stranded when a router dies. */
+        val availability: BudgetPolicy = BudgetPolicy(horizon = Duration.ofMinutes(2), grantFraction = 0.25)
+
+        /** Small grants; few tokens are stranded, and an outage of the platform is felt sooner. */
+        val exposure: BudgetPolicy = BudgetPolicy(horizon = Duration.ofSeconds(15), grantFraction = 0.05)
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/DemandRate.kt
@@ -0,0 +1,28 @@
+package io.limpetfold.budget
+
+import kotlin.math.exp
+
+/**
+ * Exponentially weighted rate of reserved tokens.
+ *
+ * @property tokensPerSecond the rate at [atMillis], in monotonic time.
+ */
+data class DemandRate(
+    val tokensPerSecond: Double = 0.0,
+    val atMillis: Long = 0,
+) {
+    /** The rate after [tokens] more were asked for at [nowMillis]. */
+    fun plus(
+        tokens: Long,
+        nowMillis: Long,
+        windowMillis: Long,
+    ): DemandRate {
+        val elapsedMillis = maxOf(0, nowMillis - atMillis)
+        val kept = tokensPerSecond * exp(-elapsedMillis.toDouble() / windowMillis)
+        return DemandRate(kept + tokens * MILLIS_PER_SECOND / windowMillis, maxOf(nowMillis, atMillis))
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/Settlement.kt
@@ -0,0 +1,16 @@
+package io.limpetfold.budget
+
+/**
+ * The bill of one reservation.
+ *
+ * @property chargedTokens what this call charged: at most the reservation, and 0 when it was settled before.
+ * @property releasedTokens what this call released of the reservation.
+ * @property cumulativeSpentTokens the router's spend of the workspace so far, for the copies sent to peers.
+ * @property isRepeated the reservation was settled before, or charged in full when the agent closed.
+ */
+data class Settlement(
+    val chargedTokens: Long,
+    val releasedTokens: Long,
+    val cumulativeSpentTokens: Long,
+    val isRepeated: Boolean,
+)
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/TransferMessages.kt
@@ -0,0 +1,31 @@
+package io.limpetfold.budget
+
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.peer.PeerTopic
+import kotlinx.serialization.Serializable
+
+/**
+ * Asks a peer for tokens.
+ *
+ * @property sender the incarnation that is asked; another one on its instance gives nothing.
+ * @property seenTotalTokens the highest total of this pair that the asking router has seen.
+ */
+@Serializable
+internal data class TransferRequest(
+    val workspace: WorkspaceId,
+    val sender: Incarnation,
+    val neededTokens: Long,
+    val wantedTokens: Long,
+    val seenTotalTokens: Long,
+)
+
+/** Answers with the cumulative total of the pair, so that a repeated or late answer credits nothing twice. */
+@Serializable
+internal data class TransferReply(
+    val sender: Incarnation,
+    val totalTokens: Long,
+)
+
+internal val TRANSFER_TOPIC: PeerTopic<TransferRequest, TransferReply> =
+    PeerTopic("budget.transfer", TransferRequest.serializer(), TransferReply.serializer())
