--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseKeeper.kt
@@ -0,0 +1,155 @@
+package io.limpetfold.lease
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.limpetfold.core.Incarnation
+import io.limpetfold.store.Change
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
+import io.limpetfold.store.UpdateError
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import java.time.Duration
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+import kotlin.time.toJavaDuration
+
+/**
+ * Acquires, renews and releases one lease for [self].
+ *
+ * The holder counts its time to live on the monotonic clock from before the renewal was sent, so its belief ends no later than a time to
+ * live after the write took effect. A taker waits a full time to live, counted from after the read that first showed the record, during
+ * which the record must stay unchanged; its write is conditional on that record. So the old belief has ended when the new one begins.
+ * Wall clocks play no part.
+ *
+ * - Holder paused: [held] reads the monotonic clock on each call, so the first call after the pause sees the lost time. A virtual machine
+ *   whose monotonic clock stops while it is suspended defeats this; the fencing number then protects stored objects and endpoints that
+ *   check it.
+ * - Answer to a renewal lost: the object is read again. Until the write is recognised the earlier remaining time runs down.
+ * - Answer to an acquisition lost and the platform down: the record names [self], which a later [maintain] renews before it believes.
+ *
+ * Safe for concurrent use.
+ */
+class LeaseKeeper(
+    store: ObjectStore,
+    private val self: Incarnation,
+    private val monotonic: TimeSource,
+    key: ObjectKey = MOVES_KEY,
+    private val policy: LeasePolicy = LeasePolicy(),
+    private val listener: LeaseListener = LeaseListener.NONE,
+) {
+    private val lease = TypedObject(store, key, LeaseRecord.serializer())
+    private val mutex = Mutex()
+    private val beliefLength = policy.timeToLive.multipliedBy(1.0 - policy.clockDriftShare)
+
+    @Volatile private var belief: Belief? = null
+
+    @Volatile private var isReleased = false
+    private var seen: Sighting? = null
+    private var polledAt: TimeMark? = null
+
+    /** Performs one round: renews a held lease, or takes over a free or expired one. */
+    suspend fun maintain() =
+        mutex.withLock {
+            if (isReleased) return@withLock
+            val lastCall = belief?.sentAt ?: polledAt
+            if (lastCall != null && lastCall.elapsedNow().toJavaDuration() < policy.renewAfter) return@withLock
+            lease.read().fold(
+                success = {
+                    polledAt = monotonic.markNow()
+                    observe(it.value)
+                },
+                failure = { listener.onError(it) },
+            )
+        }
+
+    /** Returns the fencing number when the lease is held for at least [margin] more; null otherwise. Makes no call. */
+    fun held(margin: Duration): FencingToken? {
+        val current = belief
+        if (current == null || isReleased) return null
+        val remaining = beliefLength - current.sentAt.elapsedNow().toJavaDuration()
+        return if (remaining > margin) current.fencing else null
+    }
+
+    /** Gives the lease up for good, as at a planned stop; [held] returns null from the start of the call. */
+    suspend fun release(): Result<Unit, StoreError> {
+        isReleased = true
+        return mutex.withLock {
+            belief = null
+            var released: FencingToken? = null
+            val updated =
+                lease.update<Unit>(isApplied = { it.holder != self }) { current ->
+                    if (current?.holder != self) {
+                        Change.Keep
+                    } else {
+                        released = current.fencing
+                        Change.Write(current.copy(holder = null, renewal = current.renewal + 1))
+                    }
+                }
+            updated.fold(
+                success = {
+                    released?.let(listener::onLost)
+                    Ok(Unit)
+                },
+                failure = { error -> if (error is UpdateError.Failed) Err(error.error) else Ok(Unit) },
+            )
+        }
+    }
+
+    private suspend fun observe(record: LeaseRecord?) {
+        if (record?.holder == self) return write(record, record.copy(renewal = record.renewal + 1))
+        forget()
+        if (seen?.record != record) seen = Sighting(record, monotonic.markNow())
+        if (record?.holder != null) {
+            val waited = checkNotNull(seen).at.elapsedNow().toJavaDuration()
+            if (waited < Duration.ofMillis(record.timeToLiveMillis)) return
+        }
+        val fencing = FencingToken((record?.fencing ?: FencingToken.NONE).number + 1)
+        write(record, LeaseRecord(fencing, self, policy.timeToLive.toMillis(), renewal = 0))
+    }
+
+    private suspend fun write(
+        expected: LeaseRecord?,
+        next: LeaseRecord,
+    ) {
+        val sentAt = monotonic.markNow()
+        val updated =
+            lease.update(isApplied = { it == next }) { current ->
+                if (current == expected) Change.Write(next) else Change.Refuse(Unit)
+            }
+        updated.fold(
+            success = {
+                val isNew = belief?.fencing != next.fencing
+                belief = Belief(next.fencing, sentAt)
+                if (isNew) listener.onAcquired(next.fencing)
+            },
+            failure = { error -> if (error is UpdateError.Failed) listener.onError(error.error) },
+        )
+    }
+
+    private fun forget() {
+        belief?.let { listener.onLost(it.fencing) }
+        belief = null
+    }
+
+    private data class Belief(
+        val fencing: FencingToken,
+        val sentAt: TimeMark,
+    )
+
+    private data class Sighting(
+        val record: LeaseRecord?,
+        val at: TimeMark,
+    )
+
+    companion object {
+        /** The lease of the controller of moves. */
+        val MOVES_KEY = ObjectKey("lease/moves")
+
+        private fun Duration.multipliedBy(share: Double): Duration = Duration.ofNanos((toNanos() * share).toLong())
+    }
+}
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -0,0 +1,136 @@
+package io.limpetfold.rollout
+
+import io.limpetfold.core.Incarnation
+import kotlin.math.ceil
+import kotlin.math.pow
+
+/** Decides on running moves; pure. */
+internal object MoveDecider {
+    /** Until this share of a step's hold time nothing is concluded from a low number of outcomes. */
+    private const val SETTLE_SHARE = 0.25
+
+    /** The part of a step's allotment that is available at its start; the rest follows evenly over the hold time. */
+    private const val FIRST_SHARE = 0.25
+
+    /** With little traffic, the weight grows up to this so that the evidence is gathered in time. */
+    private const val RAISED_WEIGHT = 0.5
+    private const val WEIGHT_GROWTH = 1.5
+    private const val GROWTH_MILLIS = 5000.0
+
+    /** A refill covers the demand of this many seconds, a few rounds of the controller. */
+    private const val REFILL_SECONDS = 3.0
+    private const val MILLIS_PER_SECOND = 1000.0
+
+    fun decide(
+        record: MoveRecord,
+        view: MoveView,
+    ): MoveDecision {
+        val phase = record.phase as? MovePhase.Running ?: return MoveDecision.Keep
+        takeBackReason(record, view)?.let { return MoveDecision.Write(record.copy(phase = MovePhase.TakenBack(it))) }
+        if (isStepDone(record, phase.step, view)) {
+            return if (phase.step == record.plan.steps.lastIndex) {
+                MoveDecision.Complete
+            } else {
+                MoveDecision.Write(enter(record, phase.step + 1, view))
+            }
+        }
+        val next = refill(raiseWeight(record, phase.step, view), phase.step, view)
+        return if (next == record) MoveDecision.Keep else MoveDecision.Write(next)
+    }
+
+    private fun takeBackReason(
+        record: MoveRecord,
+        view: MoveView,
+    ): TakeBackReason? {
+        view.verdict?.let { return TakeBackReason.RouterVerdict(it) }
+        VersionGuard.pooledFinding(record.plan, view.reports.values.map { it.logEvidence })?.let { return TakeBackReason.Evidence(it) }
+        if (view.nowMillis >= record.deadlineMillis) return TakeBackReason.DeadlinePassed
+        if (view.nowMillis < record.completionLimitMillis) return null
+        if (view.outcomes < record.plan.leastOutcomes) return TakeBackReason.NoProgress(view.outcomes)
+        return TakeBackReason.TooLate(silent(record, view).map { it.instance })
+    }
+
+    /** Returns the routers that hold exposure and did not answer this time. */
+    fun silent(
+        record: MoveRecord,
+        view: MoveView,
+    ): List<Incarnation> = record.grants.keys.mapNotNull(Incarnation::parse).filter { it !in view.heard }
+
+    private fun isStepDone(
+        record: MoveRecord,
+        step: Int,
+        view: MoveView,
+    ): Boolean {
+        val plan = record.plan.steps[step]
+        if (view.nowMillis - record.stepStartedAtMillis < plan.holdMillis) return false
+        if (view.outcomes(step) >= plan.evidenceRequests) return true
+        return view.nowMillis - record.startedAtMillis >= plan.endMillis && view.outcomes >= record.plan.leastOutcomes
+    }
+
+    private fun enter(
+        record: MoveRecord,
+        step: Int,
+        view: MoveView,
+    ): MoveRecord {
+        val plan = record.plan.steps[step]
+        val demand = plan.weight * view.requestsPerSecond * plan.holdMillis / MILLIS_PER_SECOND
+        val allotted = maxOf(plan.allottedRequests, ceil(demand).toLong())
+        val entered =
+            record.copy(
+                phase = MovePhase.Running(step),
+                stepStartedAtMillis = view.nowMillis,
+                weight = plan.weight,
+                allottedRequests = record.allottedRequests + allotted,
+                stepAllottedRequests = allotted,
+            )
+        return refill(entered, step, view)
+    }
+
+    private fun raiseWeight(
+        record: MoveRecord,
+        step: Int,
+        view: MoveView,
+    ): MoveRecord {
+        val plan = record.plan.steps[step]
+        val elapsed = view.nowMillis - record.stepStartedAtMillis
+        val progress = minOf(1.0, elapsed / maxOf(plan.holdMillis, 1).toDouble())
+        if (progress < SETTLE_SHARE || view.outcomes(step) >= plan.evidenceRequests * progress) return record
+        val raised = plan.weight * WEIGHT_GROWTH.pow((elapsed / GROWTH_MILLIS).toInt())
+        val weight = minOf(raised, maxOf(RAISED_WEIGHT, plan.weight))
+        return if (weight > record.weight) record.copy(weight = weight) else record
+    }
+
+    /** Grants exposure to the routers that have used up theirs, in proportion to their demand, within the paced allotment. */
+    private fun refill(
+        record: MoveRecord,
+        step: Int,
+        view: MoveView,
+    ): MoveRecord {
+        val hold = maxOf(record.plan.steps[step].holdMillis, 1).toDouble()
+        val paced = minOf(1.0, FIRST_SHARE + (view.nowMillis - record.stepStartedAtMillis) / hold)
+        val limit = record.allottedRequests - record.stepAllottedRequests + (record.stepAllottedRequests * paced).toLong()
+        var free = limit - record.grants.values.sum()
+        val wants = view.heard.sorted().associateWith { want(record, it, view) }.filterValues { it > 0 }
+        if (free <= 0 || wants.isEmpty()) return record
+        val scale = minOf(1.0, free / wants.values.sum().toDouble())
+        val grants = record.grants.toMutableMap()
+        for ((router, want) in wants.entries.sortedByDescending { it.value }) {
+            val given = minOf(free, maxOf(1, (want * scale).toLong()))
+            if (given <= 0) break
+            grants[router.key] = record.granted(router) + given
+            free -= given
+        }
+        return record.copy(grants = grants)
+    }
+
+    private fun want(
+        record: MoveRecord,
+        router: Incarnation,
+        view: MoveView,
+    ): Long {
+        val report = view.reports.getValue(router)
+        val unused = record.granted(router) - report.usedRequests
+        val target = maxOf(1, ceil(report.requestsPerSecond * record.weight * REFILL_SECONDS).toLong())
+        return if (unused * 2 < target) target - unused else 0
+    }
+}
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveError.kt
@@ -0,0 +1,50 @@
+package io.limpetfold.rollout
+
+import io.limpetfold.core.RouteId
+import io.limpetfold.store.StoreError
+import java.time.Instant
+
+/** Why a command on a move had no effect. */
+sealed interface MoveError {
+    val message: String
+
+    /** Another move runs on the route; [operator] started it at [since]. */
+    data class AlreadyRunning(
+        val move: MoveId,
+        val operator: String,
+        val since: Instant,
+    ) : MoveError {
+        override val message get() = "move $move, started by $operator at $since, runs on this route; take it back or wait until it ends"
+    }
+
+    /** The move has ended; [by] wrote [phase] at [at]. */
+    data class AlreadyEnded(
+        val move: MoveId,
+        val phase: MovePhase,
+        val by: String,
+        val at: Instant,
+    ) : MoveError {
+        override val message get() = "$by ended move $move as $phase at $at; start another move to change the version"
+    }
+
+    /** The route has no move, or another than the one named. */
+    data class NotFound(
+        val route: RouteId,
+    ) : MoveError {
+        override val message get() = "route $route has no such move; list the moves to see what there is"
+    }
+
+    /** The command itself is wrong. */
+    data class Invalid(
+        val reason: String,
+    ) : MoveError {
+        override val message get() = reason
+    }
+
+    /** The platform failed; see [error] for whether the command may have taken effect. */
+    data class Store(
+        val error: StoreError,
+    ) : MoveError {
+        override val message get() = error.message
+    }
+}
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveSide.kt
@@ -0,0 +1,7 @@
+package io.limpetfold.rollout
+
+/** Which version of a move a request goes to. */
+enum class MoveSide {
+    OLD,
+    NEW,
+}
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -0,0 +1,101 @@
+package io.limpetfold.rollout
+
+import io.limpetfold.core.Incarnation
+import io.limpetfold.store.ObjectVersion
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** What one router knows about the latest move of a route. Not safe for concurrent use; [VersionRouter] holds its lock. */
+internal class RouteMove(
+    snapshot: MoveSnapshot,
+    val durations: Map<GuardMetric, DurationWindow>,
+    private val monotonic: TimeSource,
+) {
+    var snapshot = snapshot
+        private set
+    val record: MoveRecord get() = snapshot.record
+    val guard = VersionGuard(snapshot.record.plan, durations)
+    val pending = LinkedHashMap<VersionChoice, TimeMark>()
+
+    /** The object version at which this router agreed to complete the move; a newer version voids the agreement. */
+    var agreedAt: ObjectVersion? = null
+
+    private val outcomes = LongArray(snapshot.record.plan.steps.size)
+    private var newSuccessCount = 0L
+    private var usedRequests = 0L
+    private var pendingNewCount = 0
+    private var windowStart: TimeMark = monotonic.markNow()
+    private var windowRequests = 0L
+    private var lastRate = 0.0
+
+    val hasAgreed: Boolean get() = agreedAt == snapshot.version
+
+    fun adopt(newer: MoveSnapshot) {
+        snapshot = newer
+    }
+
+    fun countRequest() {
+        val elapsed = windowStart.elapsedNow()
+        if (elapsed >= RATE_WINDOW) {
+            lastRate = rate()
+            windowStart = monotonic.markNow()
+            windowRequests = 0
+        }
+        windowRequests++
+    }
+
+    /** Requests per second; an idle route's rate falls while its window grows. */
+    fun rate(): Double {
+        val elapsed = windowStart.elapsedNow()
+        val current = windowRequests / maxOf(elapsed, 1.seconds).inWholeMilliseconds.toDouble() * MILLIS_PER_SECOND
+        return if (elapsed < RATE_WINDOW && lastRate > 0) lastRate else current
+    }
+
+    /** Whether one more request may go to the new version. */
+    fun hasExposure(
+        self: Incarnation,
+        leastInFlight: Int,
+    ): Boolean = usedRequests < record.granted(self) && pendingNewCount < leastInFlight + newSuccessCount
+
+    fun open(choice: VersionChoice) {
+        pending[choice] = monotonic.markNow()
+        if (choice.side == MoveSide.NEW) {
+            usedRequests++
+            pendingNewCount++
+        }
+    }
+
+    fun close(
+        choice: VersionChoice,
+        observation: VersionObservation,
+    ) {
+        if (pending.remove(choice) == null) return
+        if (choice.side == MoveSide.NEW) {
+            pendingNewCount--
+            outcomes[choice.step]++
+            if (observation.isSuccess) newSuccessCount++
+        }
+        guard.add(choice.side, observation)
+    }
+
+    fun report(
+        inForce: MovePhase,
+        verdict: Verdict?,
+    ) = MoveReport(
+        move = record.id,
+        version = snapshot.version,
+        inForce = inForce,
+        usedRequests = usedRequests,
+        requestsPerSecond = rate(),
+        outcomesByStep = outcomes.toList(),
+        logEvidence = guard.logEvidence,
+        verdict = verdict,
+        hasAgreed = hasAgreed && verdict == null,
+    )
+
+    private companion object {
+        val RATE_WINDOW = 5.seconds
+        const val MILLIS_PER_SECOND = 1000.0
+    }
+}
