--- /dev/null
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
@@ -0,0 +1,165 @@
+package io.limpetfold.lease
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.StoreCall
+import io.limpetfold.testing.StoreFault
+import kotlinx.coroutines.runBlocking
+import java.time.Duration
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** Guards against two holders that both believe, and against a fencing number that does not grow with each holder. */
+class LeasePropertyTest :
+    FunSpec({
+        test("no schedule has two holders that both believe, and each new holder has a larger fencing number") {
+            val failures = (0 until SCHEDULES).mapNotNull { Schedule(it.toLong()).run() }
+            println("lease: $SCHEDULES schedules, ${failures.size} failures, ${Schedule.acquisitions} acquisitions")
+            failures.firstOrNull() shouldBe null
+            (Schedule.acquisitions > SCHEDULES) shouldBe true
+        }
+
+        test("a released lease is taken at once with a larger fencing number, and an unchanged one after a full time to live") {
+            val store = FakeObjectStore()
+            val time = TestTimeSource()
+            val keepers = (0..2).map { LeaseKeeper(store, Incarnation(InstanceId("r$it"), 1), time) }
+            keepers[0].maintain()
+            keepers[0].held(Duration.ZERO) shouldBe FencingToken(1)
+            keepers[0].release()
+            keepers[0].held(Duration.ZERO) shouldBe null
+            keepers[1].maintain()
+            keepers[1].held(Duration.ZERO) shouldBe FencingToken(2)
+
+            keepers[2].maintain()
+            time += 9_999.milliseconds
+            keepers[2].maintain()
+            keepers[2].held(Duration.ZERO) shouldBe null
+            time += 3_000.milliseconds
+            keepers[2].maintain()
+            keepers[2].held(Duration.ZERO) shouldBe FencingToken(3)
+        }
+
+        test("the margin is taken off the remaining time") {
+            val time = TestTimeSource()
+            val keeper = LeaseKeeper(FakeObjectStore(), Incarnation(InstanceId("r"), 1), time)
+            keeper.maintain()
+            time += 7_000.milliseconds
+            keeper.held(Duration.ofMillis(2_700)) shouldBe FencingToken(1)
+            keeper.held(Duration.ofMillis(2_800)) shouldBe null
+        }
+    }) {
+    /** Four instances whose monotonic clocks differ in rate by less than the policy's allowance; a call may stall while others run. */
+    private class Schedule(
+        private val seed: Long,
+    ) {
+        private val random = Random(seed)
+        private val shared = FakeObjectStore()
+        private val log = mutableListOf<String>()
+        private val slots = (0 until INSTANCES).map { Slot(it) }
+        private val fencingHolders = mutableMapOf<FencingToken, String>()
+        private var violation: String? = null
+        private var isStalled = false
+
+        fun run(): String? {
+            repeat(STEPS) { if (violation == null) step() }
+            return violation?.let { "$it; seed=$seed schedule=$log" }
+        }
+
+        private fun step() {
+            val slot = slots.random(random)
+            when (random.nextInt(40)) {
+                0 -> slot.restart()
+                1 -> runBlocking { slot.act("release") { it.release() } }
+                2 -> advance(random.nextLong(20_000), "pause all")
+                else -> {
+                    advance(random.nextLong(1_500), "wait")
+                    runBlocking { slots.shuffled(random).take(random.nextInt(1, INSTANCES + 1)).forEach { it.act("maintain") { k -> k.maintain() } } }
+                }
+            }
+            check()
+        }
+
+        private fun advance(
+            millis: Long,
+            why: String,
+        ) {
+            log += "$why ${millis}ms"
+            slots.forEach { it.time += (millis * it.rate).milliseconds }
+            check()
+        }
+
+        private fun check() {
+            val believing = slots.mapNotNull { slot -> slot.keeper.held(Duration.ZERO)?.let { slot to it } }
+            if (believing.size > 1) violation = violation ?: "two holders believe: $believing"
+            for ((slot, fencing) in believing) {
+                val holder = slot.incarnation.key
+                if (fencing !in fencingHolders) {
+                    if (fencingHolders.keys.any { it >= fencing }) violation = violation ?: "fencing number fell to $fencing"
+                    acquisitions++
+                }
+                if (fencingHolders.getOrPut(fencing) { holder } != holder) violation = violation ?: "two holders had $fencing"
+            }
+        }
+
+        /** Before a call takes effect the process may pause while the other instances run. */
+        private fun fault(
+            index: Int,
+            call: StoreCall,
+        ): StoreFault {
+            if (!isStalled && random.nextInt(15) == 0) {
+                isStalled = true
+                log += "r$index stalls in $call"
+                repeat(random.nextInt(1, 12)) {
+                    advance(random.nextLong(2_500), "stall")
+                    runBlocking { slots.filter { it.index != index }.forEach { it.act("maintain") { k -> k.maintain() } } }
+                    check()
+                }
+                isStalled = false
+            }
+            val fault = if (random.nextInt(4) == 0) StoreFault.entries.random(random) else StoreFault.NONE
+            if (fault != StoreFault.NONE) log += "r$index $call $fault"
+            return fault
+        }
+
+        private inner class Slot(
+            val index: Int,
+        ) {
+            val rate = 1.0 + random.nextDouble(-0.009, 0.009)
+            var time = TestTimeSource()
+            var incarnation = Incarnation(InstanceId("r$index"), 1)
+            private val store: ObjectStore = shared.withFaults { fault(index, it) }
+            var keeper = LeaseKeeper(store, incarnation, time)
+
+            fun restart() {
+                log += "r$index restarts"
+                incarnation = incarnation.copy(number = incarnation.number + 1)
+                keeper = LeaseKeeper(store, incarnation, time)
+            }
+
+            suspend fun act(
+                what: String,
+                action: suspend (LeaseKeeper) -> Unit,
+            ) {
+                log += "r$index $what"
+                action(keeper)
+            }
+
+            override fun toString() = incarnation.key
+        }
+
+        companion object {
+            var acquisitions = 0
+        }
+    }
+
+    private companion object {
+        const val SCHEDULES = 3_000
+        const val STEPS = 120
+        const val INSTANCES = 4
+    }
+}
--- /dev/null
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionRouterTest.kt
@@ -0,0 +1,118 @@
+package io.limpetfold.rollout
+
+import com.github.michaelbull.result.get
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class VersionRouterTest :
+    FunSpec({
+        val route = RouteId("plan")
+        val old = VersionId("v1")
+        val new = VersionId("v2")
+
+        class Fleet {
+            val clock = TestClock()
+            val store = FakeObjectStore()
+            var isDown = false
+            val hub = FakePeerHub()
+            val routers =
+                (0..2).map {
+                    val self = Incarnation(InstanceId("r$it"), 1)
+                    val view = store.withFaults { if (isDown) StoreFault.UNAVAILABLE else StoreFault.NONE }
+                    VersionRouter(view, self, hub.join(self), clock, clock.monotonic)
+                }
+
+            suspend fun start(): MoveSnapshot {
+                val deadline = clock.instant() + Duration.ofMinutes(5)
+                val order = MoveStart(MoveId("m"), route, old, new, "ana", deadline)
+                val record = checkNotNull(MoveCommands(store, clock).start(order).get())
+                val granted = record.copy(weight = 0.5, grants = mapOf("r0@1" to 20L, "r1@1" to 20L))
+                return MoveSnapshot(granted, ObjectVersion(2)).also { snapshot -> routers.forEach { it.answer(ReportQuery(listOf(snapshot))) } }
+            }
+
+            fun send(
+                router: Int,
+                count: Int,
+                isBad: Boolean,
+            ): Int =
+                (1..count).count { n ->
+                    val choice = routers[router].choose(route, RequestId("$router-$n-${clock.millis()}"))
+                    routers[router].record(choice, VersionObservation(isSuccess = !(isBad && choice.side == MoveSide.NEW)))
+                    choice.side == MoveSide.NEW
+                }
+        }
+
+        test("a cut-off router turns to the old version at the deadline, and to the new one only when no old endpoint is left") {
+            val fleet = Fleet()
+            fleet.start()
+            fleet.isDown = true
+            fleet.hub.fault = { _, _ -> PeerFault.REQUEST_LOST }
+            fleet.clock.advance(Duration.ofSeconds(299))
+            val before = (1..50).map { fleet.routers[0].choose(route, RequestId("a$it")).version }.toSet()
+            before shouldBe setOf(old, new)
+            fleet.clock.advance(Duration.ofSeconds(1))
+            fleet.routers[0].maintain()
+            (1..50).map { fleet.routers[0].choose(route, RequestId("b$it")).version }.toSet() shouldBe setOf(old)
+            fleet.routers[0].choose(route, RequestId("c"), hasOldEndpoint = false).version shouldBe new
+        }
+
+        test("a cut-off router that has seen the completion keeps the new version after the deadline") {
+            val fleet = Fleet()
+            val started = fleet.start()
+            val completed = MoveSnapshot(started.record.copy(phase = MovePhase.Completed), ObjectVersion(3))
+            fleet.routers[1].answer(ReportQuery(listOf(completed)))
+            fleet.isDown = true
+            fleet.clock.advance(Duration.ofSeconds(400))
+            fleet.routers[1].choose(route, RequestId("c")).version shouldBe new
+            // The completion also passes from peer to peer while the platform is down.
+            fleet.routers[0].choose(route, RequestId("c")).version shouldBe old
+            fleet.routers[0].maintain()
+            fleet.routers[0].choose(route, RequestId("c")).version shouldBe new
+        }
+
+        test("exposure ends with the grant, and a router without a grant sends nothing to the new version") {
+            val fleet = Fleet()
+            fleet.start()
+            fleet.send(0, 500, isBad = false) shouldBe 20
+            fleet.send(2, 500, isBad = false) shouldBe 0
+        }
+
+        test("a verdict is sent straight to all peers, who withdraw for the rest of the move") {
+            val fleet = Fleet()
+            val started = fleet.start()
+            val exposed = fleet.send(0, 500, isBad = true)
+            println("guard: withdrawn after $exposed requests at weight 0.5")
+            (exposed < 20) shouldBe true
+            fleet.isDown = true
+            fleet.routers[0].sendVerdicts()
+            fleet.send(1, 500, isBad = false) shouldBe 0
+            val later = MoveSnapshot(started.record.copy(grants = mapOf("r1@1" to 90L)), ObjectVersion(9))
+            fleet.routers[1].answer(ReportQuery(listOf(later)))
+            fleet.send(1, 500, isBad = false) shouldBe 0
+            fleet.clock.advance(Duration.ofSeconds(400))
+            fleet.routers[1].choose(route, RequestId("c"), hasOldEndpoint = false).version shouldBe old
+        }
+
+        test("a router that agreed to the completion raises no verdict until it sees a newer version") {
+            val fleet = Fleet()
+            val started = fleet.start()
+            fleet.routers[0].answer(ReportQuery(listOf(started), setOf(started.record.id)))
+            fleet.send(0, 500, isBad = true)
+            fleet.routers[0].verdict(started.record.id) shouldBe null
+            fleet.send(0, 50, isBad = true) shouldBe 0
+            fleet.routers[0].answer(ReportQuery(listOf(MoveSnapshot(started.record.copy(weight = 0.6), ObjectVersion(3)))))
+            fleet.routers[0].verdict(started.record.id)?.metric shouldBe GuardMetric.FAILURES
+        }
+    })
