peer: add peer messages over Ktor sockets with CBOR

Cause: routers transfer budget, lend slots, send verdicts and pass generations on while the platform is down. Ruled out: TLS (no certificates on the instances; the hello proves the fleet key but does not encrypt or sign later frames); suspending writes into a bounded queue (a cancelled send leaves unknown whether it was sent). Change: KtorPeerNetwork with a mutual HMAC hello, bounded frames, asks and queues, one connection for each pair, replacement by newer incarnations, jittered reconnects. Conclusion: the router can use KtorPeerNetwork in place of FakePeerHub.

--- /dev/null
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/FleetKey.kt
@@ -0,0 +1,25 @@
+package io.limpetfold.peer.ktor
+
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/** The secret that all routers of a fleet share; its text never appears in [toString]. */
+class FleetKey(
+    secret: String,
+) {
+    private val key = SecretKeySpec(secret.encodeToByteArray(), ALGORITHM)
+
+    init {
+        require(secret.length >= MIN_CHARS) { "the fleet key has fewer than $MIN_CHARS characters; use a random text" }
+    }
+
+    internal fun hmac(message: ByteArray): ByteArray = Mac.getInstance(ALGORITHM).apply { init(key) }.doFinal(message)
+
+    override fun toString(): String = "FleetKey"
+
+    companion object {
+        /** A proof can be tested against guesses offline, so the key must be long. */
+        const val MIN_CHARS = 32
+        private const val ALGORITHM = "HmacSHA256"
+    }
+}
--- /dev/null
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Frame.kt
@@ -0,0 +1,46 @@
+package io.limpetfold.peer.ktor
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.Cbor
+
+/** A message between authenticated peers. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal sealed interface Frame {
+    @Serializable
+    @SerialName("q")
+    class Ask(
+        val id: Long,
+        val topic: String,
+        @ByteString val payload: ByteArray,
+    ) : Frame
+
+    @Serializable
+    @SerialName("a")
+    class Reply(
+        val id: Long,
+        @ByteString val payload: ByteArray,
+    ) : Frame
+
+    @Serializable
+    @SerialName("r")
+    class Rejection(
+        val id: Long,
+        val reason: String,
+    ) : Frame
+
+    @Serializable
+    @SerialName("p")
+    data object Ping : Frame
+
+    companion object {
+        val CBOR: Cbor = Cbor { ignoreUnknownKeys = true }
+
+        fun decode(bytes: ByteArray): Frame = CBOR.decodeFromByteArray(serializer(), bytes)
+
+        fun encode(frame: Frame): ByteArray = CBOR.encodeToByteArray(serializer(), frame)
+    }
+}
--- /dev/null
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/PeerAddress.kt
@@ -0,0 +1,10 @@
+package io.limpetfold.peer.ktor
+
+import io.limpetfold.core.InstanceId
+
+/** Where the router of an instance accepts peers; [host] is an IP address. */
+data class PeerAddress(
+    val instance: InstanceId,
+    val host: String,
+    val port: Int,
+)
--- /dev/null
+++ b/limpetfold-peer/src/test/kotlin/io/limpetfold/peer/ktor/KtorPeerNetworkTest.kt
@@ -0,0 +1,264 @@
+package io.limpetfold.peer.ktor
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.peer.PeerError
+import io.limpetfold.peer.PeerTopic
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.serialization.Serializable
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.net.Socket
+import java.time.Duration
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+class KtorPeerNetworkTest :
+    FunSpec({
+        val opened = mutableListOf<KtorPeerNetwork>()
+
+        suspend fun router(
+            name: String,
+            number: Long = 1,
+            key: String = KEY,
+            port: Int = 0,
+            policy: PeerPolicy = PeerPolicy(),
+        ): Router {
+            val self = Incarnation(InstanceId(name), number)
+            val network = KtorPeerNetwork(self, FleetKey(key), policy, Random(1))
+            network.handle(ECHO) { from, message -> Text("$from:${message.text}:$self") }
+            network.handle(SLOW) { _, _ -> awaitCancellation() }
+            opened += network
+            return Router(network, PeerAddress(self.instance, "127.0.0.1", network.start("127.0.0.1", port)))
+        }
+
+        suspend fun Router.reaches(vararg names: String) =
+            eventually(10.seconds) { network.reachable().map { it.value }.toSet() shouldBe names.toSet() }
+
+        suspend fun Router.echo(to: String) = network.ask(InstanceId(to), ECHO, Text("x"), TIMEOUT)
+
+        afterEach {
+            opened.forEach { it.close() }
+            opened.clear()
+        }
+
+        test("guards against replies that reach the wrong ask, in both directions") {
+            val a = router("a")
+            val b = router("b")
+            a.network.update(listOf(b.address))
+            a.reaches("b")
+            b.reaches("a")
+
+            val replies =
+                (1..200).map { async { a.network.ask(InstanceId("b"), ECHO, Text("$it"), TIMEOUT).get()?.text } }.awaitAll()
+
+            replies shouldBe (1..200).map { "a@1:$it:b@1" }
+            b.echo("a").get()?.text shouldBe "b@1:x:a@1"
+        }
+
+        test("guards against two connections of a pair that close each other") {
+            val a = router("a")
+            val b = router("b")
+            a.network.update(listOf(b.address))
+            b.network.update(listOf(a.address))
+            a.reaches("b")
+            b.reaches("a")
+
+            repeat(50) {
+                a.echo("b").get()?.text shouldBe "a@1:x:b@1"
+                b.echo("a").get()?.text shouldBe "b@1:x:a@1"
+            }
+        }
+
+        test("guards against a router with another fleet key") {
+            val a = router("a")
+            val b = router("b", key = KEY.reversed())
+            val c = router("c")
+            listOf(b, c).forEach { it.network.update(listOf(a.address)) }
+
+            a.reaches("c")
+            b.network.reachable() shouldBe emptySet()
+            b.echo("a").getError() shouldBe PeerError.Unreachable(InstanceId("a"))
+        }
+
+        test("guards against a restarted peer that stays unreachable or answers as its predecessor") {
+            val a = router("a")
+            val old = router("b", number = 1)
+            a.network.update(listOf(old.address))
+            a.reaches("b")
+            old.network.close()
+            a.reaches()
+
+            router("b", number = 2, port = old.address.port)
+
+            a.reaches("b")
+            a.echo("b").get()?.text shouldBe "a@1:x:b@2"
+        }
+
+        test("guards against an old incarnation that stays in place of a newer one or comes back after it") {
+            val a = router("a")
+            val old = router("b", number = 1)
+            val new = router("b", number = 2)
+            old.network.update(listOf(a.address))
+            a.reaches("b")
+            new.network.update(listOf(a.address))
+
+            eventually(10.seconds) { a.echo("b").get()?.text shouldBe "a@1:x:b@2" }
+            new.network.close()
+            a.reaches()
+            eventually(10.seconds) { old.network.reachable() shouldBe emptySet() }
+        }
+
+        test("guards against an ask without a reply that is reported as not sent, and against a topic without a handler") {
+            val a = router("a")
+            val b = router("b")
+            a.network.update(listOf(b.address))
+            a.reaches("b")
+
+            val slow = a.network.ask(InstanceId("b"), SLOW, Text("x"), Duration.ofMillis(50)).getError()
+            slow.shouldBeInstanceOf<PeerError.Timeout>()
+            a.network.ask(InstanceId("b"), UNKNOWN, Text("x"), TIMEOUT).getError().shouldBeInstanceOf<PeerError.Rejected>()
+            val huge = a.network.ask(InstanceId("b"), ECHO, Text("x".repeat(1_100_000)), TIMEOUT).getError()
+            huge.shouldBeInstanceOf<PeerError.Rejected>()
+            val large = "y".repeat(1_000_000)
+            a.network.ask(InstanceId("b"), ECHO, Text(large), TIMEOUT).get()?.text shouldBe "a@1:$large:b@1"
+        }
+
+        test("guards against more asks in flight than the bound and against more connections than the limit") {
+            val policy = PeerPolicy(maxInFlight = 2, maxConnections = 1)
+            val a = router("a")
+            val b = router("b", policy = policy)
+            a.network.update(listOf(b.address))
+            a.reaches("b")
+
+            val errors =
+                (1..5)
+                    .map { async { a.network.ask(InstanceId("b"), SLOW, Text("x"), Duration.ofMillis(500)).getError() } }
+                    .awaitAll()
+            errors.count { it is PeerError.Rejected } shouldBe 3
+
+            val c = router("c")
+            c.network.update(listOf(b.address))
+            c.echo("b").getError() shouldBe PeerError.Unreachable(InstanceId("b"))
+            b.network.reachable() shouldBe setOf(InstanceId("a"))
+        }
+
+        test("guards against hostile bytes before the hello that close more than their own connection") {
+            val a = router("a")
+            val b = router("b", policy = PATIENT)
+            a.network.update(listOf(b.address))
+            a.reaches("b")
+            for (bytes in HOSTILE + TRUNCATED) {
+                Socket("127.0.0.1", b.address.port).use { socket ->
+                    socket.soTimeout = 8_000
+                    socket.getOutputStream().write(bytes)
+                    if (bytes in TRUNCATED) socket.shutdownOutput()
+                    socket.getInputStream().readAllBytes().size shouldBe 0
+                }
+            }
+
+            a.echo("b").get()?.text shouldBe "a@1:x:b@1"
+        }
+
+        test("guards against hostile frames of a peer that knows the key") {
+            val b = router("b", policy = PATIENT)
+            val a = router("a")
+            a.network.update(listOf(b.address))
+            a.reaches("b")
+            for ((index, bytes) in (HOSTILE + TRUNCATED).withIndex()) {
+                Socket("127.0.0.1", b.address.port).use { socket ->
+                    socket.soTimeout = 8_000
+                    val hostile = HostilePeer(Incarnation(InstanceId("hostile"), index.toLong()), socket)
+                    hostile.join()
+                    eventually(10.seconds) { (InstanceId("hostile") in b.network.reachable()) shouldBe true }
+                    socket.getOutputStream().write(bytes)
+                    if (bytes in TRUNCATED) socket.shutdownOutput()
+                    eventually(10.seconds) { (InstanceId("hostile") in b.network.reachable()) shouldBe false }
+                }
+            }
+
+            a.echo("b") shouldBe Ok(Text("a@1:x:b@1"))
+        }
+    }) {
+    @Serializable
+    data class Text(
+        val text: String,
+    )
+
+    private class Router(
+        val network: KtorPeerNetwork,
+        val address: PeerAddress,
+    )
+
+    /** Joins with the right key over a blocking socket. */
+    private class HostilePeer(
+        private val self: Incarnation,
+        socket: Socket,
+    ) {
+        private val input = DataInputStream(socket.getInputStream())
+        private val output = DataOutputStream(socket.getOutputStream())
+
+        fun join() {
+            val cbor = Frame.CBOR
+            val hello = Handshake.Hello(Handshake.PROTOCOL, self, ByteArray(32))
+            write(cbor.encodeToByteArray(Handshake.Hello.serializer(), hello))
+            val reply = cbor.decodeFromByteArray(Handshake.HelloReply.serializer(), read()).hello
+            val names = "limpetfold-peer-1 dialer\n${self.key}\n${reply.incarnation.key}\n"
+            val proof = FleetKey(KEY).hmac(names.encodeToByteArray() + hello.nonce + reply.nonce)
+            write(cbor.encodeToByteArray(Handshake.Proof.serializer(), Handshake.Proof(proof)))
+            cbor.decodeFromByteArray(Handshake.Welcome.serializer(), read()).refusal shouldBe null
+        }
+
+        private fun write(bytes: ByteArray) {
+            output.writeInt(bytes.size)
+            output.write(bytes)
+        }
+
+        private fun read() = ByteArray(input.readInt()).also(input::readFully)
+    }
+
+    private companion object {
+        const val KEY = "test-key-of-the-fleet-0123456789abcdef"
+        val TIMEOUT: Duration = Duration.ofSeconds(10)
+        val ECHO = PeerTopic("test.echo", Text.serializer(), Text.serializer())
+        val SLOW = PeerTopic("test.slow", Text.serializer(), Text.serializer())
+        val UNKNOWN = PeerTopic("test.unknown", Text.serializer(), Text.serializer())
+
+        private fun frame(vararg bytes: Int) =
+            byteArrayOf(0, 0, 0, bytes.size.toByte()) + bytes.map { it.toByte() }.toByteArray()
+
+        val TRUNCATED = listOf(byteArrayOf(0, 0), byteArrayOf(0, 0, 0, 100, 1, 2, 3))
+
+        /** Long timeouts, so that only the detection of hostile bytes closes a connection in time. */
+        val PATIENT = PeerPolicy(handshakeTimeout = Duration.ofMinutes(5), idleTimeout = Duration.ofMinutes(5))
+
+        /** Lengths out of bounds, wrong types, claimed sizes of 2 GB and deep nesting. */
+        val HOSTILE =
+            listOf(
+                byteArrayOf(-1, -1, -1, -1),
+                byteArrayOf(0x7f, -1, -1, -1),
+                byteArrayOf(0, 0, 0, 0),
+                "GET / HTTP/1.1\r\n\r\n".encodeToByteArray(),
+                frame(0xff),
+                frame(0x9a, 0x7f, 0xff, 0xff, 0xff),
+                frame(0x5b, 0, 0, 0, 0, 0x7f, 0xff, 0xff, 0xff),
+                frame(0x7a, 0x7f, 0xff, 0xff, 0xff),
+                frame(0xba, 0x7f, 0xff, 0xff, 0xff),
+                frame(0x82, 0x61, 'q'.code, 0xba, 0x7f, 0xff, 0xff, 0xff),
+                frame(*IntArray(100) { 0x9f }),
+                frame(0x82, 0x61, 'q'.code, 0xbf, 0x61, 'z'.code, *IntArray(90) { 0x81 }),
+                // One map with an unknown key whose value is nested 900,000 deep and never ends.
+                byteArrayOf(0, 0x0d, 0xbb.toByte(), 0xa6.toByte(), 0x82.toByte(), 0x61, 'q'.code.toByte()) +
+                    byteArrayOf(0xbf.toByte(), 0x61, 'z'.code.toByte()) + ByteArray(900_000) { 0x81.toByte() },
+            )
+    }
+}
