--- /dev/null
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/JournalEntry.kt
@@ -0,0 +1,17 @@
+package io.limpetfold.request
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What the journal knows of a request; at least one record is present.
+ *
+ * The records are those of the latest holder seen. [closed] is null while the request runs, or when its router died.
+ */
+@Serializable
+data class JournalEntry(
+    val opened: OpenedRecord? = null,
+    val closed: ClosedRecord? = null,
+) {
+    /** Combines two views of one request; a closed record is never lost. */
+    fun merge(other: JournalEntry): JournalEntry = JournalEntry(other.opened ?: opened, closed ?: other.closed)
+}
--- /dev/null
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
@@ -0,0 +1,117 @@
+package io.limpetfold.claim
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.request.Ran
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.StoreCall
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import java.time.Duration
+
+class ClaimRegistryTest :
+    FunSpec({
+        val clock = TestClock()
+
+        fun registry(
+            store: FakeObjectStore,
+            name: String,
+            policy: ClaimPolicy = ClaimPolicy(),
+        ) = ClaimRegistry(Incarnation(InstanceId(name), 1_764_828_000_000), store, clock, clock.monotonic, policy)
+
+        suspend fun ClaimRegistry.claim(key: String) =
+            claim(WorkspaceId("w"), RouteId("r"), key, RequestId("q"), Duration.ofSeconds(10))
+
+        test("a duplicate gets the recorded outcome from any router, without a long body") {
+            val store = FakeObjectStore()
+            val first = (registry(store, "a").claim("k").get() as ClaimDecision.Granted).claim
+            first.tryForward() shouldBe true
+            first.tryForward() shouldBe false
+            registry(store, "b").claim("k").get().shouldBeInstanceOf<ClaimDecision.Unfinished>()
+            registry(store, "a").complete(first, ClaimOutcome(201, body = "{}")).isOk shouldBe true
+            registry(store, "b").claim("k").get() shouldBe ClaimDecision.Finished(ClaimOutcome(201, body = "{}"))
+
+            val other = (registry(store, "a").claim("long").get() as ClaimDecision.Granted).claim
+            other.tryForward()
+            registry(store, "a").complete(other, ClaimOutcome(200, body = "x".repeat(5_000)))
+            registry(store, "b").claim("long").get() shouldBe ClaimDecision.Finished(ClaimOutcome(200))
+        }
+
+        test("after an unconfirmed claim the same router grants a retry, another one only after the removal") {
+            val store = FakeObjectStore()
+            var isLossy = true
+            val lossy =
+                store.withFaults { call ->
+                    when {
+                        !isLossy -> StoreFault.NONE
+                        call is StoreCall.Put -> StoreFault.ANSWER_LOST.also { isLossy = true }
+                        store.writeCount > 0 -> StoreFault.UNAVAILABLE
+                        else -> StoreFault.NONE
+                    }
+                }
+            val router = registry(lossy, "a")
+            val error = router.claim("k").getError()
+            error.shouldBeInstanceOf<ClaimError.OutcomeUnknown>()
+            error.toRefusal().ran shouldBe Ran.NO
+            isLossy = false
+            registry(store, "b").claim("k").get().shouldBeInstanceOf<ClaimDecision.Unfinished>()
+            router.maintain()
+            registry(store, "b").claim("k").get().shouldBeInstanceOf<ClaimDecision.Granted>()
+        }
+
+        test("claims of one shard share a write") {
+            val store = FakeObjectStore()
+            val router = registry(store, "a")
+            coroutineScope { List(1_000) { async { router.claim("k$it") } }.awaitAll() }
+            println("ClaimRegistry: 1000 claims at once took ${store.writeCount} writes")
+            store.writeCount shouldBeLessThanOrEqual 128
+        }
+
+        test("a full shard refuses new keys as not run, stays under 1 MB, and has room again after the retention") {
+            val store = FakeObjectStore()
+            val router = registry(store, "a-router-with-a-long-instance-name")
+            val full = (0 until 500_000).map { ClaimKey.of(WorkspaceId("w"), RouteId("r"), "$it") to "$it" }
+            val keys = full.filter { it.first.shard == 7 }.map { it.second }
+            coroutineScope { keys.take(6_000).map { async { router.claim(it) } }.awaitAll() }
+            val error = router.claim(keys[6_000]).getError()
+            error.shouldBeInstanceOf<ClaimError.ShardFull>()
+            error.toRefusal().ran shouldBe Ran.NO
+            val size = store.history(ObjectKey("claim/7")).last().length
+            println("ClaimRegistry: a full shard has $size bytes")
+            size shouldBeLessThan 1_000_000
+            clock.advance(Duration.ofHours(24))
+            router.claim(keys[6_000]).get().shouldBeInstanceOf<ClaimDecision.Granted>()
+        }
+
+        test("an outage refuses as not run with a retry hint") {
+            val error = registry(FakeObjectStore().withFaults { StoreFault.UNAVAILABLE }, "a").claim("k").getError()
+            error.shouldBeInstanceOf<ClaimError.PlatformUnavailable>()
+            error.toRefusal().retryAfter shouldBe Duration.ofSeconds(2)
+        }
+
+        test("bodies of a shard stay within their bound, the oldest dropped first") {
+            var bodies = ClaimBodies()
+            repeat(400) {
+                val body = ClaimBody("t$it", it.toLong(), "application/json", "\u0001".repeat(4_096))
+                bodies = bodies.with(mapOf("h$it" to body), oldestMillis = 0, maxBytes = 750_000)
+            }
+            bodies.bodies.containsKey("h399") shouldBe true
+            val size = TypedObject.JSON.encodeToString(ClaimBodies.serializer(), bodies).encodeToByteArray().size
+            size shouldBeLessThan 1_000_000
+        }
+    })
--- /dev/null
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
@@ -0,0 +1,214 @@
+package io.limpetfold.claim
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+import kotlin.random.Random
+
+class ClaimSchedulePropertyTest :
+    FunSpec({
+        test("a key is forwarded at most once within its retention, in any schedule") {
+            val sums = HashMap<String, Int>()
+            repeat(SEEDS) { seed ->
+                val schedule = Schedule(seed)
+                runBlocking { schedule.run(this) }
+                withClue("seed=$seed schedule=\n${schedule.log.joinToString("\n")}") { schedule.violation() shouldBe null }
+                schedule.counts.forEach { (name, count) -> sums.merge(name, count, Int::plus) }
+            }
+            println("ClaimSchedule: seeds=$SEEDS ${sums.toSortedMap()}")
+            // Guards against a schedule that proves nothing because the paths are never reached.
+            for (name in listOf("forwarded", "tooLate", "unknown", "unfinished", "finished", "abandoned", "killed", "late")) {
+                withClue(name) { (sums[name] ?: 0) shouldBeGreaterThan 100 }
+            }
+        }
+    }) {
+    /** One seeded schedule; all routers run on one thread and give way at each call to the store. */
+    private class Schedule(
+        seed: Int,
+    ) {
+        private val random = Random(seed)
+        private val clock = TestClock()
+        private val store = FakeObjectStore()
+        private val lateWrites = ArrayDeque<suspend () -> Unit>()
+        private val forwards = HashMap<String, MutableList<Instant>>()
+        private var isDown = false
+        val log = mutableListOf<String>()
+        val counts = HashMap<String, Int>()
+
+        private inner class Router(
+            val index: Int,
+            val number: Long,
+            val scope: CoroutineScope,
+        ) {
+            private val incarnation = Incarnation(InstanceId("r$index"), number)
+
+            /** Wall clocks differ by up to two minutes. */
+            private val skew = Duration.ofSeconds(random.nextLong(-60, 60))
+            private val wall = InstantSource { clock.instant().plus(skew) }
+            val registry =
+                ClaimRegistry(incarnation, Unsteady(), wall, clock.monotonic, POLICY)
+
+            suspend fun call(key: String) {
+                // The same request identity arrives everywhere, as when a caller retries through several routers.
+                val decision =
+                    registry.claim(WorkspaceId("w"), RouteId("r"), key, RequestId("same"), Duration.ofMinutes(1))
+                decision.fold(
+                    success = {
+                        when (it) {
+                            is ClaimDecision.Granted -> granted(key, it.claim)
+                            is ClaimDecision.Finished -> note("finished", "$incarnation $key")
+                            is ClaimDecision.Unfinished -> note("unfinished", "$incarnation $key")
+                        }
+                    },
+                    failure = { note(if (it is ClaimError.OutcomeUnknown) "unknown" else "refused", "$incarnation $key") },
+                )
+            }
+
+            private suspend fun granted(
+                key: String,
+                claim: Claim,
+            ) {
+                note("granted", "$incarnation $key")
+                repeat(random.nextInt(40)) { yield() }
+                if (random.nextInt(8) == 0) {
+                    note("abandoned", "$incarnation $key")
+                    return registry.abandon(claim)
+                }
+                if (!claim.tryForward()) {
+                    note("tooLate", "$incarnation $key")
+                    return registry.abandon(claim)
+                }
+                if (random.nextInt(8) == 0) {
+                    note("notStarted", "$incarnation $key")
+                    return registry.abandon(claim, isProvenNotStarted = true)
+                }
+                note("forwarded", "$incarnation $key")
+                forwards.getOrPut(key) { mutableListOf() } += clock.instant()
+                repeat(random.nextInt(10)) { yield() }
+                registry.complete(claim, ClaimOutcome(201, body = "ok"))
+            }
+        }
+
+        /** The store with outages, lost answers, and lost writes that take effect later. */
+        private inner class Unsteady : ObjectStore by store {
+            override suspend fun get(key: ObjectKey): Result<io.limpetfold.store.StoredObject?, StoreError> {
+                repeat(random.nextInt(4)) { yield() }
+                return if (isDown) Err(StoreError.Unavailable("down")) else store.get(key)
+            }
+
+            override suspend fun put(
+                key: ObjectKey,
+                value: String,
+                expected: ObjectVersion,
+            ): Result<ObjectVersion, StoreError> {
+                repeat(random.nextInt(4)) { yield() }
+                if (isDown) return Err(StoreError.Unavailable("down"))
+                return when (random.nextInt(8)) {
+                    0 -> {
+                        store.put(key, value, expected)
+                        lost()
+                    }
+                    1 -> {
+                        lateWrites += {
+                            note("late", "$key")
+                            store.put(key, value, expected)
+                        }
+                        lost()
+                    }
+                    else -> store.put(key, value, expected)
+                }
+            }
+
+            private fun lost(): Result<ObjectVersion, StoreError> {
+                if (random.nextInt(3) == 0) isDown = true
+                return Err(StoreError.OutcomeUnknown("lost"))
+            }
+        }
+
+        suspend fun run(scope: CoroutineScope) {
+            val routers = MutableList(ROUTERS) { start(it, 1, scope) }
+            repeat(STEPS) {
+                val router = routers.random(random)
+                when (random.nextInt(16)) {
+                    in 0..6 -> router.scope.launch { router.call("k${random.nextInt(KEYS)}") }
+                    7 -> router.scope.launch { router.registry.maintain() }
+                    8 -> isDown = !isDown
+                    9 -> lateWrites.removeFirstOrNull()?.invoke()
+                    10 -> advance(Duration.ofSeconds(random.nextLong(1, 400)))
+                    11 -> if (random.nextInt(4) == 0) advance(Duration.ofHours(random.nextLong(1, 26)))
+                    12 ->
+                        if (random.nextInt(3) == 0) {
+                            note("killed", "${router.index}")
+                            router.scope.cancel()
+                            routers[router.index] = start(router.index, router.number + 1, scope)
+                        }
+                    else -> isDown = false
+                }
+                repeat(random.nextInt(6)) { yield() }
+            }
+            routers.forEach { it.scope.coroutineContext.job.cancelAndJoin() }
+        }
+
+        private fun start(
+            index: Int,
+            number: Long,
+            scope: CoroutineScope,
+        ) = Router(index, number, CoroutineScope(scope.coroutineContext + Job(scope.coroutineContext.job)))
+
+        private fun advance(by: Duration) {
+            log += "advance $by"
+            clock.advance(by)
+        }
+
+        private fun note(
+            name: String,
+            what: String,
+        ) {
+            counts.merge(name, 1, Int::plus)
+            log += "${clock.instant()} $name $what"
+        }
+
+        /** Two forwards of a key must be apart by the retention, less the forward bound and the clocks' differences. */
+        fun violation(): String? {
+            val least = POLICY.retention - POLICY.forwardWithin - Duration.ofMinutes(2)
+            for ((key, times) in forwards) {
+                times.sorted().zipWithNext { a, b -> if (Duration.between(a, b) < least) return "$key at $a and $b" }
+            }
+            return null
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 4_000
+        const val STEPS = 60
+        const val ROUTERS = 3
+        const val KEYS = 3
+        val POLICY = ClaimPolicy(batchWindow = Duration.ZERO)
+    }
+}
--- /dev/null
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/request/RetryBudgetTest.kt
@@ -0,0 +1,23 @@
+package io.limpetfold.request
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class RetryBudgetTest :
+    FunSpec({
+        test("retries stay a share of successes plus the floor, and idle time saves nothing up") {
+            val clock = TestClock()
+            val budget = RetryBudget(RetryBudgetPolicy(share = 0.1, floorPerSecond = 1.0), clock.monotonic)
+
+            fun available() = generateSequence { budget.tryAcquire() }.takeWhile { it }.count()
+            available() shouldBe 1
+            repeat(100) { budget.onSuccess() }
+            available() shouldBe 10
+            clock.advance(Duration.ofHours(1))
+            available() shouldBe 1
+            repeat(10_000) { budget.onSuccess() }
+            available() shouldBe 50
+        }
+    })
