budget: add property tests over seeded schedules of faults

Cause: overspend and double billing show only when faults meet in a certain order. Ruled out: tests with real threads; they reach few orders and do not repeat.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -132,10 +132,8 @@
     suspend fun close(): Result<Unit, StoreError> {
         isClosed = true
         var firstError: StoreError? = null
-        for (slot in slots.values) {
-            slot.change { it.closing() }
-            closeSlot(slot)?.let { error -> firstError = firstError ?: error }
-        }
+        slots.values.forEach { slot -> slot.change { it.closing() } }
+        slots.values.forEach { slot -> closeSlot(slot)?.let { error -> firstError = firstError ?: error } }
         return firstError?.let { Err(it) } ?: Ok(Unit)
     }
 
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -0,0 +1,404 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.peer.PeerError
+import io.limpetfold.peer.PeerHandler
+import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.peer.PeerTopic
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreCall
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.yield
+import java.time.Duration
+import kotlin.random.Random
+
+/**
+ * One seeded schedule: routers spend two workspaces while routers, links, the platform and operators fail.
+ *
+ * The schedule counts the real spend itself and never reads it from the code under test.
+ */
+class BudgetSchedule(
+    private val seed: Int,
+    private val steps: Int = 70,
+) {
+    private val random = Random(seed)
+    private val clock = TestClock()
+    private val scheduler = SeededScheduler(random, clock)
+    private val store = FakeObjectStore()
+    private val hub = FakePeerHub(::peerFault)
+    private val policy =
+        if (random.nextBoolean()) BudgetPolicy.availability else BudgetPolicy.exposure
+    private val testedPolicy = policy.copy(reportInterval = Duration.ZERO, reportsPerRound = WORKSPACES.size)
+    private val isUnstable = random.nextInt(4) > 0
+    private val operators = Member(Incarnation(InstanceId("operators"), 1))
+    private val routers = mutableListOf<Router>()
+    private val dead = mutableListOf<Router>()
+    private val cuts = mutableSetOf<Set<InstanceId>>()
+    private val topUps = mutableMapOf<Pair<WorkspaceId, TopUpId>, Long>()
+    private val failures = mutableListOf<Throwable>()
+    private var isPlatformDown = false
+    private var isHealed = false
+    private var nextIncarnation = 1L
+    private var nextRequest = 1
+
+    /** What happened, for the report of a failure. */
+    val log = mutableListOf<String>()
+
+    /** Every run of a request that got a reservation. */
+    val runs = mutableListOf<Run>()
+
+    /** Tokens that endpoints really generated, by workspace. */
+    val spent = WORKSPACES.associateWith { 0L }.toMutableMap()
+
+    fun run() {
+        WORKSPACES.forEach { topUp(it, TopUpId("2026-01-01/first"), 500 + random.nextLong(2_000)) }
+        repeat(3) { start("r$it") }
+        repeat(steps) {
+            act()
+            repeat(random.nextInt(12)) { scheduler.step() }
+            throwFailure()
+        }
+        heal()
+    }
+
+    /** Every stored version of the ledger of [workspace]. */
+    fun versions(workspace: WorkspaceId): List<BudgetLedger> =
+        store.history(BudgetLedgers.keyOf(workspace)).map { TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), it) }
+
+    fun toppedUp(workspace: WorkspaceId): Long = topUps.filterKeys { it.first == workspace }.values.sum()
+
+    private fun act() {
+        val router = routers.randomOrNull(random)
+        when (random.nextInt(24)) {
+            in 0..9 -> router?.let { request(it) }
+            in 10..12 -> router?.let { launch(it, "maintain") { it.agent.maintain() } }
+            13 -> router?.let { kill(it) }
+            14 -> restart()
+            15 -> dead.randomOrNull(random)?.let { reclaim(operators, it) }
+            16 -> router?.let { pause(it, !it.lane.isPaused) }
+            17, 18 -> cut()
+            19 -> note("platform down=${!isPlatformDown}") { isPlatformDown = !isPlatformDown }
+            20 -> topUp(WORKSPACES.random(random), TopUpId("2026-01-0${random.nextInt(1, 9)}/t"), 100 + random.nextLong(900))
+            21 -> if (random.nextBoolean()) router?.let { stop(it) }
+            else -> random.nextLong(3_000).let { note("advance $it ms") { scheduler.advance(it) } }
+        }
+    }
+
+    private fun start(instance: String) {
+        val router = Router(Incarnation(InstanceId(instance), nextIncarnation++))
+        note("start ${router.self}") { routers += router }
+    }
+
+    private fun restart() {
+        val instances = (0..3).map { "r$it" } - routers.map { it.self.instance.value }.toSet()
+        val instance = instances.randomOrNull(random) ?: return
+        start(instance)
+        val router = routers.last()
+        dead.filter { it.self.instance == router.self.instance }.forEach { reclaim(router, it) }
+    }
+
+    private fun request(router: Router) {
+        val workspace = WORKSPACES.random(random)
+        val id = RequestId("q${nextRequest++}")
+        val tokens = 1 + random.nextLong(if (random.nextInt(4) == 0) 600 else 90)
+        val patience = Duration.ofMillis(if (random.nextBoolean()) 0 else random.nextLong(1_000))
+        launch(router, "reserve $workspace $id $tokens") {
+            val reservation = router.agent.reserve(workspace, id, tokens, patience).get() ?: return@launch
+            val run = Run(router.self, reservation).also { runs += it }
+            log += "  ${router.self} got $id"
+            // An endpoint may generate more than it was asked for; it is cut off at the reservation.
+            repeat(random.nextInt(4)) {
+                yield()
+                use(run, random.nextLong(tokens + 1))
+            }
+            // The charge is asked for twice: a caller that cancels and an answer that ends may both settle.
+            repeat(random.nextInt(1, 3)) {
+                run.bill(router.agent.settle(reservation, run.usedTokens + if (random.nextInt(9) == 0) tokens else 0))
+                if (!run.isOpen) settleUse(run)
+                yield()
+            }
+        }
+    }
+
+    private fun use(
+        run: Run,
+        tokens: Long,
+    ) {
+        if (!run.isOpen) return
+        spend(run, minOf(tokens, run.reservation.tokens - run.usedTokens))
+    }
+
+    /** The endpoint used what was charged: the test asks for a charge above the use at times, as an endpoint's usage can be. */
+    private fun settleUse(run: Run) = spend(run, run.billedTokens - run.usedTokens)
+
+    private fun spend(
+        run: Run,
+        tokens: Long,
+    ) {
+        val workspace = run.reservation.workspace
+        run.usedTokens += tokens
+        spent[workspace] = spent.getValue(workspace) + tokens
+        val paid = versions(workspace).last().paidTokens
+        check(spent.getValue(workspace) <= paid) { "$workspace spent ${spent[workspace]} of $paid paid" }
+    }
+
+    private fun kill(router: Router) =
+        note("kill ${router.self}") {
+            end(router)
+            router.isDead = true
+            router.scope.cancel()
+            router.lane.isPaused = false
+            dead += router
+        }
+
+    private fun stop(router: Router) {
+        end(router)
+        pause(router, false)
+        launch(router, "stop") {
+            // Requests still open at the close are charged in full, so they may use their reservation up.
+            runs.filter { it.holder == router.self && it.isOpen }.forEach {
+                it.isOpen = false
+                it.billedTokens = it.reservation.tokens
+                settleUse(it)
+            }
+            var attempts = 0
+            while (router.agent.close().get() == null) if (attempts++ > 3 && !isHealed) break
+            stopping += router
+        }
+    }
+
+    private val stopping = mutableListOf<Router>()
+
+    private fun end(router: Router) {
+        routers -= router
+        hub.leave(router.self.instance)
+    }
+
+    private fun reclaim(
+        by: Member,
+        ended: Router,
+    ) = WORKSPACES.forEach { workspace ->
+        launch(by, "reclaim ${ended.self} $workspace") {
+            val copied = runs.filter { it.holder == ended.self && it.reservation.workspace == workspace }.sumOf { it.usedTokens }
+            BudgetLedgers(by.store).reclaim(workspace, ended.self, copied)
+        }
+    }
+
+    private fun topUp(
+        workspace: WorkspaceId,
+        id: TopUpId,
+        newTokens: Long,
+    ) {
+        val tokens = topUps.getOrPut(workspace to id) { newTokens }
+        repeat(random.nextInt(1, 3)) {
+            launch(operators, "topUp $workspace $id $tokens") { BudgetLedgers(operators.store).topUp(workspace, id, tokens) }
+        }
+        if (log.size < 9) scheduler.drain()
+    }
+
+    private fun pause(
+        router: Router,
+        isPaused: Boolean,
+    ) = note("pause ${router.self} $isPaused") { router.lane.isPaused = isPaused }
+
+    private fun cut() {
+        val pair = (0..3).shuffled(random).take(2).mapTo(mutableSetOf()) { InstanceId("r$it") }
+        note("cut $pair ${pair !in cuts}") { if (!cuts.add(pair)) cuts -= pair }
+    }
+
+    private fun heal() {
+        note("heal") {
+            isHealed = true
+            isPlatformDown = false
+            cuts.clear()
+            routers.forEach { it.lane.isPaused = false }
+        }
+        scheduler.drain()
+        topUps.forEach { (key, tokens) -> topUp(key.first, key.second, tokens) }
+        dead.forEach { reclaim(operators, it) }
+        scheduler.drain()
+        repeat(2) {
+            routers.forEach { launch(it, "maintain") { it.agent.maintain() } }
+            scheduler.drain()
+        }
+        throwFailure()
+        // Tokens of a reclaimed holder come back while the others run, through their maintenance alone.
+        WORKSPACES.forEach { workspace ->
+            val ended = versions(workspace).last().holders.filterValues { it.isEnded }
+            val waiting = versions(workspace).last().holders.keys - routers.map { it.self.key }.toSet() - ended.keys
+            check(ended.isEmpty() || waiting.isNotEmpty()) { "$workspace keeps the reclaimed $ended" }
+        }
+        (routers + stopping).toList().forEach { stop(it) }
+        scheduler.drain()
+        throwFailure()
+    }
+
+    private fun throwFailure() = failures.firstOrNull()?.let { throw it }
+
+    private fun note(
+        line: String,
+        action: () -> Unit,
+    ) {
+        log += line
+        action()
+    }
+
+    private fun launch(
+        member: Member,
+        line: String,
+        action: suspend () -> Unit,
+    ): Job {
+        log += "${member.self} $line"
+        return member.scope.launch {
+            try {
+                action()
+            } catch (e: IllegalStateException) {
+                if (e !is kotlin.coroutines.cancellation.CancellationException) failures += e
+            } catch (e: IllegalArgumentException) {
+                failures += e
+            }
+        }
+    }
+
+    private fun peerFault(
+        from: InstanceId,
+        to: InstanceId,
+    ): PeerFault =
+        when {
+            setOf(from, to) in cuts || routers.any { it.self.instance == to && it.lane.isPaused } -> PeerFault.REQUEST_LOST
+            isHealed || !isUnstable -> PeerFault.NONE
+            random.nextInt(8) == 0 -> PeerFault.REPLY_LOST
+            else -> PeerFault.NONE
+        }
+
+    private fun storeFault(call: StoreCall): StoreFault =
+        when {
+            isPlatformDown && (call !is StoreCall.Put || random.nextInt(3) > 0) -> StoreFault.UNAVAILABLE
+            isPlatformDown -> listOf(StoreFault.ANSWER_LOST, StoreFault.REQUEST_LOST).random(random)
+            isHealed || !isUnstable || random.nextInt(6) > 0 -> StoreFault.NONE
+            else -> StoreFault.entries.random(random)
+        }
+
+    private inner class Router(
+        self: Incarnation,
+    ) : Member(self) {
+        val agent: BudgetAgent =
+            BudgetAgent(self, store, LanePeers(this, hub.join(self)), testedPolicy, clock.monotonic, Random(seed))
+    }
+
+    private open inner class Member(
+        val self: Incarnation,
+    ) {
+        val lane = scheduler.Lane()
+        val scope = CoroutineScope(lane + SupervisorJob())
+        val store: ObjectStore = LaneStore(this)
+        var isDead = false
+    }
+
+    /** Lets other tasks run before and after each call, and lets some writes take effect after their answer was given up. */
+    private inner class LaneStore(
+        private val member: Member,
+    ) : ObjectStore {
+        private val faulty = this@BudgetSchedule.store.withFaults(::storeFault)
+
+        override suspend fun get(key: ObjectKey) = interleaved { faulty.get(key) }
+
+        override suspend fun list(prefix: String) = interleaved { faulty.list(prefix) }
+
+        override suspend fun watch(
+            prefix: String,
+            after: ObjectVersion,
+            wait: Duration,
+        ) = interleaved { faulty.watch(prefix, after, wait) }
+
+        override suspend fun put(
+            key: ObjectKey,
+            value: String,
+            expected: ObjectVersion,
+        ): Result<ObjectVersion, StoreError> =
+            interleaved {
+                if (isUnstable && !isHealed && random.nextInt(12) == 0) {
+                    operators.scope.launch { this@BudgetSchedule.store.put(key, value, expected) }
+                    Err(StoreError.OutcomeUnknown("late write"))
+                } else {
+                    faulty.put(key, value, expected)
+                }
+            }
+
+        private suspend fun <T> interleaved(call: suspend () -> T): T {
+            yield()
+            if (member.isDead) throw DeadRouterException()
+            return call().also { yield() }
+        }
+    }
+
+    private inner class LanePeers(
+        private val router: Router,
+        private val network: PeerNetwork,
+    ) : PeerNetwork by network {
+        override fun <Q : Any, A : Any> handle(
+            topic: PeerTopic<Q, A>,
+            handler: PeerHandler<Q, A>,
+        ) = network.handle(topic) { from, message ->
+            yield()
+            if (router.isDead || router.lane.isPaused) throw DeadRouterException()
+            // The reply may travel while the sender dies and is reclaimed.
+            handler.answer(from, message).also { repeat(random.nextInt(4)) { yield() } }
+        }
+
+        override suspend fun <Q : Any, A : Any> ask(
+            to: InstanceId,
+            topic: PeerTopic<Q, A>,
+            message: Q,
+            timeout: Duration,
+        ): Result<A, PeerError> =
+            try {
+                network.ask(to, topic, message, timeout)
+            } catch (expected: DeadRouterException) {
+                Err(PeerError.Timeout(to, timeout))
+            }
+    }
+
+    private class DeadRouterException : Exception()
+
+    /** One run of a request at an endpoint. */
+    class Run(
+        val holder: Incarnation,
+        val reservation: Reservation,
+    ) {
+        var usedTokens = 0L
+        var billedTokens = 0L
+        var billCount = 0
+        var isOpen = true
+
+        fun bill(settlement: Settlement) {
+            if (settlement.isRepeated) return
+            billCount++
+            billedTokens += settlement.chargedTokens
+            isOpen = false
+        }
+    }
+
+    companion object {
+        val WORKSPACES = listOf(WorkspaceId("school-kitchen"), WorkspaceId("bonsai-hall"))
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedulePropertyTest.kt
@@ -0,0 +1,50 @@
+package io.limpetfold.budget
+
+import io.kotest.core.spec.style.FunSpec
+
+/** Guards against overspend: any fault that lets a grant, a transfer or a remainder be spent twice. */
+class BudgetSchedulePropertyTest :
+    FunSpec({
+        test("no schedule of faults lets a workspace spend more than it paid") {
+            var granted = 0
+            var transferred = 0
+            var reclaimed = 0
+            forEachSeed { schedule ->
+                for (workspace in BudgetSchedule.WORKSPACES) {
+                    val versions = schedule.versions(workspace)
+                    versions.forEach { ledger ->
+                        val counted = ledger.settledTokens + ledger.holders.values.sumOf { it.grantedTokens }
+                        check(counted <= ledger.paidTokens) { "$workspace counts $counted of ${ledger.paidTokens} paid in $ledger" }
+                    }
+                    granted += versions.count { ledger -> ledger.holders.values.any { it.acquiredTokens > 0 } }
+                    transferred += versions.count { it.transfers.isNotEmpty() }
+                    reclaimed += versions.count { ledger -> ledger.holders.values.any { it.isEnded } }
+
+                    val last = versions.last()
+                    check(last.paidTokens == schedule.toppedUp(workspace)) { "$workspace paid ${last.paidTokens}" }
+                    check(last.settledTokens == schedule.spent[workspace]) {
+                        "$workspace settled ${last.settledTokens} and spent ${schedule.spent[workspace]}"
+                    }
+                    check(last.holders.isEmpty() && last.transfers.isEmpty()) { "$workspace keeps entries: $last" }
+                }
+            }
+            println("versions with grants=$granted transfers=$transferred reclaimed=$reclaimed")
+            check(transferred > 0 && reclaimed > 0) { "the schedules reach no transfer or no reclaim" }
+        }
+    })
+
+/** Runs [check] on the schedule of each seed, and reports the seed and the schedule of the first failure. */
+internal fun forEachSeed(check: (BudgetSchedule) -> Unit) {
+    val only = System.getProperty("limpetfold.seed")?.toInt()
+    for (seed in if (only != null) only..only else 1..SEEDS) {
+        val schedule = BudgetSchedule(seed)
+        try {
+            schedule.run()
+            check(schedule)
+        } catch (e: IllegalStateException) {
+            throw AssertionError("seed $seed: ${e.message}\n${schedule.log.joinToString("\n")}", e)
+        }
+    }
+}
+
+private const val SEEDS = 3_000
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/SeededScheduler.kt
@@ -0,0 +1,90 @@
+package io.limpetfold.budget
+
+import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import java.time.Duration
+import kotlin.coroutines.CoroutineContext
+import kotlin.random.Random
+
+/** Runs coroutines on the calling thread in an order chosen by [random], with timers on [clock]. */
+class SeededScheduler(
+    private val random: Random,
+    private val clock: TestClock,
+) {
+    private val ready = mutableListOf<Task>()
+    private val timers = mutableListOf<Timer>()
+    private var nowMillis = 0L
+
+    /** Runs one task of a lane that is not paused; false when there is none. */
+    fun step(): Boolean {
+        val runnable = ready.indices.filter { !ready[it].lane.isPaused }
+        if (runnable.isEmpty()) return false
+        ready.removeAt(runnable.random(random)).block.run()
+        return true
+    }
+
+    /** Moves the clock and makes due timers ready. */
+    fun advance(millis: Long) {
+        clock.advance(Duration.ofMillis(millis))
+        nowMillis += millis
+        val due = timers.filter { it.dueMillis <= nowMillis }
+        timers -= due.toSet()
+        ready += due.map { Task(it.lane, it.block) }
+    }
+
+    /** Runs everything, moving the clock from timer to timer. */
+    fun drain() {
+        while (step() || timers.isNotEmpty()) {
+            if (ready.isEmpty() && timers.isNotEmpty()) advance(maxOf(0, timers.minOf { it.dueMillis } - nowMillis))
+        }
+    }
+
+    /** The dispatcher of one router; a paused lane runs nothing. */
+    @OptIn(InternalCoroutinesApi::class)
+    inner class Lane :
+        CoroutineDispatcher(),
+        Delay {
+        var isPaused = false
+
+        override fun dispatch(
+            context: CoroutineContext,
+            block: Runnable,
+        ) {
+            ready += Task(this, block)
+        }
+
+        override fun scheduleResumeAfterDelay(
+            timeMillis: Long,
+            continuation: CancellableContinuation<Unit>,
+        ) {
+            val timer = Timer(this, nowMillis + timeMillis) { with(continuation) { resumeUndispatched(Unit) } }
+            timers += timer
+            continuation.invokeOnCancellation { timers -= timer }
+        }
+
+        override fun invokeOnTimeout(
+            timeMillis: Long,
+            block: Runnable,
+            context: CoroutineContext,
+        ): DisposableHandle {
+            val timer = Timer(this, nowMillis + timeMillis, block)
+            timers += timer
+            return DisposableHandle { timers -= timer }
+        }
+    }
+
+    private class Task(
+        val lane: Lane,
+        val block: Runnable,
+    )
+
+    private class Timer(
+        val lane: Lane,
+        val dueMillis: Long,
+        val block: Runnable,
+    )
+}
