--- /dev/null
+++ b/limpetfold-config-yaml/src/test/kotlin/io/limpetfold/config/yaml/Examples.kt
@@ -0,0 +1,23 @@
+package io.limpetfold.config.yaml
+
+import java.nio.file.Path
+import kotlin.io.path.name
+import kotlin.io.path.readText
+import kotlin.io.path.walk
+
+/** Files of the repository that tests compare with the code. */
+internal object Examples {
+    private val ROOT: Path =
+        generateSequence(Path.of("").toAbsolutePath()) { it.parent }.first { it.resolve("docs/design.md").toFile().exists() }
+
+    fun files(example: String): List<SourceFile> =
+        ROOT
+            .resolve("examples/$example")
+            .walk()
+            .filter { it.name == "limpetfold.yaml" }
+            .sorted()
+            .map { SourceFile(ROOT.relativize(it).toString(), it.readText()) }
+            .toList()
+
+    fun page(path: String): String = ROOT.resolve(path).readText()
+}
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigProblem.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigProblem.kt
@@ -4,11 +4,16 @@
  * One fault of a configuration or settings value.
  *
  * @property path the field, as in `routes[2].queue.maxWait`; empty for the whole value.
+ * @property relatedPath another field that the fault involves, such as the first of two equal names.
  */
 data class ConfigProblem(
     val path: String,
     val message: String,
     val remedy: String,
+    val relatedPath: String? = null,
 ) {
-    override fun toString(): String = "${path.ifEmpty { "(all)" }}: $message; $remedy"
+    override fun toString(): String {
+        val related = relatedPath?.let { " (see $it)" }.orEmpty()
+        return "${path.ifEmpty { "(all)" }}: $message$related; $remedy"
+    }
 }
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfig.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfig.kt
@@ -64,6 +64,9 @@
     /** Returns every fault at once; empty for a valid configuration. */
     fun problems(): ImmutableList<ConfigProblem> = FleetConfigCheck.problems(this)
 
+    /** Returns the faults between fields only: duplicates and references; ranges and patterns are taken as checked. */
+    fun relationProblems(): ImmutableList<ConfigProblem> = FleetConfigCheck.relations(this).toImmutableList()
+
     /**
      * The SHA-256 of everything but [generation] and [publication], independent of the order of services, routes and workspaces.
      *
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfigCheck.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfigCheck.kt
@@ -12,7 +12,7 @@
         return (structure + relations(config)).toImmutableList()
     }
 
-    private fun relations(config: FleetConfig): List<ConfigProblem> =
+    fun relations(config: FleetConfig): List<ConfigProblem> =
         buildList {
             addAll(duplicates(config.services.map { it.name }, "services", "name", "service"))
             addAll(duplicates(config.routes.map { it.route.value }, "routes", "route", "route"))
@@ -130,7 +130,12 @@
         val seen = mutableMapOf<String, Int>()
         return names.mapIndexedNotNull { index, name ->
             val first = seen.putIfAbsent(name, index) ?: return@mapIndexedNotNull null
-            ConfigProblem("$path[$index].$field", "repeats the $kind '$name' of $path[$first]", "give each $kind a name of its own")
+            ConfigProblem(
+                "$path[$index].$field",
+                "repeats the $kind '$name'",
+                "give each $kind a name of its own",
+                relatedPath = "$path[$first].$field",
+            )
         }
     }
 }
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/RouteConfig.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/RouteConfig.kt
@@ -11,6 +11,7 @@
  * A route from callers to the endpoints of one service.
  *
  * @property pathPrefix matches whole path segments; the longest matching prefix of the fleet wins.
+ * @property service in a service file it may be left out: the file's service.
  * @property activeVersion the version in force while no move of the route says otherwise.
  * @property connectTimeout bound on opening a connection to an endpoint.
  * @property idleTimeout bound on the time in which an endpoint sends no byte.
@@ -24,7 +25,7 @@
     @AllowedText(AllowedText.PATH)
     val pathPrefix: String,
     @AllowedText(AllowedText.NAME)
-    val service: String,
+    val service: String = "",
     @AllowedText(AllowedText.NAME)
     val activeVersion: VersionId,
     @AllowedRange("10ms", "1m")
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/StructureCheck.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/StructureCheck.kt
@@ -15,8 +15,8 @@
 /**
  * Compares a tree of values with the structure of a type: keys, kinds, units, ranges and patterns.
  *
- * The walk goes on after a fault. [Checked.value] holds placeholders where the input was faulty, so that further checks can run on the
- * rest; the placeholders' paths are in [Checked.problems].
+ * The walk goes on after a fault. [Checked.value] holds defaults, or placeholders for required fields, where the input was faulty, so
+ * that further checks can run on the rest; the paths of the replaced values are in [Checked.problems].
  */
 @OptIn(ExperimentalSerializationApi::class)
 class StructureCheck private constructor() {
@@ -83,15 +83,20 @@
                 val item = value[name]
                 val element = descriptor.getElementDescriptor(index)
                 val field = join(path, name)
+                val isOptional = descriptor.isElementOptional(index)
                 when {
-                    item != null -> name to walk(element, item, field, descriptor.getElementAnnotations(index))
-                    descriptor.isElementOptional(index) -> null
+                    item != null ->
+                        (name to walk(element, item, field, descriptor.getElementAnnotations(index)))
+                            .takeUnless { isOptional && isFaulty(field) }
+                    isOptional -> null
                     else -> name to fault(element, field, "is missing", "set it to ${expected(element)}")
                 }
             }
         return JsonObject(known.toMap())
     }
 
+    private fun isFaulty(path: String) = problems.any { it.path == path }
+
     private fun scalar(
         descriptor: SerialDescriptor,
         value: JsonElement,
