--- /dev/null
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
@@ -0,0 +1,63 @@
+package io.limpetfold.publish
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.config.ConfigPublisher
+import io.limpetfold.config.FleetConfig
+import io.limpetfold.config.Published
+
+/** Writes the next generation and waits until every router has it in force. */
+internal class PublishCommand(
+    connect: (PublishSettings) -> Platform,
+    private val confirmations: (Platform) -> ConfirmationReader = { ConfirmationReader(it) },
+) : PlatformCommand("publish", connect) {
+    private val expected by option("--compared-with", metavar = "GENERATION")
+        .long()
+        .help("The generation that 'diff' showed; the default is the one in force now")
+
+    override fun help(context: Context): String = "Publishes the files and waits until all routers confirm the generation."
+
+    override suspend fun run(
+        config: FleetConfig,
+        settings: PublishSettings,
+        platform: Platform,
+    ) {
+        val publisher = ConfigPublisher(platform.store)
+        val current = publisher.read().getOrElse { fail(it) }
+        showDiff(current, config)
+        val comparedWith = expected ?: current?.generation ?: 0
+        val published = publisher.publish(config, comparedWith, settings.effectiveAuthor()).getOrElse { fail(it) }
+        val generation = published.config.generation
+        echo(announcement(published))
+        val confirmation =
+            confirmations(platform).await(generation, settings.confirmWithin).getOrElse {
+                val message = "generation $generation is published; it is unknown which routers have it: ${it.message}"
+                fail(ExitCode.PLATFORM_UNAVAILABLE, message)
+            }
+        if (!confirmation.isComplete) failUnconfirmed(generation, settings, confirmation)
+        echo("generation $generation is in force in ${confirmation.confirmed.size} routers")
+    }
+
+    private fun announcement(published: Published): String {
+        val generation = published.config.generation
+        return if (published.isChanged) "published generation $generation" else "generation $generation has this content already"
+    }
+
+    private fun failUnconfirmed(
+        generation: Long,
+        settings: PublishSettings,
+        confirmation: Confirmation,
+    ): Nothing {
+        confirmation.missing.forEach { (instance, state) -> echo("not confirmed: $instance ($state)", err = true) }
+        val seconds = settings.confirmWithin.toSeconds()
+        val routers = "${confirmation.missing.size} of ${confirmation.missing.size + confirmation.confirmed.size} routers"
+        fail(
+            ExitCode.NOT_IN_FORCE,
+            "generation $generation is published, and $routers have not confirmed it within $seconds s; " +
+                "they take it over by themselves once they reach the platform or a peer: check the ones named",
+        )
+    }
+}
