peer: test silent peers, silent sockets and full write queues

Cause: the bounds on handshakes, idle connections and queued bytes had no test, nor had a generation written by hand. Ruled out: wall-clock assertions (the tests wait for states and count errors). Change: two loopback tests, ConfigKeeperTest. Conclusion: a peer that reads nothing costs at most the queue bound.

--- /dev/null
+++ b/limpetfold-config/src/test/kotlin/io/limpetfold/config/ConfigKeeperTest.kt
@@ -0,0 +1,56 @@
+package io.limpetfold.config
+
+import com.github.michaelbull.result.get
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class ConfigKeeperTest :
+    FunSpec({
+        val clock = TestClock()
+        val network = { FakePeerHub().join(Incarnation(InstanceId("r1"), 1)) }
+
+        test("guards against a generation written by hand that replaces a published one") {
+            val store = FakeObjectStore()
+            val refused = mutableListOf<String>()
+            val listener =
+                object : ConfigListener {
+                    override fun onRefused(
+                        generation: Long,
+                        source: ConfigSource,
+                        problems: List<ConfigProblem>,
+                    ) {
+                        refused += "$generation from $source: ${problems.joinToString { it.path }}"
+                    }
+                }
+            val keeper = ConfigKeeper(store, network(), clock.monotonic, listener = listener)
+            val published = ConfigPublisher(store, clock).publish(sampleConfig(), 0, "ana").get()?.config
+            keeper.watch()
+            val edited = published?.copy(generation = 2, maxRouters = 0)
+            store.put(FleetConfig.KEY, TypedObject.JSON.encodeToString(FleetConfig.serializer(), edited!!), ObjectVersion(1))
+            keeper.watch()
+            store.put(FleetConfig.KEY, "no json", ObjectVersion(2))
+            keeper.watch()
+
+            keeper.current shouldBe published
+            refused shouldBe listOf("2 from WATCH: maxRouters, publication.contentHash")
+        }
+
+        test("guards against polls that load the platform more often than every 5 s") {
+            val store = FakeObjectStore()
+            val keeper = ConfigKeeper(store, network(), clock.monotonic)
+            repeat(600) {
+                keeper.maintain()
+                clock.advance(Duration.ofMillis(100))
+            }
+
+            (store.callCount in 8..12) shouldBe true
+        }
+    })
--- a/limpetfold-peer/src/test/kotlin/io/limpetfold/peer/ktor/KtorPeerNetworkTest.kt
+++ b/limpetfold-peer/src/test/kotlin/io/limpetfold/peer/ktor/KtorPeerNetworkTest.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.getError
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.limpetfold.core.Incarnation
@@ -152,6 +153,40 @@
             b.network.reachable() shouldBe setOf(InstanceId("a"))
         }
 
+        test("guards against silent sockets that use up the handshakes and against a silent peer that keeps its place") {
+            val short = Duration.ofMillis(300)
+            val policy =
+                PeerPolicy(maxHandshakes = 2, handshakeTimeout = short, idleTimeout = short, pingInterval = Duration.ofMillis(100))
+            val b = router("b", policy = policy)
+            val sockets = List(2) { Socket("127.0.0.1", b.address.port) }
+            val a = router("a", policy = policy)
+            a.network.update(listOf(b.address))
+            b.reaches("a")
+            Socket("127.0.0.1", b.address.port).use { socket ->
+                HostilePeer(Incarnation(InstanceId("hostile"), 1), socket).join()
+                eventually(10.seconds) { (InstanceId("hostile") in b.network.reachable()) shouldBe true }
+                b.reaches("a")
+            }
+            sockets.forEach { it.close() }
+        }
+
+        test("guards against memory that grows for a peer that reads nothing") {
+            val b = router("b", policy = PATIENT)
+            Socket("127.0.0.1", b.address.port).use { socket ->
+                HostilePeer(Incarnation(InstanceId("hostile"), 1), socket).join()
+                eventually(10.seconds) { (InstanceId("hostile") in b.network.reachable()) shouldBe true }
+                val large = Text("x".repeat(900_000))
+
+                val errors =
+                    (1..60)
+                        .map { async { b.network.ask(InstanceId("hostile"), ECHO, large, Duration.ofSeconds(1)).getError() } }
+                        .awaitAll()
+
+                errors.count { it is PeerError.Unreachable } shouldBeGreaterThan 30
+                errors.count { it == null } shouldBe 0
+            }
+        }
+
         test("guards against hostile bytes before the hello that close more than their own connection") {
             val a = router("a")
             val b = router("b", policy = PATIENT)
