peer: refuse instance names with separators or line ends

Cause: an unauthenticated hello names an instance that enters the proofs and log lines. Ruled out: escaping at each log line. Change: the hello check limits the characters; publish says when no router is running.

--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
@@ -86,6 +86,7 @@
             when {
                 hello.protocol != PROTOCOL -> "protocol ${hello.protocol} instead of $PROTOCOL; run the same version everywhere"
                 hello.nonce.size != NONCE_BYTES -> "a nonce of ${hello.nonce.size} bytes"
+                !NAME.matches(hello.incarnation.instance.value) -> "an instance name with other characters than ${NAME.pattern}"
                 hello.incarnation.instance == self.instance ->
                     "the peer has the name of this instance; give each instance a name of its own"
                 else -> return
@@ -121,6 +122,9 @@
         /** Enough for two names, a nonce and a proof; nothing larger is read before the key is proven. */
         const val MAX_HELLO_BYTES = 1024
         private const val NONCE_BYTES = 32
+
+        /** Names appear in proofs and log lines, so they hold no separators or line ends. */
+        private val NAME = Regex("[A-Za-z0-9._:-]{1,128}")
         private const val DIALER = "limpetfold-peer-1 dialer"
         private const val ACCEPTOR = "limpetfold-peer-1 acceptor"
         private val RANDOM = SecureRandom()
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
@@ -43,7 +43,7 @@
  * Peer messages over TCP with one connection for each pair of routers.
  *
  * Register handlers, then call [start] once; [update] sets the peers to connect to. Peers that connect by themselves are accepted as long
- * as they prove the fleet key. Safe for concurrent use; no call blocks a thread.
+ * as they prove the fleet key. Instance names consist of letters, digits, `.`, `_`, `:` and `-`. Safe for concurrent use; no call blocks a thread.
  */
 @OptIn(ExperimentalSerializationApi::class)
 class KtorPeerNetwork(
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
@@ -38,7 +38,11 @@
                 fail(ExitCode.PLATFORM_UNAVAILABLE, message)
             }
         if (!confirmation.isComplete) failUnconfirmed(generation, settings, confirmation)
-        echo("generation $generation is in force in ${confirmation.confirmed.size} routers")
+        if (confirmation.confirmed.isEmpty()) {
+            echo("no router is running; routers take generation $generation when they start")
+        } else {
+            echo("generation $generation is in force in ${confirmation.confirmed.size} routers")
+        }
     }
 
     private fun announcement(published: Published): String {
