--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
@@ -43,7 +43,7 @@
  * Peer messages over TCP with one connection for each pair of routers.
  *
  * Register handlers, then call [start] once; [update] sets the peers to connect to. Peers that connect by themselves are accepted as long
- * as they prove the fleet key. Safe for concurrent use; no call blocks a thread.
+ * as they prove the fleet key. Instance names consist of letters, digits, `.`, `_`, `:` and `-`. Safe for concurrent use; no call blocks a thread.
  */
 @OptIn(ExperimentalSerializationApi::class)
 class KtorPeerNetwork(
@@ -79,7 +79,7 @@
         return (server.localAddress as InetSocketAddress).port
     }
 
-    /** Sets the peers to connect to; connections to peers that are no longer listed stay until one side closes them. */
+    /** Sets the peers to connect to; connections that this router opened to peers that are no longer listed are closed. */
     fun update(peers: List<PeerAddress>) {
         val wanted = peers.filter { it.instance != self.instance }.distinctBy { it.instance }.take(policy.maxConnections).toSet()
         synchronized(lock) {
