limits: bound returns by usable loans and serve routers without slots

The progress test hung: two promises blocked each other, and a busy borrower kept its loan. Ruled out: a longer settle time, since neither fault depends on it. Change: isSeatClean also needs a settled share; only usable loans and the lender's own count when a slot goes back; promises are kept in order; a borrower gives a slot back for a peer that has none, and each router then has its own turn. Tests of shares, fairness, deadlines, leaving endpoints.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -81,7 +81,7 @@
      * slots. Endpoints that are listed as leaving are taken out; the list never brings one back.
      *
      * @param isSeatNew true only when no earlier holder can have lent or used the seat's slots: the seat's object was
-     * just created, or its holder released it with [isLoanFree]. Otherwise the seat gives no share for
+     * just created, or its holder released it with [isSeatClean]. Otherwise the seat gives no share for
      * [LimitPolicy.seatSettleTime]. It is read only when the seat changes.
      */
     fun update(
@@ -169,9 +169,16 @@
         syncLoans()
     }
 
-    /** Whether no slot is lent or borrowed, so that the seat's next holder need not wait. */
-    val isLoanFree: Boolean
-        get() = synchronized(lock) { states.values.all { it.loans.lentOut == 0 && it.loans.held == 0 } }
+    /**
+     * Whether the seat's next holder may take it as new: the share is settled, no slot is lent or borrowed, and no
+     * request is in flight.
+     */
+    val isSeatClean: Boolean
+        get() =
+            synchronized(lock) {
+                val isSettled = settlesAt?.hasPassedNow() ?: true
+                isSettled && states.values.all { it.loans.lentOut == 0 && it.loans.held == 0 && it.inFlight == 0 }
+            }
 
     /** Returns the endpoints, ordered by identity. */
     fun status(): ImmutableList<EndpointStatus> =
@@ -340,8 +347,7 @@
             return true
         }
         val state = choose(inRotation) ?: return false
-        state.inFlight++
-        state.lastUsed = timeSource.markNow()
+        state.start(timeSource.markNow())
         waiter.outcome = Ok(EndpointPermit(state.endpoint) { release(state, it) })
         decided += waiter
         return true
@@ -407,14 +413,15 @@
                 } finally {
                     isBorrowing.set(false)
                 }
-                delay(policy.borrowPause.toMillis())
+                delay(policy.borrowPause.toMillis().coerceAtLeast(1))
             } else {
-                delay(policy.peerTimeout.toMillis())
+                delay(policy.peerTimeout.toMillis().coerceAtLeast(1))
             }
         }
     }
 
-    private suspend fun borrow() {
+    /** Asks peers one after the other until no waiter lacks a slot. */
+    internal suspend fun borrow() {
         for (peer in network.reachable().shuffled(random)) {
             val wanted = synchronized(lock) { wantedByEndpoint() }
             if (wanted.isEmpty()) return
@@ -478,28 +485,40 @@
         for (report in reply.returned) onReported(reply.answeredBy, report)
         for (grant in reply.grants) {
             val state = states[grant.endpoint] ?: continue
-            if (reply.lender != null) state.loans.onGranted(reply.lender, grant.lentTotal, asked)
+            if (reply.lender != null) state.onGranted(reply.lender, grant.lentTotal, asked)
         }
     }
 
-    /** Answers a borrower. A null tenure in the answer confirms nothing, so earlier loans run out. */
-    private fun onLoanRequest(
+    /** Answers a borrower, and tells the lenders of slots that are given back for it. */
+    private suspend fun onLoanRequest(
         from: Incarnation,
         message: LoanRequest,
-    ): LoanReply =
-        decide {
-            if (!isNewest(from)) return@decide LoanReply(self, null, emptyList())
-            val tenure = if (seat == null) null else tenure()
-            val grants = mutableListOf<LoanGrant>()
-            val returned = mutableListOf<LoanAsk>()
-            for (ask in message.asks) {
-                val state = states[ask.endpoint] ?: continue
-                onReported(from, ask)
-                giveBackTo(state, from, ask)?.let { returned += it }
-                if (tenure != null) grants += LoanGrant(ask.endpoint, lend(state, from, ask))
-            }
-            LoanReply(self, tenure, grants, returned)
+    ): LoanReply {
+        val toTell = mutableSetOf<InstanceId>()
+        val reply = decide { answerLoanRequest(from, message, toTell) }
+        for (lender in toTell - from.instance) exchange(lender, emptyMap())
+        return reply
+    }
+
+    /** A null tenure in the answer confirms nothing, so earlier loans run out. */
+    private fun answerLoanRequest(
+        from: Incarnation,
+        message: LoanRequest,
+        toTell: MutableSet<InstanceId>,
+    ): LoanReply {
+        if (!isNewest(from)) return LoanReply(self, null, emptyList())
+        val tenure = if (seat == null) null else tenure()
+        val grants = mutableListOf<LoanGrant>()
+        val returned = mutableListOf<LoanAsk>()
+        for (ask in message.asks) {
+            val state = states[ask.endpoint] ?: continue
+            onReported(from, ask)
+            if (ask.isWithoutSlots) giveBackFor(state, from)?.let { toTell += it }
+            reportTo(state, from)?.let { returned += it }
+            if (tenure != null) grants += LoanGrant(ask.endpoint, lend(state, from, ask))
         }
+        return LoanReply(self, tenure, grants, returned)
+    }
 
     private fun tenure() = SeatTenure(self, tenureNumber)
 
@@ -520,31 +539,25 @@
         val before = state.loans.lent[from]?.lentTotal ?: 0
         val total = state.loans.lend(from, ask, offered, isTenureKnown = ask.lender == tenure())
         if (total > before) {
-            state.clearPromise(from)
+            state.onPromiseKept(from)
             listener.onLent(state.endpoint, from.instance, (total - before).toInt())
-        } else if (ask.isWithoutSlots && idle == 0 && mayPromise(state)) {
-            state.promise(from, timeSource.markNow() + policy.promiseLife.toKotlinDuration())
+        } else if (ask.isWithoutSlots && idle == 0 && state.base > 0) {
+            promise(state, from)
         }
         return total
     }
 
-    private fun mayPromise(state: EndpointState): Boolean = state.hasOwnSlot && !isClosed
+    private fun promise(
+        state: EndpointState,
+        peer: Incarnation,
+    ) = state.promise(peer, timeSource.markNow() + policy.promiseLife.toKotlinDuration())
 
-    /** A lender without slots of its own gets back what it lent as soon as a request on it ends. */
-    private fun giveBackTo(
+    /** Returns what this router holds from [lender], or null when it borrowed nothing from it. */
+    private fun reportTo(
         state: EndpointState,
         lender: Incarnation,
-        ask: LoanAsk,
     ): LoanAsk? {
         val loan = state.loans.borrowed.entries.firstOrNull { it.key.holder == lender } ?: return null
-        if (ask.wanted > 0 && ask.isWithoutSlots && loan.value.held > 0) {
-            val given = state.loans.giveBack(loan.key, minOf(ask.wanted, state.returnable()))
-            if (given > 0) {
-                state.clearPromise(lender)
-            } else {
-                state.promise(lender, timeSource.markNow() + policy.promiseLife.toKotlinDuration())
-            }
-        }
         return LoanAsk(
             state.endpoint,
             lender = loan.key,
@@ -553,6 +566,26 @@
         )
     }
 
+    /**
+     * Gives a borrowed slot back to its lender because [asker] has no slot at all, or promises the next idle one.
+     *
+     * Without this a busy borrower would keep its loan for ever. The lender keeps the slot for the asker, which asked it
+     * too. Returns the lender, or null when nothing was given back.
+     */
+    private fun giveBackFor(
+        state: EndpointState,
+        asker: Incarnation,
+    ): InstanceId? {
+        val loans = state.loans.borrowed.filterValues { it.held > 0 }.keys
+        val lender = loans.firstOrNull { it.holder == asker } ?: loans.firstOrNull() ?: return null
+        if (state.loans.giveBack(lender, minOf(1, state.returnable(lender, loanLife))) == 0) {
+            promise(state, asker)
+            return null
+        }
+        state.onPromiseKept(asker)
+        return lender.holder.instance
+    }
+
     /** A newer incarnation of an instance proves that the older one ended; late messages of the older one are ignored. */
     private fun isNewest(from: Incarnation): Boolean {
         val known = newest[from.instance]
@@ -565,7 +598,7 @@
     private fun endBorrower(ended: Incarnation) =
         states.values.forEach {
             it.loans.endBorrower(ended)
-            it.clearPromise(ended)
+            it.forgetPromise(ended)
         }
 
     private suspend fun syncLoans() =
@@ -581,7 +614,7 @@
     private fun returnIdle(state: EndpointState) {
         val isIdle = state.lastUsed?.let { it.elapsedNow() >= policy.idleBeforeReturn.toKotlinDuration() } ?: true
         if (!isIdle && !isClosed) return
-        for (lender in state.loans.borrowed.keys.toList()) state.loans.giveBack(lender, state.returnable())
+        for (lender in state.loans.borrowed.keys.toList()) state.loans.giveBack(lender, state.returnable(lender, loanLife))
     }
 
     private fun nowNanos(): Long = start.elapsedNow().inWholeNanoseconds
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLoans.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLoans.kt
@@ -36,7 +36,12 @@
 
     /** Borrowed slots on which requests may be started. */
     fun usable(loanLife: Duration): Int =
-        borrowed.values.sumOf { loan -> if (loan.confirmed.isWithin(loanLife)) loan.held else 0 }
+        borrowed.entries.sumOf { (lender, loan) -> if (isUsable(lender, loanLife)) loan.held else 0 }
+
+    fun isUsable(
+        lender: SeatTenure,
+        loanLife: Duration,
+    ): Boolean = borrowed[lender]?.confirmed.isWithin(loanLife)
 
     /** Forgets what was lent in an earlier tenure; those loans can no longer be confirmed. */
     fun startTenure() = lent.clear()
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
@@ -25,18 +25,39 @@
     private var load = 0.0
     private var loadReported: TimeMark? = null
 
-    /** Until when the next idle slot is kept for a peer that has none. */
-    private val promises = HashMap<Incarnation, TimeMark>()
+    /**
+     * The next start is this router's own, whatever was promised. It is set when a promise was kept and when a slot was
+     * borrowed, so that peers that ask again and again can't keep this router from its turn.
+     */
+    private var isOwnTurn = false
 
-    /** Whether an own slot is not lent, so that it can be lent once it is idle. */
-    val hasOwnSlot: Boolean get() = base > loans.lentOut
+    /** Until when an idle slot is kept for a peer that has none, in the order of the first ask. */
+    private val promises = LinkedHashMap<Incarnation, TimeMark>()
 
     /** Slots that this router may use now; the adaptive limit comes on top. */
     fun capacity(loanLife: Duration): Int = (base - loans.lentOut + loans.usable(loanLife)).coerceAtLeast(0)
 
     fun canStart(loanLife: Duration): Boolean {
         val capacity = capacity(loanLife)
-        return rotation.isIn && inFlight < minOf(adaptive.within(capacity), capacity - promisedExcept(null))
+        val kept = if (isOwnTurn) 0 else promisedBefore(null)
+        return rotation.isIn && inFlight < minOf(adaptive.within(capacity), capacity - kept)
+    }
+
+    fun start(now: TimeMark) {
+        inFlight++
+        lastUsed = now
+        isOwnTurn = false
+    }
+
+    /** Credits a grant and gives this router the next turn when the grant brought new slots. */
+    fun onGranted(
+        lender: SeatTenure,
+        lentTotal: Long,
+        asked: TimeMark,
+    ) {
+        val before = loans.held
+        loans.onGranted(lender, lentTotal, asked)
+        if (loans.held > before) isOwnTurn = true
     }
 
     /** Own idle slots that may be lent to [borrower]. */
@@ -46,11 +67,23 @@
     ): Int {
         val own = base - loans.lentOut
         val usable = minOf(own, adaptive.within(capacity(loanLife)))
-        return (usable - inFlight - promisedExcept(borrower)).coerceAtLeast(0)
+        return (usable - inFlight - promisedBefore(borrower)).coerceAtLeast(0)
     }
 
-    /** Borrowed slots that no request needs. */
-    fun returnable(): Int = (base - loans.lentOut + loans.held - inFlight).coerceIn(0, loans.held)
+    /**
+     * Slots of [lender] that no request needs.
+     *
+     * Of the loans that ran out only this lender's counts: the lenders of the others may have ended, and then their slots
+     * belong to someone else.
+     */
+    fun returnable(
+        lender: SeatTenure,
+        loanLife: Duration,
+    ): Int {
+        val held = loans.borrowed[lender]?.held ?: return 0
+        val ranOut = if (loans.isUsable(lender, loanLife)) 0 else held
+        return (base - loans.lentOut + loans.usable(loanLife) + ranOut - inFlight).coerceIn(0, held)
+    }
 
     fun promise(
         peer: Incarnation,
@@ -59,7 +92,11 @@
         promises[peer] = until
     }
 
-    fun clearPromise(peer: Incarnation) {
+    fun onPromiseKept(peer: Incarnation) {
+        if (promises.remove(peer) != null) isOwnTurn = true
+    }
+
+    fun forgetPromise(peer: Incarnation) {
         promises -= peer
     }
 
@@ -81,9 +118,10 @@
         return own + load * HALF.pow(age.toDouble(DurationUnit.SECONDS) / halfLife.toDouble(DurationUnit.SECONDS))
     }
 
-    private fun promisedExcept(borrower: Incarnation?): Int {
+    /** The peers that are served before [borrower], or all when it was promised nothing. */
+    private fun promisedBefore(borrower: Incarnation?): Int {
         promises.values.removeAll { it.hasPassedNow() }
-        return promises.keys.count { it != borrower }
+        return promises.keys.takeWhile { it != borrower }.size
     }
 
     private companion object {
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
@@ -23,7 +23,7 @@
     val maxRequestDuration: Duration = TWO_MINUTES,
     val peerTimeout: Duration = QUARTER_SECOND,
     val borrowPause: Duration = TWENTY_MILLIS,
-    val promiseLife: Duration = Duration.ofSeconds(1),
+    val promiseLife: Duration = HALF_SECOND,
     val idleBeforeReturn: Duration = Duration.ofSeconds(2),
     val probePause: Duration = Duration.ofSeconds(1),
     val maxProbePause: Duration = THIRTY_SECONDS,
@@ -39,6 +39,7 @@
     private companion object {
         val TWO_MINUTES: Duration = Duration.ofMinutes(2)
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        val HALF_SECOND: Duration = Duration.ofMillis(500)
         val TWENTY_MILLIS: Duration = Duration.ofMillis(20)
         val THIRTY_SECONDS: Duration = Duration.ofSeconds(30)
     }
--- /dev/null
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimiterTest.kt
@@ -0,0 +1,194 @@
+package io.limpetfold.limits
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.core.EndpointId
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import java.time.Duration
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+class EndpointLimiterTest :
+    FunSpec({
+        val near = ZoneId("near")
+        val route = RouteId("r")
+        val endpoint = EndpointId("e")
+        val candidates = listOf(EndpointCandidate(endpoint, near))
+        val long = Duration.ofMinutes(1)
+
+        fun limiter(
+            maxInFlight: Int,
+            hub: FakePeerHub = FakePeerHub(),
+            name: String = "r0",
+            seat: Int? = 0,
+            maxRouters: Int = 1,
+            limit: RouteLimit = RouteLimit(route),
+            timeSource: TimeSource = TestClock().monotonic,
+        ) = EndpointLimiter(Incarnation(InstanceId(name), 1), near, hub.join(Incarnation(InstanceId(name), 1)), timeSource)
+            .also {
+                val capacity = listOf(EndpointCapacity(endpoint, near, maxInFlight))
+                it.update(listOf(limit), seat, isSeatNew = true, maxRouters, capacity)
+            }
+
+        test("a large workspace does not starve a small one, and a weight counts") {
+            runBlocking {
+                val weights =
+    persistentMapOf(WorkspaceId("heavy") to 2)
+                val limiter = limiter(maxInFlight = 1, limit = RouteLimit(route, weights = weights))
+                val running = limiter.acquire(route, WorkspaceId("large"), candidates, long).get()!!
+                val served = mutableListOf<String>()
+                val waiters =
+                    List(60) { "large" }.plus(List(20) { "heavy" }).plus(List(10) { "small" }).map { workspace ->
+                        launch(start = CoroutineStart.UNDISPATCHED) {
+                            val permit = limiter.acquire(route, WorkspaceId(workspace), candidates, long).get()!!
+                            served += workspace
+                            permit.release(EndpointObservation.Ignored)
+                        }
+                    }
+                running.release(EndpointObservation.Ignored)
+                waiters.forEach { it.join() }
+                val first = served.take(40).groupingBy { it }.eachCount()
+                println("Fairness: first 40 served $first of 60 large, 20 heavy, 10 small")
+                first shouldBe mapOf("large" to 10, "heavy" to 20, "small" to 10)
+            }
+        }
+
+        test("a full queue refuses the workspace that fills it, not a newcomer") {
+            runBlocking {
+                val limiter = limiter(maxInFlight = 1, limit = RouteLimit(route, maxQueued = 5))
+                val running = limiter.acquire(route, WorkspaceId("large"), candidates, long).get()!!
+                val large = List(5) { async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("large"), candidates, long) } }
+                limiter.acquire(route, WorkspaceId("large"), candidates, long).getError().shouldBeInstanceOf<LimitRefusal.QueueFull>()
+                val small = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("small"), candidates, long) }
+                large.last().await().getError().shouldBeInstanceOf<LimitRefusal.QueueFull>()
+                running.release(EndpointObservation.Ignored)
+                large.first().await().get()!!.release(EndpointObservation.Ignored)
+                small.await().isOk shouldBe true
+                (large.drop(1).dropLast(1)).forEach { it.cancelAndJoin() }
+            }
+        }
+
+        test("a request whose deadline passes or whose caller leaves gives up its place, and no slot is lost") {
+            runBlocking {
+                val limiter = limiter(maxInFlight = 1)
+                val running = limiter.acquire(route, WorkspaceId("w"), candidates, long).get()!!
+                limiter.acquire(route, WorkspaceId("w"), candidates, Duration.ZERO).getError().shouldBeInstanceOf<LimitRefusal.NoCapacity>()
+                val cancelled = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
+                val served = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
+                // The slot is given to the first waiter before it can run, and then its caller leaves.
+                running.release(EndpointObservation.Ignored)
+                running.release(EndpointObservation.Ignored)
+                cancelled.cancelAndJoin()
+                served.await().get()!!.release(EndpointObservation.Ignored)
+                limiter.status().single().inFlight shouldBe 0
+            }
+        }
+
+        test("routers whose seats have no slot make progress while the others stay busy") {
+            val hub = FakePeerHub()
+            val names = List(4) { "r$it" }
+            val limiters = names.mapIndexed { seat, name -> limiter(1, hub, name, seat, maxRouters = 4, timeSource = TimeSource.Monotonic) }
+            val withoutSeat = limiter(1, hub, "r4", seat = null, maxRouters = 4, timeSource = TimeSource.Monotonic)
+            val done =
+                withTimeout(60_000) {
+                    coroutineScope {
+                        (limiters + withoutSeat)
+                            .map { limiter ->
+                                async {
+                                    repeat(6) {
+                                        val permit = limiter.acquire(route, WorkspaceId("w"), candidates, long).get()!!
+                                        delay(1)
+                                        permit.release(EndpointObservation.Ignored)
+                                    }
+                                    6
+                                }
+                            }.awaitAll()
+                    }
+                }
+            done shouldBe List(5) { 6 }
+        }
+
+        test("a borrowed slot goes back when idle, and a lost seat gives no slot at once") {
+            val hub = FakePeerHub()
+            val clock = TestClock()
+            val lender = limiter(4, hub, "r0", 0, maxRouters = 2, timeSource = clock.monotonic)
+            val borrower = limiter(4, hub, "r1", 1, maxRouters = 2, timeSource = clock.monotonic)
+            val permits = List(3) { borrower.acquire(route, WorkspaceId("w"), candidates, long).get()!! }
+            lender.status().single().lentSlots shouldBeGreaterThanOrEqual 1
+            permits.forEach { it.release(EndpointObservation.Ignored) }
+            clock.advance(Duration.ofSeconds(3))
+            borrower.maintain()
+            lender.isSeatClean shouldBe true
+            borrower.update(listOf(RouteLimit(route)), null, false, 2, listOf(EndpointCapacity(endpoint, near, 4)))
+            lender.close()
+            borrower.acquire(route, WorkspaceId("w"), candidates, Duration.ZERO).isErr shouldBe true
+        }
+
+        test("the local zone comes first, then the less loaded of two; an old load report fades") {
+            val clock = TestClock()
+            val limiter =
+                EndpointLimiter(
+                    Incarnation(InstanceId("r"), 1),
+                    near,
+                    FakePeerHub().join(Incarnation(InstanceId("r"), 1)),
+                    clock.monotonic,
+                    Random(1),
+                )
+            val all = listOf("a" to near, "b" to near, "far" to ZoneId("far")).map { EndpointCapacity(EndpointId(it.first), it.second, 10) }
+            limiter.update(listOf(RouteLimit(route)), 0, true, 1, all)
+            val every = all.map { EndpointCandidate(it.endpoint, it.zone) }
+            limiter.observe(EndpointId("a"), EndpointSign.Load(0.9))
+
+            suspend fun next() = limiter.acquire(route, WorkspaceId("w"), every, long).get()!!.endpoint.value
+            List(8) { next() } shouldBe List(8) { "b" }
+            clock.advance(Duration.ofMinutes(1))
+            List(4) { next() } shouldBe List(4) { "a" }
+            List(8) { next() } shouldContain "a"
+            next() shouldBe "far"
+        }
+
+        test("the adaptive limit falls on slow answers and refusals and recovers on fast ones") {
+            val policy = AdaptivePolicy()
+            var now = 0L
+            var limit = AdaptiveLimit()
+
+            fun see(
+                observation: EndpointObservation,
+                times: Int,
+            ) = repeat(times) {
+                now += 100_000_000
+                limit = limit.after(observation, limit.within(20), 20, now, policy)
+            }
+            see(EndpointObservation.Answered(Duration.ofMillis(50)), 50)
+            limit.within(20) shouldBe 20
+            see(EndpointObservation.Answered(Duration.ofMillis(500)), 50)
+            limit.limit shouldBeLessThan 8.0
+            see(EndpointObservation.Overloaded, 200)
+            limit.within(20) shouldBe 1
+            see(EndpointObservation.Answered(Duration.ofMillis(50)), 300)
+            limit.limit shouldBeGreaterThan 15.0
+        }
+    })
--- /dev/null
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/LeavingEndpointTest.kt
@@ -0,0 +1,141 @@
+package io.limpetfold.limits
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.core.EndpointId
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import java.time.Duration
+import kotlin.random.Random
+
+class LeavingEndpointTest :
+    FunSpec({
+        val signs = listOf(EndpointSign.ConnectionRefused, EndpointSign.Draining, EndpointSign.ListedLeaving)
+        for (sign in signs) {
+            test("no new work reaches an endpoint after $sign at this router or, once told, at its peers") {
+                val fleet = Fleet()
+                fleet.limiters[0].observe(LEAVING, sign)
+                fleet.chosen(0) shouldBe setOf(STAYING)
+                fleet.chosen(1) shouldBe setOf(STAYING, LEAVING)
+                fleet.limiters[0].tellPeers()
+                for (router in 0..2) fleet.chosen(router) shouldBe setOf(STAYING)
+            }
+        }
+
+        test("a notice is repeated after a loss and passed on to routers that the first one can't reach") {
+            val fleet = Fleet()
+            fleet.hub.fault = { from, _ -> if (from.value == "r0") PeerFault.REQUEST_LOST else PeerFault.NONE }
+            fleet.limiters[0].observe(LEAVING, EndpointSign.Draining)
+            fleet.limiters[0].tellPeers()
+            fleet.chosen(1) shouldBe setOf(STAYING, LEAVING)
+            fleet.hub.fault = { from, to -> if (setOf(from.value, to.value) == setOf("r0", "r2")) PeerFault.REQUEST_LOST else PeerFault.NONE }
+            fleet.limiters[0].maintain()
+            fleet.chosen(1) shouldBe setOf(STAYING)
+            fleet.chosen(2) shouldBe setOf(STAYING, LEAVING)
+            fleet.limiters[1].maintain()
+            fleet.chosen(2) shouldBe setOf(STAYING)
+        }
+
+        test("the list takes an endpoint out and never brings it back; a probe does, with growing pauses") {
+            val fleet = Fleet()
+            fleet.update(0, isLeaving = true)
+            fleet.chosen(0) shouldBe setOf(STAYING)
+            fleet.isReady = true
+            fleet.pass(60)
+            fleet.probes shouldBe 0
+            fleet.isReady = false
+            fleet.update(0, isLeaving = false)
+            fleet.chosen(0) shouldBe setOf(STAYING)
+            fleet.pass(31)
+            fleet.probes shouldBe 5
+            fleet.isReady = true
+            fleet.pass(31)
+            fleet.chosen(0) shouldBe setOf(STAYING, LEAVING)
+        }
+
+        test("a waiting request is not sent to an endpoint that leaves, and is refused when none is left") {
+            coroutineScope {
+                val fleet = Fleet()
+                val held = List(8) { fleet.acquire(0, long = true).get()!! }
+                val waiting = async(start = CoroutineStart.UNDISPATCHED) { fleet.acquire(0, long = true) }
+                fleet.limiters[0].observe(LEAVING, EndpointSign.ConnectionRefused)
+                held.filter { it.endpoint == LEAVING }.forEach { it.release(EndpointObservation.Failed) }
+                waiting.isCompleted shouldBe false
+                fleet.limiters[0].observe(STAYING, EndpointSign.ConnectionRefused)
+                waiting.await().getError().shouldBeInstanceOf<LimitRefusal.NoEndpoint>()
+            }
+        }
+    }) {
+    /** Three routers that share two endpoints. */
+    private class Fleet {
+        val hub = FakePeerHub()
+        val clock = TestClock()
+        var probes = 0
+        var isReady = false
+        val limiters =
+            List(3) {
+                val self = Incarnation(InstanceId("r$it"), 1)
+                val probe =
+                    EndpointProbe {
+                        probes++
+                        isReady
+                    }
+                EndpointLimiter(self, ZONE, hub.join(self), clock.monotonic, Random(it), probe)
+            }
+
+        init {
+            limiters.indices.forEach { update(it, isLeaving = false) }
+        }
+
+        fun update(
+            router: Int,
+            isLeaving: Boolean,
+        ) {
+            val endpoints = listOf(EndpointCapacity(STAYING, ZONE, 12), EndpointCapacity(LEAVING, ZONE, 12, isLeaving))
+            limiters[router].update(listOf(RouteLimit(ROUTE)), router, true, 3, endpoints)
+        }
+
+        suspend fun acquire(
+            router: Int,
+            long: Boolean,
+        ) = limiters[router].acquire(
+            ROUTE,
+            WorkspaceId("w"),
+            listOf(STAYING, LEAVING).map { EndpointCandidate(it, ZONE) },
+            if (long) Duration.ofMinutes(1) else Duration.ZERO,
+        )
+
+        /** The endpoints that requests of [router] reach while it fills all its slots. */
+        suspend fun chosen(router: Int): Set<EndpointId> {
+            val permits = List(20) { acquire(router, long = false).get() }.filterNotNull()
+            permits.forEach { it.release(EndpointObservation.Ignored) }
+            return permits.map { it.endpoint }.toSet()
+        }
+
+        /** Lets [seconds] pass with maintenance in each. */
+        suspend fun pass(seconds: Int) =
+            repeat(seconds) {
+                clock.advance(Duration.ofSeconds(1))
+                limiters[0].maintain()
+            }
+    }
+
+    private companion object {
+        val ZONE = ZoneId("z")
+        val ROUTE = RouteId("r")
+        val STAYING = EndpointId("staying")
+        val LEAVING = EndpointId("leaving")
+    }
+}
