rollout: run moves under seeded schedules of faults

Cause: MoveSchedulePropertyTest found two faults: after the completion limit the list of unconfirmed routers was refused as if it were a late completion, and a confirmation was forgotten whenever one answer of a router was lost. A controller that paused for some seconds also left too little hold time for the last step, so good moves ended as too late. Ruled out: counting only routers that answered in the same round as confirmed: the outcome is final, so a confirmation can't become wrong while its incarnation runs.

--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -139,7 +139,7 @@
         val updated =
             TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).update(isApplied = { it == next }) { current ->
                 // The change may run again after a delay, so both time limits are checked on each attempt.
-                val isTooLate = next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
+                val isTooLate = isPhaseNew && next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
                 val isAllowed = current == expected && !isTooLate && lease.held(MovePlan.WRITE_BOUND) == fencing
                 if (isAllowed) Change.Write(next) else Change.Refuse(Unit)
             }
@@ -162,11 +162,14 @@
         all: List<MoveRecord>,
         fencing: FencingToken,
     ) {
+        // The outcome is final, so a confirmation stays valid while its incarnation runs; a newer one has to confirm again.
         val confirmed =
             reports[record.id]
                 .orEmpty()
-                .filter { (router, report) -> router in heard && report.inForce::class == record.phase::class }
-                .mapTo(HashSet()) { it.key.instance }
+                .entries
+                .groupBy { it.key.instance }
+                .filterValues { reports -> reports.maxBy { it.key.number }.value.inForce::class == record.phase::class }
+                .keys
         val expected = listed.orEmpty() + heard.map { it.instance }
         val unconfirmed = (expected - confirmed).sorted()
         if (unconfirmed != record.unconfirmed) write(record, record.copy(unconfirmed = unconfirmed))
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -9,6 +9,9 @@
     /** Until this share of a step's hold time nothing is concluded from a low number of outcomes. */
     private const val SETTLE_SHARE = 0.25
 
+    /** A step that ends behind its schedule, as after a change of the controller, is held for this part of its hold time. */
+    private const val LATE_HOLD_SHARE = 0.5
+
     /** The part of a step's allotment that is available at its start; the rest follows evenly over the hold time. */
     private const val FIRST_SHARE = 0.25
 
@@ -62,9 +65,10 @@
         view: MoveView,
     ): Boolean {
         val plan = record.plan.steps[step]
-        if (view.nowMillis - record.stepStartedAtMillis < plan.holdMillis) return false
-        if (view.outcomes(step) >= plan.evidenceRequests) return true
-        return view.nowMillis - record.startedAtMillis >= plan.endMillis && view.outcomes >= record.plan.leastOutcomes
+        val elapsed = view.nowMillis - record.stepStartedAtMillis
+        val isLate = view.nowMillis - record.startedAtMillis >= plan.endMillis
+        if (elapsed < plan.holdMillis * if (isLate) LATE_HOLD_SHARE else 1.0) return false
+        return view.outcomes(step) >= plan.evidenceRequests || (isLate && view.outcomes >= record.plan.leastOutcomes)
     }
 
     private fun enter(
--- /dev/null
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -0,0 +1,346 @@
+package io.limpetfold.rollout
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.lease.LeaseKeeper
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreCall
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.runBlocking
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+import kotlin.random.Random
+
+/** Four routers with a controller each, under a seeded schedule of faults; records the first broken rule in [violation]. */
+internal class MoveFleet(
+    private val seed: Long,
+) {
+    private val random = Random(seed)
+    private val clock = TestClock()
+    private val store = FakeObjectStore()
+    private val hub = FakePeerHub { from, to -> peerFault(from, to) }
+    private val log = mutableListOf<String>()
+    private val nodes = (0 until NODES).map { Node(it) }
+    private val commands = MoveCommands(store, clock)
+    private val newFailureShare = listOf(0.0, 0.0, 0.0, 0.6, 1.0).random(random)
+    private val badAfterSeconds = random.nextLong(0, 90)
+    private val faultInterval = listOf(60, 200, 600).random(random)
+    private val requestsPerTick = listOf(0.2, 0.6, 1.5).random(random)
+    private val history = mutableListOf<Pair<Long, MoveRecord>>()
+    private val exposed = mutableMapOf<MoveId, Long>()
+    private val brokenLinks = mutableMapOf<Set<Int>, Long>()
+    private var isPlatformDown = false
+    private var isStalled = false
+    private var moveCount = 0
+    private var requestCount = 0
+    var violation: String? = null
+        private set
+    val outcomes: List<MovePhase> get() = history.map { it.second }.filter { it.phase.isFinal }.distinctBy { it.id }.map { it.phase }
+
+    fun report(): String = "$violation; seed=$seed schedule:\n${log.joinToString("\n")}"
+
+    fun run() {
+        startMove("op0")
+        repeat(TICKS) { if (violation == null) tick() }
+        heal()
+        repeat(SETTLE_TICKS) { if (violation == null && !isSettled()) tick(hasFaults = false) }
+        checkSettled()
+    }
+
+    private val nowMillis get() = clock.millis()
+
+    private fun tick(hasFaults: Boolean = true) {
+        clock.advance(Duration.ofMillis(random.nextLong(500, 1_500)))
+        if (hasFaults) fault()
+        for (node in nodes.shuffled(random)) {
+            if (!node.isRunning) continue
+            node.serve()
+            runBlocking { node.maintain() }
+            readHistory()
+        }
+        nodes.forEach { it.checkHearing() }
+    }
+
+    private fun fault() {
+        val node = nodes.random(random)
+        val others = nodes.filter { it != node }
+        when (random.nextInt(faultInterval)) {
+            0 -> node.kill()
+            1 -> node.pause(random.nextLong(1_000, 25_000))
+            2 -> others.forEach { cut(node, it, random.nextLong(1_000, 60_000)) }
+            3 -> cut(node, others.random(random), random.nextLong(1_000, 90_000))
+            4 -> node.cutPlatform(random.nextLong(1_000, 90_000))
+            5 -> {
+                log("platform down=${!isPlatformDown}")
+                isPlatformDown = !isPlatformDown
+            }
+            6 -> startMove("op${random.nextInt(3)}")
+            7 -> if (random.nextInt(4) == 0) takeBack("op${random.nextInt(3)}")
+            8 -> runBlocking { node.lease.release() }.also { log("r${node.index} stops") }.also { node.kill() }
+        }
+        if (isPlatformDown && random.nextInt(15) == 0) isPlatformDown = false
+    }
+
+    private fun startMove(operator: String) {
+        val id = MoveId("m${moveCount++}")
+        val preset = MovePreset.entries.random(random)
+        val deadline = clock.instant() + Duration.ofSeconds(random.nextLong(75, 130))
+        val order = MoveStart(id, ROUTE, OLD, NEW, operator, deadline, preset)
+        runBlocking { commands.start(order) }.also { log("start $id $preset by $operator: ${if (it.isOk) "ok" else "refused"}") }
+        readHistory()
+    }
+
+    private fun takeBack(operator: String) {
+        val id = history.lastOrNull()?.second?.id ?: return
+        runBlocking { commands.takeBack(ROUTE, id, operator) }.also { log("take back $id by $operator: ${it.isOk}") }
+        readHistory()
+    }
+
+    private fun cut(
+        one: Node,
+        other: Node,
+        millis: Long,
+    ) {
+        brokenLinks[setOf(one.index, other.index)] = nowMillis + millis
+        log("cut r${one.index}-r${other.index} ${millis}ms")
+    }
+
+    private fun heal() {
+        log("heal")
+        brokenLinks.clear()
+        isPlatformDown = false
+        nodes.forEach { it.heal() }
+    }
+
+    private fun log(text: String) {
+        log += "${nowMillis - START}: $text"
+    }
+
+    private fun fail(text: String) {
+        if (violation == null) violation = "at ${nowMillis - START} $text"
+    }
+
+    private fun isLinked(
+        one: Int,
+        other: Int,
+    ): Boolean = (brokenLinks[setOf(one, other)] ?: 0) <= nowMillis
+
+    private fun peerFault(
+        from: InstanceId,
+        to: InstanceId,
+    ): PeerFault {
+        val (one, other) = listOf(from, to).map { it.value.drop(1).toInt() }
+        if (!isLinked(one, other) || !nodes[other].isRunning) return PeerFault.REQUEST_LOST
+        return if (random.nextInt(faultInterval) == 0) PeerFault.REPLY_LOST else PeerFault.NONE
+    }
+
+    /** Checks each newly stored version of the move. */
+    private fun readHistory() {
+        val stored = store.history(MoveRecord.key(ROUTE))
+        for (value in stored.drop(history.size)) {
+            val next = TypedObject.JSON.decodeFromString(MoveRecord.serializer(), value)
+            val last = history.lastOrNull()?.second
+            history += nowMillis to next
+            log("stored ${next.id} ${next.phase} f=${next.fencing} by ${next.changedBy}")
+            if (next.grants.values.sum() > next.allottedRequests) fail("grants exceed the allotment")
+            if (last != null) checkSuccession(last, next)
+        }
+    }
+
+    private fun checkSuccession(
+        last: MoveRecord,
+        next: MoveRecord,
+    ) {
+        if (last.id != next.id) {
+            if (!last.phaseAt(nowMillis).isFinal) fail("${next.id} started while ${last.id} was running")
+            return
+        }
+        if (last.phase.isFinal && last.phase != next.phase) fail("${last.id} left ${last.phase} for ${next.phase}")
+        if (next.fencing < last.fencing) fail("fencing number fell")
+        val limit = next.deadlineMillis - MovePlan.PROPAGATION.toMillis()
+        val isCompletion = next.phase is MovePhase.Completed && !last.phase.isFinal
+        if (isCompletion && nowMillis > limit) fail("${next.id} completed ${nowMillis - limit} ms too late")
+    }
+
+    private fun isSettled(): Boolean =
+        history.last().let { (at, record) -> record.phase.isFinal && record.unconfirmed?.size == 0 && nowMillis - at > SETTLED_MILLIS }
+
+    private fun checkSettled() {
+        if (violation != null) return
+        val last = history.last().second
+        if (!last.phase.isFinal) fail("${last.id} has no outcome")
+        if (last.unconfirmed?.isNotEmpty() != false) fail("${last.id} is not confirmed by ${last.unconfirmed}")
+    }
+
+    private inner class Node(
+        val index: Int,
+    ) : InstantSource {
+        private val skewMillis = random.nextLong(-200, 201)
+        private val view = store.withFaults { storeFault(it) }
+        private val open = mutableListOf<Pair<Long, VersionChoice>>()
+        private var number = 1L
+        private var pausedUntil = 0L
+        private var deadUntil = 0L
+        private var platformCutUntil = 0L
+        private var heardSince = 0L
+        private val linkedSince = LongArray(NODES)
+        lateinit var lease: LeaseKeeper
+        lateinit var router: VersionRouter
+        lateinit var controller: MoveController
+        val isRunning get() = nowMillis >= pausedUntil && nowMillis >= deadUntil
+        val hearsPlatform get() = !isPlatformDown && nowMillis >= platformCutUntil
+
+        init {
+            build()
+        }
+
+        override fun instant(): Instant = clock.instant().plusMillis(skewMillis)
+
+        private fun build() {
+            val self = Incarnation(InstanceId("r$index"), number)
+            val peers = hub.join(self)
+            lease = LeaseKeeper(view, self, clock.monotonic)
+            router = VersionRouter(view, self, peers, this, clock.monotonic)
+            controller =
+                MoveController(
+                    view, lease, router, peers, { directory() }, { order, _ -> order(order) }, this, clock.monotonic,
+                )
+        }
+
+        fun kill() {
+            deadUntil = nowMillis + random.nextLong(500, 30_000)
+            log("r$index killed until ${deadUntil - START}")
+            open.clear()
+            hub.leave(InstanceId("r$index"))
+            number++
+            build()
+            heardSince = deadUntil
+        }
+
+        fun pause(millis: Long) {
+            pausedUntil = nowMillis + millis
+            log("r$index paused ${millis}ms")
+        }
+
+        fun cutPlatform(millis: Long) {
+            platformCutUntil = nowMillis + millis
+            log("r$index loses the platform ${millis}ms")
+        }
+
+        fun heal() {
+            pausedUntil = 0
+            deadUntil = 0
+            platformCutUntil = 0
+        }
+
+        private fun directory() =
+            if (hearsPlatform) {
+                val listed = nodes.map { ListedInstance(InstanceId("r${it.index}"), ListedInstance.ROUTER_SERVICE, OLD, ZoneId("z"), "::1", 1) }
+                Ok(listed.toImmutableList())
+            } else {
+                Err(StoreError.Unavailable("fault of the test"))
+            }
+
+        private fun order(order: EndpointOrder) =
+            if (random.nextInt(5) == 0) Err("fault of the test") else Ok(Unit).also { log("r$index orders $order") }
+
+        private fun storeFault(call: StoreCall): StoreFault {
+            if (!hearsPlatform) return if (random.nextBoolean()) StoreFault.UNAVAILABLE else StoreFault.REQUEST_LOST
+            if (!isStalled && random.nextInt(faultInterval * 4) == 0) stall(call)
+            return if (random.nextInt(faultInterval / 2) == 0) StoreFault.entries.random(random) else StoreFault.NONE
+        }
+
+        /** The process is paused inside a call while the others run; a write is delayed by less than the assumed bound. */
+        private fun stall(call: StoreCall) {
+            isStalled = true
+            val seconds = if (call is StoreCall.Put) random.nextLong(1, 3) else random.nextLong(1, 15)
+            val until = nowMillis + seconds * 1_000
+            val before = pausedUntil
+            pausedUntil = until
+            log("r$index stalls ${seconds}s in $call")
+            while (nowMillis < until - 1_500) tick(hasFaults = false)
+            pausedUntil = before
+            isStalled = false
+        }
+
+        suspend fun maintain() {
+            router.maintain()
+            lease.maintain()
+            controller.maintain()
+        }
+
+        fun serve() {
+            val due = open.filter { it.first <= nowMillis }
+            open.removeAll(due)
+            for ((_, choice) in due) {
+                val isNewBad = nowMillis - START >= badAfterSeconds * 1_000 && random.nextDouble() < newFailureShare
+                router.record(choice, VersionObservation(if (choice.version == NEW) !isNewBad else random.nextDouble() >= 0.02))
+            }
+            val count = requestsPerTick.toInt() + if (random.nextDouble() < requestsPerTick % 1.0) 1 else 0
+            repeat(count) { open += nowMillis + random.nextLong(0, 3_000) to choose() }
+        }
+
+        private fun choose(): VersionChoice {
+            val known = router.moves().singleOrNull()
+            val verdict = known?.let { router.verdict(it.id) }
+            val choice = router.choose(ROUTE, RequestId("q${requestCount++}"))
+            if (known != null && choice.version == NEW) {
+                if (verdict != null) fail("r$index sent to the new version after the verdict on ${known.id}")
+                val isOver = millis() >= known.deadlineMillis && known.phase is MovePhase.Running
+                if (isOver) fail("r$index sent to the new version after the deadline of ${known.id}")
+                if (known.phase is MovePhase.Running) {
+                    val count = (exposed[known.id] ?: 0) + 1
+                    exposed[known.id] = count
+                    val allotted = history.filter { it.second.id == known.id }.maxOf { it.second.allottedRequests }
+                    if (count > allotted) fail("${known.id} was exposed to $count requests of $allotted")
+                }
+            }
+            return choice
+        }
+
+        /** Checks that the outcome is in force once this router could hear of it for the propagation bound. */
+        fun checkHearing() {
+            if (!isRunning || !hearsPlatform) heardSince = nowMillis
+            for (other in nodes) {
+                val isHeard = isRunning && other.isRunning && other.hearsPlatform && isLinked(index, other.index)
+                if (!isHeard) linkedSince[other.index] = nowMillis
+            }
+            if (isRunning && violation == null && !isStalled) checkOutcome()
+        }
+
+        private fun checkOutcome() {
+            val last = history.last().second
+            val endedAt = history.firstOrNull { it.second.id == last.id && it.second.phase.isFinal }?.first ?: return
+            val hearsSince = minOf(heardSince, nodes.filter { it.index != index }.minOf { linkedSince[it.index] })
+            if (nowMillis - maxOf(endedAt, hearsSince) < MovePlan.PROPAGATION.toMillis()) return
+            val expected = if (last.phase is MovePhase.Completed) NEW else OLD
+            val version = router.choose(ROUTE, RequestId("check")).version ?: OLD
+            if (version != expected) fail("r$index sends to $version although ${last.id} is ${last.phase}")
+        }
+    }
+
+    private companion object {
+        const val NODES = 4
+        const val TICKS = 120
+        const val SETTLE_TICKS = 180
+        const val SETTLED_MILLIS = 20_000
+        val START = TestClock().millis()
+        val ROUTE = RouteId("plan")
+        val OLD = VersionId("v1")
+        val NEW = VersionId("v2")
+    }
+}
