measure: simulate moves of good and bad versions

Cause: shares of good versions moved and bad ones rolled back are what the users measure. Ruled out: copies of the decision logic; the simulation runs the product's routers and controllers over fakes and a test clock.

--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/ControlledMoves.kt
@@ -0,0 +1,149 @@
+package io.limpetfold.measure.moves
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.lease.LeaseKeeper
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.peer.PeerError
+import io.limpetfold.peer.PeerHandler
+import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.peer.PeerTopic
+import io.limpetfold.rollout.MoveCommands
+import io.limpetfold.rollout.MoveController
+import io.limpetfold.rollout.MoveId
+import io.limpetfold.rollout.MovePhase
+import io.limpetfold.rollout.MovePreset
+import io.limpetfold.rollout.MoveSide
+import io.limpetfold.rollout.MoveStart
+import io.limpetfold.rollout.RolloutListener
+import io.limpetfold.rollout.Verdict
+import io.limpetfold.rollout.VersionChoice
+import io.limpetfold.rollout.VersionObservation
+import io.limpetfold.rollout.VersionRouter
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableSet
+import kotlinx.coroutines.runBlocking
+import java.time.Duration
+
+/** The product's routers and controllers over fakes whose calls take no time; the router program sends verdicts at once. */
+internal class ControlledMoves(
+    private val clock: TestClock,
+    duration: Duration,
+    preset: MovePreset,
+    routers: Int,
+) : MoveStrategy {
+    private val store = FakeObjectStore()
+    private val commands = MoveCommands(store, clock)
+    private val networks = LinkedHashMap<InstanceId, DirectPeers>()
+    private val nodes = List(routers) { Node(it) }
+    private var hasUnsent = false
+    private val ended = arrayOfNulls<Boolean>(MoveSimulation.ROUTES)
+
+    init {
+        runBlocking {
+            repeat(MoveSimulation.ROUTES) { route ->
+                val order = MoveStart(MoveId("m$route"), route(route), OLD, NEW, "ana", clock.instant() + duration, preset)
+                checkNotNull(commands.start(order).get())
+            }
+        }
+    }
+
+    override fun maintain() =
+        runBlocking {
+            nodes.forEach {
+                it.router.maintain()
+                it.lease.maintain()
+                it.controller.maintain()
+            }
+            for (record in commands.list().get().orEmpty()) {
+                if (record.phase.isFinal) ended[record.route.value.drop(1).toInt()] = record.phase is MovePhase.Completed
+            }
+        }
+
+    override fun choose(
+        router: Int,
+        route: Int,
+        request: Int,
+    ): MoveStrategy.Choice {
+        val choice = nodes[router].router.choose(route(route), RequestId("q$request"))
+        return MoveStrategy.Choice(router, route, choice.side == MoveSide.NEW, choice)
+    }
+
+    override fun record(
+        choice: MoveStrategy.Choice,
+        observation: VersionObservation,
+    ) {
+        val router = nodes[choice.router].router
+        router.record(choice.handle as VersionChoice, observation)
+        if (!hasUnsent) return
+        hasUnsent = false
+        runBlocking { router.sendVerdicts() }
+    }
+
+    override fun hasCompleted(route: Int): Boolean? = ended[route]
+
+    private fun route(index: Int) = RouteId("r$index")
+
+    private inner class Node(
+        index: Int,
+    ) : RolloutListener {
+        private val self = Incarnation(InstanceId("i$index"), 1)
+        private val peers = DirectPeers(self).also { networks[self.instance] = it }
+        val router = VersionRouter(store, self, peers, clock, clock.monotonic, listener = this)
+        val lease = LeaseKeeper(store, self, clock.monotonic)
+        val controller =
+            MoveController(store, lease, router, peers, ::directory, { _, _ -> Ok(Unit) }, clock, clock.monotonic)
+
+        override fun onWithdrawn(
+            verdict: Verdict,
+            isOwn: Boolean,
+        ) {
+            hasUnsent = hasUnsent || isOwn
+        }
+    }
+
+    private fun directory() =
+        Ok(networks.keys.map { ListedInstance(it, ListedInstance.ROUTER_SERVICE, OLD, ZoneId("z"), "::1", 1) }.toImmutableList())
+
+    private inner class DirectPeers(
+        private val self: Incarnation,
+    ) : PeerNetwork {
+        private val handlers = HashMap<String, PeerHandler<*, *>>()
+
+        override fun <Q : Any, A : Any> handle(
+            topic: PeerTopic<Q, A>,
+            handler: PeerHandler<Q, A>,
+        ) {
+            handlers[topic.name] = handler
+        }
+
+        @Suppress("UNCHECKED_CAST")
+        override suspend fun <Q : Any, A : Any> ask(
+            to: InstanceId,
+            topic: PeerTopic<Q, A>,
+            message: Q,
+            timeout: Duration,
+        ): Result<A, PeerError> {
+            val handler = networks[to]?.handlers?.get(topic.name) as PeerHandler<Q, A>? ?: return Err(PeerError.Unreachable(to))
+            return Ok(handler.answer(self, message))
+        }
+
+        override fun reachable(): ImmutableSet<InstanceId> = (networks.keys - self.instance).toImmutableSet()
+    }
+
+    private companion object {
+        val OLD = VersionId("v1")
+        val NEW = VersionId("v2")
+    }
+}
--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveWorkload.kt
@@ -0,0 +1,28 @@
+package io.limpetfold.measure.moves
+
+/**
+ * The traffic of one user over two routes, of which the first gets 60 in 100 requests.
+ *
+ * @property firstTokenMillis median time to the first token.
+ * @property betweenTokensMillis median time between tokens.
+ * @property tokens mean length of an answer.
+ */
+data class MoveWorkload(
+    val name: String,
+    val replicas: Int,
+    val requestsPerSecond: Double,
+    val firstTokenMillis: Double = 400.0,
+    val betweenTokensMillis: Double = 25.0,
+    val tokens: Int = 100,
+    val failureShare: Double = 0.005,
+) {
+    companion object {
+        /** The two first users by day, and the oven service in a quiet hour. */
+        val DEFAULTS =
+            listOf(
+                MoveWorkload("oven", replicas = 8, requestsPerSecond = 2.0),
+                MoveWorkload("bonsaedae", replicas = 13, requestsPerSecond = 6.0),
+                MoveWorkload("oven-quiet", replicas = 8, requestsPerSecond = 0.3),
+            )
+    }
+}
