--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -33,6 +33,7 @@
     private val check = RequestCheck(settings)
     private var exchange: ServerExchange? = null
     private var isRequestComplete = true
+    private val folds = FoldScanner()
     private var isPipelined = false
     private var isClosing = false
     private var bodyBytes = 0L
@@ -68,6 +69,7 @@
             }
             else -> {
                 if (exchange == null && headStartNanos == null && bytes.isReadable) headStartNanos = activityNanos
+                if (exchange == null) folds.scan(bytes)
                 true
             }
         }
@@ -152,7 +154,8 @@
     private fun onHead(request: HttpRequest) {
         headStartNanos = null
         if (exchange != null) return markPipelined()
-        val refusal = check.refusal(request)
+        val refusal = if (folds.isFolded) FOLDED else check.refusal(request)
+        folds.reset()
         if (refusal != null) return refuse(refusal)
         if (budget.isFull) budget.noteRequestAtLimit()
         val headers = Headers.of(request.headers().entries().map { it.key to it.value })
@@ -269,6 +272,8 @@
         val LOGGER = LoggerFactory.getLogger(ServerConnection::class.java)
         val PIPELINED =
             RequestCheck.Refusal(HttpResponseStatus.BAD_REQUEST, "a second request arrived before the answer ended", "wait for the answer before the next request")
+        val FOLDED =
+            RequestCheck.Refusal(HttpResponseStatus.BAD_REQUEST, "a header field is folded over lines", "send each field on one line")
         const val BAD_REQUEST = 400
         const val TIMEOUT = 408
         const val TOO_LARGE = 413
--- /dev/null
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
@@ -0,0 +1,74 @@
+package io.limpetfold.http
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import java.net.Socket
+import java.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against a planned stop that cuts requests, and against handlers that work on for a caller that has gone. */
+class GracefulDrainTest :
+    FunSpec({
+        val loops = autoClose(HttpEventLoops(2))
+
+        fun start(handler: HttpHandler) = HttpServer(HttpServerSettings(), loops, BufferBudget(), handler).start()
+
+        fun connect(server: HttpServer) = Peer(Socket(server.address.host, server.address.port))
+
+        test("a draining server finishes running requests, answers new ones with Connection: close, and closes last") {
+            val release = CompletableDeferred<Unit>()
+            val server =
+                start { exchange ->
+                    if (exchange.head.path == "/slow") release.await()
+                    exchange.respond(200, body = "done".encodeToByteArray())
+                }
+            val slow = connect(server)
+            slow.write("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+            eventually(5.seconds) { server.runningCount shouldBe 1 }
+            server.beginDrain()
+            val late = connect(server)
+            late.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            late.readToEnd().lowercase() shouldContain "connection: close"
+            server.awaitIdle(Duration.ofMillis(50)) shouldBe false
+            release.complete(Unit)
+            server.awaitIdle(Duration.ofSeconds(5)) shouldBe true
+            server.close()
+            slow.readToEnd() shouldContain "done"
+        }
+
+        test("a caller that goes cancels the work for it and fails a suspended read") {
+            val cancelled = CompletableDeferred<String>()
+            val server =
+                start { exchange ->
+                    try {
+                        if (exchange.head.path == "/read") exchange.readBody(100) else exchange.whileConnected { awaitCancellation() }
+                    } catch (e: CallerGoneException) {
+                        cancelled.complete(exchange.head.path)
+                        throw e
+                    }
+                }
+            for (path in listOf("/wait", "/read")) {
+                val caller = connect(server)
+                caller.write("POST $path HTTP/1.1\r\nHost: a\r\nContent-Length: ${if (path == "/read") 5 else 0}\r\n\r\n")
+                eventually(5.seconds) { server.runningCount shouldBe 1 }
+                caller.socket.close()
+                server.awaitIdle(Duration.ofSeconds(5)) shouldBe true
+            }
+            cancelled.await() shouldBe "/wait"
+            server.close()
+        }
+
+        test("a handler that fails, or never answers, gives an error and the server goes on") {
+            val server = start { exchange -> if (exchange.head.path == "/fail") error("fault of the test") }
+            for (path in listOf("/fail", "/silent")) {
+                val caller = connect(server)
+                caller.write("GET $path HTTP/1.1\r\nHost: a\r\n\r\n")
+                caller.readToEnd() shouldContain "\"ran\":\"unknown\""
+            }
+            server.close()
+        }
+    })
--- /dev/null
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ScriptedEndpoint.kt
@@ -0,0 +1,60 @@
+package io.limpetfold.http
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** An endpoint that sends exactly the bytes of a script; [script] gets the number of the connection, from 1. */
+class ScriptedEndpoint(
+    private val script: Peer.(Int) -> Unit,
+) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val connections = AtomicInteger()
+    val address = UpstreamAddress("127.0.0.1", listener.localPort)
+    val connectionCount: Int get() = connections.get()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { socket.use { runCatching { Peer(it).script(connections.incrementAndGet()) } } }
+            }
+        }
+    }
+
+    override fun close() = listener.close()
+}
+
+/** One end of a connection that reads and writes raw bytes. */
+class Peer(
+    val socket: Socket,
+) {
+    private val input = socket.getInputStream().buffered()
+
+    /** Reads one head with its blank line, or null at the end of input. */
+    fun readHead(): String? {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            if (byte < 0) return null
+            head.append(byte.toChar())
+        }
+        return head.toString()
+    }
+
+    fun readBytes(count: Int): String = String(input.readNBytes(count))
+
+    fun readToEnd(): String = runCatching { String(input.readAllBytes()) }.getOrDefault("reset")
+
+    fun write(text: String) {
+        socket.getOutputStream().write(text.encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    fun answer(
+        body: String,
+        vararg headers: String,
+    ) = write("HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n${headers.joinToString("") { "$it\r\n" }}\r\n$body")
+}
--- /dev/null
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ServerSentEventReaderTest.kt
@@ -0,0 +1,26 @@
+package io.limpetfold.http
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import java.io.IOException
+
+class ServerSentEventReaderTest :
+    FunSpec({
+        test("events are the same wherever the pieces are cut, with every line ending") {
+            val events = listOf(ServerSentEvent("čist\nlonec"), ServerSentEvent("{}", "error", "7"), ServerSentEvent("[DONE]"))
+            for (ending in listOf("\n", "\r\n", "\r")) {
+                val bytes = events.joinToString(": comment\n\n") { String(it.encode()) }.replace("\n", ending).encodeToByteArray()
+                for (size in 1..bytes.size) {
+                    val reader = ServerSentEventReader()
+                    bytes.toList().chunked(size).flatMap { reader.feed(it.toByteArray()) } shouldBe events
+                    reader.isInsideEvent shouldBe false
+                }
+            }
+        }
+
+        test("an event without an end is bounded") {
+            val reader = ServerSentEventReader(maxEventBytes = 100)
+            shouldThrow<IOException> { repeat(50) { reader.feed("data: abc\n".encodeToByteArray()) } }
+        }
+    })
