platform: read and write the object API over HTTP

Cause: the programs need the platform's objects and instance list; and a request that followed an answer at once sometimes opened a second connection, because the first returned to the pool a step later. Ruled out: mapping every failed write to Unavailable, which would report a write as not made whose answer was lost. Conclusion: writes report what they know about their effect.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import java.time.Duration
@@ -67,11 +68,12 @@
         }
     }
 
-    /** Ends [ended]; the connection returns to the pool only when both messages were complete and nothing else was received. */
+    /** Ends [ended] and returns the end of that step; the connection returns to the pool only when both messages were complete and nothing else was received. */
     fun release(
         ended: ClientExchange,
         isReadToEnd: Boolean,
-    ) {
+    ): Deferred<Unit> {
+        val released = CompletableDeferred<Unit>()
         channel.eventLoop().execute {
             if (exchange === ended) {
                 exchange = null
@@ -85,7 +87,9 @@
                     discard()
                 }
             }
+            released.complete(Unit)
         }
+        return released
     }
 
     /** Closes the connection. */
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientExchange.kt
@@ -7,6 +7,8 @@
 import io.netty.channel.Channel
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
@@ -62,7 +64,8 @@
             val piece = queue.next()
             if (piece == null) {
                 isAtEnd = true
-                if (isReleased.compareAndSet(false, true)) connection.release(this, isReadToEnd = true)
+                // The reader's next request may follow at once and should find the connection in the pool.
+                if (isReleased.compareAndSet(false, true)) withContext(NonCancellable) { connection.release(this@ClientExchange, true).await() }
             } else {
                 passedBytes.addAndGet(piece.size.toLong())
             }
--- /dev/null
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -0,0 +1,99 @@
+package io.limpetfold.platform
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.http.Headers
+import io.limpetfold.http.UpstreamBody
+import io.limpetfold.http.UpstreamClient
+import io.limpetfold.http.UpstreamRequest
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectPage
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import io.limpetfold.store.StoredObject
+import kotlinx.serialization.json.Json
+import java.net.URLEncoder
+import java.time.Duration
+
+/** The platform's object API over HTTP. */
+class HttpObjectStore(
+    client: UpstreamClient,
+    settings: PlatformSettings,
+) : ObjectStore {
+    private val calls = PlatformCalls(client, settings)
+
+    override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> {
+        val answer = calls.read("/v1/objects/$key").getOrElse { return Err(it) }
+        if (answer.head.status == NOT_FOUND) return Ok(null)
+        if (answer.head.status != OK) return Err(rejected(answer))
+        val version = version(answer) ?: return Err(StoreError.Rejected("$key: the answer has no ETag"))
+        return Ok(StoredObject(key, version, answer.body))
+    }
+
+    override suspend fun put(
+        key: ObjectKey,
+        value: String,
+        expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError> {
+        val bytes = value.encodeToByteArray()
+        if (bytes.size > MAX_VALUE_BYTES) return Err(StoreError.TooLarge(bytes.size))
+        val condition = if (expected == ObjectVersion.NONE) "If-None-Match" to "*" else "If-Match" to "\"$expected\""
+        val headers = Headers.of(condition, "Content-Type" to "application/json")
+        val request = UpstreamRequest("PUT", "/v1/objects/$key", headers, UpstreamBody.Bytes(bytes))
+        val answer = calls.write(request).getOrElse { return Err(it) }
+        return when (answer.head.status) {
+            OK, CREATED, NO_CONTENT ->
+                // The write took effect, but at a version that only a read can tell.
+                version(answer)?.let { Ok(it) } ?: Err(StoreError.OutcomeUnknown("$key: the answer has no ETag"))
+            PRECONDITION_FAILED -> Err(StoreError.Conflict(key, version(answer) ?: ObjectVersion.NONE))
+            TOO_LARGE -> Err(StoreError.TooLarge(bytes.size))
+            else -> Err(rejected(answer))
+        }
+    }
+
+    override suspend fun list(prefix: String): Result<ObjectPage, StoreError> = page("prefix=${encode(prefix)}", Duration.ZERO)
+
+    override suspend fun watch(
+        prefix: String,
+        after: ObjectVersion,
+        wait: Duration,
+    ): Result<ObjectPage, StoreError> = page("prefix=${encode(prefix)}&after=$after&waitMillis=${wait.toMillis()}", wait)
+
+    private suspend fun page(
+        query: String,
+        wait: Duration,
+    ): Result<ObjectPage, StoreError> {
+        val answer = calls.read("/v1/objects?$query", wait).getOrElse { return Err(it) }
+        if (answer.head.status != OK) return Err(rejected(answer))
+        return try {
+            Ok(JSON.decodeFromString(WirePage.serializer(), answer.body).toPage())
+        } catch (e: IllegalArgumentException) {
+            Err(StoreError.Rejected("the listing does not decode: ${e.message?.take(MAX_DETAIL_CHARS)}"))
+        }
+    }
+
+    private fun version(answer: PlatformCalls.Answer): ObjectVersion? =
+        answer.head.headers["ETag"]
+            ?.removeSurrounding("\"")
+            ?.toLongOrNull()
+            ?.let(::ObjectVersion)
+
+    private fun rejected(answer: PlatformCalls.Answer) = StoreError.Rejected("status ${answer.head.status}")
+
+    private fun encode(text: String) = URLEncoder.encode(text, Charsets.UTF_8)
+
+    private companion object {
+        const val OK = 200
+        const val CREATED = 201
+        const val NO_CONTENT = 204
+        const val NOT_FOUND = 404
+        const val PRECONDITION_FAILED = 412
+        const val TOO_LARGE = 413
+        const val MAX_VALUE_BYTES = 1_000_000
+        const val MAX_DETAIL_CHARS = 200
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/WirePage.kt
@@ -0,0 +1,21 @@
+package io.limpetfold.platform
+
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectPage
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoredObject
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.serialization.Serializable
+
+/** A listing as the platform sends it. */
+@Serializable
+internal data class WirePage(
+    val objects: List<WireObject> = emptyList(),
+    val position: Long,
+) {
+    fun toPage(): ObjectPage =
+        ObjectPage(
+            objects.map { StoredObject(ObjectKey(it.key), ObjectVersion(it.version), it.value) }.toImmutableList(),
+            ObjectVersion(position),
+        )
+}
--- /dev/null
+++ b/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
@@ -0,0 +1,85 @@
+package io.limpetfold.platform
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.http.BufferBudget
+import io.limpetfold.http.Headers
+import io.limpetfold.http.HttpEventLoops
+import io.limpetfold.http.HttpExchange
+import io.limpetfold.http.HttpServer
+import io.limpetfold.http.HttpServerSettings
+import io.limpetfold.http.UpstreamAddress
+import io.limpetfold.http.UpstreamClient
+import io.limpetfold.http.UpstreamSettings
+import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import kotlinx.coroutines.awaitCancellation
+import java.net.ServerSocket
+import java.time.Duration
+
+/** Guards against reporting a write as not made when the platform may have made it, and the reverse. */
+class HttpObjectStoreTest :
+    FunSpec({
+        val loops = autoClose(HttpEventLoops(1))
+        val client = autoClose(UpstreamClient(UpstreamSettings(), loops, BufferBudget()))
+        val key = ObjectKey("budget/school")
+
+        suspend fun withPlatform(
+            answer: suspend (HttpExchange) -> Unit,
+            block: suspend (HttpObjectStore, HttpInstanceDirectory) -> Unit,
+        ) = HttpServer(HttpServerSettings(), loops, BufferBudget(), { answer(it) }).start().use { server ->
+            val settings = PlatformSettings(server.address, callTimeout = Duration.ofMillis(300))
+            block(HttpObjectStore(client, settings), HttpInstanceDirectory(client, settings))
+        }
+
+        test("answers map to results") {
+            withPlatform({ exchange ->
+                when (exchange.head.headers["If-Match"] ?: exchange.head.headers["If-None-Match"] ?: exchange.head.path) {
+                    "*" -> exchange.respond(200, Headers.of("ETag" to "\"7\""))
+                    "\"7\"" -> exchange.respond(412, Headers.of("ETag" to "\"9\""))
+                    "\"8\"" -> exchange.respond(429, Headers.of("Retry-After" to "2"))
+                    "\"9\"" -> exchange.respond(503)
+                    "\"10\"" -> exchange.respond(502)
+                    "/v1/objects/budget/school" -> exchange.respond(200, Headers.of("ETag" to "\"7\""), "{}".encodeToByteArray())
+                    "/v1/objects" ->
+                        exchange.respond(200, body = """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}""".encodeToByteArray())
+                    "/v1/instances" -> exchange.respond(200, body = "[]".encodeToByteArray())
+                    else -> exchange.respond(404)
+                }
+            }) { store, directory ->
+                store.put(key, "{}", ObjectVersion.NONE).get() shouldBe ObjectVersion(7)
+                store.put(key, "{}", ObjectVersion(7)).getError() shouldBe StoreError.Conflict(key, ObjectVersion(9))
+                store.put(key, "{}", ObjectVersion(8)).getError() shouldBe StoreError.RateLimited(Duration.ofSeconds(2))
+                store.put(key, "{}", ObjectVersion(9)).getError().shouldBeInstanceOf<StoreError.Unavailable>()
+                store.put(key, "{}", ObjectVersion(10)).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
+                store.put(key, "a".repeat(1_000_001), ObjectVersion.NONE).getError() shouldBe StoreError.TooLarge(1_000_001)
+                store.get(key).get()?.version shouldBe ObjectVersion(7)
+                store.get(ObjectKey("none")).get() shouldBe null
+                store.list("a/").get()?.position shouldBe ObjectVersion(5)
+                directory.list().get() shouldBe emptyList()
+            }
+        }
+
+        test("a write without an answer has an unknown outcome, a read without one is unavailable") {
+            val silences = listOf<suspend (HttpExchange) -> Unit>(
+                { awaitCancellation() },
+                { it.respondStream(200, Headers.of("Content-Length" to "5")).abort() },
+            )
+            for (silence in silences) {
+                withPlatform(silence) { store, _ ->
+                    store.put(key, "{}", ObjectVersion.NONE).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
+                    store.get(key).getError().shouldBeInstanceOf<StoreError.Unavailable>()
+                }
+            }
+        }
+
+        test("a refused connection proves that nothing was written") {
+            val unusedPort = ServerSocket(0).use { it.localPort }
+            val store = HttpObjectStore(client, PlatformSettings(UpstreamAddress("127.0.0.1", unusedPort)))
+            store.put(key, "{}", ObjectVersion.NONE).getError().shouldBeInstanceOf<StoreError.Unavailable>()
+        }
+    })
