limits: ignore late answers of an earlier tenure of a lender

A lender restarted, its loan was dropped at the borrower, and a late answer of the old process brought the loan back without the returns. Ruled out: keeping all old loans, whose number has no bound. Change: a borrower remembers the newest tenure of each lender; a test of exactly this order; the number of seeds is a system property.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLoans.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLoans.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.limits
 
 import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 
@@ -29,6 +30,12 @@
     val lent = HashMap<Incarnation, Lent>()
     val borrowed = HashMap<SeatTenure, Borrowed>()
 
+    /**
+     * The newest tenure seen of each lender. A late answer of an earlier tenure must not bring its loan back, because what
+     * was returned to it is no longer known.
+     */
+    private val newestTenures = HashMap<InstanceId, SeatTenure>()
+
     val lentOut: Int get() = lent.values.sumOf { it.outstanding }
 
     /** All borrowed slots that were not returned, whether or not requests may still be started on them. */
@@ -80,7 +87,9 @@
         lentTotal: Long,
         asked: TimeMark,
     ) {
-        if (borrowed.keys.any { it.isAfter(lender) }) return
+        val known = newestTenures[lender.holder.instance]
+        if (known != null && known.isAfter(lender)) return
+        newestTenures[lender.holder.instance] = lender
         borrowed.keys.removeAll { lender.isAfter(it) }
         if (lentTotal == 0L && lender !in borrowed) return
         val loan = borrowed.getOrPut(lender, ::Borrowed)
--- a/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimitPropertyTest.kt
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimitPropertyTest.kt
@@ -42,6 +42,17 @@
             }
         }
 
+        test("a late answer of an ended lender does not bring back a loan whose returns are forgotten") {
+            val clock = TestClock()
+            val loans = EndpointLoans()
+            val ended = SeatTenure(Incarnation(InstanceId("r0"), 1), 1)
+            loans.onGranted(ended, 2, clock.monotonic.markNow())
+            loans.giveBack(ended, 1)
+            loans.onGranted(SeatTenure(Incarnation(InstanceId("r0"), 2), 1), 0, clock.monotonic.markNow())
+            loans.onGranted(ended, 2, clock.monotonic.markNow())
+            loans.held shouldBe 0
+        }
+
         test("requests in flight over all routers never exceed the endpoint's limit, in any schedule") {
             val sums = HashMap<String, Int>()
             repeat(SEEDS) { seed ->
@@ -264,7 +275,8 @@
     }
 
     private companion object {
-        const val SEEDS = 2_000
+        /** A longer run takes `-Dlimpetfold.seeds=40000`. */
+        val SEEDS: Int = Integer.getInteger("limpetfold.seeds", 2_000)
         const val STEPS = 120
         val ZONE = ZoneId("z")
         val ROUTE = RouteId("r")
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
@@ -205,7 +205,8 @@
     }
 
     private companion object {
-        const val SEEDS = 4_000
+        /** A longer run takes `-Dlimpetfold.seeds=40000`. */
+        val SEEDS: Int = Integer.getInteger("limpetfold.seeds", 4_000)
         const val STEPS = 60
         const val ROUTERS = 3
         const val KEYS = 3
