rollout: notice late faults and faults at high weight

Cause: bin/measure's simulation let bad versions complete. Evidence in favour of a version hid a later fault, and at 90 in 100 requests the few old outcomes proved little. Ruled out: a fixed error threshold (it rolls back good versions under noise); resetting the evidence at each step (it discards what earlier steps showed). Change: Evidence mixes e-values over the block at which a fault begins; comparisons against a reference share of the old version's earlier outcomes; the controller pools failures as counts; longer holds; the weight follows the demand at once; a warm-up in the simulation. SequentialComparisonTest caught a first form of the reference (250 of 2,000 good versions rejected at a rate of 0.05 with a share of 0.3); with an upper bound on the old share the largest count is 20 of 2,000.

--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/ControlledMoves.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/ControlledMoves.kt
@@ -39,8 +39,8 @@
 /** The product's routers and controllers over fakes whose calls take no time; the router program sends verdicts at once. */
 internal class ControlledMoves(
     private val clock: TestClock,
-    duration: Duration,
-    preset: MovePreset,
+    private val duration: Duration,
+    private val preset: MovePreset,
     routers: Int,
 ) : MoveStrategy {
     private val store = FakeObjectStore()
@@ -50,7 +50,17 @@
     private var hasUnsent = false
     private val ended = arrayOfNulls<Boolean>(MoveSimulation.ROUTES)
 
-    init {
+    /** Routers that have run for a while know the durations of the old version; [idle] returns one observation of it. */
+    fun warmUp(idle: () -> VersionObservation) {
+        for (node in nodes) {
+            for (route in 0 until MoveSimulation.ROUTES) {
+                repeat(WARM_UP_REQUESTS) { node.router.record(node.router.choose(route(route), RequestId("w$it")), idle()) }
+            }
+        }
+        start()
+    }
+
+    private fun start() {
         runBlocking {
             repeat(MoveSimulation.ROUTES) { route ->
                 val order = MoveStart(MoveId("m$route"), route(route), OLD, NEW, "ana", clock.instant() + duration, preset)
@@ -143,6 +153,7 @@
     }
 
     private companion object {
+        const val WARM_UP_REQUESTS = 30
         val OLD = VersionId("v1")
         val NEW = VersionId("v2")
     }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
@@ -34,6 +34,7 @@
 
     fun run(strategy: (TestClock, Random) -> MoveStrategy): List<RouteResult> {
         val chosen = strategy(clock, Random(random.nextLong()))
+        if (chosen is ControlledMoves) chosen.warmUp { observe(isBadNow = false) }
         var nextArrival = arrivalGap()
         while (elapsedMillis < durationMillis && !isOver(chosen)) {
             val until = elapsedMillis + ROUND_MILLIS
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -55,6 +55,7 @@
     private val listener: RolloutListener = RolloutListener.NONE,
 ) {
     private val reports = HashMap<MoveId, MutableMap<Incarnation, MoveReport>>()
+    private val pooled = HashMap<MoveId, PooledEvidence>()
     private val lastHeard = HashMap<Incarnation, TimeMark>()
     private val sentOrders = HashSet<Pair<MoveId, MovePhase>>()
     private var listed: Set<InstanceId>? = null
@@ -73,8 +74,9 @@
         if (moves.isEmpty()) return
         readDirectory()
         val heard = gather(moves, completing = emptySet())
-        reports.keys.retainAll(moves.mapNotNullTo(HashSet()) { it.value?.id })
         val records = moves.mapNotNull { it.value }
+        reports.keys.retainAll(records.mapTo(HashSet()) { it.id })
+        pooled.keys.retainAll(reports.keys)
         var hasChanged = false
         for (move in moves) {
             val record = move.value ?: continue
@@ -93,7 +95,9 @@
         if (record.phase.isFinal) return false
         if (record.fencing < fencing) return write(record, record.copy(fencing = fencing))
         val known = reports[record.id].orEmpty()
-        val view = MoveView(clock.millis(), known, heard.filterTo(HashSet()) { it in known })
+        val evidence = pooled.getOrPut(record.id) { PooledEvidence(record.plan) }
+        evidence.add(known)
+        val view = MoveView(clock.millis(), known, heard.filterTo(HashSet()) { it in known }, evidence.finding)
         return when (val decision = MoveDecider.decide(record, view)) {
             MoveDecision.Keep -> false
             is MoveDecision.Write -> write(record, decision.next)
@@ -237,6 +241,7 @@
     private fun forget(fencing: FencingToken?) {
         term = fencing
         reports.clear()
+        pooled.clear()
         lastHeard.clear()
         sentOrders.clear()
     }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -2,12 +2,11 @@
 
 import io.limpetfold.core.Incarnation
 import kotlin.math.ceil
-import kotlin.math.pow
 
 /** Decides on running moves; pure. */
 internal object MoveDecider {
-    /** Until this share of a step's hold time nothing is concluded from a low number of outcomes. */
-    private const val SETTLE_SHARE = 0.25
+    /** Until this time in a step the demand on the route is not known well enough to raise the weight. */
+    private const val SETTLE_MILLIS = 3000L
 
     /** A step that ends behind its schedule, as after a change of the controller, is held for this part of its hold time. */
     private const val LATE_HOLD_SHARE = 0.5
@@ -17,8 +16,9 @@
 
     /** With little traffic, the weight grows up to this so that the evidence is gathered in time. */
     private const val RAISED_WEIGHT = 0.5
-    private const val WEIGHT_GROWTH = 1.5
-    private const val GROWTH_MILLIS = 5000.0
+
+    /** The weight grows in units of this, so that a small change of the demand causes no write. */
+    private const val WEIGHT_UNIT = 0.05
 
     /** A refill covers the demand of this many seconds, a few rounds of the controller. */
     private const val REFILL_SECONDS = 3.0
@@ -46,7 +46,7 @@
         view: MoveView,
     ): TakeBackReason? {
         view.verdict?.let { return TakeBackReason.RouterVerdict(it) }
-        VersionGuard.pooledFinding(record.plan, view.reports.values.map { it.logEvidence })?.let { return TakeBackReason.Evidence(it) }
+        view.finding?.let { return TakeBackReason.Evidence(it) }
         if (view.nowMillis >= record.deadlineMillis) return TakeBackReason.DeadlinePassed
         if (view.nowMillis < record.completionLimitMillis) return null
         if (view.outcomes < record.plan.leastOutcomes) return TakeBackReason.NoProgress(view.outcomes)
@@ -97,10 +97,11 @@
     ): MoveRecord {
         val plan = record.plan.steps[step]
         val elapsed = view.nowMillis - record.stepStartedAtMillis
-        val progress = minOf(1.0, elapsed / maxOf(plan.holdMillis, 1).toDouble())
-        if (progress < SETTLE_SHARE || view.outcomes(step) >= plan.evidenceRequests * progress) return record
-        val raised = plan.weight * WEIGHT_GROWTH.pow((elapsed / GROWTH_MILLIS).toInt())
-        val weight = minOf(raised, maxOf(RAISED_WEIGHT, plan.weight))
+        if (elapsed < SETTLE_MILLIS) return record
+        val missing = plan.evidenceRequests - view.outcomes(step)
+        val demand = view.requestsPerSecond * maxOf(plan.holdMillis - elapsed, SETTLE_MILLIS) / MILLIS_PER_SECOND
+        val needed = if (demand > 0) missing / demand else 0.0
+        val weight = minOf(ceil(needed / WEIGHT_UNIT) * WEIGHT_UNIT, maxOf(RAISED_WEIGHT, plan.weight))
         return if (weight > record.weight) record.copy(weight = weight) else record
     }
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MovePlan.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MovePlan.kt
@@ -33,18 +33,18 @@
 
         private val AVAILABILITY =
             listOf(
-                Shape(weight = 0.05, allotted = 24, evidence = 12, share = 0.15, maxHoldSeconds = 20),
-                Shape(weight = 0.25, allotted = 80, evidence = 40, share = 0.25, maxHoldSeconds = 45),
-                Shape(weight = 0.50, allotted = 160, evidence = 80, share = 0.30, maxHoldSeconds = 60),
-                Shape(weight = 0.90, allotted = 300, evidence = 120, share = 0.30, maxHoldSeconds = 90),
+                Shape(weight = 0.05, allotted = 24, evidence = 12, share = 0.15, maxHoldSeconds = 30),
+                Shape(weight = 0.25, allotted = 80, evidence = 40, share = 0.25, maxHoldSeconds = 60),
+                Shape(weight = 0.50, allotted = 160, evidence = 80, share = 0.30, maxHoldSeconds = 90),
+                Shape(weight = 0.90, allotted = 300, evidence = 120, share = 0.30, maxHoldSeconds = 180),
             )
         private val EXPOSURE =
             listOf(
-                Shape(weight = 0.02, allotted = 12, evidence = 8, share = 0.12, maxHoldSeconds = 30),
-                Shape(weight = 0.10, allotted = 40, evidence = 24, share = 0.18, maxHoldSeconds = 60),
-                Shape(weight = 0.30, allotted = 120, evidence = 60, share = 0.20, maxHoldSeconds = 90),
-                Shape(weight = 0.60, allotted = 200, evidence = 80, share = 0.25, maxHoldSeconds = 120),
-                Shape(weight = 0.90, allotted = 300, evidence = 120, share = 0.25, maxHoldSeconds = 120),
+                Shape(weight = 0.02, allotted = 12, evidence = 8, share = 0.12, maxHoldSeconds = 60),
+                Shape(weight = 0.10, allotted = 40, evidence = 24, share = 0.18, maxHoldSeconds = 120),
+                Shape(weight = 0.30, allotted = 120, evidence = 60, share = 0.20, maxHoldSeconds = 180),
+                Shape(weight = 0.60, allotted = 200, evidence = 80, share = 0.25, maxHoldSeconds = 300),
+                Shape(weight = 0.90, allotted = 300, evidence = 120, share = 0.25, maxHoldSeconds = 300),
             )
 
         /** Builds the plan of [preset] for a move that lasts [duration] from its start to its deadline. */
@@ -68,7 +68,7 @@
         }
 
         /** Leaves time in each step for outcomes that arrive late. */
-        private const val HOLD_SHARE = 0.8
+        private const val HOLD_SHARE = 0.95
 
         private class Shape(
             val weight: Double,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -62,7 +62,8 @@
  * @property usedRequests requests sent to the new version so far, in all steps.
  * @property requestsPerSecond recent demand on the route.
  * @property outcomesByStep outcomes of the new version per step.
- * @property logEvidence logarithms of the guard's e-values, see [VersionGuard.logEvidence].
+ * @property failures failures on this router.
+ * @property logEvidence logarithms of the e-values of durations: for latency, first token and between tokens, one for each alternative.
  * @property hasAgreed whether the router agrees to complete the move at [version].
  */
 @Serializable
@@ -73,6 +74,7 @@
     val usedRequests: Long,
     val requestsPerSecond: Double,
     val outcomesByStep: List<Long>,
+    val failures: OutcomeCounts,
     val logEvidence: List<Double>,
     val verdict: Verdict? = null,
     val hasAgreed: Boolean = false,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -89,6 +89,7 @@
         usedRequests = usedRequests,
         requestsPerSecond = rate(),
         outcomesByStep = outcomes.toList(),
+        failures = guard.failures,
         logEvidence = guard.logEvidence,
         verdict = verdict,
         hasAgreed = hasAgreed && verdict == null,
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -273,6 +273,7 @@
             pausedUntil = until
             log("r$index stalls ${seconds}s in $call")
             while (nowMillis < until - 1_500) tick(hasFaults = false)
+            if (random.nextInt(4) == 0) takeBack("op9")
             pausedUntil = before
             isStalled = false
         }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/SequentialComparisonTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/SequentialComparisonTest.kt
@@ -17,12 +17,13 @@
             errorRate: Double,
         ): Int? {
             val comparison = SequentialComparison(0.02)
+            val evidence = Evidence()
             var newCount = 0
             repeat(1_000) {
                 val side = if (random.nextDouble() < weight) MoveSide.NEW else MoveSide.OLD
                 if (side == MoveSide.NEW) newCount++
-                comparison.add(side, random.nextDouble() < if (side == MoveSide.NEW) newShare else oldShare)
-                if (SequentialComparison.logMean(comparison.logEvidence) >= ln(1 / errorRate)) return newCount
+                comparison.add(side, random.nextDouble() < if (side == MoveSide.NEW) newShare else oldShare)?.let(evidence::add)
+                if (evidence.log >= ln(1 / errorRate)) return newCount
             }
             return null
         }
