rollout: start each comparison from the old version's earlier failures

Cause: in a quiet hour few outcomes are seen, and the first step gave exposure to three of eight routers, so good versions lacked outcomes and bad ones were not told apart. Ruled out: a larger weight than one half in early steps (it exposes more requests to gain little, since the old outcomes then run short). Change: routers keep failures of the version in force while no move runs; guards and the pooled test start from them; at least one request for each router at the start of a step; fewer outcomes are needed to complete (3 and 6 instead of 4 and 10).

--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -11,7 +11,7 @@
     /** A step that ends behind its schedule, as after a change of the controller, is held for this part of its hold time. */
     private const val LATE_HOLD_SHARE = 0.5
 
-    /** The part of a step's allotment that is available at its start; the rest follows evenly over the hold time. */
+    /** The part of a step's allotment that is available at its start (at least one request for each router); the rest follows evenly over the hold time. */
     private const val FIRST_SHARE = 0.25
 
     /** With little traffic, the weight grows up to this so that the evidence is gathered in time. */
@@ -113,7 +113,8 @@
     ): MoveRecord {
         val hold = maxOf(record.plan.steps[step].holdMillis, 1).toDouble()
         val paced = minOf(1.0, FIRST_SHARE + (view.nowMillis - record.stepStartedAtMillis) / hold)
-        val limit = record.allottedRequests - record.stepAllottedRequests + (record.stepAllottedRequests * paced).toLong()
+        val first = minOf(record.stepAllottedRequests, view.heard.size.toLong())
+        val limit = record.allottedRequests - record.stepAllottedRequests + maxOf(first, (record.stepAllottedRequests * paced).toLong())
         var free = limit - record.grants.values.sum()
         val wants = view.heard.sorted().associateWith { want(record, it, view) }.filterValues { it > 0 }
         if (free <= 0 || wants.isEmpty()) return record
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MovePlan.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MovePlan.kt
@@ -62,8 +62,8 @@
                     MoveStep(it.weight, it.allotted, it.evidence, hold.toLong(), (usableMillis * endShare).toLong())
                 }
             return when (preset) {
-                MovePreset.AVAILABILITY -> MovePlan(preset, steps, errorRate = 0.01, leastOutcomes = 4)
-                MovePreset.EXPOSURE -> MovePlan(preset, steps, errorRate = 0.02, leastOutcomes = 10)
+                MovePreset.AVAILABILITY -> MovePlan(preset, steps, errorRate = 0.01, leastOutcomes = 3)
+                MovePreset.EXPOSURE -> MovePlan(preset, steps, errorRate = 0.02, leastOutcomes = 6)
             }
         }
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
@@ -26,6 +26,7 @@
         val sums = DoubleArray(DURATION_METRICS.size * SequentialComparison.ALTERNATIVE_COUNT)
         for ((router, report) in reports.entries.sortedBy { it.key }) {
             val last = seen.put(router, report)
+            if (last == null) failures.learn(report.earlierFailures)
             addFailures(last?.failures ?: OutcomeCounts(), report.failures)
             for (index in sums.indices) sums[index] += report.logEvidence[index] - (last?.logEvidence?.get(index) ?: 0.0)
         }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -63,6 +63,7 @@
  * @property requestsPerSecond recent demand on the route.
  * @property outcomesByStep outcomes of the new version per step.
  * @property failures failures on this router.
+ * @property earlierFailures failures of the old version on this router before the move.
  * @property logEvidence logarithms of the e-values of durations: for latency, first token and between tokens, one for each alternative.
  * @property hasAgreed whether the router agrees to complete the move at [version].
  */
@@ -75,6 +76,7 @@
     val requestsPerSecond: Double,
     val outcomesByStep: List<Long>,
     val failures: OutcomeCounts,
+    val earlierFailures: OutcomeCounts,
     val logEvidence: List<Double>,
     val verdict: Verdict? = null,
     val hasAgreed: Boolean = false,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -9,13 +9,13 @@
 /** What one router knows about the latest move of a route. Not safe for concurrent use; [VersionRouter] holds its lock. */
 internal class RouteMove(
     snapshot: MoveSnapshot,
-    val durations: Map<GuardMetric, DurationWindow>,
+    private val baseline: RouteBaseline,
     private val monotonic: TimeSource,
 ) {
     var snapshot = snapshot
         private set
     val record: MoveRecord get() = snapshot.record
-    val guard = VersionGuard(snapshot.record.plan, durations)
+    val guard = VersionGuard(snapshot.record.plan, baseline)
     val pending = LinkedHashMap<VersionChoice, TimeMark>()
 
     /** The object version at which this router agreed to complete the move; a newer version voids the agreement. */
@@ -90,6 +90,7 @@
         requestsPerSecond = rate(),
         outcomesByStep = outcomes.toList(),
         failures = guard.failures,
+        earlierFailures = baseline.failures,
         logEvidence = guard.logEvidence,
         verdict = verdict,
         hasAgreed = hasAgreed && verdict == null,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/SequentialComparison.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/SequentialComparison.kt
@@ -44,6 +44,12 @@
         return if (pendingOld.isNotEmpty() && pendingNew.isNotEmpty()) closeBlock() else null
     }
 
+    /** Takes outcomes of the old version from before the move; they bear on the bets and the reference only. */
+    fun learn(earlier: OutcomeCounts) {
+        oldCount += earlier.old
+        oldBad += earlier.oldBad
+    }
+
     private fun closeBlock(): List<Double> {
         val old = Counts.of(pendingOld)
         val new = Counts.of(pendingNew)
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
@@ -13,7 +13,7 @@
  */
 internal class VersionGuard(
     plan: MovePlan,
-    private val durations: Map<GuardMetric, DurationWindow>,
+    private val baseline: RouteBaseline,
 ) {
     private val comparisons = GuardMetric.entries.associateWith { SequentialComparison(priorShare(it)) }
     private val evidence = GuardMetric.entries.associateWith { Evidence() }
@@ -30,6 +30,10 @@
     var finding: GuardMetric? = null
         private set
 
+    init {
+        comparisons.getValue(GuardMetric.FAILURES).learn(baseline.failures)
+    }
+
     fun add(
         side: MoveSide,
         observation: VersionObservation,
@@ -48,7 +52,7 @@
         duration: Duration?,
     ) {
         if (duration == null) return
-        val window = durations.getValue(metric)
+        val window = baseline.durations.getValue(metric)
         window.thresholdNanos?.let { addOutcome(metric, side, duration.toNanos() > it) }
         if (side == MoveSide.OLD) window.add(duration.toNanos())
     }
@@ -68,10 +72,6 @@
         private const val PRIOR_FAILURE_SHARE = 0.02
         private const val PRIOR_SLOW_SHARE = 0.1
 
-        /** Returns windows without durations. */
-        fun emptyDurations(): Map<GuardMetric, DurationWindow> =
-            (GuardMetric.entries - GuardMetric.FAILURES).associateWith { DurationWindow() }
-
         /** The expected share of bad outcomes of an old version of which nothing was seen yet. */
         fun priorShare(metric: GuardMetric): Double = if (metric == GuardMetric.FAILURES) PRIOR_FAILURE_SHARE else PRIOR_SLOW_SHARE
     }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
@@ -50,7 +50,7 @@
     private val lock = Any()
     private val routes = HashMap<RouteId, RouteMove>()
     private val verdicts = LinkedHashMap<MoveId, Verdict>()
-    private val idleDurations = HashMap<RouteId, Map<GuardMetric, DurationWindow>>()
+    private val baselines = HashMap<RouteId, RouteBaseline>()
     private val unsent = LinkedHashMap<MoveId, MutableSet<InstanceId>>()
     private var polledAt: TimeMark? = null
     private val pollInterval: Duration = policy.pollInterval.toKotlinDuration() * (1.0 + MAX_JITTER * fraction("poll", self.key))
@@ -98,7 +98,7 @@
             synchronized(lock) {
                 val move = routes[choice.route]
                 if (move == null || choice.move == null) {
-                    learn(choice.route, observation)
+                    baselines.getOrPut(choice.route) { RouteBaseline() }.learn(observation)
                     null
                 } else if (move.record.id == choice.move) {
                     move.close(choice, observation)
@@ -206,8 +206,7 @@
                     known != null && known.snapshot.version >= snapshot.version -> return
                     known != null && known.record.id == snapshot.record.id -> known.adopt(snapshot)
                     else -> {
-                        val durations = idleDurations.remove(route) ?: VersionGuard.emptyDurations()
-                        routes[route] = RouteMove(snapshot, durations, monotonic)
+                        routes[route] = RouteMove(snapshot, baselines.remove(route) ?: RouteBaseline(), monotonic)
                     }
                 }
                 if (snapshot.record.phase.isFinal) unsent.remove(snapshot.record.id)
@@ -271,18 +270,6 @@
         choices.forEach { record(it, VersionObservation(isSuccess = false)) }
     }
 
-    /** Durations seen while no move runs give a guard its thresholds from the first request on. */
-    private fun learn(
-        route: RouteId,
-        observation: VersionObservation,
-    ) {
-        if (!observation.isSuccess) return
-        val windows = idleDurations.getOrPut(route) { VersionGuard.emptyDurations() }
-        observation.latency?.let { windows.getValue(GuardMetric.LATENCY).add(it.toNanos()) }
-        observation.firstToken?.let { windows.getValue(GuardMetric.FIRST_TOKEN).add(it.toNanos()) }
-        observation.betweenTokens?.let { windows.getValue(GuardMetric.BETWEEN_TOKENS).add(it.toNanos()) }
-    }
-
     private companion object {
         const val MAX_JITTER = 0.25
         const val MAX_VERDICTS = 256
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -90,6 +90,11 @@
             }
             6 -> startMove("op${random.nextInt(3)}")
             7 -> if (random.nextInt(4) == 0) takeBack("op${random.nextInt(3)}")
+            9, 10 -> {
+                val millis = random.nextLong(30_000, 120_000)
+                others.forEach { cut(node, it, millis) }
+                node.cutPlatform(millis)
+            }
             8 -> runBlocking { node.lease.release() }.also { log("r${node.index} stops") }.also { node.kill() }
         }
         if (isPlatformDown && random.nextInt(15) == 0) isPlatformDown = false
