publish: connect the platform over HTTP

Cause: the program ran against fakes only; after the platform loses its data, a new generation 1 would be refused by every router and yet count as confirmed. Ruled out: a suspending main function (it goes on in the HTTP client's event loop, which then waits 5 s for itself when it is closed). The settings name the platform as ADDRESS:PORT.

--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigPublisher.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigPublisher.kt
@@ -25,19 +25,21 @@
     /**
      * Publishes the content of [config] as the generation after [comparedWith], which is 0 before the first one.
      *
-     * An own write whose answer was lost is recognised by content hash and [author].
+     * An own write whose answer was lost is recognised by content hash and [author]. [newestReported] is the highest generation that a
+     * router reports: after the platform lost data the new generation must exceed it, since no router goes back.
      */
     suspend fun publish(
         config: FleetConfig,
         comparedWith: Long,
         author: String,
+        newestReported: Long = 0,
     ): Result<Published, PublishError> {
         val problems = config.problems()
         if (problems.isNotEmpty()) return Err(PublishError.Invalid(problems))
         val hash = config.contentHash()
         val next =
             config.sorted().copy(
-                generation = comparedWith + 1,
+                generation = maxOf(comparedWith, newestReported) + 1,
                 publication = Publication(author, clock.instant(), hash),
             )
         val isOwn: (FleetConfig) -> Boolean = {
@@ -68,7 +70,8 @@
                         publication?.publishedAt,
                     ),
                 )
-            publication?.contentHash == next.publication?.contentHash && current != null -> Change.Keep
+            current != null && generation + 1 == next.generation && publication?.contentHash == next.publication?.contentHash ->
+                Change.Keep
             else -> Change.Write(next)
         }
     }
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/ConfirmationReader.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/ConfirmationReader.kt
@@ -37,13 +37,18 @@
         }
     }
 
+    /** Returns the highest generation that any router reported; 0 for none. */
+    suspend fun newestReported(): Result<Long, StoreError> =
+        statuses().map { statuses -> statuses.maxOfOrNull { it.generation } ?: 0 }
+
     private suspend fun read(generation: Long): Result<Confirmation, StoreError> =
         platform.directory.list().flatMap { listed ->
-            platform.store.list(RouterStatus.PREFIX).map { page ->
-                Confirmation.evaluate(listed, page.objects.mapNotNull(::decode), generation, clock.instant())
-            }
+            statuses().map { Confirmation.evaluate(listed, it, generation, clock.instant()) }
         }
 
+    private suspend fun statuses(): Result<List<RouterStatus>, StoreError> =
+        platform.store.list(RouterStatus.PREFIX).map { page -> page.objects.mapNotNull(::decode) }
+
     private fun decode(stored: StoredObject): RouterStatus? =
         try {
             TypedObject.JSON.decodeFromString(RouterStatus.serializer(), stored.value)
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/Main.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/Main.kt
@@ -1,10 +1,11 @@
 package io.limpetfold.publish
 
+import kotlinx.coroutines.runBlocking
 import kotlin.system.exitProcess
 
 /** Runs `limpetfold-publish`. */
-suspend fun main(args: Array<String>) {
-    exitProcess(PublishProgram(::connect).execute(args.toList()))
+fun main(args: Array<String>) {
+    // Without a dispatcher of its own the program would go on in the event loop of the HTTP client, which it closes at the end.
+    val code = runBlocking { PublishProgram(HttpPlatform::connect).execute(args.toList()) }
+    exitProcess(code)
 }
-
-private fun connect(settings: PublishSettings): Platform = TODO("platform client: ${settings.platformUrl}")
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PlatformCommand.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PlatformCommand.kt
@@ -18,7 +18,7 @@
     private val settingsPath by option("--settings", metavar = "FILE")
         .path()
         .required()
-        .help("Settings of this program in YAML; platformUrl is required")
+        .help("Settings of this program in YAML; 'platform: ADDRESS:PORT' is required")
 
     final override suspend fun run() {
         val config = load()
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishSettings.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishSettings.kt
@@ -9,15 +9,15 @@
 /**
  * Settings of `limpetfold-publish`.
  *
- * @property platformUrl base of the platform's object API.
+ * @property platform address and port of the platform's object API.
  * @property author recorded with each generation; empty takes the name of the operating system's user.
  * @property callTimeout bound on one call to the platform.
  * @property confirmWithin how long `publish` waits for all routers; the fleet's bound on propagation is 18 s.
  */
 @Serializable
 data class PublishSettings(
-    @AllowedText("https?://[A-Za-z0-9.:\\[\\]-]+")
-    val platformUrl: String,
+    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    val platform: String,
     val author: String = "",
     @AllowedRange("100ms", "1m")
     @Serializable(with = DurationText::class)
