standins: add platform, engine and plain service

Cause: tests, demos and measurements need the outside systems of the design page with their faults. Ruled out: one program with modes; each stand-in has its own settings. Change: three programs with checked YAML settings, whose logic also runs in process; faults are seeded and can be changed while they run. Conclusion: the stand-ins serve the protocols of section 4.3.

--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineJson.kt
@@ -0,0 +1,67 @@
+package io.limpetfold.standins
+
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+
+/** The JSON of chat completions. */
+internal object EngineJson {
+    /** The text of one generated token. */
+    fun text(index: Int): String = "t$index "
+
+    fun token(stream: EngineStream): String =
+        buildJsonObject {
+            put("id", stream.requestId)
+            put("object", "chat.completion.chunk")
+            putJsonArray("choices") {
+                addJsonObject {
+                    put("index", 0)
+                    putJsonObject("delta") { put("content", text(stream.generatedTokens)) }
+                }
+            }
+        }.toString()
+
+    fun usage(stream: EngineStream): String =
+        buildJsonObject {
+            put("id", stream.requestId)
+            put("object", "chat.completion.chunk")
+            putJsonArray("choices") {}
+            putUsage(stream)
+        }.toString()
+
+    fun whole(stream: EngineStream): String =
+        buildJsonObject {
+            put("id", stream.requestId)
+            put("object", "chat.completion")
+            putJsonArray("choices") {
+                addJsonObject {
+                    put("index", 0)
+                    put("finish_reason", "length")
+                    putJsonObject("message") {
+                        put("role", "assistant")
+                        put("content", (1..stream.generatedTokens).joinToString("") { text(it) })
+                    }
+                }
+            }
+            putUsage(stream)
+        }.toString()
+
+    /** The state of a stream and what it used. */
+    fun state(stream: EngineStream): String =
+        buildJsonObject {
+            put("id", stream.requestId)
+            put("state", stream.state.name.lowercase())
+            putUsage(stream)
+        }.toString()
+
+    private fun JsonObjectBuilder.putUsage(stream: EngineStream) {
+        putJsonObject("usage") {
+            put("prompt_tokens", stream.promptTokens)
+            put("completion_tokens", stream.generatedTokens)
+            put("total_tokens", stream.promptTokens + stream.generatedTokens)
+        }
+    }
+}
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/JsonAnswers.kt
@@ -0,0 +1,34 @@
+package io.limpetfold.standins
+
+import io.limpetfold.http.ErrorBody
+import io.limpetfold.http.Headers
+import io.limpetfold.http.HttpExchange
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+
+internal val JSON =
+    Json {
+        encodeDefaults = true
+        ignoreUnknownKeys = false
+    }
+
+internal val JSON_HEADERS = Headers.of("Content-Type" to "application/json")
+
+internal suspend fun <T> HttpExchange.answer(
+    serializer: KSerializer<T>,
+    value: T,
+    status: Int = 200,
+) = respond(status, JSON_HEADERS, JSON.encodeToString(serializer, value).encodeToByteArray())
+
+/** Answers with an error; [ran] is `no`, `yes` or `unknown`. */
+internal suspend fun HttpExchange.fail(
+    status: Int,
+    type: String,
+    message: String,
+    ran: String,
+    extra: Headers = Headers.EMPTY,
+) = respond(
+    status,
+    Headers.of(JSON_HEADERS.entries + extra.entries),
+    ErrorBody.encode(type, message, "see docs/design.md, 4.3", ran, head.headers["X-Request-Id"]),
+)
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceSettings.kt
@@ -0,0 +1,33 @@
+package io.limpetfold.standins
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of the plain service stand-in.
+ *
+ * @property delayMillis time before the effect.
+ * @property failBeforeShare share of the bookings that fail with status 500 without an effect.
+ * @property refuseShare share of the bookings that are refused with 503 as not started.
+ * @property failAfterShare share of the bookings that take effect and fail with status 500.
+ * @property loseAfterShare share of the bookings that take effect and whose connection is closed without an answer.
+ * @property readBytesPerSecond pace at which request bodies are read; 0 reads at once.
+ * @property seed seeds the draws.
+ */
+@Serializable
+data class PlainServiceSettings(
+    val version: String = "v1",
+    val delayMillis: Long = 0,
+    val failBeforeShare: Double = 0.0,
+    val refuseShare: Double = 0.0,
+    val failAfterShare: Double = 0.0,
+    val loseAfterShare: Double = 0.0,
+    val readBytesPerSecond: Long = 0,
+    val echoesRequestId: Boolean = true,
+    val seed: Long = 1,
+) {
+    init {
+        val shares = listOf(failBeforeShare, refuseShare, failAfterShare, loseAfterShare)
+        require(shares.all { it in 0.0..1.0 } && shares.sum() <= 1.0) { "the shares sum to ${shares.sum()}: lower them to at most 1" }
+        require(delayMillis >= 0 && readBytesPerSecond >= 0) { "delayMillis or readBytesPerSecond is negative: use 0 or more" }
+    }
+}
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformObjects.kt
@@ -0,0 +1,71 @@
+package io.limpetfold.standins
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.TreeMap
+
+/** The objects of the platform stand-in, with versions that increase over the whole store. */
+class PlatformObjects {
+    /** An object and the version of its last write. */
+    data class Entry(
+        val key: String,
+        val version: Long,
+        val value: String,
+    )
+
+    /** The outcome of a conditional write. */
+    sealed interface Written {
+        data class At(
+            val version: Long,
+        ) : Written
+
+        data class Conflict(
+            val current: Long,
+        ) : Written
+    }
+
+    private val objects = TreeMap<String, Entry>()
+    private val version = MutableStateFlow(0L)
+
+    fun get(key: String): Entry? = synchronized(objects) { objects[key] }
+
+    /** Writes [value] if the object is at [expected], 0 meaning that it does not exist. */
+    fun put(
+        key: String,
+        value: String,
+        expected: Long,
+    ): Written =
+        synchronized(objects) {
+            val current = objects[key]?.version ?: 0
+            if (current != expected) return Written.Conflict(current)
+            val next = version.value + 1
+            objects[key] = Entry(key, next, value)
+            version.value = next
+            Written.At(next)
+        }
+
+    /** Returns the newest versions above [after] of the objects under [prefix], and the version of the store. */
+    fun list(
+        prefix: String,
+        after: Long,
+    ): Pair<List<Entry>, Long> =
+        synchronized(objects) {
+            objects
+                .tailMap(prefix)
+                .values
+                .takeWhile { it.key.startsWith(prefix) }
+                .filter { it.version > after }
+                .sortedBy { it.version } to version.value
+        }
+
+    /** Waits up to [waitMillis] for a change under [prefix] above [after]. */
+    suspend fun watch(
+        prefix: String,
+        after: Long,
+        waitMillis: Long,
+    ): Pair<List<Entry>, Long> {
+        withTimeoutOrNull(waitMillis) { version.first { list(prefix, after).first.isNotEmpty() } }
+        return list(prefix, after)
+    }
+}
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
@@ -0,0 +1,182 @@
+package io.limpetfold.standins
+
+import io.limpetfold.http.Headers
+import io.limpetfold.http.HttpExchange
+import io.limpetfold.http.HttpHandler
+import io.limpetfold.http.whileConnected
+import io.limpetfold.peer.ListedInstance
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import java.net.URLDecoder
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+/** The platform: object API, instance list, and faults set by `POST /admin/faults`. */
+class PlatformStandin(
+    settings: PlatformStandinSettings = PlatformStandinSettings(),
+) : HttpHandler {
+    val objects = PlatformObjects()
+    val instances = InstanceList(settings.instances, settings.listLagMillis)
+    private val writes = RateWindow(settings.writesPerSecond)
+    private val reads = RateWindow(settings.readsPerSecond)
+    private val random = Random(settings.seed)
+    private val counts = ConcurrentHashMap<String, AtomicLong>()
+    private val waitingWatches = AtomicInteger()
+
+    /** The faults in force. */
+    @Volatile
+    var faults: List<FaultSettings> = settings.faults
+
+    override suspend fun handle(exchange: HttpExchange) {
+        val path = exchange.head.path
+        if (path.startsWith("/admin/")) return admin(exchange)
+        val isWrite = exchange.head.method == "PUT"
+        val fault = draw(exchange.head.method, path)
+        if (fault != null && fault.latencyMillis > 0) delay(fault.latencyMillis)
+        if (fault?.kind == FaultSettings.Kind.REQUEST_LOST) {
+            count("requestsLost")
+            return lose(exchange)
+        }
+        if (fault?.kind == FaultSettings.Kind.OUTAGE) {
+            count("outages")
+            return exchange.fail(503, "unavailable", "the platform is down", "no")
+        }
+        val limit = if (isWrite) writes else reads
+        if (!limit.tryAcquire()) {
+            count("rateLimited")
+            return exchange.fail(429, "rate_limited", "too many calls", "no", Headers.of("Retry-After" to "1"))
+        }
+        count(if (isWrite) "writes" else "reads")
+        val isAnswerLost = fault?.kind == FaultSettings.Kind.ANSWER_LOST
+        if (isAnswerLost) count("answersLost")
+        serve(exchange, path, isAnswerLost)
+    }
+
+    /** Counts of calls by kind. */
+    fun stats(): Map<String, Long> = counts.mapValues { it.value.get() }.toSortedMap() + ("waitingWatches" to waitingWatches.get().toLong())
+
+    private suspend fun serve(
+        exchange: HttpExchange,
+        path: String,
+        isAnswerLost: Boolean,
+    ) {
+        val key = URLDecoder.decode(path.removePrefix("/v1/objects/"), Charsets.UTF_8)
+        when {
+            path == "/v1/instances" && exchange.head.method == "GET" ->
+                if (isAnswerLost) lose(exchange) else exchange.answer(ListSerializer(ListedInstance.serializer()), instances.visible())
+            path == "/v1/objects" && exchange.head.method == "GET" -> if (isAnswerLost) lose(exchange) else page(exchange)
+            !path.startsWith("/v1/objects/") -> exchange.fail(404, "not_found", "no such path", "no")
+            exchange.head.method == "GET" -> if (isAnswerLost) lose(exchange) else read(exchange, key)
+            exchange.head.method == "PUT" -> write(exchange, key, isAnswerLost)
+            else -> exchange.fail(405, "method_not_allowed", "use GET or PUT", "no")
+        }
+    }
+
+    private suspend fun read(
+        exchange: HttpExchange,
+        key: String,
+    ) {
+        val found = objects.get(key) ?: return exchange.fail(404, "not_found", "no such object", "no")
+        exchange.respond(200, JSON_HEADERS.with("ETag", "\"${found.version}\""), found.value.encodeToByteArray())
+    }
+
+    private suspend fun write(
+        exchange: HttpExchange,
+        key: String,
+        isAnswerLost: Boolean,
+    ) {
+        val value = exchange.readBody(MAX_VALUE_BYTES).decodeToString()
+        val match = exchange.head.headers["If-Match"]?.removeSurrounding("\"")?.toLongOrNull()
+        val mustNotExist = exchange.head.headers["If-None-Match"] == "*"
+        if ((match == null) == !mustNotExist) return exchange.fail(428, "condition_required", "send If-Match or If-None-Match: *", "no")
+        val written = objects.put(key, value, match ?: 0)
+        if (isAnswerLost) return lose(exchange)
+        when (written) {
+            is PlatformObjects.Written.At -> exchange.respond(200, JSON_HEADERS.with("ETag", "\"${written.version}\""))
+            is PlatformObjects.Written.Conflict -> {
+                count("conflicts")
+                exchange.fail(412, "conflict", "the object has another version", "no", Headers.of("ETag" to "\"${written.current}\""))
+            }
+        }
+    }
+
+    private suspend fun page(exchange: HttpExchange) {
+        val prefix = exchange.head.query("prefix").orEmpty()
+        val after = exchange.head.query("after")?.toLongOrNull() ?: 0
+        val waitMillis = exchange.head.query("waitMillis")?.toLongOrNull()?.coerceAtMost(MAX_WAIT_MILLIS) ?: 0
+        waitingWatches.incrementAndGet()
+        val (found, position) =
+            try {
+                exchange.whileConnected { objects.watch(prefix, after, waitMillis) }
+            } finally {
+                waitingWatches.decrementAndGet()
+            }
+        exchange.answer(Page.serializer(), Page(found.map { PageObject(it.key, it.version, it.value) }, position))
+    }
+
+    private suspend fun admin(exchange: HttpExchange) {
+        val path = "${exchange.head.method} ${exchange.head.path}"
+        val body = exchange.readBody(MAX_VALUE_BYTES).decodeToString()
+        try {
+            when (path) {
+                "POST /admin/faults" -> faults = JSON.decodeFromString(ListSerializer(FaultSettings.serializer()), body)
+                "POST /admin/instances" -> instances.replace(JSON.decodeFromString(ListSerializer(ListedInstance.serializer()), body))
+                "POST /admin/lag" -> instances.lagMillis = JSON.decodeFromString(Lag.serializer(), body).listLagMillis
+                "GET /admin/stats" -> Unit
+                else -> return exchange.fail(404, "not_found", "no such path", "no")
+            }
+        } catch (e: SerializationException) {
+            return exchange.fail(400, "invalid_request", e.message.orEmpty(), "no")
+        } catch (e: IllegalArgumentException) {
+            return exchange.fail(400, "invalid_request", e.message.orEmpty(), "no")
+        }
+        exchange.answer(Stats.serializer(), Stats(stats()))
+    }
+
+    private fun draw(
+        method: String,
+        path: String,
+    ): FaultSettings? {
+        val fault = faults.lastOrNull { path.startsWith(it.pathPrefix) && (it.method.isEmpty() || it.method == method) } ?: return null
+        return fault.takeIf { synchronized(random) { random.nextDouble() } < it.probability }
+    }
+
+    /** Closes the connection without an answer. */
+    private suspend fun lose(exchange: HttpExchange) = exchange.respondStream(200, Headers.of("Content-Length" to "1")).abort()
+
+    private fun count(kind: String) {
+        counts.computeIfAbsent(kind) { AtomicLong() }.incrementAndGet()
+    }
+
+    @Serializable
+    private data class PageObject(
+        val key: String,
+        val version: Long,
+        val value: String,
+    )
+
+    @Serializable
+    private data class Page(
+        val objects: List<PageObject>,
+        val position: Long,
+    )
+
+    @Serializable
+    private data class Lag(
+        val listLagMillis: Long,
+    )
+
+    @Serializable
+    private data class Stats(
+        val counts: Map<String, Long>,
+    )
+
+    private companion object {
+        const val MAX_VALUE_BYTES = 1_000_000
+        const val MAX_WAIT_MILLIS = 60_000L
+    }
+}
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinCommand.kt
@@ -0,0 +1,54 @@
+package io.limpetfold.standins
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.versionOption
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.int
+import io.limpetfold.http.HttpEventLoops
+import io.limpetfold.http.HttpHandler
+import kotlinx.serialization.KSerializer
+import java.util.concurrent.CountDownLatch
+
+/** The command line that all stand-ins share; prints the address on standard output once it listens. */
+abstract class StandinCommand<S : Any>(
+    name: String,
+    private val serializer: KSerializer<S>,
+) : CliktCommand(name) {
+    private val host by option("--host", help = "IP address to listen on").default("127.0.0.1")
+    private val port by option("--port", help = "port to listen on; 0 chooses a free one").int().default(0)
+    private val settings by option("--settings", help = "YAML settings file; see the module's README").file(mustExist = true, canBeDir = false)
+    private val set by option("--set", help = "YAML mapping that is used instead of a file, as in '{latencyMillis: 5}'")
+
+    init {
+        versionOption(StandinCommand::class.java.`package`.implementationVersion ?: "development")
+    }
+
+    /** Returns the handler for checked settings. */
+    protected abstract fun handler(settings: S): HttpHandler
+
+    override fun run() {
+        val text = set ?: settings?.readText()?.takeIf { it.isNotBlank() } ?: "{}"
+        val source = settings?.path ?: "--set"
+        val checked =
+            try {
+                Yaml.default.decodeFromString(serializer, text)
+            } catch (e: YamlException) {
+                throw CliktError("$source:${e.line}:${e.column}: ${e.path.toHumanReadableString()}: ${e.message}", e, statusCode = 2)
+            } catch (e: IllegalArgumentException) {
+                throw CliktError("$source: ${e.message}", e, statusCode = 2)
+            }
+        HttpEventLoops().use { loops ->
+            StandinProcess(host, port, loops, handler(checked)).use { process ->
+                val stopped = CountDownLatch(1)
+                Runtime.getRuntime().addShutdownHook(Thread(stopped::countDown))
+                echo("listening ${process.address}")
+                stopped.await()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinProcess.kt
@@ -0,0 +1,28 @@
+package io.limpetfold.standins
+
+import io.limpetfold.http.BufferBudget
+import io.limpetfold.http.HttpEventLoops
+import io.limpetfold.http.HttpHandler
+import io.limpetfold.http.HttpServer
+import io.limpetfold.http.HttpServerSettings
+import io.limpetfold.http.UpstreamAddress
+
+/** Serves a stand-in on one address; used by the programs and by tests in process. */
+class StandinProcess(
+    host: String,
+    port: Int,
+    loops: HttpEventLoops,
+    handler: HttpHandler,
+) : AutoCloseable {
+    private val server =
+        HttpServer(HttpServerSettings(host, port, maxBodyBytes = MAX_BODY_BYTES, maxConnections = 20_000), loops, BufferBudget(), handler).start()
+
+    /** Where the stand-in listens. */
+    val address: UpstreamAddress get() = server.address
+
+    override fun close() = server.close()
+
+    private companion object {
+        const val MAX_BODY_BYTES = 16L * 1024 * 1024
+    }
+}
