http: time only awaited bodies and write large bodies in pieces

Cause: a handler that turned late to a body could see a 408 at once, because the time before it waited was counted; a large body in memory had to leave within one idle timeout; a cancelled request could still be sent on a connection that had just opened; header names with rarer token characters were refused. Ruled out: a longer body timeout, which hides the wrong start of the count. Change: the body timer starts when a reader waits; bodies above one piece are written like streams; cancellation is checked before the first byte; header names follow the token rule of RFC 9110; HTTP/1.0 connections are not kept. Conclusion: timeouts count the time of the party that is waited for.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -169,7 +169,7 @@
                 traits =
                     ServerExchange.Traits(
                         isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1,
-                        isKeepAlive = HttpUtil.isKeepAlive(request),
+                        isKeepAlive = HttpUtil.isKeepAlive(request) && request.protocolVersion() == HttpVersion.HTTP_1_1,
                         hasAnswerBody = request.method() != HttpMethod.HEAD,
                         expectsContinue = HttpUtil.is100ContinueExpected(request),
                     ),
@@ -252,8 +252,9 @@
         running: ServerExchange,
         now: Long,
     ) {
-        val isBodyStalled = !isRequestComplete && running.isBodyAwaited && isOver(activityNanos, now, settings.bodyIdleTimeout)
-        if (isBodyStalled) {
+        val awaitedSince = running.bodyAwaitedSinceNanos
+        val isBodyAwaited = !isRequestComplete && awaitedSince != null
+        if (isBodyAwaited && isOver(maxOf(activityNanos, awaitedSince), now, settings.bodyIdleTimeout)) {
             running.queue.fail(RequestBodyException(TIMEOUT, "the body took too long: send it without pauses"), afterPieces = false)
         }
         if (!running.outbound.isEmpty && isOver(running.outbound.progressNanos, now, settings.writeIdleTimeout)) {
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -36,9 +36,9 @@
     /** Whether the head of an answer was written. */
     val isAnswerBegun: Boolean get() = isBegun.get()
 
-    /** Whether a reader waits for the body; used to time only bodies that somebody waits for. */
+    /** Since when a reader waits for the body, or null; only a body that somebody waits for is timed. */
     @Volatile
-    var isBodyAwaited = false
+    var bodyAwaitedSinceNanos: Long? = null
         private set
 
     /** Whether the connection may carry another request after this one; valid once the answer has begun. */
@@ -53,11 +53,11 @@
             if (isContinuePending.compareAndSet(true, false) && !isBegun.get()) {
                 channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
             }
-            isBodyAwaited = true
+            bodyAwaitedSinceNanos = System.nanoTime()
             try {
                 queue.next()
             } finally {
-                isBodyAwaited = false
+                bodyAwaitedSinceNanos = null
             }
         }
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -20,6 +20,9 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import java.util.concurrent.atomic.AtomicReference
@@ -56,6 +59,7 @@
         request: UpstreamRequest,
     ): Result<UpstreamAnswer, UpstreamError> {
         invalidity(request)?.let { return Err(UpstreamError.NotSent(UpstreamError.Reason.INVALID_REQUEST, it)) }
+        val sent = inPieces(request)
         while (true) {
             val connection =
                 when (val slot = pool.take(address)) {
@@ -65,8 +69,10 @@
                         return notSent(UpstreamError.Reason.POOL_EXHAUSTED, "all connections to $address are in use")
                     ConnectionPool.Slot.Closed -> return notSent(UpstreamError.Reason.POOL_CLOSED, "the client was closed")
                 }
+            if (!currentCoroutineContext().isActive) pool.onIdle(connection)
+            currentCoroutineContext().ensureActive()
             // A connection that can't be used has written nothing, so that the request may go out on the next one.
-            val exchange = connection.start(request) ?: continue
+            val exchange = connection.start(sent) ?: continue
             return answer(connection, exchange)
         }
     }
@@ -156,10 +162,20 @@
         }
     }
 
-    private fun isToken(name: String): Boolean = name.isNotEmpty() && name.all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in "-_." }
+    private fun isToken(name: String): Boolean = name.isNotEmpty() && name.all { it.isAsciiLetterOrDigit() || it in "!#$%&'*+-.^_`|~" }
+
+    /** A large body is written like a stream, so that the endpoint's pace and not the size of the body decides about its timeout. */
+    private fun inPieces(request: UpstreamRequest): UpstreamRequest {
+        val bytes = (request.body as? UpstreamBody.Bytes)?.bytes ?: return request
+        if (bytes.size <= budget.pieceBytes) return request
+        var rest: ByteArray? = bytes
+        return request.copy(body = UpstreamBody.Stream({ rest.also { rest = null } }, bytes.size.toLong()))
+    }
 
     private fun notSent(
         reason: UpstreamError.Reason,
         message: String,
     ) = Err(UpstreamError.NotSent(reason, message))
 }
+
+private fun Char.isAsciiLetterOrDigit(): Boolean = this in 'a'..'z' || this in 'A'..'Z' || this in '0'..'9'
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/HostileInputTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/HostileInputTest.kt
@@ -115,6 +115,8 @@
                     peer.readBytes(2) shouldBe "ok"
                 }
             }
+            val asking = "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+            send(asking + "ok") shouldContain "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"
             val head = send("HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
             head.lineSequence().first() shouldBe "HTTP/1.1 200 OK"
         }
