rollout: let test schedules cut off a router that holds a verdict

Cause: dropping the agreement before a completion, and letting a running move live past its deadline, changed no result of MoveSchedulePropertyTest, so it proved neither rule.

--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -37,6 +37,7 @@
     private val nodes = (0 until NODES).map { Node(it) }
     private val commands = MoveCommands(store, clock)
     private val newFailureShare = listOf(0.0, 0.0, 0.0, 0.6, 1.0).random(random)
+    private val badNode = if (random.nextInt(3) == 0) random.nextInt(NODES) else null
     private val badAfterSeconds = random.nextLong(0, 90)
     private val faultInterval = listOf(60, 200, 600).random(random)
     private val requestsPerTick = listOf(0.2, 0.6, 1.5).random(random)
@@ -90,16 +91,20 @@
             }
             6 -> startMove("op${random.nextInt(3)}")
             7 -> if (random.nextInt(4) == 0) takeBack("op${random.nextInt(3)}")
-            9, 10 -> {
-                val millis = random.nextLong(30_000, 120_000)
-                others.forEach { cut(node, it, millis) }
-                node.cutPlatform(millis)
-            }
+            9, 10 -> isolate(node, random.nextLong(30_000, 120_000))
             8 -> runBlocking { node.lease.release() }.also { log("r${node.index} stops") }.also { node.kill() }
         }
         if (isPlatformDown && random.nextInt(15) == 0) isPlatformDown = false
     }
 
+    private fun isolate(
+        node: Node,
+        millis: Long,
+    ) {
+        nodes.filter { it != node }.forEach { cut(node, it, millis) }
+        node.cutPlatform(millis)
+    }
+
     private fun startMove(operator: String) {
         val id = MoveId("m${moveCount++}")
         val preset = MovePreset.entries.random(random)
@@ -193,7 +198,8 @@
 
     private inner class Node(
         val index: Int,
-    ) : InstantSource {
+    ) : InstantSource,
+        RolloutListener {
         private val skewMillis = random.nextLong(-200, 201)
         private val view = store.withFaults { storeFault(it) }
         private val open = mutableListOf<Pair<Long, VersionChoice>>()
@@ -215,11 +221,20 @@
 
         override fun instant(): Instant = clock.instant().plusMillis(skewMillis)
 
+        /** A router that is cut off before it can send its verdict. */
+        override fun onWithdrawn(
+            verdict: Verdict,
+            isOwn: Boolean,
+        ) {
+            log("r$index withdraws ${verdict.move} own=$isOwn")
+            if (isOwn && random.nextBoolean()) isolate(this, random.nextLong(10_000, 120_000))
+        }
+
         private fun build() {
             val self = Incarnation(InstanceId("r$index"), number)
             val peers = hub.join(self)
             lease = LeaseKeeper(view, self, clock.monotonic)
-            router = VersionRouter(view, self, peers, this, clock.monotonic)
+            router = VersionRouter(view, self, peers, this, clock.monotonic, listener = this)
             controller =
                 MoveController(
                     view, lease, router, peers, { directory() }, { order, _ -> order(order) }, this, clock.monotonic,
@@ -293,7 +308,7 @@
             val due = open.filter { it.first <= nowMillis }
             open.removeAll(due)
             for ((_, choice) in due) {
-                val isNewBad = nowMillis - START >= badAfterSeconds * 1_000 && random.nextDouble() < newFailureShare
+                val isNewBad = (badNode == null || badNode == index) && nowMillis - START >= badAfterSeconds * 1_000 && random.nextDouble() < newFailureShare
                 router.record(choice, VersionObservation(if (choice.version == NEW) !isNewBad else random.nextDouble() >= 0.02))
             }
             val count = requestsPerTick.toInt() + if (random.nextDouble() < requestsPerTick % 1.0) 1 else 0
