--- /dev/null
+++ b/limpetfold-burn/src/test/kotlin/io/limpetfold/burn/BurnReportTest.kt
@@ -0,0 +1,59 @@
+package io.limpetfold.burn
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.shouldBe
+import io.limpetfold.config.FleetConfig
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class BurnReportTest :
+    FunSpec({
+        test("counts of all instances add up, and a short failure breaches the short window only") {
+            val clock = TestClock()
+            val logs = List(2) { BurnLog(clock) }
+            repeat(72) {
+                logs.forEach { log -> repeat(100) { log.record(ROUTE, WORKSPACE, hasFailed = false, isSlow = false) } }
+                clock.advance(Duration.ofMinutes(5))
+            }
+            logs.first().let { log -> repeat(80) { log.record(ROUTE, WORKSPACE, hasFailed = true, isSlow = false) } }
+            logs.last().let { log -> repeat(150) { log.record(ROUTE, WORKSPACE, hasFailed = false, isSlow = false) } }
+
+            val records = logs.mapIndexed { index, log -> log.toRecord("router-$index") }
+            val report = BurnReport.create(records, FleetConfig(maxRouters = 8), clock.instant())
+            val route = report.lines.filter { it.workspace == BurnReport.ALL }.associateBy { it.window }
+
+            // 80 failures among the 230 requests of the running bucket and the 200 of the one before.
+            route.getValue("5m").failed shouldBe 80
+            route.getValue("5m").availabilityBurn shouldBe (18.6 plusOrMinus 0.01)
+            route.getValue("5m").isBreached shouldBe true
+            route.getValue("1h").isBreached shouldBe false
+            route.getValue("6h").isBreached shouldBe false
+        }
+
+        test("workspaces beyond the bound are counted together, so that the stored record stays small") {
+            val log = BurnLog(TestClock())
+            repeat(500) { log.record(ROUTE, WorkspaceId("workspace-$it"), hasFailed = false, isSlow = false) }
+
+            val record = log.toRecord("router-1")
+            record.series.size shouldBe 101
+            record.series.single { it.workspace == BurnLog.OTHER }.buckets.single().total shouldBe 400
+        }
+
+        test("a new incarnation continues the counts of the instance") {
+            val clock = TestClock()
+            val old = BurnLog(clock).apply { record(ROUTE, WORKSPACE, hasFailed = true, isSlow = false) }
+            clock.advance(Duration.ofMinutes(10))
+            val next = BurnLog(clock).apply { record(ROUTE, WORKSPACE, hasFailed = false, isSlow = true) }
+            next.restore(old.toRecord("router-1"))
+
+            next.toRecord("router-1").series.single().buckets.map { it.failed to it.slow } shouldBe listOf(1L to 0L, 0L to 1L)
+        }
+    }) {
+    private companion object {
+        val ROUTE = RouteId("plans")
+        val WORKSPACE = WorkspaceId("crews")
+    }
+}
