membership, rollout: tell whether a seat is unused, and cancel version choices

Cause: the limiter must know whether an earlier holder may still use a seat's slots; a request that was never sent must not count against the exposure of a new version or become an overdue failure. Ruled out: always waiting before a seat gives a share (a fresh fleet would refuse requests for two minutes). Change: SeatRecord.isUnused, Seat, VersionRouter.cancel and untracked; Membership takes its own identity. Conclusion: a fresh or cleanly released seat is usable at once.

--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -28,6 +28,7 @@
  * @param describeSelf the heartbeat that this router sends, made anew for each round.
  */
 class Membership(
+    private val self: InstanceId,
     private val directory: InstanceDirectory,
     private val peers: PeerNetwork,
     monotonic: TimeSource,
@@ -36,7 +37,6 @@
     private val describeSelf: () -> Heartbeat,
 ) {
     private val start = monotonic.markNow()
-    private val self: InstanceId = describeSelf().incarnation.instance
     private var table = MemberTable()
     private var view = DirectoryView()
     private var directoryReadAt: Duration? = null
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatKeeper.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatKeeper.kt
@@ -34,7 +34,7 @@
     private val hasEnded: (Incarnation) -> Boolean,
 ) {
     @Volatile
-    private var held: Int? = null
+    private var held: Seat? = null
 
     @Volatile
     private var lastRound: TimeMark = monotonic.markNow()
@@ -43,7 +43,7 @@
     private var isSuspect = false
 
     /** The seat that this router may use now, or null. */
-    val seat: Int?
+    val seat: Seat?
         get() {
             if (lastRound.elapsedNow() > pauseBound.toKotlinDuration()) isSuspect = true
             return held.takeUnless { isSuspect }
@@ -53,24 +53,28 @@
     suspend fun maintain(maxRouters: Int) {
         val current = seat
         if (held != null && isSuspect) confirm()
-        val isOutOfRange = current != null && current >= maxRouters
-        if (isOutOfRange) release()
+        val isOutOfRange = current != null && current.number >= maxRouters
+        if (isOutOfRange) release(isLoanFree = false)
         if (held == null) take(maxRouters)
         lastRound = monotonic.markNow()
     }
 
-    /** Frees the seat at a planned stop; the router must not send to endpoints after this call. */
-    suspend fun release() {
-        val number = held ?: return
+    /**
+     * Frees the seat at a planned stop; the router must not send to endpoints after this call.
+     *
+     * @param isLoanFree whether no slot of the seat is lent or in use, so that the next holder need not wait.
+     */
+    suspend fun release(isLoanFree: Boolean) {
+        val number = held?.number ?: return
         held = null
         seatObject(number).update<Nothing>({ it.holder != self }) { record ->
-            if (record?.holder == self) Change.Write(SeatRecord(null)) else Change.Keep
+            if (record?.holder == self) Change.Write(SeatRecord(null, isLoanFree)) else Change.Keep
         }
         LOGGER.info("membership: seat released seat={}", number)
     }
 
     private suspend fun confirm() {
-        val number = held ?: return
+        val number = held?.number ?: return
         val record = seatObject(number).read().getOrElse { return }.value
         if (record?.holder != self) {
             LOGGER.warn("membership: seat was taken over during a pause seat={}", number)
@@ -83,26 +87,33 @@
         val page = store.list(PREFIX).getOrElse { return }
         val records = page.objects.associate { it.key.path to decode(it) }
         val numbers = RendezvousHash.rank(self.instance.value, 0 until maxRouters) { it.toString() }
-        val own = numbers.filter { records[path(it)]?.holder == self }
-        val free = numbers.filter { isFree(records[path(it)]) }
-        val number = own.firstOrNull() ?: free.firstOrNull { claim(it) }
-        if (number == null) {
+        val own = numbers.firstOrNull { records[path(it)]?.holder == self }
+        val candidates = listOfNotNull(own) + numbers.filter { isFree(records[path(it)]) }
+        val taken = candidates.firstNotNullOfOrNull { claim(it) }
+        if (taken == null) {
             LOGGER.warn("membership: no free seat maxRouters={}", maxRouters)
             return
         }
-        held = number
+        held = taken
         isSuspect = false
-        LOGGER.info("membership: seat taken seat={}", number)
+        LOGGER.info("membership: seat taken seat={} unused={}", taken.number, taken.isUnused)
     }
 
-    private suspend fun claim(number: Int): Boolean {
+    private suspend fun claim(number: Int): Seat? {
         val updated =
             seatObject(number).update<Unit>({ it.holder == self }) { record ->
-                if (isFree(record)) Change.Write(SeatRecord(self)) else Change.Refuse(Unit)
+                when {
+                    record?.holder == self -> Change.Keep
+                    isFree(record) -> Change.Write(SeatRecord(self, isUnused = record == null || isReleasedUnused(record)))
+                    else -> Change.Refuse(Unit)
+                }
             }
-        return updated.get()?.value?.holder == self
+        val record = updated.get()?.value ?: return null
+        return if (record.holder == self) Seat(number, record.isUnused) else null
     }
 
+    private fun isReleasedUnused(record: SeatRecord): Boolean = record.holder == null && record.isUnused
+
     private fun isFree(record: SeatRecord?): Boolean {
         val holder = record?.holder ?: return true
         // A newer process on the same instance binds the same address, which proves that the older one ended.
@@ -116,7 +127,7 @@
         } catch (e: SerializationException) {
             LOGGER.error("membership: seat object does not decode key={} cause=\"{}\"", stored.key, e.message)
             // An unreadable seat counts as held by somebody else, never as free.
-            SeatRecord(UNKNOWN_HOLDER)
+            SeatRecord(UNKNOWN_HOLDER, isUnused = false)
         }
 
     private fun seatObject(number: Int) = TypedObject(store, ObjectKey(path(number)), SeatRecord.serializer())
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatRecord.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatRecord.kt
@@ -7,8 +7,11 @@
  * The stored form of one seat.
  *
  * @property holder the incarnation that holds the seat; null when it is free.
+ * @property isUnused whether no earlier holder can still use slots of the seat: nobody held it before, or its last holder released it with
+ *   nothing lent.
  */
 @Serializable
 data class SeatRecord(
     val holder: Incarnation?,
+    val isUnused: Boolean,
 )
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -111,7 +111,7 @@
             listed[name] =
                 ListedInstance(InstanceId(name), ListedInstance.ROUTER_SERVICE, VersionId("1"), zone, "127.0.0.1", 7000)
             val incarnation = Incarnation(InstanceId(name), number)
-            return Membership(this, hub.join(incarnation), clock.monotonic) { Heartbeat(incarnation, zone, 0, null, false) }
+            return Membership(incarnation.instance, this, hub.join(incarnation), clock.monotonic) { Heartbeat(incarnation, zone, 0, null, false) }
         }
 
         fun remove(name: String) {
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatKeeperTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatKeeperTest.kt
@@ -18,7 +18,7 @@
             val keepers = (1..4).map { keeper("router-$it", store) }
             keepers.forEach { it.maintain(3) }
 
-            keepers.mapNotNull { it.seat } shouldContainExactlyInAnyOrder listOf(0, 1, 2)
+            keepers.mapNotNull { it.seat?.number } shouldContainExactlyInAnyOrder listOf(0, 1, 2)
         }
 
         test("a claim whose answer was lost does not leave the router with two seats") {
@@ -47,7 +47,7 @@
             val successor = keeper("router-2", store, clock) { it.instance in ended }
             successor.maintain(1)
 
-            successor.seat shouldBe 0
+            successor.seat shouldBe Seat(0, isUnused = false)
             paused.seat shouldBe null
             paused.maintain(1)
             paused.seat shouldBe null
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -79,6 +79,15 @@
         guard.add(choice.side, observation)
     }
 
+    fun cancel(
+        choice: VersionChoice,
+        wasSent: Boolean,
+    ) {
+        if (pending.remove(choice) == null || choice.side != MoveSide.NEW) return
+        pendingNewCount--
+        if (!wasSent) usedRequests--
+    }
+
     fun report(
         inForce: MovePhase,
         verdict: Verdict?,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.store.ObjectStore
 import kotlinx.collections.immutable.ImmutableList
@@ -110,6 +111,26 @@
         found?.let { listener.onWithdrawn(it, isOwn = true) }
     }
 
+    /**
+     * Closes [choice] without an outcome, because the request's end says nothing about the version.
+     *
+     * @param wasSent false when the request never went to an endpoint; its exposure can then be used again.
+     */
+    fun cancel(
+        choice: VersionChoice,
+        wasSent: Boolean,
+    ) = synchronized(lock) {
+        val move = routes[choice.route]
+        if (move != null && choice.move != null && move.record.id == choice.move) move.cancel(choice, wasSent)
+    }
+
+    /** A choice that is not part of any move, for a request that continues at an endpoint chosen by another router. */
+    fun untracked(
+        route: RouteId,
+        request: RequestId,
+        version: VersionId,
+    ): VersionChoice = VersionChoice(route, request, version)
+
     /** Performs one round: overdue requests, unsent verdicts, and a read of the moves from the platform or else from peers. */
     suspend fun maintain() {
         closeOverdue()
