router: serve model and service calls from admission to the bill

Cause: the parts need a program that carries one request through all of them. Ruled out: passing engine answers through unparsed (a broken stream could not be resumed nor cut at the reservation); letting two routers bill a retried request (the first must hand it over or be known to have ended).

--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -0,0 +1,376 @@
+package io.limpetfold.router
+
+import com.github.michaelbull.result.onFailure
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetEvent
+import io.limpetfold.budget.BudgetListener
+import io.limpetfold.budget.PromptEstimator
+import io.limpetfold.claim.ClaimRegistry
+import io.limpetfold.config.ConfigKeeper
+import io.limpetfold.config.RouterStatus
+import io.limpetfold.core.EndpointId
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.http.BufferBudget
+import io.limpetfold.http.HttpEventLoops
+import io.limpetfold.http.HttpServer
+import io.limpetfold.http.HttpServerSettings
+import io.limpetfold.http.UpstreamAddress
+import io.limpetfold.http.UpstreamClient
+import io.limpetfold.http.UpstreamSettings
+import io.limpetfold.lease.LeaseKeeper
+import io.limpetfold.limits.EndpointCapacity
+import io.limpetfold.limits.EndpointLimiter
+import io.limpetfold.limits.RouteLimit
+import io.limpetfold.membership.Heartbeat
+import io.limpetfold.membership.Member
+import io.limpetfold.membership.Membership
+import io.limpetfold.membership.MembershipListener
+import io.limpetfold.membership.SeatKeeper
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.peer.ktor.FleetKey
+import io.limpetfold.peer.ktor.KtorPeerNetwork
+import io.limpetfold.peer.ktor.PeerAddress
+import io.limpetfold.platform.HttpInstanceDirectory
+import io.limpetfold.platform.HttpObjectStore
+import io.limpetfold.request.JournalMember
+import io.limpetfold.request.RequestJournal
+import io.limpetfold.rollout.MoveController
+import io.limpetfold.rollout.RolloutListener
+import io.limpetfold.rollout.Verdict
+import io.limpetfold.rollout.VersionRouter
+import io.limpetfold.rollout.VersionRouterPolicy
+import io.limpetfold.router.call.CallJournal
+import io.limpetfold.router.call.CallerGateway
+import io.limpetfold.router.call.EndpointAccess
+import io.limpetfold.router.call.EngineClient
+import io.limpetfold.router.call.Forwarder
+import io.limpetfold.router.call.ModelCallHandler
+import io.limpetfold.router.call.RunRegistry
+import io.limpetfold.router.call.ServiceCallHandler
+import io.limpetfold.burn.BurnLog
+import io.limpetfold.router.observe.CallObserver
+import io.limpetfold.router.observe.RouterMetrics
+import io.limpetfold.router.observe.TraceLog
+import io.limpetfold.router.operate.EndpointHealth
+import io.limpetfold.router.operate.HttpEndpointOrders
+import io.limpetfold.router.operate.Maintenance
+import io.limpetfold.router.operate.OperatorsApi
+import io.limpetfold.router.operate.Readiness
+import io.limpetfold.router.operate.RouterView
+import io.limpetfold.router.operate.StatusReporter
+import io.limpetfold.router.settings.RouterSettings
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import java.time.Duration
+import java.time.InstantSource
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** One router process: assembles the parts, starts them in order and stops them in the reverse order. */
+internal class Router(
+    private val settings: RouterSettings,
+    private val clock: InstantSource = InstantSource.system(),
+    private val monotonic: TimeSource = TimeSource.Monotonic,
+    private val random: Random = Random.Default,
+) {
+    private val self = Incarnation(InstanceId(settings.instance), clock.millis())
+    private val zone = ZoneId(settings.zone)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = RouterMetrics()
+    private val traces = TraceLog()
+    private val burn = BurnLog(clock)
+
+    private val loops = HttpEventLoops()
+    private val buffers = BufferBudget(settings.buffers.process.bytes, settings.buffers.stream.bytes.toInt())
+    private val upstream = UpstreamClient(UpstreamSettings(), loops, buffers)
+    private val store = HttpObjectStore(upstream, settings.platformSettings())
+    private val directory = HttpInstanceDirectory(upstream, settings.platformSettings())
+    private val peers = KtorPeerNetwork(self, FleetKey(settings.peers.key))
+
+    private val config: ConfigKeeper = ConfigKeeper(store, peers, monotonic, random)
+    private val membership: Membership = Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { describeSelf() }
+    private val seats: SeatKeeper = SeatKeeper(self, store, monotonic) { membership.hasEnded(it) }
+    private val budget = BudgetAgent(self, store, peers, timeSource = monotonic, random = random, listener = budgetEvents())
+    private val limiter =
+        EndpointLimiter(self, zone, peers, monotonic, random, EndpointHealth(upstream, ::addressOf))
+    private val versions =
+        VersionRouter(
+            store,
+            self,
+            peers,
+            clock,
+            monotonic,
+            VersionRouterPolicy(overdueAfter = CallerGateway.MAX_REQUEST_DURATION.plusSeconds(10)),
+            WithdrawalEvents(),
+        )
+    private val lease = LeaseKeeper(store, self, monotonic)
+    private val moves =
+        MoveController(
+            store,
+            lease,
+            versions,
+            peers,
+            directory,
+            HttpEndpointOrders(upstream, membership) { config.current },
+            clock,
+            monotonic,
+        )
+    private val claims = ClaimRegistry(self, store, clock, monotonic)
+    private val journal = RequestJournal(self, zone, peers, ::journalMembers, monotonic)
+    private val runs = RunRegistry()
+    private val status = StatusReporter(store, burn, monotonic, ::routerStatus)
+    private val maintenance = Maintenance(scope, random)
+
+    private val callers = HttpServer(callerSettings(), loops, buffers, gateway())
+    private val operators = HttpServer(operatorSettings(), loops, buffers, operatorsApi())
+
+    @Volatile
+    private var readiness = Readiness.STARTING
+
+    @Volatile
+    private var isRefusing = false
+
+    /** Starts all parts; throws [java.io.IOException] when an address is in use. */
+    suspend fun start() {
+        registerGauges()
+        peers.start(settings.peers.host, settings.peers.port)
+        membership.seed(settings.peers.seedsOrNull().orEmpty())
+        peers.update(membership.connections().map { it.toPeerAddress() })
+        operators.start()
+        startMaintenance()
+        callers.start()
+        LOGGER.info("router: started instance={} incarnation={} zone={}", self.instance, self.number, zone)
+    }
+
+    /** Performs a planned stop: no running request is cut off before the drain time ends. */
+    suspend fun stop() {
+        LOGGER.info("router: planned stop began running={}", callers.runningCount)
+        readiness = Readiness.DRAINING
+        callers.beginDrain()
+        delay(settings.stop.balancerWait.toMillis())
+        isRefusing = true
+        val isIdle = callers.awaitIdle(settings.stop.drain)
+        if (!isIdle) LOGGER.warn("router: drain time ended with running requests running={}", callers.runningCount)
+        maintenance.stop()
+        limiter.close()
+        budget.close().onFailure { LOGGER.warn("router: grants were not returned cause=\"{}\"", it.message) }
+        seats.release(limiter.isSeatClean)
+        lease.release()
+        status.finish()
+        callers.close()
+        operators.close()
+        peers.close()
+        upstream.close()
+        scope.cancel()
+        loops.close()
+        LOGGER.info("router: stopped instance={}", self.instance)
+    }
+
+    private fun startMaintenance() {
+        maintenance.every(ONE_SECOND, "membership") {
+            membership.maintain()
+            peers.update(membership.connections().map { it.toPeerAddress() })
+            membership.members().forEach { config.observe(it.instance, it.generation) }
+        }
+        maintenance.every(ONE_SECOND, "config") { config.maintain() }
+        maintenance.every(WATCH_PAUSE, "config watch") { while (config.watch()) applyConfig() }
+        maintenance.every(ONE_SECOND, "seat") { config.current?.let { seats.maintain(it.maxRouters) } }
+        maintenance.every(QUARTER_SECOND, "limits") {
+            applyConfig()
+            limiter.maintain()
+        }
+        maintenance.every(ONE_SECOND, "budget") { budget.maintain() }
+        maintenance.every(ONE_SECOND, "moves") { versions.maintain() }
+        maintenance.every(ONE_SECOND, "lease") { lease.maintain() }
+        maintenance.every(ONE_SECOND, "move controller") { moves.maintain() }
+        maintenance.every(TEN_SECONDS, "claims") {
+            claims.maintain()
+            journal.maintain()
+        }
+        maintenance.every(ONE_SECOND, "status") { status.maintain() }
+    }
+
+    /** Hands the configuration, the seat and the endpoints in force to the limiter. */
+    private fun applyConfig() {
+        val current = config.current ?: return
+        val weights = current.workspaces.associate { it.workspace to it.weight }.toImmutableMap()
+        val routes = current.routes.map { RouteLimit(it.route, it.queue.maxRequests, weights) }
+        val capacities =
+            current.services.flatMap { service ->
+                val limits = service.versions.associate { it.version to it.maxInFlightPerEndpoint }
+                membership.endpoints(service.name).mapNotNull { listed ->
+                    limits[listed.version]?.let {
+                        EndpointCapacity(EndpointId(listed.instance.value), listed.zone, it, listed.isLeaving)
+                    }
+                }
+            }
+        val seat = seats.seat
+        limiter.update(routes, seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities)
+        if (readiness == Readiness.STARTING && seat != null) readiness = Readiness.READY
+    }
+
+    private fun gateway(): CallerGateway {
+        val access = EndpointAccess(versions, membership, limiter)
+        val forwarder = Forwarder(access, upstream, limiter, versions, monotonic)
+        val engines = EngineClient(upstream, membership, limiter, versions)
+        val callJournal = CallJournal(self, journal, runs, peers, membership::hasEnded)
+        return CallerGateway(
+            { config.current },
+            { isRefusing },
+            ModelCallHandler(forwarder, engines, budget, PromptEstimator(), versions, callJournal, runs, clock, scope),
+            ServiceCallHandler(forwarder, claims, versions),
+            CallObserver(metrics, burn, traces),
+            clock,
+            monotonic,
+        )
+    }
+
+    private fun operatorsApi() = OperatorsApi(
+            settings.operators.key,
+            { readiness },
+            ::view,
+            traces,
+            metrics,
+            journal::copiedSpentAtPeers,
+        )
+
+    private fun callerSettings() = HttpServerSettings(host = settings.callers.host, port = settings.callers.port)
+
+    private fun operatorSettings() = HttpServerSettings(host = settings.operators.host, port = settings.operators.port)
+
+    private fun describeSelf() =
+        Heartbeat(self, zone, config.current?.generation ?: 0, seats.seat?.number, readiness == Readiness.DRAINING)
+
+    private fun routerStatus() =
+        RouterStatus(
+            self.instance,
+            self.number,
+            config.current?.generation ?: 0,
+            zone,
+            readiness == Readiness.DRAINING,
+            clock.instant(),
+        )
+
+    private fun journalMembers(): List<JournalMember> =
+        membership.members().map { JournalMember(it.instance, it.zone) } + JournalMember(self.instance, zone)
+
+    private fun addressOf(endpoint: EndpointId): UpstreamAddress? =
+        config.current
+            ?.services
+            ?.firstNotNullOfOrNull { service ->
+                membership.endpoints(service.name).firstOrNull { it.instance.value == endpoint.value }
+            }?.let { UpstreamAddress(it.host, it.port) }
+
+    private fun view() =
+        RouterView(
+            instance = self.instance.value,
+            incarnation = self.number,
+            zone = zone.value,
+            readiness = readiness.name.lowercase(),
+            generation = config.current?.generation ?: 0,
+            seat = seats.seat?.number,
+            isMoveController = lease.held(Duration.ZERO) != null,
+            members =
+                membership.members().map {
+                    RouterView.MemberView(
+                        it.instance.value,
+                        it.incarnation.number,
+                        it.zone.value,
+                        it.generation,
+                        it.isDraining,
+                    )
+                },
+            endpoints =
+                limiter.status().map {
+                    RouterView.EndpointView(
+                        it.endpoint.value,
+                        it.isInRotation,
+                        it.baseSlots,
+                        it.borrowedSlots,
+                        it.lentSlots,
+                        it.inFlight,
+                    )
+                },
+            budgets =
+                budget.accounts().map {
+                    RouterView.BudgetView(it.workspace.value, it.grantedTokens, it.spentTokens, it.reservedTokens)
+                },
+            moves = versions.moves().map { RouterView.MoveLine(it.route.value, it.id.value, it.phase.toString()) },
+            bufferedBytes = buffers.usedBytes,
+        )
+
+    private fun registerGauges() {
+        metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
+        metrics.gauge("limpetfold_buffered_bytes_peak", "Most bytes ever held for slow readers") { buffers.peakBytes.toDouble() }
+        metrics.gauge("limpetfold_config_generation", "Configuration generation in force") {
+            (config.current?.generation ?: 0).toDouble()
+        }
+        metrics.gauge("limpetfold_members", "Other routers heard") { membership.members().size.toDouble() }
+        metrics.gauge("limpetfold_move_controller", "1 while this router holds the move lease") {
+            if (lease.held(Duration.ZERO) != null) 1.0 else 0.0
+        }
+        metrics.gauge("limpetfold_journal_entries", "Journal copies held for peers") { journal.entryCount.toDouble() }
+        metrics.gauge("limpetfold_granted_tokens", "Tokens granted to this router, over all workspaces") {
+            budget.accounts().sumOf { it.grantedTokens }.toDouble()
+        }
+        metrics.gauge("limpetfold_spent_tokens", "Tokens spent by this router, over all workspaces") {
+            budget.accounts().sumOf { it.spentTokens }.toDouble()
+        }
+    }
+
+    private fun budgetEvents() =
+        BudgetListener { event ->
+            val name =
+                when (event) {
+                    is BudgetEvent.Synchronised -> "synchronised"
+                    is BudgetEvent.PlatformFailed -> "platform_failed"
+                    is BudgetEvent.TransferReceived -> "transfer_received"
+                    is BudgetEvent.TransferSent -> "transfer_sent"
+                    is BudgetEvent.Refused -> "refused"
+                }
+            metrics.count("limpetfold_budget_events", name)
+        }
+
+    private inner class MemberEvents : MembershipListener {
+        override fun memberJoined(member: Member) = metrics.count("limpetfold_member_events", "joined")
+
+        override fun memberSilent(member: Member) = metrics.count("limpetfold_member_events", "silent")
+
+        override fun incarnationEnded(ended: Incarnation) = limiter.incarnationEnded(ended)
+    }
+
+    private inner class WithdrawalEvents : RolloutListener {
+        override fun onWithdrawn(
+            verdict: Verdict,
+            isOwn: Boolean,
+        ) {
+            LOGGER.warn(
+                "rollout: version withdrawn route={} version={} metric={} own={}",
+                verdict.route,
+                verdict.version,
+                verdict.metric,
+                isOwn,
+            )
+            metrics.count("limpetfold_withdrawals", if (isOwn) "own" else "peer")
+            if (isOwn) scope.launch { versions.sendVerdicts() }
+        }
+    }
+
+    private fun ListedInstance.toPeerAddress() = PeerAddress(instance, host, port)
+
+    private companion object {
+        val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        val ONE_SECOND: Duration = Duration.ofSeconds(1)
+        val TEN_SECONDS: Duration = Duration.ofSeconds(10)
+        val WATCH_PAUSE: Duration = Duration.ofSeconds(2)
+        val LOGGER = LoggerFactory.getLogger(Router::class.java)
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BillableRun.kt
@@ -0,0 +1,39 @@
+package io.limpetfold.router.call
+
+import io.limpetfold.budget.Reservation
+import io.limpetfold.router.chat.AnswerMeter
+import io.limpetfold.router.chat.ChatRequest
+import kotlinx.coroutines.Job
+import java.util.concurrent.atomic.AtomicReference
+
+/** One run of a model request under a reservation; it is billed here or handed over, never both. */
+internal class BillableRun(
+    val chat: ChatRequest,
+    val reservation: Reservation,
+    val meter: AnswerMeter,
+) {
+    private val current = AtomicReference(BillState.OPEN)
+
+    /** The slot in use, or null before an endpoint was found. */
+    @Volatile
+    var attempt: Attempt? = null
+
+    /** The coroutine that serves the caller. */
+    @Volatile
+    var job: Job? = null
+
+    val state: BillState get() = current.get()
+
+    /** Returns true exactly once, for the one that bills the run. */
+    fun tryBill(): Boolean = current.compareAndSet(BillState.OPEN, BillState.BILLED)
+
+    /** Ends the run without a bill because it cost nothing; returns false when another router took it over. */
+    fun discard(): Boolean = current.compareAndSet(BillState.OPEN, BillState.DISCARDED)
+
+    /** Ends the run without a bill; returns false when it was billed. */
+    fun handOver(): Boolean {
+        val isHandedOver = current.compareAndSet(BillState.OPEN, BillState.HANDED_OVER)
+        if (isHandedOver) job?.cancel()
+        return current.get() != BillState.BILLED
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -0,0 +1,293 @@
+package io.limpetfold.router.call
+
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetRefusal
+import io.limpetfold.budget.PromptEstimator
+import io.limpetfold.core.EndpointId
+import io.limpetfold.http.CallerGoneException
+import io.limpetfold.http.Headers
+import io.limpetfold.http.UpstreamBody
+import io.limpetfold.http.UpstreamRequest
+import io.limpetfold.http.whileConnected
+import io.limpetfold.limits.EndpointObservation
+import io.limpetfold.request.Refusal
+import io.limpetfold.request.RequestEvent
+import io.limpetfold.request.RequestLifecycle
+import io.limpetfold.rollout.VersionObservation
+import io.limpetfold.rollout.VersionRouter
+import io.limpetfold.router.call.CallJournal.Earlier
+import io.limpetfold.router.chat.AnswerMeter
+import io.limpetfold.router.chat.ChatRequest
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.time.Duration
+import java.time.InstantSource
+
+/**
+ * Answers chat-completions calls from model engines, within the prepaid budget of the workspace.
+ *
+ * The prompt bound and the output limit are reserved before a byte goes to an engine; what was used is charged before the last part
+ * of the answer goes to the caller.
+ */
+internal class ModelCallHandler(
+    private val forwarder: Forwarder,
+    private val engines: EngineClient,
+    private val budget: BudgetAgent,
+    private val estimator: PromptEstimator,
+    private val versions: VersionRouter,
+    private val journal: CallJournal,
+    private val runs: RunRegistry,
+    private val clock: InstantSource,
+    private val background: CoroutineScope,
+) : CallHandler {
+    override suspend fun handle(call: Call): CallEnd {
+        if (call.exchange.head.method != "POST") {
+            return refuse(call, Refusal.InvalidRequest("method must be POST", METHOD_NOT_ALLOWED))
+        }
+        val body = call.exchange.readBody(call.route.maxRequestBytes.bytes.toInt())
+        val chat =
+            ChatRequest.parse(body, DEFAULT_MAX_TOKENS, MAX_TOKENS_LIMIT).getOrElse {
+                return refuse(call, Refusal.InvalidRequest(it))
+            }
+        val earlier = if (call.isCallerIdentity) journal.earlier(call) else Earlier.None
+        return when (earlier) {
+            is Earlier.Unfinished -> refuse(call, Refusal.DuplicateUnfinished(clock.instant(), UNFINISHED_RETRY_AFTER))
+            is Earlier.Finished -> replay(call, chat, earlier.endpoint)
+            is Earlier.Available -> runBilled(call, chat, earlier.endpoint)
+            is Earlier.None -> runBilled(call, chat, null)
+        }
+    }
+
+    private suspend fun runBilled(
+        call: Call,
+        chat: ChatRequest,
+        earlierEndpoint: EndpointId?,
+    ): CallEnd {
+        val promptBound = estimator.boundTokens(chat.model, chat.promptBytes)
+        val reservation =
+            budget
+                .reserve(call.workspace.workspace, call.request, promptBound + chat.maxTokens, patience(call))
+                .getOrElse { return refuse(call, it.toRefusal()) }
+        call.trace.add("reserved tokens=${reservation.tokens}")
+        val run = BillableRun(chat, reservation, AnswerMeter(chat.maxTokens.toLong(), promptBound))
+        runs.add(call.workspace.workspace, call.request, run)
+        return try {
+            call.exchange.whileConnected {
+                run.job = coroutineContext.job
+                answer(call, run, earlierEndpoint)
+            }
+        } catch (e: CallerGoneException) {
+            withContext(NonCancellable) { cancelled(call, run) }
+            throw e
+        } catch (e: CancellationException) {
+            if (run.state != BillState.HANDED_OVER) throw e
+            call.trace.add("handed over to another router")
+            release(run)
+            CallEnd.Cancelled
+        } finally {
+            // Charges nothing when the run was settled before; otherwise it ended without using an engine or was handed over.
+            budget.settle(reservation, 0)
+            runs.remove(call.workspace.workspace, call.request, run)
+        }
+    }
+
+    /** Repeats the answer to a request that was billed before, from the stream that its engine still holds. */
+    private suspend fun replay(
+        call: Call,
+        chat: ChatRequest,
+        endpoint: EndpointId?,
+    ): CallEnd {
+        val resumed = endpoint?.let { engines.resumeEarlier(call, it) } ?: return refuse(call, Refusal.DuplicateFinished(OK))
+        call.trace.add("answer replayed endpoint=$endpoint")
+        val meter = AnswerMeter(chat.maxTokens.toLong(), estimator.boundTokens(chat.model, chat.promptBytes))
+        val result = ForwardResult.Answering.resumed(call, resumed.attempt, resumed.answer)
+        return try {
+            call.exchange.whileConnected { ModelStream(call, result, engines, meter, writer(call, chat)).run { 0 } }
+        } finally {
+            resumed.attempt.permit.release(EndpointObservation.Ignored)
+        }
+    }
+
+    private suspend fun answer(
+        call: Call,
+        run: BillableRun,
+        earlierEndpoint: EndpointId?,
+    ): CallEnd {
+        val resumed = earlierEndpoint?.let { engines.resumeEarlier(call, it) }
+        val result =
+            if (resumed == null) {
+                forward(call, run)
+            } else {
+                call.trace.add("stream of an earlier attempt found endpoint=$earlierEndpoint")
+                ForwardResult.Answering.resumed(call, resumed.attempt, resumed.answer)
+            }
+        return when (result) {
+            is ForwardResult.Ended ->
+                refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
+            is ForwardResult.Answering -> passOn(call, run, result)
+        }
+    }
+
+    private suspend fun forward(
+        call: Call,
+        run: BillableRun,
+    ): ForwardResult =
+        forwarder.forward(
+            call,
+            RequestLifecycle.next(
+                RequestLifecycle.admit(call.workspace.workspace, call.request),
+                RequestEvent.Reserve,
+            ),
+            isIdempotent = true,
+            isBodyReusable = { true },
+            beforeSend = { attempt ->
+                run.attempt = attempt
+                // The copy travels beside the request; waiting for it would add a round trip to each first token.
+                background.launch { journal.opened(call, attempt.endpoint, run.reservation) }
+                null
+            },
+            prepare = { upstreamRequest(call, run.chat) },
+        )
+
+    private fun upstreamRequest(
+        call: Call,
+        chat: ChatRequest,
+    ): UpstreamRequest =
+        UpstreamRequest(
+            "POST",
+            ENGINE_PATH,
+            Headers.of(
+                "Content-Type" to "application/json",
+                "Accept" to "text/event-stream",
+                "X-Request-Id" to call.upstreamIdentity,
+                "X-Limpetfold-Route" to call.route.route.value,
+            ),
+            UpstreamBody.Bytes(chat.toUpstreamBody()),
+            firstByteTimeout = minOf(call.route.idleTimeout, call.remaining()),
+            idleTimeout = call.route.idleTimeout,
+        )
+
+    private suspend fun passOn(
+        call: Call,
+        run: BillableRun,
+        result: ForwardResult.Answering,
+    ): CallEnd {
+        run.attempt = result.attempt
+        val status = result.answer.head.status
+        if (status != OK) return passOnError(call, run, result)
+        val stream = ModelStream(call, result, engines, run.meter, writer(call, run.chat))
+        val end = stream.run { settle(call, run) }
+        val hasFailed = end !is CallEnd.Answered
+        release(run, hasFailed, stream)
+        if (!hasFailed) forwarder.succeeded(call)
+        return end
+    }
+
+    /** An engine's own error, such as a prompt that is too long for it, goes to the caller and costs nothing. */
+    private suspend fun passOnError(
+        call: Call,
+        run: BillableRun,
+        result: ForwardResult.Answering,
+    ): CallEnd {
+        val status = result.answer.head.status
+        val body = result.answer.readAll(MAX_ERROR_BYTES).getOrElse { ByteArray(0) }
+        run.discard()
+        val hasFailed = status >= FIRST_SERVER_ERROR
+        result.attempt.permit.release(if (hasFailed) EndpointObservation.Failed else EndpointObservation.Ignored)
+        versions.record(result.attempt.choice, VersionObservation(isSuccess = !hasFailed))
+        val contentType = result.answer.head.headers["Content-Type"] ?: "application/json"
+        val headers = Headers.of("Content-Type" to contentType, "X-Request-Id" to call.request.value)
+        call.exchange.respond(status, headers, body)
+        return CallEnd.Answered(status)
+    }
+
+    private suspend fun settle(
+        call: Call,
+        run: BillableRun,
+    ): Long {
+        if (!run.tryBill()) throw CancellationException("the run was handed over")
+        val settlement = budget.settle(run.reservation, run.meter.usedTokens)
+        run.meter.measuredPromptTokens?.let { estimator.observe(run.chat.model, run.chat.promptBytes, it) }
+        call.trace.add("charged tokens=${settlement.chargedTokens}")
+        journal.closed(call, settlement)
+        return settlement.chargedTokens
+    }
+
+    private fun writer(
+        call: Call,
+        chat: ChatRequest,
+    ): AnswerWriter = if (chat.isStream) StreamAnswerWriter(call) else WholeAnswerWriter(call, chat.model)
+
+    private fun release(
+        run: BillableRun,
+        hasFailed: Boolean,
+        stream: ModelStream,
+    ) {
+        val attempt = run.attempt ?: return
+        val firstToken = stream.firstToken
+        attempt.permit.release(
+            if (hasFailed || firstToken == null) {
+                EndpointObservation.Failed
+            } else {
+                EndpointObservation.Answered(firstToken)
+            },
+        )
+        versions.record(attempt.choice, VersionObservation(!hasFailed, null, firstToken, stream.betweenTokens))
+    }
+
+    /** The caller left: the engine stops, and what it generated is billed. */
+    private suspend fun cancelled(
+        call: Call,
+        run: BillableRun,
+    ) {
+        val attempt = run.attempt ?: return
+        if (run.state == BillState.OPEN) {
+            engines.cancel(call, attempt, run.meter)
+            settle(call, run)
+        }
+        release(run)
+    }
+
+    private fun release(run: BillableRun) {
+        val attempt = run.attempt ?: return
+        attempt.permit.release(EndpointObservation.Ignored)
+        versions.cancel(attempt.choice, wasSent = true)
+    }
+
+    private fun patience(call: Call): Duration = minOf(BUDGET_PATIENCE, call.remaining())
+
+    private suspend fun refuse(
+        call: Call,
+        refusal: Refusal,
+    ): CallEnd {
+        RefusalWriter.write(call.exchange, refusal, call.request)
+        return CallEnd.Refused(refusal)
+    }
+
+    private fun BudgetRefusal.toRefusal(): Refusal.NotRun =
+        when (this) {
+            is BudgetRefusal.InsufficientBudget -> Refusal.BudgetExhausted(workspace, retryAfter)
+            is BudgetRefusal.UnknownWorkspace -> Refusal.BudgetExhausted(workspace, retryAfter)
+            is BudgetRefusal.PlatformUnavailable -> Refusal.BudgetUnavailable(workspace, retryAfter)
+            is BudgetRefusal.RouterClosed -> Refusal.Draining(retryAfter)
+        }
+
+    private companion object {
+        const val ENGINE_PATH = "/v1/chat/completions"
+        const val DEFAULT_MAX_TOKENS = 512
+        const val MAX_TOKENS_LIMIT = 32_768
+        const val MAX_ERROR_BYTES = 64 * 1024
+        const val OK = 200
+        const val METHOD_NOT_ALLOWED = 405
+        const val FIRST_SERVER_ERROR = 500
+
+        /** A caller waits this long for a grant or a transfer under way before it is refused. */
+        val BUDGET_PATIENCE: Duration = Duration.ofSeconds(3)
+        val UNFINISHED_RETRY_AFTER: Duration = Duration.ofSeconds(5)
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/StreamAnswerWriter.kt
@@ -0,0 +1,53 @@
+package io.limpetfold.router.call
+
+import io.limpetfold.core.EndpointId
+import io.limpetfold.http.ResponseSink
+import io.limpetfold.http.ServerSentEvent
+import io.limpetfold.router.chat.AnswerMeter
+import io.limpetfold.router.chat.ChatAnswer
+import io.limpetfold.router.chat.ChatEvent
+
+/** Writes an answer as server-sent events. */
+internal class StreamAnswerWriter(
+    private val call: Call,
+) : AnswerWriter {
+    private var sink: ResponseSink? = null
+
+    override val hasBegun: Boolean get() = sink != null
+
+    override suspend fun delta(
+        delta: ChatEvent.Delta,
+        data: String,
+    ) = write(data)
+
+    override suspend fun end(
+        meter: AnswerMeter,
+        isCut: Boolean,
+    ) {
+        if (isCut) write(ChatAnswer.cutEvent(call.request.value))
+        write(ChatAnswer.usageEvent(call.request.value, meter))
+        write(END_MARK)
+        open().finish()
+    }
+
+    override suspend fun fail(
+        endpoint: EndpointId,
+        reason: String,
+    ) {
+        write(ChatAnswer.errorEvent("stream_broken", reason, call.request.value))
+        open().finish()
+    }
+
+    private suspend fun write(data: String) = open().write(ServerSentEvent(data).encode())
+
+    private suspend fun open(): ResponseSink =
+        sink
+            ?: call.exchange
+                .respondStream(OK, ServerSentEvent.HEADERS.with("X-Request-Id", call.request.value))
+                .also { sink = it }
+
+    private companion object {
+        const val OK = 200
+        const val END_MARK = "[DONE]"
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
@@ -0,0 +1,68 @@
+package io.limpetfold.router.chat
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.longOrNull
+
+/** One server-sent event of a model stream, by what it means for the answer. */
+internal sealed interface ChatEvent {
+    /** A part of the answer, with the engine's token count when the event carries one. */
+    data class Delta(
+        val content: String,
+        val finishReason: String?,
+        val completionTokens: Long?,
+    ) : ChatEvent
+
+    /** The engine's count of the whole request. */
+    data class Usage(
+        val promptTokens: Long,
+        val completionTokens: Long,
+    ) : ChatEvent
+
+    /** The engine reports a failure inside the stream. */
+    data class Failure(
+        val message: String,
+    ) : ChatEvent
+
+    /** The regular end of the stream. */
+    data object Done : ChatEvent
+
+    /** The data is not an event of a chat stream. */
+    data object Malformed : ChatEvent
+
+    companion object {
+        private const val DONE = "[DONE]"
+
+        /** Parses the data of one event. */
+        fun parse(data: String): ChatEvent {
+            if (data == DONE) return Done
+            val content =
+                try {
+                    Json.parseToJsonElement(data) as? JsonObject
+                } catch (_: SerializationException) {
+                    null
+                } ?: return Malformed
+            content["error"]?.let { return Failure((it as? JsonObject)?.text("message") ?: it.toString()) }
+            val usage = content["usage"] as? JsonObject
+            val completionTokens = usage?.number("completion_tokens")
+            val choice = (content["choices"] as? JsonArray)?.firstOrNull() as? JsonObject
+            if (choice == null) {
+                val promptTokens = usage?.number("prompt_tokens") ?: return Malformed
+                return Usage(promptTokens, completionTokens ?: return Malformed)
+            }
+            val delta = choice["delta"] as? JsonObject
+            return Delta(delta?.text("content").orEmpty(), choice.text("finish_reason"), completionTokens)
+        }
+
+        private fun JsonObject.text(name: String): String? = primitive(this[name])?.contentOrNull
+
+        private fun JsonObject.number(name: String): Long? = primitive(this[name])?.longOrNull
+
+        private fun primitive(element: JsonElement?): JsonPrimitive? = element as? JsonPrimitive
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/CallObserver.kt
@@ -0,0 +1,68 @@
+package io.limpetfold.router.observe
+
+import io.limpetfold.burn.BurnLog
+import io.limpetfold.config.Objectives
+import io.limpetfold.request.Refusal
+import io.limpetfold.router.call.Call
+import io.limpetfold.router.call.CallEnd
+import java.time.Duration
+
+/** Turns the start and end of calls into metrics, burn counts and traces. */
+internal class CallObserver(
+    private val metrics: RouterMetrics,
+    private val burn: BurnLog,
+    private val traces: TraceLog,
+) {
+    /** Counts a request that was refused before its route or workspace was known. */
+    fun refusedEarly(refusal: Refusal) = metrics.refused(NONE, refusal)
+
+    fun started(call: Call) {
+        traces.add(call.trace)
+        metrics.started()
+    }
+
+    fun ended(
+        call: Call,
+        end: CallEnd,
+    ) {
+        metrics.ended(call, end)
+        val elapsed = Duration.ofNanos(call.arrived.elapsedNow().inWholeNanoseconds)
+        when (end) {
+            is CallEnd.Answered -> {
+                call.trace.add("answered status=${end.status}")
+                val hasFailed = end.status >= FIRST_SERVER_ERROR
+                burn.record(call.route.route, call.workspace.workspace, hasFailed, isSlow(call.route.objectives, end, elapsed))
+            }
+            is CallEnd.Refused -> {
+                call.trace.add("refused type=${end.refusal.type} ran=${end.refusal.ran.wireName}")
+                // A refusal that the caller causes, such as a bad request or an exhausted budget, does not burn the objective.
+                val isOurs = end.refusal.status >= FIRST_SERVER_ERROR
+                burn.record(call.route.route, call.workspace.workspace, isOurs, isSlow = false)
+            }
+            is CallEnd.Broken -> {
+                call.trace.add("answer broken cause=\"${end.reason}\"")
+                burn.record(call.route.route, call.workspace.workspace, hasFailed = true, isSlow = false)
+            }
+            CallEnd.Cancelled -> call.trace.add("caller gone")
+        }
+    }
+
+    private fun isSlow(
+        objectives: Objectives,
+        end: CallEnd.Answered,
+        elapsed: Duration,
+    ): Boolean =
+        exceeds(end.firstToken, objectives.firstToken) ||
+            exceeds(end.betweenTokens, objectives.betweenTokens) ||
+            (end.firstToken == null && exceeds(elapsed, objectives.latency))
+
+    private fun exceeds(
+        measured: Duration?,
+        objective: Duration?,
+    ): Boolean = measured != null && objective != null && measured > objective
+
+    private companion object {
+        const val NONE = "(none)"
+        const val FIRST_SERVER_ERROR = 500
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/OperatorsApi.kt
@@ -0,0 +1,94 @@
+package io.limpetfold.router.operate
+
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.http.Headers
+import io.limpetfold.http.HttpExchange
+import io.limpetfold.http.HttpHandler
+import io.limpetfold.router.observe.RequestTrace
+import io.limpetfold.router.observe.RouterMetrics
+import io.limpetfold.router.observe.TraceLog
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import java.security.MessageDigest
+
+/**
+ * The operators' port: health, readiness and metrics for everybody who reaches it, status and request traces with the operators' key.
+ */
+internal class OperatorsApi(
+    private val key: String,
+    private val readiness: () -> Readiness,
+    private val status: () -> RouterView,
+    private val traces: TraceLog,
+    private val metrics: RouterMetrics,
+    private val copiedSpent: suspend (Incarnation, WorkspaceId) -> Long?,
+) : HttpHandler {
+    override suspend fun handle(exchange: HttpExchange) {
+        val path = exchange.head.path
+        when {
+            exchange.head.method != "GET" -> text(exchange, METHOD_NOT_ALLOWED, "use GET\n")
+            path == "/healthz" -> text(exchange, OK, "ok\n")
+            path == "/readyz" -> ready(exchange)
+            path == "/metrics" -> respond(exchange, OK, METRICS_TYPE, metrics.registry.scrape())
+            !isAuthorized(exchange) -> text(exchange, UNAUTHORIZED, "send Authorization: Bearer with the operators' key\n")
+            path == "/status" -> respond(exchange, OK, JSON_TYPE, JSON.encodeToString(RouterView.serializer(), status()))
+            path.startsWith(REQUESTS) -> {
+                val found = traces.find(path.removePrefix(REQUESTS))
+                val body = JSON.encodeToString(ListSerializer(RequestTrace.View.serializer()), found)
+                respond(exchange, if (found.isEmpty()) NOT_FOUND else OK, JSON_TYPE, body)
+            }
+            path.startsWith(SPENT) -> spent(exchange, path.removePrefix(SPENT))
+            else -> text(exchange, NOT_FOUND, "use /healthz, /readyz, /metrics, /status, /requests/ID or /spent/WORKSPACE/HOLDER\n")
+        }
+    }
+
+    /** The highest copy of a holder's cumulative spend, for `budget reclaim`. */
+    private suspend fun spent(
+        exchange: HttpExchange,
+        target: String,
+    ) {
+        val holder = Incarnation.parse(target.substringAfter('/', ""))
+        val tokens = holder?.let { copiedSpent(it, WorkspaceId(target.substringBefore('/'))) }
+        if (tokens == null) {
+            text(exchange, NOT_FOUND, "no copy of this holder's spend is known\n")
+        } else {
+            text(exchange, OK, "$tokens\n")
+        }
+    }
+
+    private suspend fun ready(exchange: HttpExchange) {
+        val readiness = readiness()
+        text(exchange, if (readiness == Readiness.READY) OK else UNAVAILABLE, readiness.name.lowercase() + "\n")
+    }
+
+    private fun isAuthorized(exchange: HttpExchange): Boolean {
+        val given = exchange.head.headers["Authorization"] ?: return false
+        return MessageDigest.isEqual(given.encodeToByteArray(), "Bearer $key".encodeToByteArray())
+    }
+
+    private suspend fun text(
+        exchange: HttpExchange,
+        status: Int,
+        body: String,
+    ) = respond(exchange, status, "text/plain; charset=utf-8", body)
+
+    private suspend fun respond(
+        exchange: HttpExchange,
+        status: Int,
+        type: String,
+        body: String,
+    ) = exchange.respond(status, Headers.of("Content-Type" to type), body.encodeToByteArray())
+
+    private companion object {
+        const val OK = 200
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val METHOD_NOT_ALLOWED = 405
+        const val UNAVAILABLE = 503
+        const val REQUESTS = "/requests/"
+        const val SPENT = "/spent/"
+        const val JSON_TYPE = "application/json"
+        const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+        val JSON = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettings.kt
@@ -0,0 +1,116 @@
+package io.limpetfold.router.settings
+
+import io.limpetfold.config.AllowedRange
+import io.limpetfold.config.AllowedText
+import io.limpetfold.config.ByteSize
+import io.limpetfold.config.DurationText
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.http.UpstreamAddress
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.platform.PlatformSettings
+import kotlinx.serialization.Serializable
+import java.time.Duration
+
+/**
+ * Settings of a router process, read from YAML.
+ *
+ * @property instance the identity that the platform gave to this instance.
+ * @property zone the availability zone of this instance.
+ * @property platform the platform's object API, as `host:port`.
+ */
+@Serializable
+data class RouterSettings(
+    val instance: String,
+    val zone: String,
+    val callers: ListenSettings,
+    val operators: OperatorSettings,
+    val peers: PeerSettings,
+    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    val platform: String,
+    val buffers: BufferSettings = BufferSettings(),
+    val stop: StopSettings = StopSettings(),
+) {
+    internal fun platformSettings() =
+        PlatformSettings(
+            UpstreamAddress(platform.substringBeforeLast(':'), platform.substringAfterLast(':').toInt()),
+        )
+}
+
+/** An address to listen on; [port] 0 chooses a free one. */
+@Serializable
+data class ListenSettings(
+    val host: String = "127.0.0.1",
+    val port: Int,
+)
+
+/**
+ * The operators' port.
+ *
+ * @property key bearer token that `/status` and `/requests` demand; health and metrics need none.
+ */
+@Serializable
+data class OperatorSettings(
+    val host: String = "127.0.0.1",
+    val port: Int,
+    val key: String,
+)
+
+/**
+ * The peer port.
+ *
+ * @property key secret shared by the routers of a fleet, at least 32 characters.
+ * @property seeds addresses of routers to join during an outage of the platform, as `instance@zone=host:port`.
+ */
+@Serializable
+data class PeerSettings(
+    val host: String = "127.0.0.1",
+    val port: Int,
+    val key: String,
+    val seeds: List<String> = emptyList(),
+) {
+    /** The seeds as listed routers; null when one has another form. */
+    fun seedsOrNull(): List<ListedInstance>? {
+        val parsed = seeds.map { SEED.matchEntire(it)?.groupValues ?: return null }
+        return parsed.map { groups ->
+            ListedInstance(
+                InstanceId(groups[1]),
+                ListedInstance.ROUTER_SERVICE,
+                VersionId("seed"),
+                ZoneId(groups[2]),
+                groups[3],
+                groups[4].toInt(),
+            )
+        }
+    }
+
+    private companion object {
+        val SEED = Regex("([A-Za-z0-9._-]+)@([A-Za-z0-9._-]+)=([0-9A-Fa-f.:]+):([0-9]{1,5})")
+    }
+}
+
+/** Bounds of the bytes held for slow readers: in the whole process and for each direction of a stream. */
+@Serializable
+data class BufferSettings(
+    @AllowedRange("1MiB", "16GiB")
+    val process: ByteSize = ByteSize(64L * 1024 * 1024),
+    @AllowedRange("32KiB", "4MiB")
+    val stream: ByteSize = ByteSize(64L * 1024),
+)
+
+/**
+ * Times of a planned stop.
+ *
+ * @property balancerWait time between readiness going off and the end of new work, for the platform's balancer to notice.
+ * @property drain the longest wait for running requests.
+ */
+@Serializable
+data class StopSettings(
+    @AllowedRange("0ms", "5m")
+    @Serializable(with = DurationText::class)
+    val balancerWait: Duration = Duration.ofSeconds(5),
+    @AllowedRange("0ms", "10m")
+    @Serializable(with = DurationText::class)
+    val drain: Duration = Duration.ofMinutes(2),
+)
