ctl: add the operators' command

Cause: operators need status, budgets, moves, explanations and the burn report from one command. Ruled out: reclaiming with an incomplete set of copies (a missing copy may show a higher spend).

--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlSettings.kt
@@ -0,0 +1,23 @@
+package io.limpetfold.ctl
+
+import io.limpetfold.config.AllowedText
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of `limpetfold-ctl`.
+ *
+ * @property platform the platform's object API, as `host:port`.
+ * @property operator the name under which changes are recorded; empty takes the name of the operating system's user.
+ * @property routers operators' ports of the routers, as `host:port`; needed by `explain` and `budget reclaim`.
+ * @property operatorsKey the key that the routers' operators' ports demand.
+ */
+@Serializable
+data class CtlSettings(
+    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    val platform: String,
+    val operator: String = "",
+    val routers: List<String> = emptyList(),
+    val operatorsKey: String = "",
+) {
+    internal fun effectiveOperator(): String = operator.ifEmpty { System.getProperty("user.name") ?: "unknown" }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/ExitCode.kt
@@ -0,0 +1,21 @@
+package io.limpetfold.ctl
+
+/** The exit codes of `limpetfold-ctl`. */
+internal enum class ExitCode(
+    val code: Int,
+) {
+    /** Done. */
+    OK(0),
+
+    /** The command line or the settings are wrong; nothing was changed. */
+    INVALID_INPUT(2),
+
+    /** The command was refused, as when another operator came first; nothing was changed. */
+    REFUSED(3),
+
+    /** What was asked for does not exist. */
+    NOT_FOUND(4),
+
+    /** The platform gave no usable answer; the message says whether something may have been changed. */
+    PLATFORM_UNAVAILABLE(5),
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ReclaimCommand.kt
@@ -0,0 +1,62 @@
+package io.limpetfold.ctl.budget
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.budget.BudgetLedgers
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.ctl.SessionCommand
+import io.limpetfold.store.UpdateError
+
+/** Ends the entry of a holder whose process has ended. */
+internal class ReclaimCommand :
+    SessionCommand("reclaim", "Ends the ledger entry of a router incarnation that was terminated, and frees its remainder.") {
+    private val workspace by argument()
+    private val holder by argument(help = "instance@incarnation, as budget stranded shows it")
+    private val isTerminated by option("--confirm-terminated")
+        .flag()
+        .help("confirms that the process has ended; reclaiming from a running router lets the workspace spend too much")
+    private val spentTokens by option("--spent", metavar = "TOKENS")
+        .long()
+        .help("cumulative spend; default is the highest copy that the routers of the settings hold, or all granted tokens without a copy")
+
+    override suspend fun run(session: CtlSession) {
+        if (!isTerminated) {
+            fail(ExitCode.INVALID_INPUT, "stop the process first, then add --confirm-terminated")
+        }
+        val incarnation = Incarnation.parse(holder) ?: fail(ExitCode.INVALID_INPUT, "'$holder' has no form instance@incarnation")
+        val id = WorkspaceId(workspace)
+        val ledgers = BudgetLedgers(session.store)
+        val entry =
+            ledgers.read(id).orFail()?.holders?.get(incarnation.key)
+                ?: fail(ExitCode.NOT_FOUND, "$holder holds no grant of workspace $workspace")
+        val spent = spentTokens ?: copiedSpent(session, incarnation) ?: entry.grantedTokens
+        val ledger =
+            ledgers.reclaim(id, incarnation, spent).getOrElse { error ->
+                when (error) {
+                    is UpdateError.Refused -> fail(ExitCode.REFUSED, error.reason.message)
+                    is UpdateError.Failed -> fail(ExitCode.PLATFORM_UNAVAILABLE, error.error.message)
+                }
+            }
+        progress("reclaimed $holder with $spent tokens spent")
+        show(BudgetLine.of(id, ledger), BudgetLine.serializer()) { BudgetLine.table(listOf(it)) }
+    }
+
+    /** The highest copy; a router that does not answer may hold a higher one, and too low a spend would free spent tokens. */
+    private suspend fun copiedSpent(
+        session: CtlSession,
+        incarnation: Incarnation,
+    ): Long? {
+        val replies = session.routers.getAll("/spent/$workspace/${incarnation.key}")
+        replies.firstOrNull { it.status == null }?.let {
+            fail(ExitCode.REFUSED, "router ${it.router} did not answer and may hold a copy; repeat later, or give --spent")
+        }
+        return replies.mapNotNull { it.body?.trim()?.toLongOrNull() }.maxOrNull()
+    }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ShowBudgetCommand.kt
@@ -0,0 +1,40 @@
+package io.limpetfold.ctl.budget
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import io.limpetfold.budget.BudgetLedger
+import io.limpetfold.budget.BudgetLedgers
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.ctl.SessionCommand
+import io.limpetfold.store.TypedObject
+import kotlinx.serialization.builtins.ListSerializer
+
+/** Shows one budget or all of them. */
+internal class ShowBudgetCommand : SessionCommand("show", "Shows the budget of a workspace, or all budgets.") {
+    private val workspace by argument().optional()
+
+    override suspend fun run(session: CtlSession) {
+        val lines = workspace?.let { listOf(one(session, WorkspaceId(it))) } ?: all(session)
+        show(lines, ListSerializer(BudgetLine.serializer()), BudgetLine::table)
+    }
+
+    private suspend fun one(
+        session: CtlSession,
+        workspace: WorkspaceId,
+    ): BudgetLine {
+        val ledger = BudgetLedgers(session.store).read(workspace).orFail()
+        return BudgetLine.of(workspace, ledger ?: fail(ExitCode.NOT_FOUND, "workspace $workspace has no budget; make a first top-up"))
+    }
+
+    private suspend fun all(session: CtlSession): List<BudgetLine> =
+        session.store.list(PREFIX).orFail().objects.map { stored ->
+            val ledger = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), stored.value)
+            BudgetLine.of(WorkspaceId(stored.key.path.removePrefix(PREFIX)), ledger)
+        }
+
+    private companion object {
+        const val PREFIX = "budget/"
+    }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/TopUpCommand.kt
@@ -0,0 +1,43 @@
+package io.limpetfold.ctl.budget
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.budget.BudgetLedgers
+import io.limpetfold.budget.TopUpId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.ctl.SessionCommand
+import io.limpetfold.store.UpdateError
+
+/** Adds prepaid tokens; the same identity again adds nothing. */
+internal class TopUpCommand : SessionCommand("top-up", "Adds prepaid tokens to a workspace's budget.") {
+    private val workspace by argument()
+    private val tokens by argument().long().restrictTo(min = 1)
+    private val id by option("--id")
+        .required()
+        .help("date and reference, as in 2026-12-04/invoice-7; repeat it after an unknown outcome, so that nothing is added twice")
+
+    override suspend fun run(session: CtlSession) {
+        val identity =
+            try {
+                TopUpId(id)
+            } catch (e: IllegalArgumentException) {
+                fail(ExitCode.INVALID_INPUT, e.message ?: "the identity has another form")
+            }
+        val ledger =
+            BudgetLedgers(session.store).topUp(WorkspaceId(workspace), identity, tokens).getOrElse { error ->
+                when (error) {
+                    is UpdateError.Refused -> fail(ExitCode.REFUSED, error.reason.message)
+                    is UpdateError.Failed -> fail(ExitCode.PLATFORM_UNAVAILABLE, error.error.message)
+                }
+            }
+        val line = BudgetLine.of(WorkspaceId(workspace), ledger)
+        show(line, BudgetLine.serializer()) { BudgetLine.table(listOf(it)) }
+    }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveCommand.kt
@@ -0,0 +1,35 @@
+package io.limpetfold.ctl.move
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.ctl.SessionCommand
+import io.limpetfold.rollout.MoveCommands
+import io.limpetfold.rollout.MoveError
+import io.limpetfold.rollout.MoveRecord
+
+/** A command on moves. */
+internal abstract class MoveCommand(
+    name: String,
+    helpText: String,
+) : SessionCommand(name, helpText) {
+    protected fun CtlSession.moves() = MoveCommands(store, clock)
+
+    protected fun <T> Result<T, MoveError>.orRefuse(): T =
+        getOrElse { error ->
+            val code =
+                when (error) {
+                    is MoveError.AlreadyRunning, is MoveError.AlreadyEnded -> ExitCode.REFUSED
+                    is MoveError.NotFound -> ExitCode.NOT_FOUND
+                    is MoveError.Invalid -> ExitCode.INVALID_INPUT
+                    is MoveError.Store -> ExitCode.PLATFORM_UNAVAILABLE
+                }
+            fail(code, error.message)
+        }
+
+    protected fun show(
+        session: CtlSession,
+        record: MoveRecord,
+    ) = show(MoveLine.of(record, session.clock.instant()), MoveLine.serializer()) { MoveLine.table(listOf(it)) }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
@@ -0,0 +1,75 @@
+package io.limpetfold.ctl.move
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.enum
+import io.limpetfold.config.DurationText
+import io.limpetfold.config.FleetConfig
+import io.limpetfold.config.Preset
+import io.limpetfold.config.RouteConfig
+import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.rollout.MoveId
+import io.limpetfold.rollout.MovePhase
+import io.limpetfold.rollout.MovePreset
+import io.limpetfold.rollout.MoveStart
+import io.limpetfold.store.TypedObject
+import java.util.UUID
+
+/** Starts a move of a route's traffic. */
+internal class StartMoveCommand : MoveCommand("start", "Starts a move of a route's traffic to another version.") {
+    private val route by argument()
+    private val newVersion by option("--to", metavar = "VERSION").required().help("version to move to; it must be configured")
+    private val within by option("--within", metavar = "DURATION").required().help("time until the deadline, as in 30m")
+    private val id by option("--id").help("identity of the move; repeat it after an unknown outcome, so that nothing starts twice")
+    private val preset by option("--preset").enum<MovePreset> { it.name.lowercase() }.help("default is the preset of the route")
+
+    override suspend fun run(session: CtlSession) {
+        val duration = DurationText.parse(within) ?: fail(ExitCode.INVALID_INPUT, "--within '$within' is no duration; write it as 30m")
+        val config = configuration(session)
+        val configured = config.route(RouteId(route)) ?: fail(ExitCode.NOT_FOUND, "route $route is not configured")
+        val service = config.service(configured.service)
+        if (service?.versions.orEmpty().none { it.version.value == newVersion }) {
+            fail(ExitCode.NOT_FOUND, "version $newVersion of ${configured.service} is not configured; publish it first")
+        }
+        val start =
+            MoveStart(
+                MoveId(id ?: UUID.randomUUID().toString().take(SHORT_ID_CHARS)),
+                configured.route,
+                oldVersion(session, configured),
+                VersionId(newVersion),
+                session.settings.effectiveOperator(),
+                session.clock.instant().plus(duration),
+                preset ?: configured.moves.toMovePreset(),
+            )
+        show(session, session.moves().start(start).orRefuse())
+    }
+
+    private suspend fun configuration(session: CtlSession): FleetConfig =
+        TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
+            ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
+
+    /** The version in force: that of the last completed move, else the configured one. */
+    private suspend fun oldVersion(
+        session: CtlSession,
+        route: RouteConfig,
+    ): VersionId {
+        val last = session.moves().read(route.route).orRefuse() ?: return route.activeVersion
+        val phase = last.phaseAt(session.clock.instant().toEpochMilli())
+        return if (phase is MovePhase.Completed) last.newVersion else last.oldVersion
+    }
+
+    private fun Preset.toMovePreset(): MovePreset =
+        when (this) {
+            Preset.AVAILABILITY -> MovePreset.AVAILABILITY
+            Preset.EXPOSURE -> MovePreset.EXPOSURE
+        }
+
+    private companion object {
+        const val SHORT_ID_CHARS = 8
+    }
+}
--- /dev/null
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/report/BurnCommand.kt
@@ -0,0 +1,59 @@
+package io.limpetfold.ctl.report
+
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import io.limpetfold.burn.BurnRecord
+import io.limpetfold.burn.BurnReport
+import io.limpetfold.config.FleetConfig
+import io.limpetfold.ctl.CtlSession
+import io.limpetfold.ctl.ExitCode
+import io.limpetfold.ctl.SessionCommand
+import io.limpetfold.ctl.Table
+import io.limpetfold.rollout.MoveRecord
+import io.limpetfold.store.TypedObject
+import java.util.Locale
+import kotlin.io.path.writeText
+
+/** Reports how fast each service-level objective's error budget is spent. */
+internal class BurnCommand : SessionCommand("burn", "Reports how fast the error budgets of the objectives are spent.") {
+    private val html by option("--html", metavar = "FILE").path().help("also write the report as a page with plots")
+
+    override suspend fun run(session: CtlSession) {
+        val config =
+            TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
+                ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
+        val records =
+            session.store.list(BurnRecord.PREFIX).orFail().objects
+                .map { TypedObject.JSON.decodeFromString(BurnRecord.serializer(), it.value) }
+        val report = BurnReport.create(records, config, session.clock.instant())
+        html?.let { file ->
+            val moves =
+                session.store.list(MoveRecord.PREFIX).orFail().objects
+                    .map { TypedObject.JSON.decodeFromString(MoveRecord.serializer(), it.value) }
+            file.writeText(BurnPage.create(report, config, moves))
+            progress("wrote $file")
+        }
+        show(report, BurnReport.serializer(), ::table)
+    }
+
+    private fun table(report: BurnReport): String =
+        Table.format(
+            listOf("ROUTE", "WORKSPACE", "WINDOW", "TOTAL", "FAILED", "SLOW", "AVAILABILITY BURN", "LATENCY BURN", "STATE"),
+            report.lines.map {
+                listOf(
+                    it.route,
+                    it.workspace,
+                    it.window,
+                    it.total.toString(),
+                    it.failed.toString(),
+                    it.slow.toString(),
+                    rate(it.availabilityBurn),
+                    rate(it.latencyBurn),
+                    if (it.isBreached) "BREACH" else "ok",
+                )
+            },
+        )
+
+    private fun rate(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
+}
