http: say when the loss of a caller is noticed

Cause: the page of HttpExchange did not say that a connection whose body buffer is full is not read. Ruled out: reading on to notice the loss, which would break the byte bound. Change: doc comment only.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpExchange.kt
@@ -16,7 +16,12 @@
     /** True when the process held its bound of buffered bytes as the request arrived; such a request should be refused as not run. */
     val isBufferFull: Boolean
 
-    /** Completes when the connection is lost before the answer ended. The handler's coroutine itself is not cancelled. */
+    /**
+     * Completes when the connection is lost, or the caller ends its side of it, before the answer ended.
+     *
+     * The handler's coroutine itself is not cancelled. While the body holds its bound of unread bytes the connection is not read, so that
+     * the loss is noticed only by a write or when reading goes on.
+     */
     val callerGone: Job
 
     /** Calls [callback] on an event loop when the caller has gone, at once if it has already. */
