budget: let the seeded scheduler pass time while a router is paused

Ruled out: nothing yet; that the paused lane is the cause is read from the code. Change: drain() moves the clock when only paused lanes have tasks; before it spun.

--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/SeededScheduler.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/SeededScheduler.kt
@@ -39,7 +39,7 @@
     /** Runs everything, moving the clock from timer to timer. */
     fun drain() {
         while (step() || timers.isNotEmpty()) {
-            if (ready.isEmpty() && timers.isNotEmpty()) advance(maxOf(0, timers.minOf { it.dueMillis } - nowMillis))
+            if (ready.all { it.lane.isPaused } && timers.isNotEmpty()) advance(maxOf(0, timers.minOf { it.dueMillis } - nowMillis))
         }
     }
 
