--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -133,6 +133,8 @@
         changed: MoveRecord,
     ): Boolean {
         val fencing = lease.held(MovePlan.WRITE_BOUND) ?: return false
+        // A later holder has changed the move.
+        if (expected.fencing > fencing) return false
         val isPhaseNew = changed.phase != expected.phase
         val next =
             changed.copy(
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -333,11 +333,13 @@
             return choice
         }
 
+        private fun knowsOutcome() = router.moves().any { it.id == history.last().second.id && it.phase.isFinal }
+
         /** Checks that the outcome is in force once this router could hear of it for the propagation bound. */
         fun checkHearing() {
             if (!isRunning || !hearsPlatform) heardSince = nowMillis
             for (other in nodes) {
-                val isHeard = isRunning && other.isRunning && other.hearsPlatform && isLinked(index, other.index)
+                val isHeard = isRunning && other.isRunning && (other.hearsPlatform || other.knowsOutcome()) && isLinked(index, other.index)
                 if (!isHeard) linkedSince[other.index] = nowMillis
             }
             if (isRunning && violation == null && !isStalled) checkOutcome()
