rollout, publish: let a newer configuration replace the outcome of an ended move

Cause: after a move ended, its outcome stayed in force whatever was published later; an operator who published another active version saw it accepted and not applied. Ruled out: the configuration always wins (any later publication with a stale file would take a completed move back). Conclusion: files and moves can no longer disagree silently.

--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
@@ -14,7 +14,6 @@
 import io.limpetfold.ctl.CtlSession
 import io.limpetfold.ctl.ExitCode
 import io.limpetfold.rollout.MoveId
-import io.limpetfold.rollout.MovePhase
 import io.limpetfold.rollout.MovePreset
 import io.limpetfold.rollout.MoveStart
 import io.limpetfold.store.TypedObject
@@ -40,7 +39,7 @@
             MoveStart(
                 MoveId(id ?: UUID.randomUUID().toString().take(SHORT_ID_CHARS)),
                 configured.route,
-                oldVersion(session, configured),
+                oldVersion(session, config, configured),
                 VersionId(newVersion),
                 session.settings.effectiveOperator(),
                 session.clock.instant().plus(duration),
@@ -53,14 +52,16 @@
         TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
             ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
 
-    /** The version in force: that of the last completed move, else the configured one. */
+    /** The version in force: that of the last move, unless the configuration was published after it ended. */
     private suspend fun oldVersion(
         session: CtlSession,
+        config: FleetConfig,
         route: RouteConfig,
     ): VersionId {
         val last = session.moves().read(route.route).orRefuse() ?: return route.activeVersion
-        val phase = last.phaseAt(session.clock.instant().toEpochMilli())
-        return if (phase is MovePhase.Completed) last.newVersion else last.oldVersion
+        val publishedAtMillis = config.publication?.publishedAt?.toEpochMilli() ?: 0
+        if (publishedAtMillis > last.endedAtMillis) return route.activeVersion
+        return last.versionInForceAt(session.clock.millis()) ?: last.oldVersion
     }
 
     private fun Preset.toMovePreset(): MovePreset =
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.publish
 
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.help
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
@@ -9,6 +10,8 @@
 import io.limpetfold.config.FleetConfig
 import io.limpetfold.config.PublishError
 import io.limpetfold.config.Published
+import io.limpetfold.rollout.MoveCommands
+import java.time.InstantSource
 
 /** Writes the next generation and waits until every router has it in force. */
 internal class PublishCommand(
@@ -19,6 +22,10 @@
         .long()
         .help("The generation that 'diff' showed; the default is the one in force now")
 
+    private val isReplacingMoves by option("--replace-moves")
+        .flag()
+        .help("Let the active versions of the files replace the outcome of moves that have ended")
+
     override fun help(context: Context): String = "Publishes the files and waits until all routers confirm the generation."
 
     override suspend fun run(
@@ -29,6 +36,7 @@
         val publisher = ConfigPublisher(platform.store)
         val current = publisher.read().getOrElse { fail(it) }
         showDiff(current, config)
+        checkMoves(config, platform)
         val comparedWith = expected ?: current?.generation ?: 0
         val reader = confirmations(platform)
         val reported = reader.newestReported().getOrElse { fail(PublishError.Unavailable(it)) }
@@ -49,6 +57,22 @@
         }
     }
 
+    private suspend fun checkMoves(
+        config: FleetConfig,
+        platform: Platform,
+    ) {
+        val clock = InstantSource.system()
+        val moves =
+            MoveCommands(platform.store, clock).list().getOrElse {
+                fail(ExitCode.PLATFORM_UNAVAILABLE, "not published: the moves can't be read: ${it.message}")
+            }
+        val ended = moves.filter { it.phaseAt(clock.millis()).isFinal }
+        val problems = MoveCheck.problems(config, if (isReplacingMoves) moves - ended.toSet() else moves, clock.millis())
+        if (problems.isEmpty()) return
+        problems.forEach { echo(it, err = true) }
+        fail(ExitCode.INVALID_INPUT, "nothing was published")
+    }
+
     private fun announcement(published: Published): String {
         val generation = published.config.generation
         return if (published.isChanged) "published generation $generation" else "generation $generation has this content already"
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
@@ -51,6 +51,17 @@
     fun phaseAt(nowMillis: Long): MovePhase =
         if (phase is MovePhase.Running && nowMillis >= deadlineMillis) MovePhase.TakenBack(TakeBackReason.DeadlinePassed) else phase
 
+    /** The version that the ended move put in force; null while it runs. */
+    fun versionInForceAt(nowMillis: Long): VersionId? =
+        when (phaseAt(nowMillis)) {
+            is MovePhase.Running -> null
+            MovePhase.Completed -> newVersion
+            is MovePhase.TakenBack -> oldVersion
+        }
+
+    /** When the move ended; a move that nobody ended counts as ended at its deadline. */
+    val endedAtMillis: Long get() = if (phase.isFinal) changedAtMillis else deadlineMillis
+
     /** The requests that [router] may send to the new version. */
     fun granted(router: Incarnation): Long = grants[router.key] ?: 0
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionRouter.kt
@@ -69,18 +69,22 @@
      * Chooses the version for [request]; report how it ended to [record].
      *
      * @param hasOldEndpoint false when no endpoint of the old version is left.
+     * @param configuredAtMillis when the configured active version was published; published after a move ended, it replaces the move's outcome.
      */
     fun choose(
         route: RouteId,
         request: RequestId,
         hasOldEndpoint: Boolean = true,
+        configuredAtMillis: Long = 0,
     ): VersionChoice =
         synchronized(lock) {
             val move = routes[route] ?: return VersionChoice(route, request, version = null)
             move.countRequest()
             val record = move.record
             val verdict = verdicts[record.id]
-            when (val phase = record.phaseAt(clock.millis())) {
+            val phase = record.phaseAt(clock.millis())
+            if (phase.isFinal && configuredAtMillis > record.endedAtMillis) return VersionChoice(route, request, version = null)
+            when (phase) {
                 is MovePhase.Running -> chooseRunning(move, request, phase.step, verdict)
                 MovePhase.Completed -> ended(record, request, isNew = verdict == null)
                 is MovePhase.TakenBack -> {
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionRouterTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionRouterTest.kt
@@ -54,6 +54,17 @@
                 }
         }
 
+        test("a configuration published after a move ended replaces its outcome, and one published before does not") {
+            val fleet = Fleet()
+            fleet.start()
+            val startedAt = fleet.clock.millis()
+            fleet.clock.advance(Duration.ofMinutes(6))
+
+            fun choose(publishedAtMillis: Long) = fleet.routers[0].choose(route, RequestId("q"), configuredAtMillis = publishedAtMillis).version
+            choose(startedAt) shouldBe old
+            choose(fleet.clock.millis()) shouldBe null
+        }
+
         test("a cut-off router turns to the old version at the deadline, and to the new one only when no old endpoint is left") {
             val fleet = Fleet()
             fleet.start()
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
@@ -13,6 +13,7 @@
  * One authenticated request of a caller.
  *
  * @property isCallerIdentity whether the caller chose [request], so that an earlier attempt through another router may exist.
+ * @property configuredAtMillis when the configuration under which the call runs was published.
  * @property deadline monotonic end of the route's request timeout.
  */
 internal class Call(
@@ -22,6 +23,7 @@
     val service: ServiceConfig,
     val request: RequestId,
     val isCallerIdentity: Boolean,
+    val configuredAtMillis: Long,
     val arrived: TimeMark,
     val deadline: TimeMark,
     val trace: RequestTrace,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerGateway.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerGateway.kt
@@ -73,6 +73,7 @@
             checkNotNull(config.service(route.service)) { "a valid configuration has the service of each route" },
             request,
             isCallerIdentity = given != null,
+            config.publication?.publishedAt?.toEpochMilli() ?: 0,
             arrived,
             arrived + timeout.toKotlinDuration(),
             RequestTrace(workspace.workspace, request, route.route, clock.instant(), arrived),
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
@@ -31,7 +31,7 @@
         val move = versions.moves().firstOrNull { it.route == call.route.route }
         val oldVersion = move?.oldVersion ?: call.route.activeVersion
         val hasOldEndpoint = usable.any { it.version == oldVersion && !it.isLeaving }
-        val choice = versions.choose(call.route.route, call.request, hasOldEndpoint)
+        val choice = versions.choose(call.route.route, call.request, hasOldEndpoint, call.configuredAtMillis)
         val version = choice.version ?: call.route.activeVersion
         val ofVersion = usable.filter { it.version == version }
         val untried = ofVersion.filter { EndpointId(it.instance.value) !in tried }
