limits: split the loan exchange from the endpoint limiter

Ruled out: splitting the queues as well (dispatch needs endpoints and queues under one lock). Change: LoanExchange holds what to ask, how to answer and what an answer changes; the limiter carries the messages. Behaviour is unchanged. Conclusion: each file has one duty.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -39,7 +39,6 @@
  * [LimitPolicy.maxRequestDuration], and all routers use the same capacity. While a lower capacity reaches the routers
  * the sum may exceed it, but no router starts a request above its own share.
  */
-@Suppress("TooManyFunctions")
 class EndpointLimiter(
     private val self: Incarnation,
     private val zone: ZoneId,
@@ -52,21 +51,18 @@
 ) {
     private val lock = Any()
     private val states = HashMap<EndpointId, EndpointState>()
+    private val loans = LoanExchange(self, states, timeSource, policy, listener)
     private val queues = LinkedHashMap<RouteId, RouteQueue>()
     private val notices = LeavingNoticeBoard(self, network, timeSource, policy)
-    private val newest = HashMap<InstanceId, Incarnation>()
     private val isBorrowing = AtomicBoolean()
     private val start: TimeMark = timeSource.markNow()
     private val loanLife = policy.loanLife.toKotlinDuration()
 
-    private var seat: Int? = null
     private var maxRouters = 0
-    private var tenureNumber = 0
     private var capacities: Map<EndpointId, EndpointCapacity> = emptyMap()
 
     /** When the seat's share becomes usable, or null when it is. */
     private var settlesAt: TimeMark? = null
-    private var isClosed = false
     private var firstQueue = 0
 
     init {
@@ -93,7 +89,7 @@
     ) {
         val left =
             decide { decided ->
-                if (seat != this.seat) startTenure(seat, isSeatNew)
+                if (seat != loans.seat) startTenure(seat, isSeatNew)
                 this.maxRouters = maxRouters
                 capacities = endpoints.associateBy { it.endpoint }
                 configureQueues(routes, decided)
@@ -161,11 +157,11 @@
     }
 
     /** Counts all slots lent to [ended] as returned; call it only when its process is known to have ended. */
-    fun incarnationEnded(ended: Incarnation) = decide { endBorrower(ended) }
+    fun incarnationEnded(ended: Incarnation) = decide { loans.endBorrower(ended) }
 
     /** Stops lending, borrowing and giving slots, and returns what was borrowed; part of a planned stop. */
     suspend fun close() {
-        decide { isClosed = true }
+        decide { loans.isClosed = true }
         syncLoans()
     }
 
@@ -204,10 +200,8 @@
         seat: Int?,
         isSeatNew: Boolean,
     ) {
-        this.seat = seat
-        tenureNumber++
+        loans.startTenure(seat)
         settlesAt = if (isSeatNew) null else timeSource.markNow() + policy.seatSettleTime.toKotlinDuration()
-        states.values.forEach { it.loans.startTenure() }
     }
 
     private fun configureEndpoints(endpoints: Collection<EndpointCapacity>): List<EndpointId> {
@@ -229,7 +223,7 @@
 
     private fun refreshBases() {
         if (settlesAt?.hasPassedNow() == true) settlesAt = null
-        val usableSeat = seat.takeIf { settlesAt == null }
+        val usableSeat = loans.seat.takeIf { settlesAt == null }
         for (state in states.values) {
             val maxInFlight = capacities[state.endpoint]?.maxInFlight ?: 0
             state.base = BaseShare.of(state.endpoint, maxInFlight, usableSeat, maxRouters)
@@ -354,7 +348,7 @@
     }
 
     private fun choose(inRotation: List<EndpointCandidate>): EndpointState? {
-        if (isClosed) return null
+        if (loans.isClosed) return null
         val usable = inRotation.filter { states.getValue(it.endpoint).canStart(loanLife) }
         val near = usable.filter { it.zone == zone }.ifEmpty { usable }
         if (near.isEmpty()) return null
@@ -431,7 +425,7 @@
 
     /** The endpoints for which waiters lack slots; those held down by their adaptive limit alone are left out. */
     private fun wantedByEndpoint(): Map<EndpointId, Int> {
-        if (isClosed) return emptyMap()
+        if (loans.isClosed) return emptyMap()
         val wanted = HashMap<EndpointId, Int>()
         for (queue in queues.values) {
             for (waiter in queue.waiters.entries()) {
@@ -450,173 +444,30 @@
         wanted: Map<EndpointId, Int>,
     ) {
         val asked = timeSource.markNow()
-        val request =
-            synchronized(lock) {
-                LoanRequest(states.values.mapNotNull { askOf(it, peer, wanted[it.endpoint] ?: 0) })
-            }
-        if (request.asks.isEmpty()) return
+        val request = synchronized(lock) { loans.request(peer, wanted) } ?: return
         network.ask(peer, LimitTopics.LOANS, request, policy.peerTimeout).fold(
-            success = { reply -> decide { onLoanReply(reply, asked) } },
+            success = { reply -> decide { loans.onReply(reply, asked) } },
             failure = { },
         )
     }
 
-    private fun askOf(
-        state: EndpointState,
-        peer: InstanceId,
-        wanted: Int,
-    ): LoanAsk? {
-        val loan = state.loans.borrowed.entries.firstOrNull { it.key.holder.instance == peer }
-        if (loan == null && wanted == 0) return null
-        return LoanAsk(
-            endpoint = state.endpoint,
-            wanted = wanted,
-            isWithoutSlots = wanted > 0 && state.capacity(loanLife) == 0,
-            lender = loan?.key,
-            receivedTotal = loan?.value?.receivedTotal ?: 0,
-            returnedTotal = loan?.value?.returnedTotal ?: 0,
-        )
-    }
-
-    private fun onLoanReply(
-        reply: LoanReply,
-        asked: TimeMark,
-    ) {
-        for (report in reply.returned) onReported(reply.answeredBy, report)
-        for (grant in reply.grants) {
-            val state = states[grant.endpoint] ?: continue
-            if (reply.lender != null) state.onGranted(reply.lender, grant.lentTotal, asked)
-        }
-    }
-
     /** Answers a borrower, and tells the lenders of slots that are given back for it. */
     private suspend fun onLoanRequest(
         from: Incarnation,
         message: LoanRequest,
     ): LoanReply {
         val toTell = mutableSetOf<InstanceId>()
-        val reply = decide { answerLoanRequest(from, message, toTell) }
+        val reply = decide { loans.answer(from, message, toTell) }
         for (lender in toTell - from.instance) exchange(lender, emptyMap())
         return reply
     }
 
-    /** A null tenure in the answer confirms nothing, so earlier loans run out. */
-    private fun answerLoanRequest(
-        from: Incarnation,
-        message: LoanRequest,
-        toTell: MutableSet<InstanceId>,
-    ): LoanReply {
-        if (!isNewest(from)) return LoanReply(self, null, emptyList())
-        val tenure = if (seat == null) null else tenure()
-        val grants = mutableListOf<LoanGrant>()
-        val returned = mutableListOf<LoanAsk>()
-        for (ask in message.asks) {
-            val state = states[ask.endpoint] ?: continue
-            onReported(from, ask)
-            if (ask.isWithoutSlots) giveBackFor(state, from)?.let { toTell += it }
-            reportTo(state, from)?.let { returned += it }
-            if (tenure != null) grants += LoanGrant(ask.endpoint, lend(state, from, ask))
-        }
-        return LoanReply(self, tenure, grants, returned)
-    }
-
-    private fun tenure() = SeatTenure(self, tenureNumber)
-
-    private fun onReported(
-        from: Incarnation,
-        report: LoanAsk,
-    ) {
-        if (report.lender == tenure()) states[report.endpoint]?.loans?.onReported(from, report)
-    }
-
-    private fun lend(
-        state: EndpointState,
-        from: Incarnation,
-        ask: LoanAsk,
-    ): Long {
-        val idle = if (isClosed) 0 else state.idleFor(from, loanLife)
-        val offered = if (ask.isWithoutSlots) idle.coerceAtMost(1).coerceAtLeast(idle / 2) else idle / 2
-        val before = state.loans.lent[from]?.lentTotal ?: 0
-        val total = state.loans.lend(from, ask, offered, isTenureKnown = ask.lender == tenure())
-        if (total > before) {
-            state.onPromiseKept(from)
-            listener.onLent(state.endpoint, from.instance, (total - before).toInt())
-        } else if (ask.isWithoutSlots && idle == 0 && state.base > 0) {
-            promise(state, from)
-        }
-        return total
-    }
-
-    private fun promise(
-        state: EndpointState,
-        peer: Incarnation,
-    ) = state.promise(peer, timeSource.markNow() + policy.promiseLife.toKotlinDuration())
-
-    /** Returns what this router holds from [lender], or null when it borrowed nothing from it. */
-    private fun reportTo(
-        state: EndpointState,
-        lender: Incarnation,
-    ): LoanAsk? {
-        val loan = state.loans.borrowed.entries.firstOrNull { it.key.holder == lender } ?: return null
-        return LoanAsk(
-            state.endpoint,
-            lender = loan.key,
-            receivedTotal = loan.value.receivedTotal,
-            returnedTotal = loan.value.returnedTotal,
-        )
-    }
-
-    /**
-     * Gives a borrowed slot back to its lender because [asker] has no slot at all, or promises the next idle one.
-     *
-     * Without this a busy borrower would keep its loan for ever. The lender keeps the slot for the asker, which asked it
-     * too. Returns the lender, or null when nothing was given back.
-     */
-    private fun giveBackFor(
-        state: EndpointState,
-        asker: Incarnation,
-    ): InstanceId? {
-        val loans = state.loans.borrowed.filterValues { it.held > 0 }.keys
-        val lender = loans.firstOrNull { it.holder == asker } ?: loans.firstOrNull() ?: return null
-        if (state.loans.giveBack(lender, minOf(1, state.returnable(lender, loanLife))) == 0) {
-            promise(state, asker)
-            return null
-        }
-        state.onPromiseKept(asker)
-        return lender.holder.instance
-    }
-
-    /** A newer incarnation of an instance proves that the older one ended; late messages of the older one are ignored. */
-    private fun isNewest(from: Incarnation): Boolean {
-        val known = newest[from.instance]
-        if (known != null && known.number > from.number) return false
-        if (known != null && known.number < from.number) endBorrower(known)
-        newest[from.instance] = from
-        return true
-    }
-
-    private fun endBorrower(ended: Incarnation) =
-        states.values.forEach {
-            it.loans.endBorrower(ended)
-            it.forgetPromise(ended)
-        }
-
     private suspend fun syncLoans() =
         coroutineScope {
-            val lenders =
-                synchronized(lock) {
-                    states.values.forEach(::returnIdle)
-                    states.values.flatMap { it.loans.borrowed.keys }.map { it.holder.instance }.toSet()
-                }
+            val lenders = synchronized(lock) { loans.returnIdle() }
             for (lender in lenders) launch { exchange(lender, emptyMap()) }
         }
 
-    private fun returnIdle(state: EndpointState) {
-        val isIdle = state.lastUsed?.let { it.elapsedNow() >= policy.idleBeforeReturn.toKotlinDuration() } ?: true
-        if (!isIdle && !isClosed) return
-        for (lender in state.loans.borrowed.keys.toList()) state.loans.giveBack(lender, state.returnable(lender, loanLife))
-    }
-
     private fun nowNanos(): Long = start.elapsedNow().inWholeNanoseconds
 
     private companion object {
