router: give up a lost seat before each slot and read the moves before serving

Cause: a router that wakes after a pause could take slots of a seat that was given away until its next round (250 ms); a router that had not read the moves yet could send to the old version of a completed move. Ruled out: a shorter round (the time between waking and the round stays). Change: EndpointAccess checks the seat before each slot; readiness waits for the first read of the moves. Conclusion: what remains is a pause between taking a slot and the first byte.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -27,6 +27,7 @@
 import io.limpetfold.membership.Member
 import io.limpetfold.membership.Membership
 import io.limpetfold.membership.MembershipListener
+import io.limpetfold.membership.Seat
 import io.limpetfold.membership.SeatKeeper
 import io.limpetfold.peer.ListedInstance
 import io.limpetfold.peer.ktor.FleetKey
@@ -138,6 +139,13 @@
     @Volatile
     private var isRefusing = false
 
+    /** A router that has not read the moves yet would send to the old version of a completed one. */
+    @Volatile
+    private var hasReadMoves = false
+
+    @Volatile
+    private var appliedSeat: Seat? = null
+
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
         registerGauges()
@@ -188,7 +196,10 @@
             limiter.maintain()
         }
         maintenance.every(ONE_SECOND, "budget") { budget.maintain() }
-        maintenance.every(ONE_SECOND, "moves") { versions.maintain() }
+        maintenance.every(ONE_SECOND, "moves") {
+            versions.maintain()
+            hasReadMoves = true
+        }
         maintenance.every(ONE_SECOND, "lease") { lease.maintain() }
         maintenance.every(ONE_SECOND, "move controller") { moves.maintain() }
         maintenance.every(TEN_SECONDS, "claims") {
@@ -213,12 +224,18 @@
                 }
             }
         val seat = seats.seat
+        appliedSeat = seat
         limiter.update(routes, seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities)
-        if (readiness == Readiness.STARTING && seat != null) readiness = Readiness.READY
+        if (readiness == Readiness.STARTING && seat != null && hasReadMoves) readiness = Readiness.READY
+    }
+
+    /** After a pause the seat may belong to another router, and the next round that would tell the limiter comes too late. */
+    private fun giveUpLostSeat() {
+        if (appliedSeat != null && seats.seat == null) applyConfig()
     }
 
     private fun gateway(): CallerGateway {
-        val access = EndpointAccess(versions, membership, limiter)
+        val access = EndpointAccess(versions, membership, limiter, ::giveUpLostSeat)
         val forwarder = Forwarder(access, upstream, limiter, versions, monotonic)
         val engines = EngineClient(upstream, membership, limiter, versions)
         val callJournal = CallJournal(self, journal, runs, peers, membership::hasEnded)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
@@ -14,17 +14,23 @@
 import io.limpetfold.request.Refusal
 import io.limpetfold.rollout.VersionRouter
 
-/** Chooses the version and the endpoint of an attempt and takes a slot there. */
+/**
+ * Chooses the version and the endpoint of an attempt and takes a slot there.
+ *
+ * @param giveUpLostSeat runs before each slot is taken; see [io.limpetfold.membership.SeatKeeper].
+ */
 internal class EndpointAccess(
     private val versions: VersionRouter,
     private val membership: Membership,
     private val limiter: EndpointLimiter,
+    private val giveUpLostSeat: () -> Unit,
 ) {
     /** Waits for a slot within the route's queue limit and the call's deadline; endpoints in [tried] are avoided while others exist. */
     suspend fun acquire(
         call: Call,
         tried: Set<EndpointId>,
     ): Result<Attempt, Refusal.NotRun> {
+        giveUpLostSeat()
         val listed = membership.endpoints(call.service.name)
         val configured = call.service.versions.mapTo(HashSet()) { it.version }
         val usable = listed.filter { it.version in configured }
