router: feed the engines' load reports to the limiter

Cause: the limiter weighs load reports by their age, and nothing read them. Measured: bin/demo passes; the effect on waiting times was not measured. Conclusion: a measurement against choice without load reports is still to be made.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -56,6 +56,7 @@
 import io.limpetfold.router.observe.TraceLog
 import io.limpetfold.router.operate.EndpointHealth
 import io.limpetfold.router.operate.HttpEndpointOrders
+import io.limpetfold.router.operate.LoadPoller
 import io.limpetfold.router.operate.Maintenance
 import io.limpetfold.router.operate.OperatorsApi
 import io.limpetfold.router.operate.Readiness
@@ -124,6 +125,7 @@
             clock,
             monotonic,
         )
+    private val loads = LoadPoller(upstream, membership, limiter, { config.current })
     private val claims = ClaimRegistry(self, store, clock, monotonic)
     private val journal = RequestJournal(self, zone, peers, ::journalMembers, monotonic)
     private val runs = RunRegistry()
@@ -195,6 +197,7 @@
             applyConfig()
             limiter.maintain()
         }
+        maintenance.every(ONE_SECOND, "load reports") { loads.maintain() }
         maintenance.every(ONE_SECOND, "budget") { budget.maintain() }
         maintenance.every(ONE_SECOND, "moves") {
             versions.maintain()
