limits, rollout: use the field's usual names

Cause: a few names were figurative (belief of a lease, promise of a slot). Ruled out: nothing. Change: term of a lease, reservation of a slot, notifyPeers; no behaviour changes. Measured: the property tests of limits, lease and rollout pass. Conclusion: the names are those of leases and reservations.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -118,7 +118,7 @@
             withTimeoutOrNull(patience.toMillis()) { await(waiter) }
             val outcome = finish(waiter)
             isFinished = true
-            return outcome.also { tellListener(it, waiter) }
+            return outcome.also { notifyListener(it, waiter) }
         } finally {
             if (!isFinished) finish(waiter).fold({ it.release(EndpointObservation.Ignored) }, { })
         }
@@ -144,13 +144,13 @@
     }
 
     /** Tells peers about endpoints that were seen leaving; call it soon after [observe]. [maintain] does it too. */
-    suspend fun tellPeers() = notices.send()
+    suspend fun notifyPeers() = notices.send()
 
     /** Tells peers about leaving endpoints, probes those that may return, and renews and returns loans. */
     suspend fun maintain() {
         decide { refreshBases() }
         coroutineScope {
-            launch { tellPeers() }
+            launch { notifyPeers() }
             launch { probeDue() }
             launch { syncLoans() }
         }
@@ -379,7 +379,7 @@
             }
         }
 
-    private fun tellListener(
+    private fun notifyListener(
         outcome: Result<EndpointPermit, LimitRefusal>,
         waiter: Waiter,
     ) = outcome.fold(
@@ -456,9 +456,9 @@
         from: Incarnation,
         message: LoanRequest,
     ): LoanReply {
-        val toTell = mutableSetOf<InstanceId>()
-        val reply = decide { loans.answer(from, message, toTell) }
-        for (lender in toTell - from.instance) exchange(lender, emptyMap())
+        val toNotify = mutableSetOf<InstanceId>()
+        val reply = decide { loans.answer(from, message, toNotify) }
+        for (lender in toNotify - from.instance) exchange(lender, emptyMap())
         return reply
     }
 
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
@@ -26,13 +26,13 @@
     private var loadReported: TimeMark? = null
 
     /**
-     * The next start is this router's own, whatever was promised. It is set when a promise was kept and when a slot was
+     * The next start is this router's own, before any reservation of a peer. It is set when a reservation was used and when a slot was
      * borrowed, so that peers that ask again and again can't keep this router from its turn.
      */
     private var isOwnTurn = false
 
     /** Until when an idle slot is kept for a peer that has none, in the order of the first ask. */
-    private val promises = LinkedHashMap<Incarnation, TimeMark>()
+    private val reservations = LinkedHashMap<Incarnation, TimeMark>()
 
     /** Slots that this router may use now; the adaptive limit comes on top. */
     fun capacity(loanLife: Duration): Int = (base - loans.lentOut + loans.usable(loanLife)).coerceAtLeast(0)
@@ -40,7 +40,7 @@
     /** Whether a slot is free; the caller checks the [rotation]. */
     fun canStart(loanLife: Duration): Boolean {
         val capacity = capacity(loanLife)
-        val kept = if (isOwnTurn) 0 else promisedBefore(null)
+        val kept = if (isOwnTurn) 0 else reservedBefore(null)
         return inFlight < minOf(adaptive.within(capacity), capacity - kept)
     }
 
@@ -68,7 +68,7 @@
     ): Int {
         val own = base - loans.lentOut
         val usable = minOf(own, adaptive.within(capacity(loanLife)))
-        return (usable - inFlight - promisedBefore(borrower)).coerceAtLeast(0)
+        return (usable - inFlight - reservedBefore(borrower)).coerceAtLeast(0)
     }
 
     /**
@@ -86,19 +86,19 @@
         return (base - loans.lentOut + loans.usable(loanLife) + ranOut - inFlight).coerceIn(0, held)
     }
 
-    fun promise(
+    fun reserveNext(
         peer: Incarnation,
         until: TimeMark,
     ) {
-        promises[peer] = until
+        reservations[peer] = until
     }
 
-    fun onPromiseKept(peer: Incarnation) {
-        if (promises.remove(peer) != null) isOwnTurn = true
+    fun onReservationUsed(peer: Incarnation) {
+        if (reservations.remove(peer) != null) isOwnTurn = true
     }
 
-    fun forgetPromise(peer: Incarnation) {
-        promises -= peer
+    fun dropReservation(peer: Incarnation) {
+        reservations -= peer
     }
 
     fun report(
@@ -119,10 +119,10 @@
         return own + load * HALF.pow(age.toDouble(DurationUnit.SECONDS) / halfLife.toDouble(DurationUnit.SECONDS))
     }
 
-    /** The peers that are served before [borrower], or all when it was promised nothing. */
-    private fun promisedBefore(borrower: Incarnation?): Int {
-        promises.values.removeAll { it.hasPassedNow() }
-        return promises.keys.takeWhile { it != borrower }.size
+    /** The peers that are served before [borrower], or all when it has no reservation. */
+    private fun reservedBefore(borrower: Incarnation?): Int {
+        reservations.values.removeAll { it.hasPassedNow() }
+        return reservations.keys.takeWhile { it != borrower }.size
     }
 
     private companion object {
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
@@ -9,7 +9,7 @@
  * @property maxRequestDuration the longest a request may stay at an endpoint; the router must end it by then.
  * @property peerTimeout wait for one peer's answer.
  * @property borrowPause least time between two rounds of borrowing for one endpoint.
- * @property promiseLife how long an idle slot is kept for a peer that has no slot of its own.
+ * @property reservationLife how long an idle slot is kept for a peer that has no slot of its own.
  * @property idleBeforeReturn how long a borrowed slot must be idle before it goes back.
  * @property probePause first wait before a probe; it doubles up to [maxProbePause].
  * @property loadHalfLife age at which a load report counts half.
@@ -23,7 +23,7 @@
     val maxRequestDuration: Duration = TWO_MINUTES,
     val peerTimeout: Duration = QUARTER_SECOND,
     val borrowPause: Duration = TWENTY_MILLIS,
-    val promiseLife: Duration = HALF_SECOND,
+    val reservationLife: Duration = HALF_SECOND,
     val idleBeforeReturn: Duration = Duration.ofSeconds(2),
     val probePause: Duration = Duration.ofSeconds(1),
     val maxProbePause: Duration = THIRTY_SECONDS,
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
@@ -89,7 +89,7 @@
     fun answer(
         from: Incarnation,
         message: LoanRequest,
-        toTell: MutableSet<InstanceId>,
+        toNotify: MutableSet<InstanceId>,
     ): LoanReply {
         if (!isNewest(from)) return LoanReply(self, null, emptyList())
         val tenure = if (seat == null) null else tenure()
@@ -98,7 +98,7 @@
         for (ask in message.asks) {
             val state = states[ask.endpoint] ?: continue
             onReported(from, ask)
-            if (ask.isWithoutSlots) giveBackFor(state, from)?.let { toTell += it }
+            if (ask.isWithoutSlots) giveBackFor(state, from)?.let { toNotify += it }
             reportTo(state, from)?.let { returned += it }
             if (tenure != null) grants += LoanGrant(ask.endpoint, lend(state, from, ask))
         }
@@ -124,18 +124,18 @@
         val before = state.loans.lent[from]?.lentTotal ?: 0
         val total = state.loans.lend(from, ask, offered, isTenureKnown = ask.lender == tenure())
         if (total > before) {
-            state.onPromiseKept(from)
+            state.onReservationUsed(from)
             listener.onLent(state.endpoint, from.instance, (total - before).toInt())
         } else if (ask.isWithoutSlots && idle == 0 && state.base > 0) {
-            promise(state, from)
+            reserveNext(state, from)
         }
         return total
     }
 
-    private fun promise(
+    private fun reserveNext(
         state: EndpointState,
         peer: Incarnation,
-    ) = state.promise(peer, timeSource.markNow() + policy.promiseLife.toKotlinDuration())
+    ) = state.reserveNext(peer, timeSource.markNow() + policy.reservationLife.toKotlinDuration())
 
     /** Returns what this router holds from [lender], or null when it borrowed nothing from it. */
     private fun reportTo(
@@ -152,7 +152,7 @@
     }
 
     /**
-     * Gives a borrowed slot back to its lender because [asker] has no slot at all, or promises the next idle one.
+     * Gives a borrowed slot back to its lender because [asker] has no slot at all, or reservations the next idle one.
      *
      * Without this a busy borrower would keep its loan for ever. The lender keeps the slot for the asker, which asked it
      * too. Returns the lender, or null when nothing was given back.
@@ -164,10 +164,10 @@
         val loans = state.loans.borrowed.filterValues { it.held > 0 }.keys
         val lender = loans.firstOrNull { it.holder == asker } ?: loans.firstOrNull() ?: return null
         if (state.loans.giveBack(lender, minOf(1, state.returnable(lender, loanLife))) == 0) {
-            promise(state, asker)
+            reserveNext(state, asker)
             return null
         }
-        state.onPromiseKept(asker)
+        state.onReservationUsed(asker)
         return lender.holder.instance
     }
 
@@ -183,7 +183,7 @@
     fun endBorrower(ended: Incarnation) =
         states.values.forEach {
             it.loans.endBorrower(ended)
-            it.forgetPromise(ended)
+            it.dropReservation(ended)
         }
 
     private fun returnIdle(state: EndpointState) {
--- a/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/LeavingEndpointTest.kt
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/LeavingEndpointTest.kt
@@ -29,7 +29,7 @@
                 fleet.limiters[0].observe(LEAVING, sign)
                 fleet.chosen(0) shouldBe setOf(STAYING)
                 fleet.chosen(1) shouldBe setOf(STAYING, LEAVING)
-                fleet.limiters[0].tellPeers()
+                fleet.limiters[0].notifyPeers()
                 for (router in 0..2) fleet.chosen(router) shouldBe setOf(STAYING)
             }
         }
@@ -38,7 +38,7 @@
             val fleet = Fleet()
             fleet.hub.fault = { from, _ -> if (from.value == "r0") PeerFault.REQUEST_LOST else PeerFault.NONE }
             fleet.limiters[0].observe(LEAVING, EndpointSign.Draining)
-            fleet.limiters[0].tellPeers()
+            fleet.limiters[0].notifyPeers()
             fleet.chosen(1) shouldBe setOf(STAYING, LEAVING)
             fleet.hub.fault = { from, to -> if (setOf(from.value, to.value) == setOf("r0", "r2")) PeerFault.REQUEST_LOST else PeerFault.NONE }
             fleet.limiters[0].maintain()
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseKeeper.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseKeeper.kt
@@ -21,16 +21,16 @@
 /**
  * Acquires, renews and releases one lease for [self].
  *
- * The holder counts its time to live on the monotonic clock from before the renewal was sent, so its belief ends no later than a time to
+ * The holder counts its time to live on the monotonic clock from before the renewal was sent, so its term ends no later than a time to
  * live after the write took effect. A taker waits a full time to live, counted from after the read that first showed the record, during
- * which the record must stay unchanged; its write is conditional on that record. So the old belief has ended when the new one begins.
+ * which the record must stay unchanged; its write is conditional on that record. So the old term has ended when the new one begins.
  * Wall clocks play no part.
  *
  * - Holder paused: [held] reads the monotonic clock on each call, so the first call after the pause sees the lost time. A virtual machine
  *   whose monotonic clock stops while it is suspended defeats this; the fencing number then protects stored objects and endpoints that
  *   check it.
  * - Answer to a renewal lost: the object is read again. Until the write is recognised the earlier remaining time runs down.
- * - Answer to an acquisition lost and the platform down: the record names [self], which a later [maintain] renews before it believes.
+ * - Answer to an acquisition lost and the platform down: the record names [self], which a later [maintain] renews before [held] returns it.
  *
  * Safe for concurrent use.
  */
@@ -44,9 +44,9 @@
 ) {
     private val lease = TypedObject(store, key, LeaseRecord.serializer())
     private val mutex = Mutex()
-    private val beliefLength = policy.timeToLive.multipliedBy(1.0 - policy.clockDriftShare)
+    private val termLength = policy.timeToLive.multipliedBy(1.0 - policy.clockDriftShare)
 
-    @Volatile private var belief: Belief? = null
+    @Volatile private var term: Term? = null
 
     @Volatile private var isReleased = false
     private var seen: Sighting? = null
@@ -56,7 +56,7 @@
     suspend fun maintain() =
         mutex.withLock {
             if (isReleased) return@withLock
-            val lastCall = belief?.sentAt ?: polledAt
+            val lastCall = term?.sentAt ?: polledAt
             if (lastCall != null && lastCall.elapsedNow().toJavaDuration() < policy.renewAfter) return@withLock
             lease.read().fold(
                 success = {
@@ -69,9 +69,9 @@
 
     /** Returns the fencing number when the lease is held for at least [margin] more; null otherwise. Makes no call. */
     fun held(margin: Duration): FencingToken? {
-        val current = belief
+        val current = term
         if (current == null || isReleased) return null
-        val remaining = beliefLength - current.sentAt.elapsedNow().toJavaDuration()
+        val remaining = termLength - current.sentAt.elapsedNow().toJavaDuration()
         return if (remaining > margin) current.fencing else null
     }
 
@@ -79,7 +79,7 @@
     suspend fun release(): Result<Unit, StoreError> {
         isReleased = true
         return mutex.withLock {
-            belief = null
+            term = null
             var released: FencingToken? = null
             val updated =
                 lease.update<Unit>(isApplied = { it.holder != self }) { current ->
@@ -102,7 +102,7 @@
 
     private suspend fun observe(record: LeaseRecord?) {
         if (record?.holder == self) return write(record, record.copy(renewal = record.renewal + 1))
-        forget()
+        endTerm()
         if (seen?.record != record) seen = Sighting(record, monotonic.markNow())
         if (record?.holder != null) {
             val waited = checkNotNull(seen).at.elapsedNow().toJavaDuration()
@@ -123,20 +123,20 @@
             }
         updated.fold(
             success = {
-                val isNew = belief?.fencing != next.fencing
-                belief = Belief(next.fencing, sentAt)
+                val isNew = term?.fencing != next.fencing
+                term = Term(next.fencing, sentAt)
                 if (isNew) listener.onAcquired(next.fencing)
             },
             failure = { error -> if (error is UpdateError.Failed) listener.onError(error.error) },
         )
     }
 
-    private fun forget() {
-        belief?.let { listener.onLost(it.fencing) }
-        belief = null
+    private fun endTerm() {
+        term?.let { listener.onLost(it.fencing) }
+        term = null
     }
 
-    private data class Belief(
+    private data class Term(
         val fencing: FencingToken,
         val sentAt: TimeMark,
     )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -66,7 +66,7 @@
     /** Performs one round under the lease. */
     suspend fun maintain() {
         val fencing = lease.held(MovePlan.WRITE_BOUND)
-        if (fencing != term) forget(fencing)
+        if (fencing != term) beginTerm(fencing)
         if (fencing == null) return
         val moves =
             MoveCommands.readMoves(store).fold(
@@ -242,7 +242,7 @@
         )
     }
 
-    private fun forget(fencing: FencingToken?) {
+    private fun beginTerm(fencing: FencingToken?) {
         term = fencing
         reports.clear()
         pooled.clear()
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
@@ -17,7 +17,7 @@
 /** Guards against two holders that both believe, and against a fencing number that does not grow with each holder. */
 class LeasePropertyTest :
     FunSpec({
-        test("no schedule has two holders that both believe, and each new holder has a larger fencing number") {
+        test("no schedule has two holders at the same time, and each new holder has a larger fencing number") {
             val failures = (0 until SCHEDULES).mapNotNull { Schedule(it.toLong()).run() }
             println("lease: $SCHEDULES schedules, ${failures.size} failures, ${Schedule.acquisitions} acquisitions")
             failures.firstOrNull() shouldBe null
@@ -94,9 +94,9 @@
         }
 
         private fun check() {
-            val believing = slots.mapNotNull { slot -> slot.keeper.held(Duration.ZERO)?.let { slot to it } }
-            if (believing.size > 1) violation = violation ?: "two holders believe: $believing"
-            for ((slot, fencing) in believing) {
+            val holding = slots.mapNotNull { slot -> slot.keeper.held(Duration.ZERO)?.let { slot to it } }
+            if (holding.size > 1) violation = violation ?: "two holders at once: $holding"
+            for ((slot, fencing) in holding) {
                 val holder = slot.incarnation.key
                 if (fencing !in fencingHolders) {
                     if (fencingHolders.keys.any { it >= fencing }) violation = violation ?: "fencing number fell to $fencing"
