standins: answer health checks, keep cancelled streams ended, take versions in orders

Cause: the router probes an endpoint that was taken out with GET /healthz, which both endpoint stand-ins answered with 404, so that no endpoint ever came back. An order of the move controller has a version, which the engine refused as an unknown key. A GET of a cancelled stream replayed its first part and then broke. Change: /healthz answers 200, and 503 with X-Draining while draining. EngineOrder has an optional version. A cancelled stream answers 410. Conclusion: a retry of a cancelled stream can tell that nothing is left to resume.

--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineOrder.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineOrder.kt
@@ -2,9 +2,10 @@
 
 import kotlinx.serialization.Serializable
 
-/** An order to an engine, with the fencing number of its sender. */
+/** An order to an engine, with the fencing number of its sender; [version] is null when the order is not about a version. */
 @Serializable
 data class EngineOrder(
     val order: String,
     val fencing: Long,
+    val version: String? = null,
 )
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
@@ -45,6 +45,7 @@
             method == "POST" && path.endsWith("/v1/chat/completions") -> complete(exchange)
             path.startsWith(STREAMS) -> stream(exchange, method, path.removePrefix(STREAMS))
             method == "GET" && path == "/v1/load" -> load(exchange)
+            method == "GET" && path == "/healthz" -> exchange.answerHealth(isDraining)
             method == "POST" && path == "/v1/orders" -> order(exchange)
             path.startsWith("/admin/") -> admin(exchange, "$method $path")
             else -> exchange.fail(404, "not_found", "no such path", "no")
@@ -112,6 +113,7 @@
         val stream = core.find(requestId) ?: return exchange.fail(404, "not_found", "no such stream", "unknown")
         when (method) {
             "GET" -> {
+                if (stream.state == EngineStream.State.CANCELLED) return exchange.fail(410, "cancelled", "the stream was cancelled", "yes")
                 core.noteResumed()
                 sendEvents(exchange, stream, exchange.head.query("after")?.toIntOrNull() ?: 0)
             }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/JsonAnswers.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/JsonAnswers.kt
@@ -32,3 +32,7 @@
     Headers.of(JSON_HEADERS.entries + extra.entries),
     ErrorBody.encode(type, message, "see docs/design.md, 4.3", ran, head.headers["X-Request-Id"]),
 )
+
+/** Answers a health check: 200, or 503 with the draining mark. */
+internal suspend fun HttpExchange.answerHealth(isDraining: Boolean) =
+    if (isDraining) fail(503, "draining", "the endpoint is draining", "no", Headers.of("X-Draining" to "true")) else respond(200)
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
@@ -48,6 +48,7 @@
                     exchange.respond(200, headers(exchange), found.encodeToByteArray())
                 }
             }
+            call == "GET /healthz" -> exchange.answerHealth(isDraining)
             call == "GET /admin/effects" -> exchange.answer(Effects.serializer(), effects())
             call == "POST /admin/drain" -> {
                 isDraining = exchange.head.query("on") != "false"
