router: recover streams of ended routers, bill cut requests before grants return

Ruled out: taking a request over on silence of its router. A paused or cut-off router may still bill. Only a refused connection to the router's own peer address counts as its end, because a router binds it before its first request and closes it after its last bill. Change: RouterProcessProbe; HttpServer.cutRunning, used when the drain time ends; EngineClient.cancel tells whether the engine knows the stream; EndpointAccess refreshes the seat before an attempt; Maintenance.stop waits for its rounds; one identity per answer.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
@@ -84,6 +84,11 @@
     /** Suspends until no exchange runs, at most [timeout]; returns whether none does. */
     suspend fun awaitIdle(timeout: Duration): Boolean = withTimeoutOrNull(timeout.toMillis()) { running.first { it == 0 } } != null
 
+    /** Closes all connections; the running handlers learn that their callers have gone and can still finish their work. */
+    fun cutRunning() {
+        connections.close()
+    }
+
     /** Closes the listener and all connections and cancels the handlers that still run. */
     override fun close() {
         listener?.close()?.awaitUninterruptibly(CLOSE_WAIT_MILLIS)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -58,6 +58,7 @@
 import io.limpetfold.router.operate.Maintenance
 import io.limpetfold.router.operate.OperatorsApi
 import io.limpetfold.router.operate.Readiness
+import io.limpetfold.router.operate.RouterProcessProbe
 import io.limpetfold.router.operate.RouterView
 import io.limpetfold.router.operate.StatusReporter
 import io.limpetfold.router.settings.RouterSettings
@@ -132,12 +133,22 @@
     private val callers = HttpServer(callerSettings(), loops, buffers, gateway())
     private val operators = HttpServer(operatorSettings(), loops, buffers, operatorsApi())
 
+    /** Where callers connect; valid after [start]. */
+    val callerAddress: UpstreamAddress get() = callers.address
+
+    /** Where operators connect; valid after [start]. */
+    val operatorAddress: UpstreamAddress get() = operators.address
+
     @Volatile
     private var readiness = Readiness.STARTING
 
     @Volatile
     private var isRefusing = false
 
+    /** The seat that the limiter was last told. */
+    @Volatile
+    private var appliedSeat: Int? = null
+
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
         registerGauges()
@@ -158,7 +169,12 @@
         delay(settings.stop.balancerWait.toMillis())
         isRefusing = true
         val isIdle = callers.awaitIdle(settings.stop.drain)
-        if (!isIdle) LOGGER.warn("router: drain time ended with running requests running={}", callers.runningCount)
+        if (!isIdle) {
+            LOGGER.warn("router: drain time ended with running requests running={}", callers.runningCount)
+            // What is cut off is billed before the grants go back; afterwards nothing could be charged for it, and a retry would be billed again.
+            callers.cutRunning()
+            callers.awaitIdle(CUT_WAIT)
+        }
         maintenance.stop()
         limiter.close()
         budget.close().onFailure { LOGGER.warn("router: grants were not returned cause=\"{}\"", it.message) }
@@ -213,15 +229,22 @@
                 }
             }
         val seat = seats.seat
+        appliedSeat = seat?.number
         limiter.update(routes, seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities)
         if (readiness == Readiness.STARTING && seat != null) readiness = Readiness.READY
     }
 
+    private fun refreshSeat() {
+        if (seats.seat?.number != appliedSeat) applyConfig()
+    }
+
     private fun gateway(): CallerGateway {
-        val access = EndpointAccess(versions, membership, limiter)
+        val access = EndpointAccess(versions, membership, limiter, ::refreshSeat)
         val forwarder = Forwarder(access, upstream, limiter, versions, monotonic)
         val engines = EngineClient(upstream, membership, limiter, versions)
-        val callJournal = CallJournal(self, journal, runs, peers, membership::hasEnded)
+        val callJournal = CallJournal(self, journal, runs, peers) {
+                membership.hasEnded(it) || RouterProcessProbe(membership).hasEnded(it.instance)
+            }
         return CallerGateway(
             { config.current },
             { isRefusing },
@@ -269,7 +292,8 @@
                 membership.endpoints(service.name).firstOrNull { it.instance.value == endpoint.value }
             }?.let { UpstreamAddress(it.host, it.port) }
 
-    private fun view() =
+    /** The state as the operators' port shows it. */
+    fun view() =
         RouterView(
             instance = self.instance.value,
             incarnation = self.number,
@@ -368,6 +392,7 @@
 
     private companion object {
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        val CUT_WAIT: Duration = Duration.ofSeconds(5)
         val ONE_SECOND: Duration = Duration.ofSeconds(1)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
         val WATCH_PAUSE: Duration = Duration.ofSeconds(2)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
@@ -22,7 +22,7 @@
     private val journal: RequestJournal,
     private val runs: RunRegistry,
     private val peers: PeerNetwork,
-    private val hasEnded: (Incarnation) -> Boolean,
+    private val hasEnded: suspend (Incarnation) -> Boolean,
 ) {
     init {
         peers.handle(TakeoverMessages.TOPIC) { _, message ->
@@ -39,8 +39,9 @@
         val outcome =
             when {
                 holder == self -> runs.handOver(call.workspace.workspace, call.request)
-                hasEnded(holder) -> HandOver.UNKNOWN_REQUEST
-                else -> askHolder(holder, call) ?: return Earlier.Unfinished
+                else ->
+                    askHolder(holder, call)
+                        ?: if (hasEnded(holder)) HandOver.UNKNOWN_REQUEST else return Earlier.Unfinished
             }
         return when (outcome) {
             HandOver.BILLED -> Earlier.Finished(endpoint)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerGateway.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerGateway.kt
@@ -40,20 +40,17 @@
     }
 
     private fun admit(exchange: HttpExchange): Admission {
-        val config = config() ?: return Admission.Refused(NO_CONFIGURATION)
-        if (isDraining()) return Admission.Refused(Refusal.Draining(RETRY_AFTER))
-        if (exchange.isBufferFull) return Admission.Refused(Refusal.RouterOverloaded("buffered bytes", RETRY_AFTER))
+        val given = exchange.head.headers[REQUEST_HEADER]
+        val request = given?.takeIf(IDENTITY::matches)?.let(::RequestId)
+        val config = config() ?: return Admission.Refused(NO_CONFIGURATION, request)
+        if (isDraining()) return Admission.Refused(Refusal.Draining(RETRY_AFTER), request)
+        if (exchange.isBufferFull) return Admission.Refused(Refusal.RouterOverloaded("buffered bytes", RETRY_AFTER), request)
         val key = bearerKey(exchange)
-        val workspace = key?.let(config::workspaceByKey) ?: return Admission.Refused(Refusal.Unauthenticated)
+        val workspace = key?.let(config::workspaceByKey) ?: return Admission.Refused(Refusal.Unauthenticated, request)
         val path = exchange.head.path
-        val route = config.routeFor(path) ?: return Admission.Refused(Refusal.UnknownRoute(path))
-        val given = exchange.head.headers[REQUEST_HEADER]
-        if (given != null && !IDENTITY.matches(given)) {
-            return Admission.Refused(
-                Refusal.InvalidRequest("header $REQUEST_HEADER must have 1 to 100 letters, digits, '.', '_' or '-'"),
-            )
-        }
-        return Admission.Accepted(call(exchange, config, workspace, route, given))
+        val route = config.routeFor(path) ?: return Admission.Refused(Refusal.UnknownRoute(path), request)
+        if (given != null && request == null) return Admission.Refused(INVALID_IDENTITY, null)
+        return Admission.Accepted(call(exchange, config, workspace, route, request))
     }
 
     private fun call(
@@ -61,9 +58,9 @@
         config: FleetConfig,
         workspace: WorkspaceConfig,
         route: RouteConfig,
-        given: String?,
+        given: RequestId?,
     ): Call {
-        val request = RequestId(given ?: UUID.randomUUID().toString())
+        val request = given ?: RequestId(UUID.randomUUID().toString())
         val arrived = monotonic.markNow()
         val timeout = minOf(route.requestTimeout, MAX_REQUEST_DURATION)
         return Call(
@@ -150,7 +147,7 @@
 
         class Refused(
             val refusal: Refusal,
-            val request: RequestId? = null,
+            val request: RequestId?,
         ) : Admission
     }
 
@@ -164,6 +161,8 @@
         private const val BEARER = "Bearer "
         private val IDENTITY = Regex("[A-Za-z0-9._-]{1,100}")
         private val RETRY_AFTER: Duration = Duration.ofSeconds(1)
+        private val INVALID_IDENTITY =
+            Refusal.InvalidRequest("header $REQUEST_HEADER must have 1 to 100 letters, digits, '.', '_' or '-'")
         private val NO_CONFIGURATION = Refusal.RouterOverloaded("its start: no configuration has arrived yet", RETRY_AFTER)
         private val LOGGER = LoggerFactory.getLogger(CallerGateway::class.java)
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointAccess.kt
@@ -14,17 +14,24 @@
 import io.limpetfold.request.Refusal
 import io.limpetfold.rollout.VersionRouter
 
-/** Chooses the version and the endpoint of an attempt and takes a slot there. */
+/**
+ * Chooses the version and the endpoint of an attempt and takes a slot there.
+ *
+ * @param refreshSeat tells the limiter when the seat is no longer usable. It runs before each attempt, because a process that was paused
+ *   past the seat's bound would otherwise use the old share until the next round of maintenance.
+ */
 internal class EndpointAccess(
     private val versions: VersionRouter,
     private val membership: Membership,
     private val limiter: EndpointLimiter,
+    private val refreshSeat: () -> Unit,
 ) {
     /** Waits for a slot within the route's queue limit and the call's deadline; endpoints in [tried] are avoided while others exist. */
     suspend fun acquire(
         call: Call,
         tried: Set<EndpointId>,
     ): Result<Attempt, Refusal.NotRun> {
+        refreshSeat()
         val listed = membership.endpoints(call.service.name)
         val configured = call.service.versions.mapTo(HashSet()) { it.version }
         val usable = listed.filter { it.version in configured }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -67,15 +67,19 @@
         return Resumed(Attempt(endpoint, address, listed.version, choice, permit), answer)
     }
 
-    /** Stops the engine's work on a request and takes its count of what was generated. */
+    /**
+     * Stops the engine's work on a request and takes its count of what was generated. Returns false when the engine answered that it has no
+     * such stream, and true when it may have generated something.
+     */
     suspend fun cancel(
         call: Call,
         attempt: Attempt,
         meter: AnswerMeter,
-    ) {
-        val answer = upstream.send(attempt.address, request("DELETE", "/v1/streams/${call.upstreamIdentity}", call)).get() ?: return
-        val body = answer.use { it.readAll(MAX_USAGE_BYTES).getOrElse { return } }
+    ): Boolean {
+        val answer = upstream.send(attempt.address, request("DELETE", "/v1/streams/${call.upstreamIdentity}", call)).get() ?: return true
+        val body = answer.use { it.readAll(MAX_USAGE_BYTES).getOrElse { return true } }
         usage(body)?.let(meter::accept)
+        return answer.head.status != NOT_FOUND
     }
 
     private suspend fun open(
@@ -115,6 +119,7 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
         const val MAX_USAGE_BYTES = 64 * 1024
         val RESUME_PAUSE: Duration = Duration.ofMillis(50)
         val RESUME_PATIENCE: Duration = Duration.ofSeconds(2)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -247,8 +247,9 @@
     ) {
         val attempt = run.attempt ?: return
         if (run.state == BillState.OPEN) {
-            engines.cancel(call, attempt, run.meter)
-            settle(call, run)
+            // A request that never reached an engine costs nothing.
+            val mayHaveRun = engines.cancel(call, attempt, run.meter) || run.meter.eventCount > 0
+            if (mayHaveRun) settle(call, run) else run.discard()
         }
         release(run)
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/StreamAnswerWriter.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/StreamAnswerWriter.kt
@@ -13,19 +13,25 @@
 ) : AnswerWriter {
     private var sink: ResponseSink? = null
 
+    /** All events of an answer carry one identity: that of the engine's events, which are passed on as they are. */
+    private var id = call.request.value
+
     override val hasBegun: Boolean get() = sink != null
 
     override suspend fun delta(
         delta: ChatEvent.Delta,
         data: String,
-    ) = write(data)
+    ) {
+        if (delta.id != null) id = delta.id
+        write(data)
+    }
 
     override suspend fun end(
         meter: AnswerMeter,
         isCut: Boolean,
     ) {
-        if (isCut) write(ChatAnswer.cutEvent(call.request.value))
-        write(ChatAnswer.usageEvent(call.request.value, meter))
+        if (isCut) write(ChatAnswer.cutEvent(id))
+        write(ChatAnswer.usageEvent(id, meter))
         write(END_MARK)
         open().finish()
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/WholeAnswerWriter.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/WholeAnswerWriter.kt
@@ -29,7 +29,7 @@
         meter: AnswerMeter,
         isCut: Boolean,
     ) {
-        val reason = if (isCut) "length" else finishReason ?: "stop"
+        val reason = if (isCut) "length" else finishReason ?: if (meter.isExhausted) "length" else "stop"
         val headers = Headers.of("Content-Type" to "application/json", "X-Request-Id" to call.request.value)
         call.exchange.respond(OK, headers, ChatAnswer.whole(call.request.value, model, content.toString(), reason, meter))
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
@@ -11,11 +11,12 @@
 
 /** One server-sent event of a model stream, by what it means for the answer. */
 internal sealed interface ChatEvent {
-    /** A part of the answer, with the engine's token count when the event carries one. */
+    /** A part of the answer, with the engine's identity of the answer and its token count when the event carries them. */
     data class Delta(
         val content: String,
         val finishReason: String?,
         val completionTokens: Long?,
+        val id: String? = null,
     ) : ChatEvent
 
     /** The engine's count of the whole request. */
@@ -56,7 +57,7 @@
                 return Usage(promptTokens, completionTokens ?: return Malformed)
             }
             val delta = choice["delta"] as? JsonObject
-            return Delta(delta?.text("content").orEmpty(), choice.text("finish_reason"), completionTokens)
+            return Delta(delta?.text("content").orEmpty(), choice.text("finish_reason"), completionTokens, content.text("id"))
         }
 
         private fun JsonObject.text(name: String): String? = primitive(this[name])?.contentOrNull
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/Maintenance.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/Maintenance.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import java.time.Duration
@@ -37,8 +38,11 @@
             }
     }
 
-    /** Ends all loops. */
-    fun stop() = jobs.forEach { it.cancel() }
+    /** Ends all loops and waits for them, so that none of them takes back what a planned stop releases. */
+    suspend fun stop() {
+        jobs.forEach { it.cancel() }
+        jobs.joinAll()
+    }
 
     /** Spreads the rounds of routers that started together, so that their calls to the platform do not coincide. */
     private fun jittered(interval: Duration): Long = (interval.toMillis() * (1 - JITTER + 2 * JITTER * random.nextDouble())).toLong()
