router, request: let one run at a time hold a request that is passed on

Two routers could then bill one request. Two retries that arrived at one router together both ran. Ruled out: a claim in the object API for each model request; its rate is far below that of requests. Change: OpenedRecord counts takeovers, and the record after more of them wins when copies differ. The former holder remembers who took a run and names it; a repeated question of the same taker gets the same answer. A router marks a request as starting until its run is known.

--- a/limpetfold-request/src/main/kotlin/io/limpetfold/request/JournalEntry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/JournalEntry.kt
@@ -12,6 +12,7 @@
     val opened: OpenedRecord? = null,
     val closed: ClosedRecord? = null,
 ) {
-    /** Combines two views of one request; a closed record is never lost. */
-    fun merge(other: JournalEntry): JournalEntry = JournalEntry(other.opened ?: opened, closed ?: other.closed)
+    /** Combines two views of one request; a closed record is never lost, and of two openings the one after more takeovers is the latest. */
+    fun merge(other: JournalEntry): JournalEntry =
+        JournalEntry(listOfNotNull(other.opened, opened).maxByOrNull { it.takeovers }, closed ?: other.closed)
 }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/request/OpenedRecord.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/OpenedRecord.kt
@@ -11,6 +11,7 @@
  *
  * @property holder the router incarnation whose budget grant pays.
  * @property reservedTokens the most that the request can cost.
+ * @property takeovers how often the request passed from one run to another before this one.
  */
 @Serializable
 data class OpenedRecord(
@@ -19,4 +20,5 @@
     val holder: Incarnation,
     val endpoint: EndpointId,
     val reservedTokens: Long,
+    val takeovers: Int = 0,
 )
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -126,7 +126,7 @@
         )
     private val claims = ClaimRegistry(self, store, clock, monotonic)
     private val journal = RequestJournal(self, zone, peers, ::journalMembers, monotonic)
-    private val runs = RunRegistry()
+    private val runs = RunRegistry(self)
     private val status = StatusReporter(store, burn, monotonic, ::routerStatus)
     private val maintenance = Maintenance(scope, random)
 
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BillableRun.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BillableRun.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.router.call
 
 import io.limpetfold.budget.Reservation
+import io.limpetfold.core.Incarnation
 import io.limpetfold.router.chat.AnswerMeter
 import io.limpetfold.router.chat.ChatRequest
 import kotlinx.coroutines.Job
@@ -11,6 +12,7 @@
     val chat: ChatRequest,
     val reservation: Reservation,
     val meter: AnswerMeter,
+    val takeovers: Int,
 ) {
     private val current = AtomicReference(BillState.OPEN)
 
@@ -30,10 +32,18 @@
     /** Ends the run without a bill because it cost nothing; returns false when another router took it over. */
     fun discard(): Boolean = current.compareAndSet(BillState.OPEN, BillState.DISCARDED)
 
-    /** Ends the run without a bill; returns false when it was billed. */
-    fun handOver(): Boolean {
-        val isHandedOver = current.compareAndSet(BillState.OPEN, BillState.HANDED_OVER)
-        if (isHandedOver) job?.cancel()
-        return current.get() != BillState.BILLED
-    }
+    /** Who took the run over, or null. */
+    @Volatile
+    var takenBy: Incarnation? = null
+        private set
+
+    /** Ends the run without a bill unless it was billed or handed to another router; a repeated question of [taker] gets the same answer. */
+    fun handOver(taker: Incarnation): TakeoverReply =
+        synchronized(this) {
+            if (current.compareAndSet(BillState.OPEN, BillState.HANDED_OVER)) {
+                takenBy = taker
+                job?.cancel()
+            }
+            TakeoverReply.of(current.get(), takenBy, taker)
+        }
 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
@@ -1,7 +1,6 @@
 package io.limpetfold.router.call
 
-import com.github.michaelbull.result.fold
-import io.limpetfold.budget.Reservation
+import com.github.michaelbull.result.get
 import io.limpetfold.budget.Settlement
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.Incarnation
@@ -25,37 +24,37 @@
     private val hasEnded: suspend (Incarnation) -> Boolean,
 ) {
     init {
-        peers.handle(TakeoverMessages.TOPIC) { _, message ->
-            TakeoverReply(runs.handOver(message.workspace, message.request))
-        }
+        peers.handle(TakeoverMessages.TOPIC) { from, message -> runs.handOver(message.workspace, message.request, from) }
     }
 
-    /** What is known of earlier attempts of [call]. */
+    /** What is known of earlier attempts of [call]; follows the request from router to router to the one that holds it. */
     suspend fun earlier(call: Call): Earlier {
-        val entry = journal.find(call.workspace.workspace, call.request) ?: return localRun(call)
-        val endpoint = entry.opened?.endpoint
-        if (entry.closed != null) return Earlier.Finished(endpoint)
-        val holder = entry.opened?.holder ?: return Earlier.None
-        val outcome =
-            when {
-                holder == self -> runs.handOver(call.workspace.workspace, call.request)
-                else ->
-                    askHolder(holder, call)
-                        ?: if (hasEnded(holder)) HandOver.UNKNOWN_REQUEST else return Earlier.Unfinished
+        val entry = journal.find(call.workspace.workspace, call.request)
+        val endpoint = entry?.opened?.endpoint
+        if (entry?.closed != null) return Earlier.Finished(endpoint)
+        var holder = entry?.opened?.holder ?: self
+        repeat(MAX_HOLDERS_ASKED) {
+            val reply = ask(holder, call) ?: return Earlier.Unfinished
+            when (reply.outcome) {
+                HandOver.BILLED -> return Earlier.Finished(endpoint)
+                HandOver.TAKEN -> holder = reply.takenBy ?: return Earlier.Unfinished
+                HandOver.HANDED_OVER, HandOver.UNKNOWN_REQUEST -> {
+                    val opened = entry?.opened ?: return Earlier.None
+                    return Earlier.Available(opened.endpoint, opened.takeovers)
+                }
             }
-        return when (outcome) {
-            HandOver.BILLED -> Earlier.Finished(endpoint)
-            HandOver.HANDED_OVER, HandOver.UNKNOWN_REQUEST -> endpoint?.let { Earlier.Available(it) } ?: Earlier.None
         }
+        return Earlier.Unfinished
     }
 
     /** Copies that the request goes to an endpoint; the answer does not wait for it. */
     suspend fun opened(
         call: Call,
         endpoint: EndpointId,
-        reservation: Reservation,
+        run: BillableRun,
     ) {
-        journal.opened(OpenedRecord(call.workspace.workspace, call.request, self, endpoint, reservation.tokens))
+        val tokens = run.reservation.tokens
+        journal.opened(OpenedRecord(call.workspace.workspace, call.request, self, endpoint, tokens, run.takeovers))
     }
 
     /** Copies how the request ended; call it before the last part of the answer goes out. */
@@ -74,19 +73,16 @@
         )
     }
 
-    private fun localRun(call: Call): Earlier =
-        when (runs.handOver(call.workspace.workspace, call.request)) {
-            HandOver.BILLED -> Earlier.Finished(null)
-            HandOver.HANDED_OVER, HandOver.UNKNOWN_REQUEST -> Earlier.None
-        }
-
-    private suspend fun askHolder(
+    /** Asks [holder] for the request; null when it gives no answer and is not known to have ended. */
+    private suspend fun ask(
         holder: Incarnation,
         call: Call,
-    ): HandOver? =
-        peers
-            .ask(holder.instance, TakeoverMessages.TOPIC, TakeoverRequest(call.workspace.workspace, call.request), TIMEOUT)
-            .fold(success = { it.outcome }, failure = { null })
+    ): TakeoverReply? {
+        if (holder == self) return runs.handOver(call.workspace.workspace, call.request, self)
+        val message = TakeoverRequest(call.workspace.workspace, call.request)
+        val reply = peers.ask(holder.instance, TakeoverMessages.TOPIC, message, TIMEOUT).get()
+        return reply ?: TakeoverReply(HandOver.UNKNOWN_REQUEST).takeIf { hasEnded(holder) }
+    }
 
     /** What an earlier attempt left behind. */
     sealed interface Earlier {
@@ -101,6 +97,7 @@
         /** The request was not billed, and its stream may still be at [endpoint]. */
         data class Available(
             val endpoint: EndpointId,
+            val takeovers: Int,
         ) : Earlier
 
         /** Another router may still bill the request. */
@@ -108,6 +105,8 @@
     }
 
     private companion object {
+        /** A request that passes through more routers than this is refused as unfinished. */
+        const val MAX_HOLDERS_ASKED = 4
         val TIMEOUT: Duration = Duration.ofMillis(500)
     }
 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -54,19 +54,27 @@
             ChatRequest.parse(body, DEFAULT_MAX_TOKENS, MAX_TOKENS_LIMIT).getOrElse {
                 return refuse(call, Refusal.InvalidRequest(it))
             }
-        val earlier = if (call.isCallerIdentity) journal.earlier(call) else Earlier.None
-        return when (earlier) {
-            is Earlier.Unfinished -> refuse(call, Refusal.DuplicateUnfinished(clock.instant(), UNFINISHED_RETRY_AFTER))
-            is Earlier.Finished -> replay(call, chat, earlier.endpoint)
-            is Earlier.Available -> runBilled(call, chat, earlier.endpoint)
-            is Earlier.None -> runBilled(call, chat, null)
+        if (!call.isCallerIdentity) return runBilled(call, chat, null)
+        if (!runs.beginStart(call)) return refuseUnfinished(call)
+        return try {
+            when (val earlier = journal.earlier(call)) {
+                is Earlier.Unfinished -> refuseUnfinished(call)
+                is Earlier.Finished -> replay(call, chat, earlier.endpoint)
+                is Earlier.Available -> runBilled(call, chat, earlier)
+                is Earlier.None -> runBilled(call, chat, null)
+            }
+        } finally {
+            runs.endStart(call)
         }
     }
 
+    private suspend fun refuseUnfinished(call: Call): CallEnd =
+        refuse(call, Refusal.DuplicateUnfinished(clock.instant(), UNFINISHED_RETRY_AFTER))
+
     private suspend fun runBilled(
         call: Call,
         chat: ChatRequest,
-        earlierEndpoint: EndpointId?,
+        earlier: Earlier.Available?,
     ): CallEnd {
         val promptBound = estimator.boundTokens(chat.model, chat.promptBytes)
         val reservation =
@@ -74,12 +82,13 @@
                 .reserve(call.workspace.workspace, call.request, promptBound + chat.maxTokens, patience(call))
                 .getOrElse { return refuse(call, it.toRefusal()) }
         call.trace.add("reserved tokens=${reservation.tokens}")
-        val run = BillableRun(chat, reservation, AnswerMeter(chat.maxTokens.toLong(), promptBound))
-        runs.add(call.workspace.workspace, call.request, run)
+        val takeovers = if (earlier == null) 0 else earlier.takeovers + 1
+        val run = BillableRun(chat, reservation, AnswerMeter(chat.maxTokens.toLong(), promptBound), takeovers)
+        runs.add(call, run)
         return try {
             call.exchange.whileConnected {
                 run.job = coroutineContext.job
-                answer(call, run, earlierEndpoint)
+                answer(call, run, earlier?.endpoint)
             }
         } catch (e: CallerGoneException) {
             withContext(NonCancellable) { cancelled(call, run) }
@@ -92,7 +101,7 @@
         } finally {
             // Charges nothing when the run was settled before; otherwise it ended without using an engine or was handed over.
             budget.settle(reservation, 0)
-            runs.remove(call.workspace.workspace, call.request, run)
+            runs.remove(call, run)
         }
     }
 
@@ -123,6 +132,8 @@
             if (resumed == null) {
                 forward(call, run)
             } else {
+                // The next retry must find this router; otherwise two would bill the request.
+                journal.opened(call, resumed.attempt.endpoint, run)
                 call.trace.add("stream of an earlier attempt found endpoint=$earlierEndpoint")
                 ForwardResult.Answering.resumed(call, resumed.attempt, resumed.answer)
             }
@@ -148,7 +159,7 @@
             beforeSend = { attempt ->
                 run.attempt = attempt
                 // The copy travels beside the request; waiting for it would add a round trip to each first token.
-                background.launch { journal.opened(call, attempt.endpoint, run.reservation) }
+                background.launch { journal.opened(call, attempt.endpoint, run) }
                 null
             },
             prepare = { upstreamRequest(call, run.chat) },
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.router.call
 
+import io.limpetfold.core.Incarnation
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.peer.PeerTopic
@@ -12,11 +13,30 @@
     val request: RequestId,
 )
 
-/** Whether the request was handed over. */
+/**
+ * Whether the request was handed over.
+ *
+ * @property takenBy the router to ask instead, with [HandOver.TAKEN].
+ */
 @Serializable
 internal data class TakeoverReply(
     val outcome: HandOver,
-)
+    val takenBy: Incarnation? = null,
+) {
+    companion object {
+        /** The reply to [taker] about a run in [state] that [takenBy] took over. */
+        fun of(
+            state: BillState,
+            takenBy: Incarnation?,
+            taker: Incarnation,
+        ): TakeoverReply =
+            when (state) {
+                BillState.BILLED -> TakeoverReply(HandOver.BILLED)
+                BillState.HANDED_OVER -> if (takenBy == taker) TakeoverReply(HandOver.HANDED_OVER) else TakeoverReply(HandOver.TAKEN, takenBy)
+                BillState.OPEN, BillState.DISCARDED -> TakeoverReply(HandOver.UNKNOWN_REQUEST)
+            }
+    }
+}
 
 /** What a router did with a run that another one wants to take over. */
 @Serializable
@@ -24,6 +44,9 @@
     /** The run was ended without a bill. */
     HANDED_OVER,
 
+    /** Another run took the request over before. */
+    TAKEN,
+
     /** The run was billed before. */
     BILLED,
 
