--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -27,7 +27,6 @@
 import io.limpetfold.membership.Member
 import io.limpetfold.membership.Membership
 import io.limpetfold.membership.MembershipListener
-import io.limpetfold.membership.Seat
 import io.limpetfold.membership.SeatKeeper
 import io.limpetfold.peer.ListedInstance
 import io.limpetfold.peer.ktor.FleetKey
@@ -60,6 +59,7 @@
 import io.limpetfold.router.operate.Maintenance
 import io.limpetfold.router.operate.OperatorsApi
 import io.limpetfold.router.operate.Readiness
+import io.limpetfold.router.operate.RouterProcessProbe
 import io.limpetfold.router.operate.RouterView
 import io.limpetfold.router.operate.StatusReporter
 import io.limpetfold.router.settings.RouterSettings
@@ -128,13 +128,19 @@
     private val loads = LoadPoller(upstream, membership, limiter, { config.current })
     private val claims = ClaimRegistry(self, store, clock, monotonic)
     private val journal = RequestJournal(self, zone, peers, ::journalMembers, monotonic)
-    private val runs = RunRegistry()
+    private val runs = RunRegistry(self)
     private val status = StatusReporter(store, burn, monotonic, ::routerStatus)
     private val maintenance = Maintenance(scope, random)
 
     private val callers = HttpServer(callerSettings(), loops, buffers, gateway())
     private val operators = HttpServer(operatorSettings(), loops, buffers, operatorsApi())
 
+    /** Where callers connect; valid after [start]. */
+    val callerAddress: UpstreamAddress get() = callers.address
+
+    /** Where operators connect; valid after [start]. */
+    val operatorAddress: UpstreamAddress get() = operators.address
+
     @Volatile
     private var readiness = Readiness.STARTING
 
@@ -145,8 +151,9 @@
     @Volatile
     private var hasReadMoves = false
 
+    /** The seat that the limiter was last told. */
     @Volatile
-    private var appliedSeat: Seat? = null
+    private var appliedSeat: Int? = null
 
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
@@ -168,7 +175,12 @@
         delay(settings.stop.balancerWait.toMillis())
         isRefusing = true
         val isIdle = callers.awaitIdle(settings.stop.drain)
-        if (!isIdle) LOGGER.warn("router: drain time ended with running requests running={}", callers.runningCount)
+        if (!isIdle) {
+            LOGGER.warn("router: drain time ended with running requests running={}", callers.runningCount)
+            // What is cut off is billed before the grants go back; afterwards nothing could be charged for it, and a retry would be billed again.
+            callers.cutRunning()
+            callers.awaitIdle(CUT_WAIT)
+        }
         maintenance.stop()
         limiter.close()
         budget.close().onFailure { LOGGER.warn("router: grants were not returned cause=\"{}\"", it.message) }
@@ -227,21 +239,22 @@
                 }
             }
         val seat = seats.seat
-        appliedSeat = seat
+        appliedSeat = seat?.number
         limiter.update(routes, seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities)
         if (readiness == Readiness.STARTING && seat != null && hasReadMoves) readiness = Readiness.READY
     }
 
-    /** After a pause the seat may belong to another router, and the next round that would tell the limiter comes too late. */
-    private fun giveUpLostSeat() {
-        if (appliedSeat != null && seats.seat == null) applyConfig()
+    private fun refreshSeat() {
+        if (seats.seat?.number != appliedSeat) applyConfig()
     }
 
     private fun gateway(): CallerGateway {
-        val access = EndpointAccess(versions, membership, limiter, ::giveUpLostSeat)
+        val access = EndpointAccess(versions, membership, limiter, ::refreshSeat)
         val forwarder = Forwarder(access, upstream, limiter, versions, monotonic)
         val engines = EngineClient(upstream, membership, limiter, versions)
-        val callJournal = CallJournal(self, journal, runs, peers, membership::hasEnded)
+        val callJournal = CallJournal(self, journal, runs, peers) {
+                membership.hasEnded(it) || RouterProcessProbe(membership).hasEnded(it.instance)
+            }
         return CallerGateway(
             { config.current },
             { isRefusing },
@@ -289,7 +302,8 @@
                 membership.endpoints(service.name).firstOrNull { it.instance.value == endpoint.value }
             }?.let { UpstreamAddress(it.host, it.port) }
 
-    private fun view() =
+    /** The state as the operators' port shows it. */
+    fun view() =
         RouterView(
             instance = self.instance.value,
             incarnation = self.number,
@@ -388,6 +402,7 @@
 
     private companion object {
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        val CUT_WAIT: Duration = Duration.ofSeconds(5)
         val ONE_SECOND: Duration = Duration.ofSeconds(1)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
         val WATCH_PAUSE: Duration = Duration.ofSeconds(2)
