--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/AllowedText.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/AllowedText.kt
@@ -23,6 +23,10 @@
         /** An absolute path whose segments may be placeholders, as in `/bookings/{id}`. */
         const val PATH_TEMPLATE = "/|(/([A-Za-z0-9._~-]+|\\{[a-z]+}))+"
 
+        /** An IP address or host name and a port, as in `10.0.0.1:7000`. */
+        const val ADDRESS =
+            "[A-Za-z0-9.-]+:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
+
         /** An HTTP method. */
         const val METHOD = "GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS"
     }
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlSettings.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlSettings.kt
@@ -13,9 +13,10 @@
  */
 @Serializable
 data class CtlSettings(
-    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    @AllowedText(AllowedText.ADDRESS)
     val platform: String,
     val operator: String = "",
+    @AllowedText(AllowedText.ADDRESS)
     val routers: List<String> = emptyList(),
     val operatorsKey: String = "",
 ) {
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/SessionCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/SessionCommand.kt
@@ -10,8 +10,12 @@
 import com.github.ajalt.clikt.parameters.types.enum
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.limpetfold.config.AllowedText
+import io.limpetfold.config.FleetConfig
 import io.limpetfold.store.StoreError
+import io.limpetfold.store.TypedObject
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** A command that works on a session. */
@@ -40,20 +44,41 @@
         table: (T) -> String,
     ) = echo(if (output == OutputFormat.JSON) JSON.encodeToString(serializer, value) else table(value))
 
-    /** Prints [progress] for people; programs that read JSON see the result only. */
-    protected fun progress(progress: String) {
-        if (output == OutputFormat.TABLE) echo(progress)
-    }
+    /** Prints [progress] to the error output, so that the standard output holds the result only. */
+    protected fun progress(progress: String) = echo(progress, err = true)
 
     /** Returns the value or ends the program with the code for an unavailable platform. */
     protected fun <T> Result<T, StoreError>.orFail(): T = getOrElse { fail(ExitCode.PLATFORM_UNAVAILABLE, it.message) }
 
+    /** Reads and decodes all objects under [prefix], with the rest of each object's path. */
+    protected suspend fun <T> CtlSession.readAll(
+        prefix: String,
+        serializer: KSerializer<T>,
+    ): List<Pair<String, T>> =
+        store.list(prefix).orFail().objects.map { stored ->
+            try {
+                stored.key.path.removePrefix(prefix) to TypedObject.JSON.decodeFromString(serializer, stored.value)
+            } catch (e: SerializationException) {
+                val cause = e.message?.lineSequence()?.first()
+                fail(ExitCode.PLATFORM_UNAVAILABLE, "object ${stored.key} does not decode ($cause); use a program of the fleet's version")
+            }
+        }
+
+    /** Reads the published configuration. */
+    protected suspend fun CtlSession.configuration(): FleetConfig =
+        TypedObject(store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
+            ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
+
     protected fun fail(
         code: ExitCode,
         message: String,
     ): Nothing = throw PrintMessage(message, code.code, printError = true)
 
-    private companion object {
-        val JSON = Json { prettyPrint = true }
+    protected fun isName(text: String): Boolean = NAME.matches(text)
+
+    protected companion object {
+        const val NAME_RULE: String = "a name has 1 to 63 letters, digits, '.', '_' or '-' and starts with a letter or digit"
+        private val NAME = Regex(AllowedText.NAME)
+        private val JSON = Json { prettyPrint = true }
     }
 }
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ReclaimCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ReclaimCommand.kt
@@ -1,10 +1,12 @@
 package io.limpetfold.ctl.budget
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.help
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.budget.BudgetLedgers
 import io.limpetfold.core.Incarnation
@@ -17,13 +19,14 @@
 /** Ends the entry of a holder whose process has ended. */
 internal class ReclaimCommand :
     SessionCommand("reclaim", "Ends the ledger entry of a router incarnation that was terminated, and frees its remainder.") {
-    private val workspace by argument()
+    private val workspace by argument(help = "workspace whose budget holds the grant").check(NAME_RULE) { isName(it) }
     private val holder by argument(help = "instance@incarnation, as budget stranded shows it")
     private val isTerminated by option("--confirm-terminated")
         .flag()
         .help("confirms that the process has ended; reclaiming from a running router lets the workspace spend too much")
     private val spentTokens by option("--spent", metavar = "TOKENS")
         .long()
+        .restrictTo(min = 0)
         .help("cumulative spend; default is the highest copy that the routers of the settings hold, or all granted tokens without a copy")
 
     override suspend fun run(session: CtlSession) {
@@ -54,8 +57,9 @@
         incarnation: Incarnation,
     ): Long? {
         val replies = session.routers.getAll("/spent/$workspace/${incarnation.key}")
-        replies.firstOrNull { it.status == null }?.let {
-            fail(ExitCode.REFUSED, "router ${it.router} did not answer and may hold a copy; repeat later, or give --spent")
+        replies.firstOrNull { it.failure != null }?.let {
+            val remedy = "repeat later, leave it out of the settings' routers if it is the terminated one, or give --spent"
+            fail(ExitCode.REFUSED, "router ${it.router} ${it.failure} and may hold a copy; $remedy")
         }
         return replies.mapNotNull { it.body?.trim()?.toLongOrNull() }.maxOrNull()
     }
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ShowBudgetCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/ShowBudgetCommand.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.ctl.budget
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import com.github.ajalt.clikt.parameters.arguments.optional
 import io.limpetfold.budget.BudgetLedger
 import io.limpetfold.budget.BudgetLedgers
@@ -8,12 +9,11 @@
 import io.limpetfold.ctl.CtlSession
 import io.limpetfold.ctl.ExitCode
 import io.limpetfold.ctl.SessionCommand
-import io.limpetfold.store.TypedObject
 import kotlinx.serialization.builtins.ListSerializer
 
 /** Shows one budget or all of them. */
 internal class ShowBudgetCommand : SessionCommand("show", "Shows the budget of a workspace, or all budgets.") {
-    private val workspace by argument().optional()
+    private val workspace by argument(help = "default is all workspaces").optional().check(NAME_RULE) { isName(it) }
 
     override suspend fun run(session: CtlSession) {
         val lines = workspace?.let { listOf(one(session, WorkspaceId(it))) } ?: all(session)
@@ -29,10 +29,10 @@
     }
 
     private suspend fun all(session: CtlSession): List<BudgetLine> =
-        session.store.list(PREFIX).orFail().objects.map { stored ->
-            val ledger = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), stored.value)
-            BudgetLine.of(WorkspaceId(stored.key.path.removePrefix(PREFIX)), ledger)
-        }
+        session
+            .readAll(PREFIX, BudgetLedger.serializer())
+            .map { (name, ledger) -> BudgetLine.of(WorkspaceId(name), ledger) }
+            .sortedBy { it.workspace }
 
     private companion object {
         const val PREFIX = "budget/"
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/StrandedCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/StrandedCommand.kt
@@ -6,21 +6,20 @@
 import io.limpetfold.ctl.CtlSession
 import io.limpetfold.ctl.SessionCommand
 import io.limpetfold.ctl.Table
-import io.limpetfold.store.TypedObject
+import io.limpetfold.ctl.status.isRecent
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
 
-/** Lists grants of router incarnations that no longer report. */
-internal class StrandedCommand : SessionCommand("stranded", "Lists grants whose router incarnation no longer runs.") {
+/** Lists grants of router incarnations that have not reported for some minutes, or that a newer one replaced. */
+internal class StrandedCommand : SessionCommand("stranded", "Lists grants whose router incarnation no longer reports.") {
     override suspend fun run(session: CtlSession) {
         val live =
-            session.store
-                .list(RouterStatus.PREFIX)
-                .orFail()
-                .objects
-                .map { TypedObject.JSON.decodeFromString(RouterStatus.serializer(), it.value) }
-                .map { Incarnation(it.instance, it.incarnation) }
+            session
+                .readAll(RouterStatus.PREFIX, RouterStatus.serializer())
+                .map { (_, status) -> status }
+                .filter { it.isRecent(session.clock.instant()) }
+                .map { status -> Incarnation(status.instance, status.incarnation) }
                 .toImmutableSet()
         val lines =
             BudgetLedgers(session.store).stranded(live).orFail().map {
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/TopUpCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/budget/TopUpCommand.kt
@@ -1,12 +1,14 @@
 package io.limpetfold.ctl.budget
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import com.github.ajalt.clikt.parameters.options.help
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import com.github.michaelbull.result.getOrElse
+import io.limpetfold.budget.BudgetLedger
 import io.limpetfold.budget.BudgetLedgers
 import io.limpetfold.budget.TopUpId
 import io.limpetfold.core.WorkspaceId
@@ -17,8 +19,8 @@
 
 /** Adds prepaid tokens; the same identity again adds nothing. */
 internal class TopUpCommand : SessionCommand("top-up", "Adds prepaid tokens to a workspace's budget.") {
-    private val workspace by argument()
-    private val tokens by argument().long().restrictTo(min = 1)
+    private val workspace by argument(help = "a configured workspace").check(NAME_RULE) { isName(it) }
+    private val tokens by argument(help = "tokens to add").long().restrictTo(1..BudgetLedger.MAX_TOP_UP_TOKENS)
     private val id by option("--id")
         .required()
         .help("date and reference, as in 2026-12-04/invoice-7; repeat it after an unknown outcome, so that nothing is added twice")
@@ -30,6 +32,10 @@
             } catch (e: IllegalArgumentException) {
                 fail(ExitCode.INVALID_INPUT, e.message ?: "the identity has another form")
             }
+        // A misspelt name would otherwise take the payment into a budget that no caller can use.
+        if (session.configuration().workspace(WorkspaceId(workspace)) == null) {
+            fail(ExitCode.NOT_FOUND, "workspace $workspace is not configured; correct the name, or publish the workspace first")
+        }
         val ledger =
             BudgetLedgers(session.store).topUp(WorkspaceId(workspace), identity, tokens).getOrElse { error ->
                 when (error) {
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/explain/ExplainCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/explain/ExplainCommand.kt
@@ -10,13 +10,12 @@
 
 /** Tells what happened to one request, from the routers that handled it. */
 internal class ExplainCommand : SessionCommand("explain", "Tells what happened to a request, by its X-Request-Id.") {
-    private val requestId by argument("REQUEST-ID")
+    private val requestId by argument("REQUEST-ID", help = "the X-Request-Id that the caller sent or got with the answer")
 
     override suspend fun run(session: CtlSession) {
         if (session.settings.routers.isEmpty()) fail(ExitCode.INVALID_INPUT, "the settings name no routers; add their operators' ports")
         if (!IDENTITY.matches(requestId)) fail(ExitCode.INVALID_INPUT, "'$requestId' is no request identity")
         val replies = session.routers.getAll("/requests/$requestId")
-        val silent = replies.filter { it.status == null }.map { it.router.toString() }
         val found =
             replies.flatMap { reply ->
                 reply.body
@@ -24,8 +23,12 @@
                     .orEmpty()
                     .map { Explanation(reply.router.toString(), it) }
             }
-        if (silent.isNotEmpty()) progress("no answer from ${silent.joinToString()}; their part of the story is missing")
-        if (found.isEmpty()) fail(ExitCode.NOT_FOUND, "no router knows request $requestId; it may be too old")
+        val silent = replies.filter { it.failure != null }
+        silent.forEach { progress("router ${it.router} ${it.failure}; what it knows is missing here") }
+        if (found.isEmpty()) {
+            val who = if (silent.isEmpty()) "no router" else "no router that answered"
+            fail(ExitCode.NOT_FOUND, "$who knows request $requestId; each router keeps its last 2,000 requests")
+        }
         show(found, ListSerializer(Explanation.serializer()), ::text)
     }
 
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveCommand.kt
@@ -25,7 +25,13 @@
                     is MoveError.Invalid -> ExitCode.INVALID_INPUT
                     is MoveError.Store -> ExitCode.PLATFORM_UNAVAILABLE
                 }
-            fail(code, error.message)
+            val message =
+                if (error is MoveError.AlreadyEnded) {
+                    "${error.by} ended move ${error.move} at ${error.at}: ${MoveLine.describe(error.phase, 0)}"
+                } else {
+                    error.message
+                }
+            fail(code, message)
         }
 
     protected fun show(
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveLine.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveLine.kt
@@ -61,7 +61,8 @@
                 },
             )
 
-        private fun describe(
+        /** Says in words what [phase] is. */
+        fun describe(
             phase: MovePhase,
             stepCount: Int,
         ): String =
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveStatusCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveStatusCommand.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.ctl.move
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import com.github.ajalt.clikt.parameters.arguments.optional
 import io.limpetfold.core.RouteId
 import io.limpetfold.ctl.CtlSession
@@ -9,7 +10,7 @@
 
 /** Shows the latest move of a route, or of all routes. */
 internal class MoveStatusCommand : MoveCommand("status", "Shows the latest move of a route, or of all routes.") {
-    private val route by argument().optional()
+    private val route by argument(help = "default is all routes").optional().check(NAME_RULE) { isName(it) }
 
     override suspend fun run(session: CtlSession) {
         val now = session.clock.instant()
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
@@ -1,12 +1,12 @@
 package io.limpetfold.ctl.move
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import com.github.ajalt.clikt.parameters.options.help
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.enum
 import io.limpetfold.config.DurationText
-import io.limpetfold.config.FleetConfig
 import io.limpetfold.config.Preset
 import io.limpetfold.config.RouteConfig
 import io.limpetfold.core.RouteId
@@ -17,12 +17,11 @@
 import io.limpetfold.rollout.MovePhase
 import io.limpetfold.rollout.MovePreset
 import io.limpetfold.rollout.MoveStart
-import io.limpetfold.store.TypedObject
 import java.util.UUID
 
 /** Starts a move of a route's traffic. */
 internal class StartMoveCommand : MoveCommand("start", "Starts a move of a route's traffic to another version.") {
-    private val route by argument()
+    private val route by argument(help = "route whose traffic moves").check(NAME_RULE) { isName(it) }
     private val newVersion by option("--to", metavar = "VERSION").required().help("version to move to; it must be configured")
     private val within by option("--within", metavar = "DURATION").required().help("time until the deadline, as in 30m")
     private val id by option("--id").help("identity of the move; repeat it after an unknown outcome, so that nothing starts twice")
@@ -30,7 +29,7 @@
 
     override suspend fun run(session: CtlSession) {
         val duration = DurationText.parse(within) ?: fail(ExitCode.INVALID_INPUT, "--within '$within' is no duration; write it as 30m")
-        val config = configuration(session)
+        val config = session.configuration()
         val configured = config.route(RouteId(route)) ?: fail(ExitCode.NOT_FOUND, "route $route is not configured")
         val service = config.service(configured.service)
         if (service?.versions.orEmpty().none { it.version.value == newVersion }) {
@@ -49,10 +48,6 @@
         show(session, session.moves().start(start).orRefuse())
     }
 
-    private suspend fun configuration(session: CtlSession): FleetConfig =
-        TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
-            ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
-
     /** The version in force: that of the last completed move, else the configured one. */
     private suspend fun oldVersion(
         session: CtlSession,
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.ctl.move
 
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.check
 import io.limpetfold.core.RouteId
 import io.limpetfold.ctl.CtlSession
 import io.limpetfold.ctl.ExitCode
@@ -9,7 +10,7 @@
 /** Follows a move until its outcome is in force on every router. */
 internal class WatchMoveCommand :
     MoveCommand("watch", "Follows the move of a route until every router has confirmed its outcome.") {
-    private val route by argument()
+    private val route by argument(help = "route whose move is followed").check(NAME_RULE) { isName(it) }
 
     override suspend fun run(session: CtlSession) {
         var shown: MoveLine? = null
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/report/BurnCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/report/BurnCommand.kt
@@ -5,13 +5,12 @@
 import com.github.ajalt.clikt.parameters.types.path
 import io.limpetfold.burn.BurnRecord
 import io.limpetfold.burn.BurnReport
-import io.limpetfold.config.FleetConfig
 import io.limpetfold.ctl.CtlSession
 import io.limpetfold.ctl.ExitCode
 import io.limpetfold.ctl.SessionCommand
 import io.limpetfold.ctl.Table
 import io.limpetfold.rollout.MoveRecord
-import io.limpetfold.store.TypedObject
+import java.io.IOException
 import java.util.Locale
 import kotlin.io.path.writeText
 
@@ -20,18 +19,16 @@
     private val html by option("--html", metavar = "FILE").path().help("also write the report as a page with plots")
 
     override suspend fun run(session: CtlSession) {
-        val config =
-            TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
-                ?: fail(ExitCode.NOT_FOUND, "nothing is published yet; publish a configuration first")
-        val records =
-            session.store.list(BurnRecord.PREFIX).orFail().objects
-                .map { TypedObject.JSON.decodeFromString(BurnRecord.serializer(), it.value) }
+        val config = session.configuration()
+        val records = session.readAll(BurnRecord.PREFIX, BurnRecord.serializer()).map { it.second }
         val report = BurnReport.create(records, config, session.clock.instant())
         html?.let { file ->
-            val moves =
-                session.store.list(MoveRecord.PREFIX).orFail().objects
-                    .map { TypedObject.JSON.decodeFromString(MoveRecord.serializer(), it.value) }
-            file.writeText(BurnPage.create(report, config, moves))
+            val moves = session.readAll(MoveRecord.PREFIX, MoveRecord.serializer()).map { it.second }
+            try {
+                file.writeText(BurnPage.create(report, config, moves))
+            } catch (e: IOException) {
+                fail(ExitCode.INVALID_INPUT, "can't write $file (${e.javaClass.simpleName}); check the path and its permissions")
+            }
             progress("wrote $file")
         }
         show(report, BurnReport.serializer(), ::table)
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/report/BurnPage.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/report/BurnPage.kt
@@ -40,7 +40,7 @@
             }
         return """
             |<!DOCTYPE html>
-            |<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
+            |<html lang="en"><head><meta charset="utf-8"/><title>Service-level burn</title>
             |<style>
             |body{font-family:sans-serif;margin:2em;max-width:${WIDTH + 2 * MARGIN}px}
             |table{border-collapse:collapse}td,th{padding:.2em .6em;border-bottom:1px solid #ddd;text-align:left}
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/status/StatusCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/status/StatusCommand.kt
@@ -12,6 +12,7 @@
 import io.limpetfold.rollout.MoveRecord
 import io.limpetfold.store.TypedObject
 import kotlinx.serialization.Serializable
+import java.time.Instant
 
 /** Shows the fleet: routers, endpoints, the move lease and moves. */
 internal class StatusCommand : SessionCommand("status", "Shows the routers, endpoints, lease and moves of the fleet.") {
@@ -20,18 +21,14 @@
         val config = TypedObject(session.store, FleetConfig.KEY, FleetConfig.serializer()).read().orFail().value
         val lease = TypedObject(session.store, LeaseKeeper.MOVES_KEY, LeaseRecord.serializer()).read().orFail().value
         val reported =
-            session.store.list(RouterStatus.PREFIX).orFail().objects
-                .map { TypedObject.JSON.decodeFromString(RouterStatus.serializer(), it.value) }
-                .associateBy { it.instance }
-        val moves =
-            session.store.list(MoveRecord.PREFIX).orFail().objects
-                .map { TypedObject.JSON.decodeFromString(MoveRecord.serializer(), it.value) }
+            session.readAll(RouterStatus.PREFIX, RouterStatus.serializer()).map { it.second }.associateBy { it.instance }
+        val moves = session.readAll(MoveRecord.PREFIX, MoveRecord.serializer()).map { it.second }
         val status =
             FleetStatus(
                 config?.generation ?: 0,
                 lease?.holder?.key,
                 lease?.fencing?.number ?: 0,
-                listed.filter { it.service == ListedInstance.ROUTER_SERVICE }.map { router(it, reported[it.instance]) },
+                listed.filter { it.service == ListedInstance.ROUTER_SERVICE }.map { router(it, reported[it.instance], session.clock.instant()) },
                 listed.filter { it.service != ListedInstance.ROUTER_SERVICE }.map(::endpoint),
                 moves.map { MoveLine.of(it, session.clock.instant()) },
             )
@@ -41,6 +38,7 @@
     private fun router(
         listed: ListedInstance,
         status: RouterStatus?,
+        now: Instant,
     ) = RouterLine(
         listed.instance.value,
         listed.zone.value,
@@ -49,6 +47,7 @@
         when {
             status == null -> "never reported"
             status.isDraining || listed.isLeaving -> "leaving"
+            !status.isRecent(now) -> "silent"
             else -> "running"
         },
         status?.updatedAt?.toString(),
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishSettings.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishSettings.kt
@@ -16,7 +16,7 @@
  */
 @Serializable
 data class PublishSettings(
-    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    @AllowedText(AllowedText.ADDRESS)
     val platform: String,
     val author: String = "",
     @AllowedRange("100ms", "1m")
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettings.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettings.kt
@@ -22,12 +22,14 @@
  */
 @Serializable
 data class RouterSettings(
+    @AllowedText(AllowedText.NAME)
     val instance: String,
+    @AllowedText(AllowedText.NAME)
     val zone: String,
     val callers: ListenSettings,
     val operators: OperatorSettings,
     val peers: PeerSettings,
-    @AllowedText("[A-Za-z0-9.-]+:[0-9]{1,5}")
+    @AllowedText(AllowedText.ADDRESS)
     val platform: String,
     val buffers: BufferSettings = BufferSettings(),
     val stop: StopSettings = StopSettings(),
@@ -42,6 +44,7 @@
 @Serializable
 data class ListenSettings(
     val host: String = "127.0.0.1",
+    @AllowedRange("0", "65535")
     val port: Int,
 )
 
@@ -53,6 +56,7 @@
 @Serializable
 data class OperatorSettings(
     val host: String = "127.0.0.1",
+    @AllowedRange("0", "65535")
     val port: Int,
     val key: String,
 )
@@ -66,6 +70,7 @@
 @Serializable
 data class PeerSettings(
     val host: String = "127.0.0.1",
+    @AllowedRange("0", "65535")
     val port: Int,
     val key: String,
     val seeds: List<String> = emptyList(),
