docs, settings: describe the programs' settings and compare the page with the code

Cause: docs/settings.md covered service files only. Ruled out: one comparison in each module; the rows come from SettingsPage in the test jar of limpetfold-config-yaml. Conclusion: a key that is added, removed or changed fails the build until the page says so.

--- /dev/null
+++ b/limpetfold-config-yaml/src/test/kotlin/io/limpetfold/config/yaml/SettingsPage.kt
@@ -0,0 +1,93 @@
+package io.limpetfold.config.yaml
+
+import io.limpetfold.config.AllowedRange
+import io.limpetfold.config.AllowedText
+import io.limpetfold.config.StructureCheck
+import io.limpetfold.store.TypedObject
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** The tables of `docs/settings.md`, for the tests of the programs that compare them with the code. */
+@OptIn(ExperimentalSerializationApi::class)
+object SettingsPage {
+    /** The keys, values, defaults and ranges that the page lists under [heading]. */
+    fun documented(heading: String): List<String> =
+        Examples
+            .page("docs/settings.md")
+            .substringAfter("\n## $heading\n")
+            .substringBefore("\n#")
+            .lines()
+            .filter { it.startsWith("| `") }
+            .map { line -> line.split(" | ").take(4).joinToString(" | ") }
+
+    /** The rows that the page must have for [serializer]; [minimal] holds its required fields in JSON. */
+    fun <T> rows(
+        serializer: KSerializer<T>,
+        minimal: String,
+    ): List<String> {
+        val value = TypedObject.JSON.decodeFromString(serializer, minimal)
+        val tree = TypedObject.JSON.encodeToJsonElement(serializer, value)
+        return fields(serializer.descriptor, tree as JsonObject, "")
+    }
+
+    private fun fields(
+        descriptor: SerialDescriptor,
+        values: JsonObject,
+        prefix: String,
+    ): List<String> =
+        (0 until descriptor.elementsCount).flatMap { index ->
+            val element = descriptor.getElementDescriptor(index)
+            val path = prefix + descriptor.getElementName(index)
+            val value = values.getValue(descriptor.getElementName(index))
+            val item = (value as? JsonArray)?.firstOrNull()
+            when {
+                element.kind == StructureKind.CLASS && value is JsonObject -> fields(element, value, "$path.")
+                item is JsonObject ->
+                    listOf(row(descriptor, index, path, value)) +
+                        fields(element.getElementDescriptor(0), item, "$path[].")
+                else -> listOf(row(descriptor, index, path, value))
+            }
+        }
+
+    private fun row(
+        descriptor: SerialDescriptor,
+        index: Int,
+        path: String,
+        value: JsonElement,
+    ): String {
+        val default =
+            when {
+                !descriptor.isElementOptional(index) -> "required"
+                value is JsonNull -> "none"
+                value is JsonArray -> "empty"
+                value is JsonPrimitive && value.content.isEmpty() -> if (path.endsWith(".service")) "the file's service" else "empty"
+                else -> "`${(value as JsonPrimitive).content}`"
+            }
+        val range =
+            descriptor.getElementAnnotations(index).firstNotNullOfOrNull {
+                when (it) {
+                    is AllowedRange -> "`${it.min}` to `${it.max}`"
+                    is AllowedText -> "form ${FORMS.getValue(it.pattern)}"
+                    else -> null
+                }
+            } ?: "-"
+        return "| `$path` | ${StructureCheck.expected(descriptor.getElementDescriptor(index))} | $default | $range"
+    }
+
+    private val FORMS =
+        mapOf(
+            AllowedText.NAME to "name",
+            AllowedText.SHA256 to "hash",
+            AllowedText.PATH to "path",
+            AllowedText.PATH_TEMPLATE to "path template",
+            AllowedText.METHOD to "method",
+            AllowedText.ADDRESS to "address",
+        )
+}
--- a/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlProgramTest.kt
+++ b/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlProgramTest.kt
@@ -12,6 +12,7 @@
 import io.limpetfold.burn.BurnRecord
 import io.limpetfold.burn.BurnSeries
 import io.limpetfold.config.RouterStatus
+import io.limpetfold.config.yaml.SettingsPage
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RouteId
 import io.limpetfold.core.VersionId
@@ -114,6 +115,10 @@
             result.stdout shouldBe ""
         }
 
+        test("guards against a settings page that differs from the program") {
+            SettingsPage.documented("limpetfold-ctl") shouldBe SettingsPage.rows(CtlSettings.serializer(), """{"platform":"a:1"}""")
+        }
+
         test("guards against two operators who both believe that they started the move") {
             fleet.publish()
             val start = arrayOf("move", "start", "chat", "--to", "2", "--within", "10m", "--id")
--- a/limpetfold-publish/src/test/kotlin/io/limpetfold/publish/PublishProgramTest.kt
+++ b/limpetfold-publish/src/test/kotlin/io/limpetfold/publish/PublishProgramTest.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.string.shouldContain
 import io.limpetfold.config.ConfigPublisher
 import io.limpetfold.config.RouterStatus
+import io.limpetfold.config.yaml.SettingsPage
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.VersionId
 import io.limpetfold.core.ZoneId
@@ -104,6 +105,18 @@
             result.statusCode shouldBe 4
         }
 
+        test("guards against settings whose faults are reported one by one, and a page or help that leaves out a part") {
+            val broken = tempfile().apply { writeText("author: [a]\ncallTimeout: 5\nconfirmWithin: 1h\nwait: 1s") }
+            val result = Fleet().run("publish", "--settings", broken.path, directory.path)
+            result.statusCode shouldBe 2
+            listOf("1: author:", "1: platform: is missing", "2: callTimeout:", "3: confirmWithin:", "4: wait: is an unknown key")
+                .forEach { result.stderr shouldContain "${broken.path}:$it" }
+            SettingsPage.documented("limpetfold-publish") shouldBe
+                SettingsPage.rows(PublishSettings.serializer(), """{"platform":"a:1"}""")
+            Fleet().program().execute(listOf("--version")) shouldBe 0
+            Fleet().run("publish", "--help").stdout shouldContain "The generation that 'diff' showed"
+        }
+
         test("guards against a file that is read twice") {
             FileCollector.collect(listOf(directory.toPath(), file.toPath())).files.size shouldBe 2
         }
