budget: choose the seeds of the schedule tests by properties

Cause: a trial over seeds 3,001 to 15,000 hung after seed 12,000 and had to be repeated by editing the test; a livelock of the agent was not ruled out. Ruled out: passing the properties in the pom: surefire hands -D properties of the build to the tests already. Change: limpetfold.firstSeed and limpetfold.seeds, 1 and 3,000 by default, replace limpetfold.seed; every thousandth seed is printed, so that a hang shows its place.

--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedulePropertyTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedulePropertyTest.kt
@@ -35,10 +35,15 @@
         }
     })
 
-/** Runs [check] on the schedule of each seed, and reports the seed and the schedule of the first failure. */
+/**
+ * Runs [check] on the schedule of each seed, and reports the seed and the schedule of the first failure.
+ *
+ * The properties `limpetfold.firstSeed` and `limpetfold.seeds` choose other seeds.
+ */
 internal fun forEachSeed(check: (BudgetSchedule) -> Unit) {
-    val only = System.getProperty("limpetfold.seed")?.toInt()
-    for (seed in if (only != null) only..only else 1..SEEDS) {
+    val first = Integer.getInteger("limpetfold.firstSeed", 1)
+    for (seed in first until first + Integer.getInteger("limpetfold.seeds", SEEDS)) {
+        if (seed % PROGRESS_SEEDS == 0) println("seed $seed")
         val schedule = BudgetSchedule(seed)
         try {
             schedule.run()
@@ -50,3 +55,4 @@
 }
 
 private const val SEEDS = 3_000
+private const val PROGRESS_SEEDS = 1_000
