budget: take a policy for each workspace

Cause: the preset of a workspace in the configuration had no effect; every workspace got the availability preset. Ruled out: reading the policy once for each workspace: a published change would wait for a restart. Reading it on every call: the lookup is linear in the configured workspaces. Change: BudgetAgent takes policyOf and asks it when an account is made and with each call to the platform. The number of workspaces for each maintenance round is the agent's, not a policy's. The router maps the configured preset; an unknown workspace gets exposure. Conclusion: presets count from the next call to the platform.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -12,6 +12,7 @@
 internal class AccountSlot(
     val workspace: WorkspaceId,
     holder: Incarnation,
+    @Volatile var policy: BudgetPolicy,
 ) {
     private val changeCount = MutableStateFlow(0L)
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -34,15 +34,19 @@
  * transfer topic with [peers].
  *
  * @param self the incarnation of this process; it must never be used again after the process has ended.
+ * @param policyOf the policy of a workspace; asked again with each call to the platform, so that a changed one counts.
+ * @param reportsPerRound the most workspaces for which one round of maintenance calls the platform. With a round a
+ * second, one keeps 330 routers below the several hundred writes a second that the platform takes.
  */
 class BudgetAgent(
     private val self: Incarnation,
     private val store: ObjectStore,
     private val peers: PeerNetwork,
-    private val policy: BudgetPolicy = BudgetPolicy.availability,
+    private val policyOf: (WorkspaceId) -> BudgetPolicy = { BudgetPolicy.availability },
     timeSource: TimeSource = TimeSource.Monotonic,
     private val random: Random = Random.Default,
     private val listener: BudgetListener = BudgetListener.NONE,
+    private val reportsPerRound: Int = 1,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
     private val start = timeSource.markNow()
@@ -52,6 +56,7 @@
     private var isClosed = false
 
     init {
+        require(reportsPerRound > 0) { "reportsPerRound must be positive" }
         peers.handle(TRANSFER_TOPIC) { from, message -> give(from, message) }
     }
 
@@ -73,12 +78,12 @@
             slotOf(workspace)
                 ?: return refused(
                     if (isClosed) {
-                        BudgetRefusal.RouterClosed(workspace, policy.maxRetryDelay)
+                        BudgetRefusal.RouterClosed(workspace, policyOf(workspace).maxRetryDelay)
                     } else {
-                        BudgetRefusal.UnknownWorkspace(workspace, policy.maxRetryDelay)
+                        BudgetRefusal.UnknownWorkspace(workspace, policyOf(workspace).maxRetryDelay)
                     },
                 )
-        slot.change { it.demanded(tokens, nowMillis(), policy.demandWindow.toMillis()) }
+        slot.change { it.demanded(tokens, nowMillis(), slot.policy.demandWindow.toMillis()) }
         tryReserve(slot, request, tokens)?.let { return Ok(it) }
         slot.locked { waitingTokens += tokens }
         return try {
@@ -110,7 +115,7 @@
     }
 
     /**
-     * Brings the ledgers of at most [BudgetPolicy.reportsPerRound] workspaces up to date, those longest not synchronised
+     * Brings the ledgers of at most `reportsPerRound` workspaces up to date, those longest not synchronised
      * first: reports spend, records transfers, and learns of top-ups, closed peers and unseen transfers.
      */
     suspend fun maintain() {
@@ -119,9 +124,9 @@
         val due =
             slots.values
                 .map { it to it.locked { if (isRegistering && account.state == AccountState.OPEN) syncedAtMillis else Long.MAX_VALUE } }
-                .filter { (_, syncedAt) -> syncedAt <= now - policy.reportInterval.toMillis() }
+                .filter { (slot, syncedAt) -> syncedAt <= now - slot.policy.reportInterval.toMillis() }
                 .sortedBy { (_, syncedAt) -> syncedAt }
-                .take(policy.reportsPerRound)
+                .take(reportsPerRound)
         due.forEach { (slot, _) -> synchronise(slot) { _, _ -> 0 } }
     }
 
@@ -167,7 +172,7 @@
         } catch (e: IllegalArgumentException) {
             return null
         }
-        return slots.computeIfAbsent(workspace) { AccountSlot(it, self) }
+        return slots.computeIfAbsent(workspace) { AccountSlot(it, self, policyOf(it)) }
     }
 
     private fun tryReserve(
@@ -248,7 +253,7 @@
         tokens: Long,
         remainingMillis: Long,
     ): RefillFailure? {
-        if (remainingMillis <= 0) return attempt(slot, tokens, policy.peerTimeout.toMillis())
+        if (remainingMillis <= 0) return attempt(slot, tokens, slot.policy.peerTimeout.toMillis())
         val attempted = withTimeoutOrNull(remainingMillis) { Attempted(attempt(slot, tokens, remainingMillis)) }
         return if (attempted == null) RefillFailure.Unavailable("no answer in time") else attempted.failure
     }
@@ -276,8 +281,8 @@
         val failure =
             synchronise(slot) { account, freeTokens ->
                 val allTokens = slot.locked { maxOf(tokens, waitingTokens) }
-                val grant = policy.grantSize(account, allTokens, freeTokens)
-                if (grant > 0) grant else policy.grantSize(account, tokens, freeTokens)
+                val grant = slot.policy.grantSize(account, allTokens, freeTokens)
+                if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens)
             }
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
@@ -295,6 +300,7 @@
         grantSize: (LocalAccount, Long) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
+            slot.policy = policyOf(slot.workspace)
             repeat(2) { round ->
                 if (isClosed || slot.locked { account.state } != AccountState.OPEN) return RefillFailure.Closed
                 slot.locked {
@@ -371,8 +377,8 @@
         val reachable = peers.reachable()
         val known = slot.locked { account }.openPeers.mapNotNull { Incarnation.parse(it) }
         val asked = synchronized(random) { known.filter { it.instance in reachable }.sorted().shuffled(random) }
-        val timeout = minOf(policy.peerTimeout, Duration.ofMillis(patienceMillis))
-        for (peer in asked.take(policy.peersAsked)) {
+        val timeout = minOf(slot.policy.peerTimeout, Duration.ofMillis(patienceMillis))
+        for (peer in asked.take(slot.policy.peersAsked)) {
             if (slot.locked { account.availableTokens } >= tokens) return
             askPeer(slot, peer, tokens, timeout)
         }
@@ -386,7 +392,7 @@
     ) {
         val account = slot.locked { account }
         val neededTokens = tokens - account.availableTokens
-        val wantedTokens = maxOf(neededTokens, policy.wantedTokens(account))
+        val wantedTokens = maxOf(neededTokens, slot.policy.wantedTokens(account))
         val seenTokens = account.receivedTokens[peer.key] ?: 0
         val request = TransferRequest(slot.workspace, peer, neededTokens, wantedTokens, seenTokens)
         val reply = peers.ask(peer.instance, TRANSFER_TOPIC, request, timeout).get()
@@ -406,7 +412,7 @@
         var sentTokens = 0L
         val after =
             slot.change {
-                sentTokens = it.sendable(from.key, message, policy.transferFraction)
+                sentTokens = it.sendable(from.key, message, slot.policy.transferFraction)
                 it.send(from.key, sentTokens)
             }
         if (sentTokens > 0) listener.onEvent(BudgetEvent.TransferSent(slot.workspace, from.instance, sentTokens))
@@ -435,7 +441,7 @@
         tokens: Long,
         failure: RefillFailure?,
     ): BudgetRefusal {
-        val retryAfter = Duration.ofMillis(maxOf(policy.retryDelay.toMillis(), slot.locked { retryAtMillis } - nowMillis()))
+        val retryAfter = Duration.ofMillis(maxOf(slot.policy.retryDelay.toMillis(), slot.locked { retryAtMillis } - nowMillis()))
         if (isClosed) return BudgetRefusal.RouterClosed(slot.workspace, retryAfter)
         return when (failure) {
             is RefillFailure.Insufficient ->
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -10,8 +10,6 @@
  * @property transferFraction a peer gives at most this part of its unreserved tokens, unless one reservation needs more.
  * @property demandWindow the time over which the demand rate is averaged.
  * @property reportInterval spend is reported at most this often for each workspace.
- * @property reportsPerRound the most workspaces for which one round of maintenance calls the platform. With a round a
- * second, one keeps 330 routers below the several hundred writes a second that the platform takes.
  * @property retryDelay the shortest time between two attempts to refill one workspace after a failed one; doubles up to
  * [maxRetryDelay].
  * @property peerTimeout the longest wait for one peer.
@@ -23,7 +21,6 @@
     val transferFraction: Double = 0.5,
     val demandWindow: Duration = Duration.ofSeconds(10),
     val reportInterval: Duration = Duration.ofSeconds(10),
-    val reportsPerRound: Int = 1,
     val retryDelay: Duration = Duration.ofMillis(100),
     val maxRetryDelay: Duration = Duration.ofSeconds(2),
     val peerTimeout: Duration = Duration.ofMillis(100),
@@ -34,7 +31,7 @@
         require(transferFraction > 0 && transferFraction <= 1) { "transferFraction $transferFraction is not in (0, 1]" }
         require(!horizon.isNegative && demandWindow > Duration.ZERO) { "horizon and demandWindow must not be negative" }
         require(retryDelay > Duration.ZERO && maxRetryDelay >= retryDelay) { "retryDelay must be positive and not above maxRetryDelay" }
-        require(reportsPerRound > 0 && peersAsked >= 0) { "reportsPerRound must be positive and peersAsked not negative" }
+        require(peersAsked >= 0) { "peersAsked must not be negative" }
     }
 
     /**
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
@@ -215,6 +215,22 @@
             agent.reserve(1).getError().shouldBeInstanceOf<BudgetRefusal.RouterClosed>()
         }
 
+        test("each workspace is granted by its own policy, and a changed policy counts from the next grant") {
+            val fleet = Fleet()
+            fleet.topUp(1_000)
+            BudgetLedgers(fleet.store).topUp(OTHER_WORKSPACE, TopUpId("2026-01-01/first"), 1_000).get().shouldNotBeNull()
+            val large = fleet.policy.copy(horizon = Duration.ofMinutes(2))
+            var other = fleet.policy
+            val agent = fleet.agent("a") { if (it == WORKSPACE) large else other }
+            agent.reserve(10).get().shouldNotBeNull()
+            agent.reserve(OTHER_WORKSPACE, RequestId("q"), 10, Duration.ZERO).get().shouldNotBeNull()
+            agent.accounts().associate { it.workspace to it.grantedTokens } shouldBe mapOf(WORKSPACE to 120L, OTHER_WORKSPACE to 10L)
+
+            other = large
+            agent.reserve(OTHER_WORKSPACE, RequestId("q"), 10, Duration.ZERO).get().shouldNotBeNull()
+            agent.accounts().associate { it.workspace to it.grantedTokens }[OTHER_WORKSPACE] shouldBe 250
+        }
+
         test("a close during an outage fails, spends nothing afterwards and is repeated") {
             val fleet = Fleet()
             fleet.topUp(100)
@@ -256,6 +272,7 @@
             name: String,
             policy: BudgetPolicy = this.policy,
             isRealTime: Boolean = false,
+            policyOf: (WorkspaceId) -> BudgetPolicy = { policy },
         ): BudgetAgent {
             val self = Incarnation(InstanceId(name), 1)
             val time = if (isRealTime) TimeSource.Monotonic else clock.monotonic
@@ -264,7 +281,7 @@
                 object : ObjectStore by faulty {
                     override suspend fun get(key: ObjectKey) = faulty.get(key).also { beforeGet() }
                 }
-            return BudgetAgent(self, gated, hub.join(self), policy, time, Random(1), listener)
+            return BudgetAgent(self, gated, hub.join(self), policyOf, time, Random(1), listener)
         }
 
         suspend fun topUp(
@@ -294,6 +311,7 @@
 
     private companion object {
         val WORKSPACE = WorkspaceId("school-kitchen")
+        val OTHER_WORKSPACE = WorkspaceId("bonsai-hall")
 
         suspend fun BudgetAgent.reserve(
             tokens: Long,
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -45,9 +45,10 @@
     private val scheduler = SeededScheduler(random, clock)
     private val store = FakeObjectStore()
     private val hub = FakePeerHub(::peerFault)
-    private val policy =
-        (if (random.nextBoolean()) BudgetPolicy.availability else BudgetPolicy.exposure)
-            .copy(reportInterval = Duration.ZERO, reportsPerRound = WORKSPACES.size)
+    private val policies =
+        WORKSPACES.associateWith {
+            (if (random.nextBoolean()) BudgetPolicy.availability else BudgetPolicy.exposure).copy(reportInterval = Duration.ZERO)
+        }
 
     /** Half of the schedules have small budgets and many deaths, which brings transfers and reclaims together. */
     private val isHarsh = random.nextBoolean()
@@ -323,7 +324,15 @@
         self: Incarnation,
     ) : Member(self) {
         val agent: BudgetAgent =
-            BudgetAgent(self, store, LanePeers(this, hub.join(self)), policy, clock.monotonic, Random(seed))
+            BudgetAgent(
+                self,
+                store,
+                LanePeers(this, hub.join(self)),
+                policies::getValue,
+                clock.monotonic,
+                Random(seed),
+                reportsPerRound = WORKSPACES.size,
+            )
     }
 
     private open inner class Member(
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -4,13 +4,16 @@
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetEvent
 import io.limpetfold.budget.BudgetListener
+import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.config.ConfigKeeper
+import io.limpetfold.config.Preset
 import io.limpetfold.config.RouterStatus
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.core.WorkspaceId
 import io.limpetfold.core.ZoneId
 import io.limpetfold.http.BufferBudget
 import io.limpetfold.http.HttpEventLoops
@@ -98,7 +101,7 @@
     private val config: ConfigKeeper = ConfigKeeper(store, peers, monotonic, random)
     private val membership: Membership = Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { describeSelf() }
     private val seats: SeatKeeper = SeatKeeper(self, store, monotonic) { membership.hasEnded(it) }
-    private val budget = BudgetAgent(self, store, peers, timeSource = monotonic, random = random, listener = budgetEvents())
+    private val budget = BudgetAgent(self, store, peers, ::budgetPolicy, monotonic, random, budgetEvents())
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, EndpointHealth(upstream, ::addressOf))
     private val versions =
@@ -326,6 +329,11 @@
         }
     }
 
+    private fun budgetPolicy(workspace: WorkspaceId): BudgetPolicy {
+        val isAvailability = config.current?.workspaces?.any { it.workspace == workspace && it.budget == Preset.AVAILABILITY } ?: false
+        return if (isAvailability) BudgetPolicy.availability else BudgetPolicy.exposure
+    }
+
     private fun budgetEvents() =
         BudgetListener { event ->
             val name =
--- a/limpetfold-sample-budget/src/main/kotlin/io/limpetfold/sample/budget/SampleBudget.kt
+++ b/limpetfold-sample-budget/src/main/kotlin/io/limpetfold/sample/budget/SampleBudget.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.fold
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetLedgers
-import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.BudgetRefusal
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.budget.Reservation
@@ -53,7 +52,7 @@
     private fun router(name: String): BudgetAgent {
         val self = Incarnation(InstanceId(name), number = 1)
         val store = platform.withFaults { if (isPlatformDown) StoreFault.UNAVAILABLE else StoreFault.NONE }
-        return BudgetAgent(self, store, hub.join(self), BudgetPolicy.availability)
+        return BudgetAgent(self, store, hub.join(self))
     }
 
     private suspend fun request(
