budget: close the entry that an earlier process of the instance left

Cause: a grant of a process that died stayed stranded until an operator reclaimed it, also when a new process of the same instance ran. Ruled out: reclaiming in the caller's path, which would wait for peers. Using RequestJournal.copiedSpentAtPeers alone: it takes a peer that times out for one without a copy, and too low a spend frees used tokens. Counting only the grant as spent when no copy is left: a transfer to the dead process that is recorded later would be freed. Change: PredecessorSpend, asked in maintenance, at most one entry for each workspace and round. WHOLE_GRANT writes the entry off with later transfers to it. The router answers "not known" unless all listed and heard routers are reachable and answered (RequestJournal.copiedSpentAt); without any other router it does not know either.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -2,6 +2,8 @@
 
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.WorkspaceId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -31,6 +33,9 @@
     var retryDelayMillis = 0L
     var syncedAtMillis = 0L
 
+    /** Earlier incarnations of this instance that have an open entry in the version last seen. */
+    var predecessors: ImmutableList<Incarnation> = persistentListOf()
+
     /** Whether a write may have created an entry in the ledger. */
     var isRegistering = false
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -37,6 +37,8 @@
  * @param policyOf the policy of a workspace; asked again with each call to the platform, so that a changed one counts.
  * @param reportsPerRound the most workspaces for which one round of maintenance calls the platform. With a round a
  * second, one keeps 330 routers below the several hundred writes a second that the platform takes.
+ * @param predecessorSpend what earlier incarnations of the instance have spent. They have ended, because a new process of
+ * the instance binds the same address, and their entries are closed with this spend.
  */
 class BudgetAgent(
     private val self: Incarnation,
@@ -47,6 +49,7 @@
     private val random: Random = Random.Default,
     private val listener: BudgetListener = BudgetListener.NONE,
     private val reportsPerRound: Int = 1,
+    private val predecessorSpend: PredecessorSpend = PredecessorSpend.NONE,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
     private val start = timeSource.markNow()
@@ -116,7 +119,8 @@
 
     /**
      * Brings the ledgers of at most `reportsPerRound` workspaces up to date, those longest not synchronised
-     * first: reports spend, records transfers, and learns of top-ups, closed peers and unseen transfers.
+     * first: reports spend, records transfers, learns of top-ups, closed peers and unseen transfers, and closes the entry of an
+     * earlier incarnation of the instance.
      */
     suspend fun maintain() {
         if (isClosed) return
@@ -127,7 +131,22 @@
                 .filter { (slot, syncedAt) -> syncedAt <= now - slot.policy.reportInterval.toMillis() }
                 .sortedBy { (_, syncedAt) -> syncedAt }
                 .take(reportsPerRound)
-        due.forEach { (slot, _) -> synchronise(slot) { _, _ -> 0 } }
+        due.forEach { (slot, _) ->
+            synchronise(slot) { _, _ -> 0 }
+            reclaimPredecessor(slot)
+        }
+    }
+
+    /** Closes at most one entry, so that a round makes a bounded number of writes; the next read shows the others again. */
+    private suspend fun reclaimPredecessor(slot: AccountSlot) {
+        for (holder in slot.locked { predecessors }) {
+            val spentTokens = predecessorSpend.find(holder, slot.workspace) ?: continue
+            BudgetLedgers(store).reclaim(slot.workspace, holder, spentTokens).fold(
+                success = { log.info("budget: closed the entry of an ended process workspace={} holder={}", slot.workspace, holder) },
+                failure = { if (it is UpdateError.Failed) unavailable(slot, it.error.message) },
+            )
+            return
+        }
     }
 
     /**
@@ -336,10 +355,19 @@
         val before = slot.locked { account }
         val after = slot.change { it.observe(ledger, seen.version) }
         if (after.state == AccountState.ENDED) logEnded(slot)
+        val predecessors = predecessorsIn(ledger)
+        slot.locked { this.predecessors = predecessors }
         listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens))
         return RefillFailure.Insufficient(0, ledger.freeTokens)
     }
 
+    private fun predecessorsIn(ledger: BudgetLedger): ImmutableList<Incarnation> =
+        ledger.holders
+            .filter { (key, entry) -> !entry.isEnded && key.startsWith(self.instance.value) }
+            .mapNotNull { Incarnation.parse(it.key) }
+            .filter { it.instance == self.instance && it.number < self.number }
+            .toImmutableList()
+
     private fun failureOf(
         slot: AccountSlot,
         error: UpdateError<LedgerRefusal>,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -108,6 +108,8 @@
     /**
      * Ends the entry of [holder], whose process is known to have ended, with the larger of its reported spend and
      * [copiedSpentTokens]. Its remainder is freed when every open holder has confirmed its transfers.
+     *
+     * With [PredecessorSpend.WHOLE_GRANT] nothing is freed: transfers to the holder that are recorded later count as spent too.
      */
     fun reclaim(
         holder: Incarnation,
@@ -115,12 +117,14 @@
     ): Result<BudgetLedger, LedgerRefusal> {
         val entry = holders[holder.key] ?: return Err(LedgerRefusal.UnknownHolder(holder.key))
         if (entry.isEnded) return Ok(this)
-        val spentTokens = maxOf(entry.reportedSpentTokens, copiedSpentTokens)
+        val isWrittenOff = copiedSpentTokens == PredecessorSpend.WHOLE_GRANT
+        val spentTokens = maxOf(entry.reportedSpentTokens, if (isWrittenOff) entry.grantedTokens else copiedSpentTokens)
         val ended =
             entry.copy(
                 grantedTokens = entry.grantedTokens - spentTokens,
                 reportedSpentTokens = spentTokens,
                 endNumber = endCount + 1,
+                isWrittenOff = isWrittenOff,
             )
         return Ok(
             copy(
@@ -158,8 +162,11 @@
         val name = pair(sender, receiver)
         val differenceTokens = totalTokens - (transfers[name] ?: 0)
         if (differenceTokens <= 0 || sender !in holders) return this
-        return copy(transfers = transfers.put(name, totalTokens))
-            .changed(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
+        val moved =
+            copy(transfers = transfers.put(name, totalTokens))
+                .changed(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
+        if (holders[receiver]?.isWrittenOff == true) return moved.copy(settledTokens = settledTokens + differenceTokens)
+        return moved
             .changed(receiver) { it.copy(grantedTokens = it.grantedTokens + differenceTokens) }
     }
 
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
@@ -215,6 +215,23 @@
             agent.reserve(1).getError().shouldBeInstanceOf<BudgetRefusal.RouterClosed>()
         }
 
+        test("a new process closes the entry of its predecessor once its spend is known, and no other entry") {
+            val fleet = Fleet()
+            fleet.topUp(1_000)
+            fleet.agent("a").let { it.settle(it.reserve(40).get().shouldNotBeNull(), 25) }
+            fleet.agent("b").reserve(50).get().shouldNotBeNull()
+            var spentTokens: Long? = null
+            val agent = fleet.agent("a", number = 2, spend = { holder, _ -> spentTokens.also { holder.key shouldBe "a@1" } })
+            agent.reserve(10).get().shouldNotBeNull()
+            fleet.maintainAll(agent)
+            fleet.ledger().holders.keys shouldBe setOf("a@1", "a@2", "b@1")
+
+            spentTokens = 25
+            fleet.maintainAll(agent)
+            fleet.ledger().settledTokens shouldBe 25
+            fleet.ledger().holders.filterValues { !it.isEnded }.keys shouldBe setOf("a@2", "b@1")
+        }
+
         test("each workspace is granted by its own policy, and a changed policy counts from the next grant") {
             val fleet = Fleet()
             fleet.topUp(1_000)
@@ -272,16 +289,24 @@
             name: String,
             policy: BudgetPolicy = this.policy,
             isRealTime: Boolean = false,
+            number: Long = 1,
+            spend: PredecessorSpend = PredecessorSpend.NONE,
             policyOf: (WorkspaceId) -> BudgetPolicy = { policy },
         ): BudgetAgent {
-            val self = Incarnation(InstanceId(name), 1)
+            val self = Incarnation(InstanceId(name), number)
             val time = if (isRealTime) TimeSource.Monotonic else clock.monotonic
             val faulty = store.withFaults { fault(it) }
             val gated =
                 object : ObjectStore by faulty {
                     override suspend fun get(key: ObjectKey) = faulty.get(key).also { beforeGet() }
                 }
-            return BudgetAgent(self, gated, hub.join(self), policyOf, time, Random(1), listener)
+            return BudgetAgent(self, gated, hub.join(self), policyOf, time, Random(1), listener, predecessorSpend = spend)
+        }
+
+        /** Runs the maintenance of [agents] after their next reports are due. */
+        suspend fun maintainAll(vararg agents: BudgetAgent) {
+            clock.advance(policy.reportInterval)
+            agents.forEach { it.maintain() }
         }
 
         suspend fun topUp(
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
@@ -78,6 +78,17 @@
             account.observe(ended, version(2)).receive(A.key, 15).grantedTokens shouldBe 50
         }
 
+        test("tokens that a holder without copies received and nobody had recorded are not freed") {
+            val ended = registered(100, A, B).reclaim(A, PredecessorSpend.WHOLE_GRANT).get().shouldNotBeNull()
+            ended.settledTokens shouldBe 50
+
+            val sent = persistentMapOf(A.key to 15L)
+            val confirmed = ended.update(B, HolderUpdate(1, sentTokens = sent, confirmedEnds = 1)).get().shouldNotBeNull()
+            confirmed.settledTokens shouldBe 65
+            confirmed.freeTokens shouldBe 0
+            confirmed.holders.keys shouldBe setOf(B.key)
+        }
+
         test("a reclaimed holder can't be granted again") {
             val ended = registered(100, A, B).reclaim(A, 10).get().shouldNotBeNull()
             ended.update(A, HolderUpdate(1)) { 5 }.getError() shouldBe LedgerRefusal.HolderEnded(A.key)
@@ -110,7 +121,7 @@
             val full =
                 BudgetLedger(
                     paidTokens = large,
-                    holders = keys.associateWith { HolderEntry(large, large, large, large, large, large) }.toPersistentMap(),
+                    holders = keys.associateWith { HolderEntry(large, large, large, large, large, large, isWrittenOff = true) }.toPersistentMap(),
                     transfers =
                         keys
                             .flatMapIndexed { i, sender ->
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -73,6 +73,10 @@
     /** Tokens that endpoints really generated, by workspace. */
     val spent = WORKSPACES.associateWith { 0L }.toMutableMap()
 
+    /** How often the spend of an earlier incarnation was found. */
+    var predecessorsFound = 0
+        private set
+
     fun run() {
         WORKSPACES.forEach { topUp(it, TopUpId("2026-01-01/first"), 200 + random.nextLong(if (isHarsh) 500 else 2_500)) }
         repeat(3) { start("r$it") }
@@ -112,14 +116,14 @@
             in 10..12 -> router?.let { launch(it, "maintain") { it.agent.maintain() } }
             13 -> router?.let { kill(it) }
             14 -> restart()
-            15 -> dead.randomOrNull(random)?.let { reclaim(operators, it) }
+            15 -> dead.randomOrNull(random)?.let { reclaim(it) }
             16 -> router?.let { pause(it, !it.lane.isPaused) }
             17, 18 -> cut()
             19 -> note("platform down=${!isPlatformDown}") { isPlatformDown = !isPlatformDown }
             20 -> topUp(WORKSPACES.random(random), TopUpId("2026-01-0${random.nextInt(1, 9)}/t"), 100 + random.nextLong(900))
             21 -> if (random.nextBoolean()) router?.let { stop(it) }
             24 -> router?.let { kill(it) }
-            25, 26 -> dead.randomOrNull(random)?.let { reclaim(operators, it) }
+            25, 26 -> dead.randomOrNull(random)?.let { reclaim(it) }
             27 -> restart()
             else -> random.nextLong(3_000).let { note("advance $it ms") { scheduler.advance(it) } }
         }
@@ -134,10 +138,23 @@
         val instances = (0..3).map { "r$it" } - routers.map { it.self.instance.value }.toSet()
         val instance = instances.randomOrNull(random) ?: return
         start(instance)
-        val router = routers.last()
-        dead.filter { it.self.instance == router.self.instance }.forEach { reclaim(router, it) }
     }
 
+    /** Not known at times, and as long as the process is stopping; the copies were made while it ran. */
+    private suspend fun predecessorSpend(
+        holder: Incarnation,
+        workspace: WorkspaceId,
+    ): Long? {
+        yield()
+        if (dead.none { it.self == holder } || (!isHealed && random.nextInt(3) == 0)) return null
+        return copiedSpent(holder, workspace).also { predecessorsFound++ }
+    }
+
+    private fun copiedSpent(
+        holder: Incarnation,
+        workspace: WorkspaceId,
+    ) = runs.filter { it.holder == holder && it.reservation.workspace == workspace }.sumOf { it.usedTokens }
+
     private fun request(router: Router) {
         val workspace = WORKSPACES.random(random)
         val id = RequestId("q${nextRequest++}")
@@ -216,12 +233,10 @@
     }
 
     private fun reclaim(
-        by: Member,
         ended: Router,
     ) = WORKSPACES.forEach { workspace ->
-        launch(by, "reclaim ${ended.self} $workspace") {
-            val copied = runs.filter { it.holder == ended.self && it.reservation.workspace == workspace }.sumOf { it.usedTokens }
-            BudgetLedgers(by.store).reclaim(workspace, ended.self, copied)
+        launch(operators, "reclaim ${ended.self} $workspace") {
+            BudgetLedgers(operators.store).reclaim(workspace, ended.self, copiedSpent(ended.self, workspace))
         }
     }
 
@@ -256,7 +271,7 @@
         }
         scheduler.drain()
         topUps.forEach { (key, tokens) -> topUp(key.first, key.second, tokens) }
-        dead.forEach { reclaim(operators, it) }
+        dead.forEach { reclaim(it) }
         scheduler.drain()
         repeat(2) {
             routers.forEach { launch(it, "maintain") { it.agent.maintain() } }
@@ -332,6 +347,7 @@
                 clock.monotonic,
                 Random(seed),
                 reportsPerRound = WORKSPACES.size,
+                predecessorSpend = ::predecessorSpend,
             )
     }
 
@@ -388,7 +404,7 @@
         /** The sender dies and is reclaimed, and the receiver learns of it, while the reply is under way. */
         private suspend fun dieWhileReplying(receiver: Incarnation) {
             kill(router)
-            reclaim(operators, router)
+            reclaim(router)
             repeat(40) { yield() }
             routers.find { it.self == receiver }?.let { launch(it, "maintain") { repeat(2) { _ -> it.agent.maintain() } } }
             repeat(40) { yield() }
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedulePropertyTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedulePropertyTest.kt
@@ -9,7 +9,9 @@
             var granted = 0
             var transferred = 0
             var reclaimed = 0
+            var predecessors = 0
             forEachSeed { schedule ->
+                predecessors += schedule.predecessorsFound
                 for (workspace in BudgetSchedule.WORKSPACES) {
                     val versions = schedule.versions(workspace)
                     versions.forEach { ledger ->
@@ -30,8 +32,8 @@
                     check(last.holders.isEmpty() && last.transfers.isEmpty()) { "$workspace keeps entries: $last" }
                 }
             }
-            println("versions with grants=$granted transfers=$transferred reclaimed=$reclaimed")
-            check(transferred > 0 && reclaimed > 0) { "the schedules reach no transfer or no reclaim" }
+            println("versions with grants=$granted transfers=$transferred reclaimed=$reclaimed predecessors=$predecessors")
+            check(transferred > 0 && reclaimed > 0 && predecessors > 0) { "the schedules reach no transfer, reclaim or predecessor" }
         }
     })
 
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/request/RequestJournal.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/RequestJournal.kt
@@ -1,12 +1,18 @@
 package io.limpetfold.request
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.core.ZoneId
+import io.limpetfold.peer.PeerError
 import io.limpetfold.peer.PeerNetwork
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -92,6 +98,23 @@
             (atPeers + copiedSpent(holder, workspace)).filterNotNull().maxOrNull()
         }
 
+    /**
+     * Returns the largest cumulative spend of [holder] among the copies here and at [routers], or null without any copy.
+     * Fails with the first router that gave no answer, because it may hold a larger one.
+     */
+    suspend fun copiedSpentAt(
+        routers: Collection<InstanceId>,
+        holder: Incarnation,
+        workspace: WorkspaceId,
+    ): Result<Long?, PeerError> =
+        coroutineScope {
+            val query = SpentQuery(holder, workspace)
+            val replies = routers.map { async { network.ask(it, JournalTopics.SPENT, query, policy.acknowledgeWithin) } }.awaitAll()
+            val failure = replies.firstNotNullOfOrNull { it.getError() }
+            val found = replies.mapNotNull { it.get()?.tokens } + listOfNotNull(copiedSpent(holder, workspace))
+            if (failure == null) Ok(found.maxOrNull()) else Err(failure)
+        }
+
     /** Drops entries that are too old. */
     fun maintain() = buffer.expire()
 
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/request/RequestJournalTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/request/RequestJournalTest.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.request
 
+import com.github.michaelbull.result.get
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
@@ -69,6 +70,20 @@
             fleet.journals[4].copiedSpentAtPeers(holder, workspace) shouldBe 70
         }
 
+        test("a router that does not answer makes the copied spend unknown and not too small") {
+            val fleet = Fleet()
+            val holder = fleet.incarnation(0)
+            fleet.journals[0].closed(closed(1, holder, 70))
+            val others = (0..5).filter { it != 4 }.map { fleet.incarnation(it).instance }
+            fleet.journals[4].copiedSpentAt(others, holder, workspace).get() shouldBe 70
+            val unknown = fleet.journals[4].copiedSpentAt(others, fleet.incarnation(1), workspace)
+            unknown.isOk shouldBe true
+            unknown.get() shouldBe null
+
+            fleet.hub.fault = { _, to -> if (to == others[1]) PeerFault.REPLY_LOST else PeerFault.NONE }
+            fleet.journals[4].copiedSpentAt(others, holder, workspace).isErr shouldBe true
+        }
+
         test("the buffer stays within its count, its bytes and its age") {
             val fleet = Fleet(JournalPolicy(maxEntries = 20, maxBytes = 6_000, batchWindow = Duration.ZERO))
             repeat(100) { fleet.journals[0].opened(opened(it, fleet.incarnation(0))) }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -1,10 +1,12 @@
 package io.limpetfold.router
 
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onFailure
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetEvent
 import io.limpetfold.budget.BudgetListener
 import io.limpetfold.budget.BudgetPolicy
+import io.limpetfold.budget.PredecessorSpend
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.config.ConfigKeeper
@@ -101,7 +103,8 @@
     private val config: ConfigKeeper = ConfigKeeper(store, peers, monotonic, random)
     private val membership: Membership = Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { describeSelf() }
     private val seats: SeatKeeper = SeatKeeper(self, store, monotonic) { membership.hasEnded(it) }
-    private val budget = BudgetAgent(self, store, peers, ::budgetPolicy, monotonic, random, budgetEvents())
+    private val budget =
+        BudgetAgent(self, store, peers, ::budgetPolicy, monotonic, random, budgetEvents(), predecessorSpend = ::predecessorSpend)
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, EndpointHealth(upstream, ::addressOf))
     private val versions =
@@ -334,6 +337,16 @@
         return if (isAvailability) BudgetPolicy.availability else BudgetPolicy.exposure
     }
 
+    /** A listed or heard router that can't be asked may hold a higher copy than the others. */
+    private suspend fun predecessorSpend(
+        holder: Incarnation,
+        workspace: WorkspaceId,
+    ): Long? {
+        val others = (membership.listedRouters().map { it.instance } + membership.members().map { it.instance }).toSet()
+        if (others.isEmpty() || !peers.reachable().containsAll(others)) return null
+        return journal.copiedSpentAt(others, holder, workspace).fold({ it ?: PredecessorSpend.WHOLE_GRANT }, { null })
+    }
+
     private fun budgetEvents() =
         BudgetListener { event ->
             val name =
