budget: ask the peers with the most tokens first, and more than four

Cause: near the end of a budget a router refused while other routers held enough. An attempt asked four peers in random order, and a peer that could not cover the whole need gave half of what it had. Change: peers are asked in the order of the unspent grants that the ledger shows, lowered by what their later answers say; a peer without an answer counts as empty until the next ledger read. Within the caller's patience an attempt goes on after peersAsked peers as long as each gives. A peer that can't cover the need gives all it has available.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -350,7 +350,7 @@
         tokens: Long,
         remainingMillis: Long,
     ): RefillFailure? {
-        if (remainingMillis <= 0) return attempt(slot, tokens, slot.policy.peerTimeout.toMillis())
+        if (remainingMillis <= 0) return attempt(slot, tokens, 0)
         val attempted = withTimeoutOrNull(remainingMillis) { Attempted(attempt(slot, tokens, remainingMillis)) }
         return if (attempted == null) RefillFailure.Unavailable("no answer in time") else attempted.failure
     }
@@ -480,32 +480,44 @@
         tokens: Long,
         patienceMillis: Long,
     ) {
-        val reachable = peers.reachable()
-        val known = slot.locked { account }.openPeers.mapNotNull { Incarnation.parse(it) }
-        val asked = synchronized(random) { known.filter { it.instance in reachable }.sorted().shuffled(random) }
-        val timeout = minOf(slot.policy.peerTimeout, Duration.ofMillis(patienceMillis))
-        for (peer in asked.take(slot.policy.peersAsked)) {
+        val timeout = if (patienceMillis > 0) minOf(slot.policy.peerTimeout, Duration.ofMillis(patienceMillis)) else slot.policy.peerTimeout
+        val asked = peersByUnspentTokens(slot)
+        asked.take(if (patienceMillis > 0) asked.size else slot.policy.peersAsked).forEachIndexed { index, peer ->
             if (slot.locked { account.availableTokens } >= tokens) return
-            askPeer(slot, peer, tokens, timeout)
+            val receivedTokens = askPeer(slot, peer, tokens, timeout)
+            if (receivedTokens == 0L && index + 1 >= slot.policy.peersAsked) return
         }
     }
 
+    /** The reachable holders, those with the most unspent tokens first and equal ones in random order. */
+    private fun peersByUnspentTokens(slot: AccountSlot): List<Incarnation> {
+        val reachable = peers.reachable()
+        val unspent = slot.locked { account }.openPeers
+        val known = unspent.keys.mapNotNull { Incarnation.parse(it) }.filter { it.instance in reachable }
+        return synchronized(random) { known.sorted().shuffled(random) }.sortedByDescending { unspent[it.key] }
+    }
+
+    /** Returns the tokens that the peer gave. */
     private suspend fun askPeer(
         slot: AccountSlot,
         peer: Incarnation,
         tokens: Long,
         timeout: Duration,
-    ) {
+    ): Long {
         val account = slot.locked { account }
         val neededTokens = tokens - account.availableTokens
         val wantedTokens = maxOf(neededTokens, slot.policy.wantedTokens(account))
         val seenTokens = account.receivedTokens[peer.key] ?: 0
         val request = TransferRequest(slot.workspace, peer, slot.holder, neededTokens, wantedTokens, seenTokens)
         val reply = peers.ask(peer.instance, TRANSFER_TOPIC, request, timeout).get()
-        if (reply == null || reply.sender != peer) return
-        val after = slot.change { it.receive(peer.key, reply.totalTokens) }
+        if (reply == null || reply.sender != peer) {
+            slot.change { it.heard(peer.key, 0) }
+            return 0
+        }
+        val after = slot.change { it.receive(peer.key, reply.totalTokens).heard(peer.key, reply.availableTokens) }
         val receivedTokens = (after.receivedTokens[peer.key] ?: 0) - seenTokens
         if (receivedTokens > 0) listener.onEvent(BudgetEvent.TransferReceived(slot.workspace, peer.instance, receivedTokens))
+        return receivedTokens
     }
 
     /** Answers a peer that needs tokens: lowers the own account first, then tells the total. */
@@ -516,7 +528,7 @@
         val slot = slots[message.workspace]
         val receiver = message.receiver
         val isOwn = receiver.instance == from.instance && receiver.number >= from.number
-        if (slot == null || message.sender != slot.holder || !isOwn) return TransferReply(self, 0)
+        if (slot == null || message.sender != slot.holder || !isOwn) return TransferReply(self, 0, 0)
         var sentTokens = 0L
         val after =
             slot.change {
@@ -524,7 +536,7 @@
                 it.send(receiver.key, sentTokens)
             }
         if (sentTokens > 0) listener.onEvent(BudgetEvent.TransferSent(slot.workspace, from.instance, sentTokens))
-        return TransferReply(slot.holder, after.sentTokens[receiver.key] ?: 0)
+        return TransferReply(slot.holder, after.sentTokens[receiver.key] ?: 0, after.availableTokens)
     }
 
     private suspend fun closeSlot(slot: AccountSlot): StoreError? =
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -7,14 +7,14 @@
  *
  * @property horizon a grant lasts this long at the local demand rate.
  * @property grantFraction a grant takes at most this part of the free tokens, unless one reservation needs more.
- * @property transferFraction a peer gives at most this part of its unreserved tokens, unless one reservation needs more.
+ * @property transferFraction a peer gives at most this part of its unreserved tokens, unless the asked need is larger.
  * @property demandWindow the time over which the demand rate is averaged.
  * @property reportInterval spend is reported at most this often for each workspace.
  * @property retryDelay the shortest time between two attempts to refill one workspace after a failed one; doubles up to
  * [maxRetryDelay].
  * @property peerTimeout the longest wait for one peer.
  * @property idleAfter an account that was not used for this long returns what its demand does not need any more.
- * @property peersAsked the most peers asked in one attempt.
+ * @property peersAsked the peers asked in one attempt. Within the caller's patience more are asked as long as each gives.
  */
 data class BudgetPolicy(
     val horizon: Duration,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 
 /**
@@ -18,7 +19,8 @@
  * @property returnedTokens cumulative tokens given back to the ledger; lowered here before the ledger is told.
  * @property reservations tokens by reservation number.
  * @property sequence this holder's last write seen in the ledger.
- * @property openPeers other holders with an open entry in the version last seen; they can be asked for tokens.
+ * @property openPeers other holders with an open entry in the version last seen, which can be asked for tokens, with the
+ * unspent tokens that the ledger or a later answer of theirs showed.
  * @property gonePeers peers with totals here and no entry in the version last seen.
  */
 data class LocalAccount(
@@ -38,7 +40,7 @@
     val version: ObjectVersion = ObjectVersion.NONE,
     val reportedSpentTokens: Long = 0,
     val seenEnds: Long = 0,
-    val openPeers: PersistentSet<String> = persistentSetOf(),
+    val openPeers: PersistentMap<String, Long> = persistentMapOf(),
     val gonePeers: PersistentSet<String> = persistentSetOf(),
     val writingGonePeers: PersistentSet<String> = persistentSetOf(),
 ) {
@@ -112,7 +114,8 @@
         return when {
             needTokens <= 0 -> 0
             needTokens <= availableTokens -> minOf(availableTokens, maxOf(needTokens, minOf(request.wantedTokens, shareTokens)))
-            else -> shareTokens
+            // A part would leave the rest of the need spread over peers that each keep too little for a request.
+            else -> maxOf(0, availableTokens)
         }
     }
 
@@ -128,15 +131,22 @@
     ): LocalAccount =
         if (state != AccountState.OPEN || sequence == 0L || sender !in openPeers) this else credited(sender, totalTokens)
 
+    /** Notes that [peer] has [unspentTokens] left, so that one with more is asked first. */
+    fun heard(
+        peer: String,
+        unspentTokens: Long,
+    ): LocalAccount = if (peer in openPeers) copy(openPeers = openPeers.put(peer, unspentTokens)) else this
+
     /** Takes over what [ledger] shows at [version]; an older version than the one last seen changes nothing. */
     fun observe(
         ledger: BudgetLedger,
         version: ObjectVersion,
     ): LocalAccount {
         if (version <= this.version) return this
-        val open = ledger.holders.filter { !it.value.isEnded }.keys
+        val open = ledger.holders.filter { !it.value.isEnded && it.key != holder.key }
         val entry = ledger.holders[holder.key]
-        val seen = copy(version = version, seenEnds = ledger.endCount, openPeers = open.minus(holder.key).toPersistentSet())
+        val unspent = open.mapValues { it.value.grantedTokens - it.value.reportedSpentTokens }.toPersistentMap()
+        val seen = copy(version = version, seenEnds = ledger.endCount, openPeers = unspent)
         if (entry == null || entry.isEnded) {
             val isOwnEnd = state == AccountState.CLOSING || state == AccountState.CLOSED
             return if (sequence == 0L || isOwnEnd) seen else seen.copy(state = AccountState.ENDED)
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/TransferMessages.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/TransferMessages.kt
@@ -22,11 +22,16 @@
     val seenTotalTokens: Long,
 )
 
-/** Answers with the cumulative total of the pair, so that a repeated or late answer credits nothing twice. */
+/**
+ * Answers with the cumulative total of the pair, so that a repeated or late answer credits nothing twice.
+ *
+ * @property availableTokens what the sender has left, by which the next attempt chooses whom it asks.
+ */
 @Serializable
 internal data class TransferReply(
     val sender: Incarnation,
     val totalTokens: Long,
+    val availableTokens: Long,
 )
 
 internal val TRANSFER_TOPIC: PeerTopic<TransferRequest, TransferReply> =
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
@@ -17,6 +17,7 @@
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.SeededScheduler
 import io.limpetfold.testing.StoreCall
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
@@ -264,6 +265,19 @@
             BudgetLedgers(fleet.store).stranded(persistentSetOf(running)).get() shouldBe emptyList()
         }
 
+        test("an account is not closed while a caller waits for tokens") {
+            val fleet = Fleet()
+            fleet.topUp(10)
+            val agent = fleet.agent("a")
+            coroutineScope {
+                val waiting = async { agent.reserve(60, Duration.ofHours(1)) }
+                yield()
+                fleet.forgetIdle(agent)
+                agent.accounts().single().state shouldBe AccountState.OPEN
+                waiting.cancel()
+            }
+        }
+
         test("tokens that a peer sent to a closed account are not credited to the one opened after it") {
             val fleet = Fleet()
             fleet.topUp(100)
@@ -303,6 +317,29 @@
             agent.accounts().size shouldBe 0
         }
 
+        test("a patient caller collects tokens from more peers than one attempt asks") {
+            val fleet = Fleet()
+            fleet.topUp(161)
+            repeat(8) { fleet.holding("r$it", 20) }
+            val agent = fleet.holding("last", 1)
+            fleet.fault = { StoreFault.UNAVAILABLE }
+            agent.reserve(140).getError().shouldBeInstanceOf<BudgetRefusal.PlatformUnavailable>()
+            agent.accounts().single().availableTokens shouldBe 81
+
+            fleet.clock.advance(Duration.ofSeconds(3))
+            agent.reserve(161, Duration.ofMinutes(1)).get().shouldNotBeNull()
+        }
+
+        test("the peer with the most unspent tokens is asked first, by the ledger and by its later answers") {
+            val fleet = Fleet()
+            fleet.topUp(201)
+            val amounts = listOf(30L, 90L, 10L, 10L, 20L, 20L, 20L)
+            amounts.forEachIndexed { index, tokens -> fleet.holding("r$index", tokens) }
+            val agent = fleet.holding("last", 1, fleet.policy.copy(peersAsked = 1))
+            fleet.fault = { StoreFault.UNAVAILABLE }
+            for (tokens in listOf(50L, 35L, 25L)) agent.reserve(tokens).get().shouldNotBeNull()
+        }
+
         test("each workspace is granted by its own policy, and a changed policy counts from the next grant") {
             val fleet = Fleet()
             fleet.topUp(1_000)
@@ -374,6 +411,13 @@
             return BudgetAgent(self, gated, hub.join(self), policyOf, time, Random(1), listener, predecessorSpend = spend)
         }
 
+        /** A router that was granted [tokens] and has used none of them. */
+        suspend fun holding(
+            name: String,
+            tokens: Long,
+            policy: BudgetPolicy = this.policy,
+        ): BudgetAgent = agent(name, policy).also { it.settle(it.reserve(tokens).get().shouldNotBeNull(), 0) }
+
         /** Runs the maintenance of [agents] after their next reports are due. */
         suspend fun maintainAll(vararg agents: BudgetAgent) {
             clock.advance(policy.reportInterval)
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -19,6 +19,7 @@
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.SeededScheduler
 import io.limpetfold.testing.StoreCall
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/SeededScheduler.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/SeededScheduler.kt
@@ -1,6 +1,5 @@
-package io.limpetfold.budget
+package io.limpetfold.testing
 
-import io.limpetfold.testing.TestClock
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.Delay
--- /dev/null
+++ b/limpetfold-testing/src/test/kotlin/io/limpetfold/testing/SeededSchedulerTest.kt
@@ -0,0 +1,47 @@
+package io.limpetfold.testing
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.time.Duration
+import kotlin.random.Random
+
+/** Guards against a scheduler that stops making progress or runs what it must not, which looks like a fault of the code under test. */
+class SeededSchedulerTest :
+    FunSpec({
+        test("drain passes time while a paused lane has a task; schedule 12,889 of the budget tests hung here") {
+            val clock = TestClock()
+            val scheduler = SeededScheduler(Random(1), clock)
+            val paused = scheduler.Lane()
+            val ran = mutableListOf<String>()
+            CoroutineScope(paused).launch { ran += "paused" }
+            paused.isPaused = true
+            CoroutineScope(scheduler.Lane()).launch {
+                delay(2_000)
+                ran += "delayed"
+            }
+
+            scheduler.drain()
+            ran shouldBe listOf("delayed")
+            clock.instant() shouldBe TestClock().instant().plus(Duration.ofSeconds(2))
+            paused.isPaused = false
+            scheduler.drain()
+            ran shouldBe listOf("delayed", "paused")
+        }
+
+        test("a timeout ends at its time and not before") {
+            val scheduler = SeededScheduler(Random(1), TestClock())
+            var outcome: String? = "running"
+            CoroutineScope(scheduler.Lane()).launch { outcome = withTimeoutOrNull(100) { "late".also { delay(1_000) } } }
+            while (scheduler.step()) Unit
+            scheduler.advance(99)
+            while (scheduler.step()) Unit
+            outcome shouldBe "running"
+            scheduler.advance(1)
+            while (scheduler.step()) Unit
+            outcome shouldBe null
+        }
+    })
