measure: measure budgets, overhead and slopes with bin/measure

Cause: presets and the capacity page need figures from runs that anyone can repeat. Ruled out: a cluster simulator; budgets run the agents over the fakes, and overhead and idle calls use router processes. Change: bin/measure with budgets, moves, overhead and slopes; a report with settings, baseline and rows as table or JSON.

--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetWorld.kt
@@ -0,0 +1,22 @@
+package io.limpetfold.measure.budgets
+
+import io.limpetfold.testing.TestClock
+
+/** What routers can reach at this moment of a run. */
+internal class BudgetWorld(
+    val routers: Int,
+    val workspaces: Int,
+) {
+    val clock = TestClock()
+    var isPlatformDown = false
+    var isPartitioned = false
+
+    fun reachesPlatform(router: Int): Boolean = !isPlatformDown && !(isPartitioned && isCutOff(router))
+
+    fun reachesPeer(
+        from: Int,
+        to: Int,
+    ): Boolean = !isPartitioned || isCutOff(from) == isCutOff(to)
+
+    private fun isCutOff(router: Int): Boolean = router >= routers / 2
+}
--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/EscrowBudgets.kt
@@ -0,0 +1,115 @@
+package io.limpetfold.measure.budgets
+
+import com.github.michaelbull.result.get
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetEvent
+import io.limpetfold.budget.BudgetLedgers
+import io.limpetfold.budget.BudgetPolicy
+import io.limpetfold.budget.Reservation
+import io.limpetfold.budget.TopUpId
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreFault
+import kotlinx.collections.immutable.toImmutableSet
+import kotlinx.coroutines.runBlocking
+import java.time.Duration
+import kotlin.random.Random
+
+/** The product's escrow ledger and agents over fakes whose calls take no time. */
+internal class EscrowBudgets(
+    private val world: BudgetWorld,
+    private val policy: BudgetPolicy,
+    private val seed: Long,
+) : BudgetStrategy {
+    private val store = FakeObjectStore()
+    private val ledgers = BudgetLedgers(store)
+    private val hub =
+        FakePeerHub { from, to -> if (world.reachesPeer(number(from), number(to))) PeerFault.NONE else PeerFault.REQUEST_LOST }
+    private val nodes = MutableList(world.routers) { Node(it, 1) }
+    private val ended = mutableMapOf<Incarnation, List<Long>>()
+    private var topUps = 0
+    private var operatorWrites = 0
+
+    /** Writes of operators are left out. */
+    override val platformWrites: Int get() = store.writeCount - operatorWrites
+
+    override var grantWrites = 0
+        private set
+
+    override fun topUp(
+        workspace: Int,
+        tokens: Long,
+    ) {
+        operatorWrites++
+        runBlocking { checkNotNull(ledgers.topUp(id(workspace), TopUpId("2026-01-01/t${topUps++}"), tokens).get()) }
+    }
+
+    override fun reserve(
+        router: Int,
+        workspace: Int,
+        tokens: Long,
+    ): Any? = runBlocking { nodes[router].agent.reserve(id(workspace), REQUEST, tokens, Duration.ZERO).get() }
+
+    override fun settle(
+        router: Int,
+        handle: Any,
+        usedTokens: Long,
+    ) {
+        nodes[router].agent.settle(handle as Reservation, usedTokens)
+    }
+
+    override fun maintain(router: Int) = runBlocking { nodes[router].agent.maintain() }
+
+    override fun kill(
+        router: Int,
+        spentTokens: List<Long>,
+    ) {
+        ended[nodes[router].self] = spentTokens
+        hub.leave(nodes[router].self.instance)
+    }
+
+    override fun restart(router: Int) {
+        val former = nodes[router].self
+        nodes[router] = Node(router, former.number + 1)
+        val spentTokens = ended.getValue(former)
+        runBlocking {
+            repeat(world.workspaces) { workspace -> ledgers.reclaim(id(workspace), former, spentTokens[workspace]) }
+        }
+    }
+
+    override fun strandedTokens(): Long =
+        runBlocking {
+            val live = nodes.map { it.self }.filter { it !in ended }.toImmutableSet()
+            ledgers.stranded(live).get().orEmpty().sumOf { grant ->
+                val spent = if (grant.isReclaimed) 0 else ended[grant.holder]?.get(number(grant.workspace)) ?: 0
+                maxOf(0, grant.grantedTokens - spent)
+            }
+        }
+
+    private inner class Node(
+        index: Int,
+        number: Long,
+    ) {
+        val self = Incarnation(InstanceId("r$index"), number)
+        private val view = store.withFaults { if (world.reachesPlatform(index)) StoreFault.NONE else StoreFault.UNAVAILABLE }
+        val agent =
+            BudgetAgent(self, view, hub.join(self), policy, world.clock.monotonic, Random(seed * world.routers + index)) { event ->
+                if (event is BudgetEvent.Synchronised && event.acquiredTokens > 0) grantWrites++
+            }
+    }
+
+    private fun id(workspace: Int) = WorkspaceId("w$workspace")
+
+    private fun number(workspace: WorkspaceId): Int = workspace.value.drop(1).toInt()
+
+    private fun number(instance: InstanceId): Int = instance.value.drop(1).toInt()
+
+    private companion object {
+        val REQUEST = RequestId("q")
+    }
+}
--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/IdleCalls.kt
@@ -0,0 +1,30 @@
+package io.limpetfold.measure.slopes
+
+import io.limpetfold.measure.fleet.RouterFleet
+import io.limpetfold.standins.EngineStandin
+
+/** Counts the platform calls and the processor time of router processes without requests. */
+internal object IdleCalls {
+    /** Compilation after the start would count as control overhead. */
+    private const val SETTLE_MILLIS = 25_000L
+    private const val MILLIS_PER_MINUTE = 60_000.0
+
+    /** Calls for each router and minute by kind, over [millis]; also the cores that one router uses. */
+    fun perRouterAndMinute(
+        routers: Int,
+        millis: Long,
+    ): Map<String, Double> =
+        EngineStandin().use { engine ->
+            RouterFleet(routers, engine).use { fleet ->
+                fleet.start()
+                Thread.sleep(SETTLE_MILLIS)
+                val before = fleet.platformCalls()
+                val cpuBefore = fleet.routers.sumOf { it.cpu().toMillis() }
+                Thread.sleep(millis)
+                val cpu = fleet.routers.sumOf { it.cpu().toMillis() } - cpuBefore
+                val calls = fleet.platformCalls().mapValues { (kind, count) -> count - (before[kind] ?: 0) }
+                calls.filterKeys { it == "reads" || it == "writes" }.mapValues { it.value * MILLIS_PER_MINUTE / millis / routers } +
+                    ("cores" to cpu.toDouble() / millis / routers)
+            }
+        }
+}
