measure: measure endpoint limits and slow readers

Cause: bounds on requests in flight and on bytes held need figures beside the property tests. Ruled out: slow callers on the engine stand-in, which keeps every event (1,000 answers of 4 MB would need its memory). Change: bin/measure limits (limiter over fakes in virtual time, with and without lending) and slow-readers (a router process with slow callers and uploads); overhead tells refused and broken calls apart; slopes measure 330 seats and the instance list.

--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
@@ -4,12 +4,17 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import io.limpetfold.measure.budgets.BudgetsCommand
+import io.limpetfold.measure.limits.LimitsCommand
 import io.limpetfold.measure.moves.MovesCommand
 import io.limpetfold.measure.overhead.OverheadCommand
 import io.limpetfold.measure.slopes.SlopesCommand
+import io.limpetfold.measure.slowreaders.SlowReadersCommand
 
 /** Runs one measurement. */
-fun main(args: Array<String>) = MeasureProgram().subcommands(BudgetsCommand(), MovesCommand(), OverheadCommand(), SlopesCommand()).main(args)
+fun main(args: Array<String>) =
+    MeasureProgram()
+        .subcommands(BudgetsCommand(), LimitsCommand(), MovesCommand(), OverheadCommand(), SlopesCommand(), SlowReadersCommand())
+        .main(args)
 
 private class MeasureProgram : CliktCommand(name = "measure") {
     override fun run() = Unit
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadMeasurement.kt
@@ -60,8 +60,7 @@
         rate: Int,
     ): Load {
         val call = StreamedCall(fleet.client, address, settings.tokens)
-        val whole = AtomicInteger()
-        val failed = AtomicInteger()
+        val ends = StreamedCall.Outcome.entries.associateWith { AtomicInteger() }
         val cpuBefore = fleet.routers[0].cpu()
         val start = TimeSource.Monotonic.markNow()
         val count = (rate * settings.time.toMillis() / MILLIS_PER_SECOND).toInt()
@@ -70,7 +69,7 @@
                 for (index in 0 until count) {
                     val due = (NANOS_PER_SECOND / rate * index).nanoseconds - start.elapsedNow()
                     if (due.isPositive()) delay(due)
-                    launch { (if (call.send()) whole else failed).incrementAndGet() }
+                    launch { ends.getValue(call.send()).incrementAndGet() }
                 }
             }
         }
@@ -79,9 +78,8 @@
         return Load(
             call.firstToken.intervalHistogram,
             call.betweenTokens.intervalHistogram,
-            whole.get(),
-            failed.get(),
-            whole.get() / (elapsed.inWholeMilliseconds / MILLIS_PER_SECOND),
+            ends.mapValues { it.value.get() },
+            ends.getValue(StreamedCall.Outcome.WHOLE).get() / (elapsed.inWholeMilliseconds / MILLIS_PER_SECOND),
             cpu,
         )
     }
@@ -96,11 +94,12 @@
             "requests offered a second" to rate,
             "path" to path,
             "answered a second" to load.perSecond,
-            "not whole" to load.failed,
+            "refused" to load.ends.getValue(StreamedCall.Outcome.REFUSED),
+            "broken" to load.ends.getValue(StreamedCall.Outcome.BROKEN),
             "first token p50/p95/p99 ms" to percentiles(load.firstToken),
             "between tokens p50/p95/p99 ms" to percentiles(load.betweenTokens),
             "router cores" to (if (router == null) "-" else load.cores),
-            "router CPU ms per request" to (if (router == null || load.whole == 0) "-" else load.cores * MILLIS_PER_SECOND / load.perSecond),
+            "router CPU ms per request" to (if (router == null || load.perSecond == 0.0) "-" else load.cores * MILLIS_PER_SECOND / load.perSecond),
         )
 
     private fun percentiles(histogram: Histogram): String =
@@ -109,8 +108,7 @@
     private class Load(
         val firstToken: Histogram,
         val betweenTokens: Histogram,
-        val whole: Int,
-        val failed: Int,
+        val ends: Map<StreamedCall.Outcome, Int>,
         val perSecond: Double,
         val cores: Double,
     )
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/StreamedCall.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/StreamedCall.kt
@@ -24,13 +24,15 @@
     val betweenTokens = Recorder(MAX_MICROS, DIGITS)
     val whole = Recorder(MAX_MICROS, DIGITS)
 
-    /** Returns whether the whole answer came. */
-    suspend fun send(): Boolean {
+    /** How a call ended for the caller. */
+    enum class Outcome { WHOLE, REFUSED, BROKEN }
+
+    suspend fun send(): Outcome {
         val start = TimeSource.Monotonic.markNow()
         val request = UpstreamRequest("POST", "/v1/chat/completions", HEADERS, UpstreamBody.Bytes(body))
-        val answer = client.send(address, request).get() ?: return false
+        val answer = client.send(address, request).get() ?: return Outcome.BROKEN
         answer.use {
-            if (it.head.status != OK) return false
+            if (it.head.status != OK) return Outcome.REFUSED
             var last: TimeMark? = null
             val tail = StringBuilder()
             while (true) {
@@ -45,7 +47,7 @@
                 tail.append(text.takeLast(TAIL_CHARS))
             }
             whole.record(start)
-            return tail.endsWith("data: [DONE]\n\n")
+            return if (tail.endsWith("data: [DONE]\n\n")) Outcome.WHOLE else Outcome.BROKEN
         }
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopeItems.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopeItems.kt
@@ -101,15 +101,18 @@
         Heartbeat(router(index), ZONES[index % ZONES.size], 12, index, false)
     }
 
+    private val LIST = ListSerializer(ListedInstance.serializer())
     private val UNREAD = InstanceDirectory { Ok(persistentListOf()) }
 
     private fun listed(index: Int) =
         ListedInstance(router(index).instance, ListedInstance.ROUTER_SERVICE, VersionId("0.1.0"), ZONES[index % 10], "10.20.30.40", 7_003)
 
+    /** The answer of the platform for [count] instances. */
+    fun instanceListText(count: Int): String = TypedObject.JSON.encodeToString(LIST, List(count) { listed(it) })
+
     /** The list as a call returns it: with texts of its own. */
     private fun decoded(listed: List<ListedInstance>): ImmutableList<ListedInstance> {
-        val serializer = ListSerializer(ListedInstance.serializer())
-        return TypedObject.JSON.decodeFromString(serializer, TypedObject.JSON.encodeToString(serializer, listed)).toImmutableList()
+        return TypedObject.JSON.decodeFromString(LIST, TypedObject.JSON.encodeToString(LIST, listed)).toImmutableList()
     }
 
     fun capacities(count: Int) = List(count) { EndpointCapacity(EndpointId("jezik-kr-$it"), ZONES[it % ZONES.size], 8) }
@@ -118,8 +121,8 @@
         capacities: List<EndpointCapacity>,
         peers: WirePeers = WirePeers(),
         index: Int = 0,
-        clock: TestClock = TestClock(),
-    ) = EndpointLimiter(router(index), ZONES[0], peers.join(router(index)), clock.monotonic).also {
-        it.update(listOf(RouteLimit(RouteId("r"))), index, true, 2, capacities)
+        seats: Int = 2,
+    ) = EndpointLimiter(router(index), ZONES[0], peers.join(router(index)), TestClock().monotonic).also {
+        it.update(listOf(RouteLimit(RouteId("r"))), index, true, seats, capacities)
     }
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopesMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopesMeasurement.kt
@@ -33,6 +33,7 @@
     fun run(): MeasurementReport {
         heap()
         objects()
+        instanceList()
         processor()
         messages()
         idle()
@@ -95,6 +96,12 @@
         }
     }
 
+    private fun instanceList() {
+        val items = 1_180
+        val text = SlopeItems.instanceListText(items)
+        add("instance list, for each instance", text.length.toDouble() / items, "B", items)
+    }
+
     private fun processor() {
         accountRounds()
         slope("round of Membership and its connections, for each listed router", "µs", 100, 330, ROUNDS) { items ->
@@ -106,15 +113,7 @@
                 membership.connections()
             }
         }
-        slope("round of EndpointLimiter (4 a second), for each endpoint", "µs", 200, 850, ROUNDS) { items ->
-            val capacities = SlopeItems.capacities(items)
-            val limiter = SlopeItems.limiter(capacities)
-            val limits = ConfigItems.routeLimits(ConfigItems.config(10))
-            return@slope {
-                limiter.update(limits, 0, true, 2, capacities)
-                runBlocking { limiter.maintain() }
-            }
-        }
+        for (seats in listOf(2, 330)) limiterRounds(seats)
         slope("weights made for the limiter (4 a second), for each workspace", "µs", 5_000, 21_000, FEW_ROUNDS) { items ->
             val config = ConfigItems.config(items)
             return@slope { ConfigItems.routeLimits(config) }
@@ -125,6 +124,18 @@
         }
     }
 
+    /** Endpoints have 8 slots: 2 seats divide them evenly, 330 seats leave a remainder that goes to seats by rank. */
+    private fun limiterRounds(seats: Int) =
+        slope("round of EndpointLimiter with $seats seats (4 a second), for each endpoint", "µs", 200, 850, FEW_ROUNDS) { items ->
+            val capacities = SlopeItems.capacities(items)
+            val limiter = SlopeItems.limiter(capacities, seats = seats)
+            val limits = ConfigItems.routeLimits(ConfigItems.config(10))
+            return@slope {
+                limiter.update(limits, 0, true, seats, capacities)
+                runBlocking { limiter.maintain() }
+            }
+        }
+
     private fun accountRounds() {
         slope("round of BudgetAgent (1 a second), for each account", "µs", 1_000, 8_000, ROUNDS) { items ->
             val clock = TestClock()
@@ -262,7 +273,7 @@
 
     private companion object {
         const val ROUNDS = 100
-        const val FEW_ROUNDS = 10
+        const val FEW_ROUNDS = 20
         const val MOVE_ROUNDS = 40
         const val IDLE_ROUTERS = 3
         const val IDLE_MILLIS = 30_000L
--- /dev/null
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/SlowCaller.kt
@@ -0,0 +1,82 @@
+package io.limpetfold.measure.slowreaders
+
+import io.limpetfold.http.UpstreamAddress
+import io.limpetfold.measure.fleet.RouterFleet
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.SocketChannel
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/** A caller on a socket of its own that reads and writes only when told; its receive buffer is small. */
+internal class SlowCaller(
+    router: UpstreamAddress,
+    request: ByteArray,
+) : AutoCloseable {
+    private val channel =
+        SocketChannel.open().also {
+            it.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BYTES)
+            it.connect(InetSocketAddress(router.host, router.port))
+            it.configureBlocking(false)
+        }
+    private val unsent = ByteBuffer.wrap(request)
+
+    /** Writes at most [bytes] of what is left of the request, as far as the connection takes them. */
+    fun push(bytes: Int = Int.MAX_VALUE) {
+        val piece = unsent.slice()
+        piece.limit(minOf(piece.remaining(), bytes))
+        unsent.position(unsent.position() + channel.write(piece))
+    }
+
+    /** The bytes of the request that the connection has not taken. */
+    val unsentBytes: Int get() = unsent.remaining()
+
+    /** Reads for at most [limit] and returns whether the answer ended with the end mark of a stream. */
+    fun readsWhole(limit: Duration): Boolean {
+        val start = TimeSource.Monotonic.markNow()
+        val buffer = ByteBuffer.allocate(READ_BYTES)
+        var tail = ""
+        while (start.elapsedNow() < limit) {
+            buffer.clear()
+            val count = channel.read(buffer)
+            if (count < 0) return false
+            if (count == 0) Thread.sleep(1)
+            tail = (tail + String(buffer.array(), 0, count, Charsets.ISO_8859_1)).takeLast(TAIL_CHARS)
+            if ("data: [DONE]" in tail) return true
+        }
+        return false
+    }
+
+    override fun close() = channel.close()
+
+    companion object {
+        private const val RECEIVE_BYTES = 8 * 1024
+        private const val READ_BYTES = 64 * 1024
+        private const val TAIL_CHARS = 60
+
+        /** A request of a streamed answer of [events] large events. */
+        fun largeAnswer(events: Int): ByteArray {
+            val body = """{"model":"m","stream":true,"max_tokens":$events,"messages":[{"role":"user","content":"${StreamingEndpoint.LARGE}"}]}"""
+            return request("/v1/chat/completions", body)
+        }
+
+        /** A request with [bytes] of text in its body. */
+        fun upload(
+            path: String,
+            bytes: Int,
+        ): ByteArray {
+            val body = """{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"${"u".repeat(bytes)}"}]}"""
+            return request(path, body)
+        }
+
+        private fun request(
+            path: String,
+            body: String,
+        ): ByteArray =
+            (
+                "POST $path HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer ${RouterFleet.KEY}\r\n" +
+                    "Content-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n" + body
+            ).encodeToByteArray()
+    }
+}
