--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/StartMoveCommand.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.enum
 import io.limpetfold.config.DurationText
+import io.limpetfold.config.FleetConfig
 import io.limpetfold.config.Preset
 import io.limpetfold.config.RouteConfig
 import io.limpetfold.core.RouteId
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/EscrowBudgets.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/EscrowBudgets.kt
@@ -98,9 +98,15 @@
         val self = Incarnation(InstanceId("r$index"), number)
         private val view = store.withFaults { if (world.reachesPlatform(index)) StoreFault.NONE else StoreFault.UNAVAILABLE }
         val agent =
-            BudgetAgent(self, view, hub.join(self), policy, world.clock.monotonic, Random(seed * world.routers + index)) { event ->
-                if (event is BudgetEvent.Synchronised && event.acquiredTokens > 0) grantWrites++
-            }
+            BudgetAgent(
+                self,
+                view,
+                hub.join(self),
+                { policy },
+                world.clock.monotonic,
+                Random(seed * world.routers + index),
+                listener = { event -> if (event is BudgetEvent.Synchronised && event.acquiredTokens > 0) grantWrites++ },
+            )
     }
 
     private fun id(workspace: Int) = WorkspaceId("w$workspace")
