--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -51,6 +51,7 @@
 import io.limpetfold.router.call.ServiceCallHandler
 import io.limpetfold.burn.BurnLog
 import io.limpetfold.router.observe.CallObserver
+import io.limpetfold.router.observe.RouterGauges
 import io.limpetfold.router.observe.RouterMetrics
 import io.limpetfold.router.observe.TraceLog
 import io.limpetfold.router.operate.EndpointHealth
@@ -140,7 +141,7 @@
 
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
-        registerGauges()
+        gaugeValues().register(metrics)
         peers.start(settings.peers.host, settings.peers.port)
         membership.seed(settings.peers.seedsOrNull().orEmpty())
         peers.update(membership.connections().map { it.toPeerAddress() })
@@ -307,24 +308,17 @@
             bufferedBytes = buffers.usedBytes,
         )
 
-    private fun registerGauges() {
-        metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
-        metrics.gauge("limpetfold_buffered_bytes_peak", "Most bytes ever held for slow readers") { buffers.peakBytes.toDouble() }
-        metrics.gauge("limpetfold_config_generation", "Configuration generation in force") {
-            (config.current?.generation ?: 0).toDouble()
-        }
-        metrics.gauge("limpetfold_members", "Other routers heard") { membership.members().size.toDouble() }
-        metrics.gauge("limpetfold_move_controller", "1 while this router holds the move lease") {
-            if (lease.held(Duration.ZERO) != null) 1.0 else 0.0
-        }
-        metrics.gauge("limpetfold_journal_entries", "Journal copies held for peers") { journal.entryCount.toDouble() }
-        metrics.gauge("limpetfold_granted_tokens", "Tokens granted to this router, over all workspaces") {
-            budget.accounts().sumOf { it.grantedTokens }.toDouble()
-        }
-        metrics.gauge("limpetfold_spent_tokens", "Tokens spent by this router, over all workspaces") {
-            budget.accounts().sumOf { it.spentTokens }.toDouble()
-        }
-    }
+    private fun gaugeValues() =
+        RouterGauges(
+            bufferedBytes = { buffers.usedBytes },
+            bufferedBytesPeak = { buffers.peakBytes },
+            generation = { config.current?.generation ?: 0 },
+            members = { membership.members().size },
+            isMoveController = { lease.held(Duration.ZERO) != null },
+            journalEntries = { journal.entryCount },
+            grantedTokens = { budget.accounts().sumOf { it.grantedTokens } },
+            spentTokens = { budget.accounts().sumOf { it.spentTokens } },
+        )
 
     private fun budgetEvents() =
         BudgetListener { event ->
@@ -336,13 +330,13 @@
                     is BudgetEvent.TransferSent -> "transfer_sent"
                     is BudgetEvent.Refused -> "refused"
                 }
-            metrics.count("limpetfold_budget_events", name)
+            metrics.count(RouterMetrics.BUDGET_EVENTS, name)
         }
 
     private inner class MemberEvents : MembershipListener {
-        override fun memberJoined(member: Member) = metrics.count("limpetfold_member_events", "joined")
+        override fun memberJoined(member: Member) = metrics.count(RouterMetrics.MEMBER_EVENTS, "joined")
 
-        override fun memberSilent(member: Member) = metrics.count("limpetfold_member_events", "silent")
+        override fun memberSilent(member: Member) = metrics.count(RouterMetrics.MEMBER_EVENTS, "silent")
 
         override fun incarnationEnded(ended: Incarnation) = limiter.incarnationEnded(ended)
     }
@@ -359,7 +353,7 @@
                 verdict.metric,
                 isOwn,
             )
-            metrics.count("limpetfold_withdrawals", if (isOwn) "own" else "peer")
+            metrics.count(RouterMetrics.WITHDRAWALS, if (isOwn) "own" else "peer")
             if (isOwn) scope.launch { versions.sendVerdicts() }
         }
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterMetrics.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterMetrics.kt
@@ -93,4 +93,15 @@
             is CallEnd.Broken -> "broken"
             CallEnd.Cancelled -> "cancelled"
         }
+
+    companion object {
+        /** Events of the budget agent. */
+        const val BUDGET_EVENTS = "limpetfold_budget_events"
+
+        /** Routers that joined or fell silent. */
+        const val MEMBER_EVENTS = "limpetfold_member_events"
+
+        /** Versions that this router withdrew. */
+        const val WITHDRAWALS = "limpetfold_withdrawals"
+    }
 }
