--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
@@ -77,7 +77,7 @@
             val workspace = WorkspaceConfig(WorkspaceId("w"), persistentListOf())
             val route = RouteConfig(RouteId("a"), "/", "s", VersionId("1"))
             val service = ServiceConfig("s", ServiceKind.MODEL, versions = persistentListOf())
-            return Call(exchange, workspace, route, service, RequestId("r"), true, now, now, trace)
+            return Call(exchange, workspace, route, service, RequestId("r"), true, 0, now, now, trace)
         }
     }
 }
