router: end streams at the time limit of their route

Cause: the time limit of a route bounded the waits before an answer, but not the answer. A slow stream or a slow caller could hold an endpoint's slot longer than the two minutes on which the takeover of seats rests. The streamed answer of a plain service is cut at the deadline. The streamed answers of plain services have no test of their limit. Conclusion: requests end within the duration that the endpoint limiter counts on, as far as endpoints can be told to stop.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelStream.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelStream.kt
@@ -5,6 +5,7 @@
 import io.limpetfold.http.UpstreamAnswer
 import io.limpetfold.router.chat.AnswerMeter
 import io.limpetfold.router.chat.ChatEvent
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.time.Duration
 import kotlin.time.TimeMark
@@ -40,26 +41,32 @@
             return if (gaps < 1) null else Duration.ofNanos((total / gaps.toInt()).inWholeNanoseconds)
         }
 
-    /** Passes the stream on; [settle] charges the use right before the last part goes out and returns the charged tokens. */
-    suspend fun run(settle: suspend () -> Long): CallEnd {
-        var answer: UpstreamAnswer? = result.answer
-        while (answer != null) {
-            val segment = answer.use { pass(it) }
-            when (segment) {
-                Segment.Done -> return finish(settle, isCut = false)
-                Segment.Cut -> {
-                    engines.cancel(call, result.attempt, meter)
-                    return finish(settle, isCut = true)
-                }
-                is Segment.Failed -> return fail(settle, segment.reason)
-                is Segment.Broken -> {
-                    call.trace.add("stream broken events=${meter.eventCount} cause=\"${segment.reason}\"")
-                    answer = resume()
-                    if (answer == null) return fail(settle, segment.reason)
-                }
+    /**
+     * Passes the stream on; [settle] charges the use right before the last part goes out and returns the charged tokens.
+     *
+     * The stream ends at the deadline of the call, also for a caller that reads slowly: the limits of endpoints rest on a bounded duration.
+     */
+    suspend fun run(settle: suspend () -> Long): CallEnd =
+        when (val end = withTimeoutOrNull(call.remaining().toMillis()) { passAll() }) {
+            Segment.Done -> finish(settle, isCut = false)
+            Segment.Cut -> {
+                engines.cancel(call, result.attempt, meter)
+                finish(settle, isCut = true)
             }
+            is Segment.Failed -> fail(settle, end.reason)
+            is Segment.Broken -> fail(settle, end.reason)
+            null -> fail(settle, "the request exceeded the time limit of its route")
+        }
+
+    /** Passes the stream on, over all its connections, and returns how it ended. */
+    private suspend fun passAll(): Segment {
+        var answer = result.answer
+        while (true) {
+            val segment = answer.use { pass(it) }
+            if (segment !is Segment.Broken) return segment
+            call.trace.add("stream broken events=${meter.eventCount} cause=\"${segment.reason}\"")
+            answer = resume() ?: return segment
         }
-        return fail(settle, "the stream could not be resumed")
     }
 
     private suspend fun pass(answer: UpstreamAnswer): Segment {
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.config.CallRule
 import io.limpetfold.http.CallerGoneException
 import io.limpetfold.http.Headers
+import io.limpetfold.http.ResponseSink
 import io.limpetfold.http.UpstreamAnswer
 import io.limpetfold.http.UpstreamRequest
 import io.limpetfold.limits.EndpointObservation
@@ -18,6 +19,7 @@
 import io.limpetfold.request.RequestState
 import io.limpetfold.rollout.VersionObservation
 import io.limpetfold.rollout.VersionRouter
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.time.Duration
 
@@ -194,18 +196,28 @@
                 return refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
             }
         val sink = call.exchange.respondStream(answer.head.status, answerHeaders(call, answer))
+        val failure = withTimeoutOrNull(call.remaining().toMillis()) { pump(first, answer, sink) } ?: "the request exceeded the time limit of its route"
+        if (failure.isNotEmpty()) {
+            // The caller must not take a truncated answer for a whole one, so its connection is cut.
+            sink.abort()
+            return CallEnd.Broken(failure)
+        }
+        sink.finish()
+        return CallEnd.Answered(answer.head.status)
+    }
+
+    /** Passes the answer on from its piece [first]; returns why it broke, or an empty text. */
+    private suspend fun pump(
+        first: ByteArray?,
+        answer: UpstreamAnswer,
+        sink: ResponseSink,
+    ): String {
         var piece = first
         while (piece != null) {
             sink.write(piece)
-            piece =
-                answer.next().getOrElse { error ->
-                    // The caller must not take a truncated answer for a whole one, so its connection is cut.
-                    sink.abort()
-                    return CallEnd.Broken(error.message)
-                }
+            piece = answer.next().getOrElse { return it.message }
         }
-        sink.finish()
-        return CallEnd.Answered(answer.head.status)
+        return ""
     }
 
     /** Records the outcome before the caller sees it, so that a retry finds it even when this router stops right after the answer. */
--- a/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
+++ b/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
@@ -131,7 +131,7 @@
             serve(engine) {
                 suspend fun ask(route: String) = call("POST", CHAT, """{"max_tokens":2}""", "X-Limpetfold-Route" to route).get()?.status
                 listOf(ask("plans"), ask("plans"), ask("chat")) shouldBe listOf(200, 500, 200)
-                call("POST", "/v1/orders", """{"order":"load","fencing":7}""").get()?.status shouldBe 200
+                call("POST", "/v1/orders", """{"order":"load","fencing":7,"version":"v2"}""").get()?.status shouldBe 200
                 call("POST", "/v1/orders", """{"order":"load","fencing":6}""").get()?.status shouldBe 409
             }
             engine.close()
