--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -15,6 +15,7 @@
 import io.limpetfold.rollout.VersionRouter
 import io.limpetfold.router.chat.AnswerMeter
 import io.limpetfold.router.chat.ChatEvent
+import io.limpetfold.router.chat.JsonDepth
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -104,7 +105,8 @@
 
     private fun usage(body: ByteArray): ChatEvent.Usage? =
         try {
-            val content = Json.parseToJsonElement(body.decodeToString()) as? JsonObject
+            val text = body.decodeToString()
+            val content = if (JsonDepth.isExceeded(text)) null else Json.parseToJsonElement(text) as? JsonObject
             val usage = content?.get("usage")?.jsonObject
             val promptTokens = usage?.get("prompt_tokens")?.jsonPrimitive?.longOrNull
             val completionTokens = usage?.get("completion_tokens")?.jsonPrimitive?.longOrNull
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
@@ -41,6 +41,7 @@
         /** Parses the data of one event. */
         fun parse(data: String): ChatEvent {
             if (data == DONE) return Done
+            if (JsonDepth.isExceeded(data)) return Malformed
             val content =
                 try {
                     Json.parseToJsonElement(data) as? JsonObject
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
@@ -40,8 +40,6 @@
     }
 
     companion object {
-        /** Deeper JSON is refused before it is parsed, because the parser recurses. */
-        private const val MAX_DEPTH = 64
         private val PROMPT_FIELDS = setOf("messages", "tools", "functions", "response_format", "prompt")
 
         /** Parses [body]; the error is a sentence for the caller that names the field and the remedy. */
@@ -56,7 +54,7 @@
                 } catch (_: CharacterCodingException) {
                     return Err("the body is not UTF-8; send JSON in UTF-8")
                 }
-            if (depth(text) > MAX_DEPTH) return Err("the JSON is nested deeper than $MAX_DEPTH levels; flatten it")
+            if (JsonDepth.isExceeded(text)) return Err("the JSON is nested deeper than ${JsonDepth.MAX_LEVELS} levels; flatten it")
             val content =
                 try {
                     Json.parseToJsonElement(text) as? JsonObject
@@ -101,24 +99,5 @@
 
         private fun JsonObject.string(name: String): String? =
             (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.content
-
-        /** The deepest nesting of objects and arrays in [text], without regard to brackets in strings. */
-        private fun depth(text: String): Int {
-            var depth = 0
-            var deepest = 0
-            var isInString = false
-            var isEscaped = false
-            for (char in text) {
-                when {
-                    isEscaped -> isEscaped = false
-                    isInString && char == '\\' -> isEscaped = true
-                    char == '"' -> isInString = !isInString
-                    isInString -> Unit
-                    char == '{' || char == '[' -> deepest = maxOf(deepest, ++depth)
-                    char == '}' || char == ']' -> depth--
-                }
-            }
-            return deepest
-        }
     }
 }
