--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsMeasurement.kt
@@ -45,6 +45,8 @@
             "wait p50 ms" to percentile(waits, P50),
             "wait p95 ms" to percentile(waits, P95),
             "wait p99 ms" to percentile(waits, P99),
+            "peer messages a second and router" to
+                results.sumOf { it.peerMessages }.toDouble() / settings.seeds / settings.routers / settings.duration.toSeconds(),
         )
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsRunResult.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsRunResult.kt
@@ -8,6 +8,9 @@
     /** The most requests that one endpoint held at once, over all routers. */
     var maxInFlight = 0
 
+    /** Questions to peers, for loans and for leaving endpoints. */
+    var peerMessages = 0L
+
     /** Waits of the requests that got a slot. */
     val waitsMillis = mutableListOf<Long>()
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
@@ -167,6 +167,7 @@
             message: Q,
             timeout: Duration,
         ): Result<A, PeerError> {
+            result.peerMessages++
             delay(settings.roundTrip.toMillis())
             return network.ask(to, topic, message, timeout)
         }
