limits, router: lend the last unused slot, rank seats once, build weights once

Cause: with about one slot for each router, half of the idle slots is none, so a router never lent its only slot to a peer that had slots of its own; each round ranked all seats for each endpoint and made a new map of all workspaces' weights. Ruled out: lending the last slot at once (its owner would have to borrow it back for its next request). Change: the last idle slot is lent when the endpoint was unused here for half a second; the base share and the weights are made again only when what they depend on has changed.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -225,8 +225,7 @@
         if (settlesAt?.hasPassedNow() == true) settlesAt = null
         val usableSeat = loans.seat.takeIf { settlesAt == null }
         for (state in states.values) {
-            val maxInFlight = capacities[state.endpoint]?.maxInFlight ?: 0
-            state.base = BaseShare.of(state.endpoint, maxInFlight, usableSeat, maxRouters)
+            state.refreshBase(capacities[state.endpoint]?.maxInFlight ?: 0, usableSeat, maxRouters)
         }
     }
 
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
@@ -17,7 +17,9 @@
 
     /** Slots of the present seat, before lending. */
     var base = 0
+        private set
     var inFlight = 0
+    private var share: Share? = null
 
     /** When the endpoint left the declared list, or null while it is declared. */
     var undeclaredSince: TimeMark? = null
@@ -34,6 +36,18 @@
     /** Until when an idle slot is kept for a peer that has none, in the order of the first ask. */
     private val reservations = LinkedHashMap<Incarnation, TimeMark>()
 
+    /** Sets [base]; ranking the seats costs too much to be repeated in each round while nothing changed. */
+    fun refreshBase(
+        maxInFlight: Int,
+        seat: Int?,
+        maxRouters: Int,
+    ) {
+        val wanted = Share(maxInFlight, seat, maxRouters)
+        if (wanted == share) return
+        share = wanted
+        base = BaseShare.of(endpoint, maxInFlight, seat, maxRouters)
+    }
+
     /** Slots that this router may use now; the adaptive limit comes on top. */
     fun capacity(loanLife: Duration): Int = (base - loans.lentOut + loans.usable(loanLife)).coerceAtLeast(0)
 
@@ -125,6 +139,12 @@
         return reservations.keys.takeWhile { it != borrower }.size
     }
 
+    private data class Share(
+        val maxInFlight: Int,
+        val seat: Int?,
+        val maxRouters: Int,
+    )
+
     private companion object {
         const val HALF = 0.5
     }
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitPolicy.kt
@@ -10,6 +10,7 @@
  * @property peerTimeout wait for one peer's answer.
  * @property borrowPause least time between two rounds of borrowing for one endpoint.
  * @property reservationLife how long an idle slot is kept for a peer that has no slot of its own.
+ * @property lendLastAfter how long an endpoint must be unused here before its last idle slot is lent to a peer that has slots.
  * @property idleBeforeReturn how long a borrowed slot must be idle before it goes back.
  * @property probePause first wait before a probe; it doubles up to [maxProbePause].
  * @property loadHalfLife age at which a load report counts half.
@@ -24,6 +25,7 @@
     val peerTimeout: Duration = QUARTER_SECOND,
     val borrowPause: Duration = TWENTY_MILLIS,
     val reservationLife: Duration = HALF_SECOND,
+    val lendLastAfter: Duration = HALF_SECOND,
     val idleBeforeReturn: Duration = Duration.ofSeconds(2),
     val probePause: Duration = Duration.ofSeconds(1),
     val maxProbePause: Duration = THIRTY_SECONDS,
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
@@ -120,7 +120,7 @@
         ask: LoanAsk,
     ): Long {
         val idle = if (isClosed) 0 else state.idleFor(from, loanLife)
-        val offered = if (ask.isWithoutSlots) idle.coerceAtMost(1).coerceAtLeast(idle / 2) else idle / 2
+        val offered = maxOf(idle / 2, if (ask.isWithoutSlots || isUnused(state)) idle.coerceAtMost(1) else 0)
         val before = state.loans.lent[from]?.lentTotal ?: 0
         val total = state.loans.lend(from, ask, offered, isTenureKnown = ask.lender == tenure())
         if (total > before) {
@@ -132,6 +132,10 @@
         return total
     }
 
+    /** With one slot for each router, half of the idle slots is none: the last one is lent only when it was not needed lately. */
+    private fun isUnused(state: EndpointState): Boolean =
+        state.lastUsed?.let { it.elapsedNow() >= policy.lendLastAfter.toKotlinDuration() } ?: true
+
     private fun reserveNext(
         state: EndpointState,
         peer: Incarnation,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -10,6 +10,7 @@
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.config.ConfigKeeper
+import io.limpetfold.config.FleetConfig
 import io.limpetfold.config.Preset
 import io.limpetfold.config.RouterStatus
 import io.limpetfold.core.EndpointId
@@ -158,6 +159,9 @@
     @Volatile
     private var hasReadMoves = false
 
+    @Volatile
+    private var limitsOfGeneration: Pair<Long, List<RouteLimit>>? = null
+
     /** The seat that the limiter was last told. */
     @Volatile
     private var appliedSeat: Int? = null
@@ -231,11 +235,20 @@
         maintenance.every(ONE_SECOND, "status") { status.maintain() }
     }
 
+    /** Made once for each generation: with many workspaces the map of weights is large. */
+    private fun routeLimits(current: FleetConfig): List<RouteLimit> {
+        val known = limitsOfGeneration
+        if (known != null && known.first == current.generation) return known.second
+        val weights = current.workspaces.associate { it.workspace to it.weight }.toImmutableMap()
+        val limits = current.routes.map { RouteLimit(it.route, it.queue.maxRequests, weights) }
+        limitsOfGeneration = current.generation to limits
+        return limits
+    }
+
     /** Hands the configuration, the seat and the endpoints in force to the limiter. */
     private fun applyConfig() {
         val current = config.current ?: return
-        val weights = current.workspaces.associate { it.workspace to it.weight }.toImmutableMap()
-        val routes = current.routes.map { RouteLimit(it.route, it.queue.maxRequests, weights) }
+        val routes = routeLimits(current)
         val capacities =
             current.services.flatMap { service ->
                 val limits = service.versions.associate { it.version to it.maxInFlightPerEndpoint }
