router: test whole sessions and failures in one JVM and with processes

Cause: the parts of the router had tests, the assembled router had none. Change: SessionGoldenTest compares whole sessions with files. FailureTest, PauseAndStopTest and GracefulStopProcessTest play failures against three routers, in one JVM or as processes, with the stand-ins in the JVM of the test. Ruled out: SIGSTOP of a real process past the seat's bound; it would wait more than 20 s. One test skips the monotonic clock instead.

--- /dev/null
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/RouterProcess.kt
@@ -0,0 +1,49 @@
+package io.limpetfold.router
+
+import io.limpetfold.http.UpstreamAddress
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.absolutePathString
+import kotlin.io.path.deleteIfExists
+
+/** A router in a process of its own, started from the class path of this JVM. */
+internal class RouterProcess(
+    private val settings: Path,
+    val callers: UpstreamAddress,
+    private val operators: UpstreamAddress,
+) : AutoCloseable {
+    private val process =
+        ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").absolutePathString(),
+            "-Xmx192m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
+            "io.limpetfold.router.RouterMainKt",
+            "--settings",
+            settings.absolutePathString(),
+        ).inheritIO().start()
+
+    /** Sends SIGTERM, which begins a planned stop. */
+    fun terminate() = process.destroy()
+
+    /** Sends SIGKILL. */
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    /** Waits for the end and returns the exit code, or null when the process still runs after a minute. */
+    fun awaitExit(): Int? = if (process.waitFor(1, TimeUnit.MINUTES)) process.exitValue() else null
+
+    /** The status of a `GET` at the operators' port, or null when nobody answers, and its body. */
+    suspend fun operator(path: String): RawCaller.Answer? =
+        runCatching {
+            RawCaller(operators).use { it.call("GET $path", headers = arrayOf("Authorization: Bearer ${TestFleet.OPERATOR_KEY}")) }
+        }.getOrNull()
+
+    override fun close() {
+        process.destroyForcibly()
+        settings.deleteIfExists()
+    }
+}
