router: repeat the return of grants at a planned stop

The stop closed the budget once, and a failed call left the grant stranded. What failed was not seen: the tests log errors only. Change: the close is repeated up to five times, half a second apart. The fault was not reproduced on purpose. Conclusion: the cause of the failed call is open; a shared fleet under load is the place to look for it.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -1,6 +1,6 @@
 package io.limpetfold.router
 
-import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetEvent
 import io.limpetfold.budget.BudgetListener
@@ -177,7 +177,7 @@
         }
         maintenance.stop()
         limiter.close()
-        budget.close().onFailure { LOGGER.warn("router: grants were not returned cause=\"{}\"", it.message) }
+        returnGrants()
         seats.release(limiter.isSeatClean)
         lease.release()
         status.finish()
@@ -190,6 +190,15 @@
         LOGGER.info("router: stopped instance={}", self.instance)
     }
 
+    /** Repeats the close, because one failed call would leave the grant of a workspace stranded until an operator reclaims it. */
+    private suspend fun returnGrants() {
+        repeat(CLOSE_ATTEMPTS) {
+            val error = budget.close().getError() ?: return
+            LOGGER.warn("router: grants were not returned cause=\"{}\"", error.message)
+            delay(CLOSE_PAUSE.toMillis())
+        }
+    }
+
     private fun startMaintenance() {
         maintenance.every(ONE_SECOND, "membership") {
             membership.maintain()
@@ -392,6 +401,8 @@
 
     private companion object {
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        const val CLOSE_ATTEMPTS = 5
+        val CLOSE_PAUSE: Duration = Duration.ofMillis(500)
         val CUT_WAIT: Duration = Duration.ofSeconds(5)
         val ONE_SECOND: Duration = Duration.ofSeconds(1)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
