--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsCommand.kt
@@ -10,5 +10,10 @@
 internal class LimitsCommand : MeasureCommand("limits", "Requests in flight, refusals and waits of routers that share endpoints.") {
     private val seeds by option("--seeds", help = "runs for each row").int().restrictTo(1..1_000).default(LimitsSettings().seeds)
 
-    override fun run() = print(LimitsMeasurement().run(LimitsSettings(seeds = seeds)))
+    private val maxInFlight by option("--max-in-flight", help = "slots of each endpoint")
+        .int()
+        .restrictTo(1..1_000)
+        .default(LimitsSettings().maxInFlight)
+
+    override fun run() = print(LimitsMeasurement().run(LimitsSettings(seeds = seeds, maxInFlight = maxInFlight)))
 }
