http: let the next request follow at once on a whole answer

Cause: the body of an answer of known length went to the network before the connection had left the exchange. A caller that sent its next request as soon as it had the whole answer met the running exchange and got 400 "a second request arrived before the answer ended"; so did a head that is the whole answer (HEAD, 204). Ruled out: queueing pipelined requests (bytes of a caller that is not read would have to be held). Change: the last byte, or the head of an answer without a body, goes out with the end of the answer, after the connection is ready. Conclusion: it may also explain grants that were seen unsettled at a stop, and answers that were not whole at 400 requests a second; both are to be measured again.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -95,7 +95,8 @@
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         if (!isKeepAlive) response.headers().set("Connection", "close")
         channel.write(response)
-        if (framing.lengthBytes == null) channel.flush()
+        // A head that is the whole answer goes out with the end of the answer; see Sink.
+        if (framing.lengthBytes == null && framing.hasBody) channel.flush()
         return Sink(framing.lengthBytes, framing.hasBody)
     }
 
@@ -148,17 +149,26 @@
         val expectsContinue: Boolean,
     )
 
+    /**
+     * Holds the last byte of an answer of known length back until the connection is ready for the next request. A caller that has the whole
+     * answer may send its next request at once, and that request must not meet the unfinished exchange.
+     */
     private inner class Sink(
         private val lengthBytes: Long?,
         private val hasBody: Boolean,
     ) : ResponseSink {
         private var writtenBytes = 0L
+        private var lastByte = ByteArray(0)
 
         override suspend fun write(bytes: ByteArray) {
             check(hasBody || bytes.isEmpty()) { "this answer has no body: write nothing" }
             check(lengthBytes == null || writtenBytes + bytes.size <= lengthBytes) { "the body exceeds its Content-Length: set the right length" }
+            if (bytes.isEmpty()) return
             writtenBytes += bytes.size
-            outbound.write(bytes)
+            val isEnd = writtenBytes == lengthBytes
+            if (isEnd) lastByte = bytes.copyOfRange(bytes.size - 1, bytes.size)
+            val sent = if (isEnd) bytes.copyOf(bytes.size - 1) else bytes
+            if (sent.isNotEmpty()) outbound.write(sent)
         }
 
         override suspend fun finish() {
@@ -167,7 +177,8 @@
                 error("the body has $writtenBytes of $lengthBytes bytes: set the right Content-Length")
             }
             isFinishing = true
-            channel.eventLoop().execute { connection.finishAnswer(this@ServerExchange, DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)) }
+            val end = DefaultLastHttpContent(Unpooled.wrappedBuffer(lastByte))
+            channel.eventLoop().execute { connection.finishAnswer(this@ServerExchange, end) }
             finished.await()
         }
 
