router, config: bound the bodies held for model requests, and name only limits that hold

Cause: the bodies of model requests are held whole and were outside every bound of the process, so that slow uploads could fill the memory (8 MiB for each request); requestTimeout and maxRequestBytes allowed more than the router keeps to. Ruled out: streaming them to the engine (a request that is sent again needs its body). Change: HeldBodies with buffers.bodies (64 MiB) and a gauge; a request beyond it is refused as not run. requestTimeout ends at 2m, the longest time that an endpoint's slot may be held, and maxRequestBytes at 8MiB. Measured: 50 uploads of 1,000 bytes against a bound of 6,000 never hold more and leave nothing behind. Conclusion: short bodies of service calls (16 KiB each) and whole answers that are collected stay outside this bound.

--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/RouteConfig.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/RouteConfig.kt
@@ -34,10 +34,10 @@
     @AllowedRange("100ms", "10m")
     @Serializable(with = DurationText::class)
     val idleTimeout: Duration = Duration.ofSeconds(IDLE_SECONDS),
-    @AllowedRange("100ms", "1h")
+    @AllowedRange("100ms", "2m")
     @Serializable(with = DurationText::class)
     val requestTimeout: Duration = Duration.ofMinutes(2),
-    @AllowedRange("1KiB", "64MiB")
+    @AllowedRange("1KiB", "8MiB")
     val maxRequestBytes: ByteSize = ByteSize(REQUEST_BYTES),
     val queue: QueueLimits = QueueLimits(),
     val retries: RetryLimits = RetryLimits(),
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -52,6 +52,7 @@
 import io.limpetfold.router.call.EndpointAccess
 import io.limpetfold.router.call.EngineClient
 import io.limpetfold.router.call.Forwarder
+import io.limpetfold.router.call.HeldBodies
 import io.limpetfold.router.call.ModelCallHandler
 import io.limpetfold.router.call.RunRegistry
 import io.limpetfold.router.call.ServiceCallHandler
@@ -137,6 +138,7 @@
     private val claims = ClaimRegistry(self, store, clock, monotonic)
     private val journal = RequestJournal(self, zone, peers, ::journalMembers, monotonic)
     private val runs = RunRegistry(self)
+    private val heldBodies = HeldBodies(settings.buffers.bodies.bytes)
     private val status = StatusReporter(store, burn, monotonic, ::routerStatus)
     private val maintenance = Maintenance(scope, random)
 
@@ -287,7 +289,7 @@
         return CallerGateway(
             { config.current },
             { isRefusing },
-            ModelCallHandler(forwarder, engines, budget, PromptEstimator(), versions, callJournal, runs, clock, scope),
+            ModelCallHandler(forwarder, engines, budget, PromptEstimator(), versions, callJournal, runs, heldBodies, clock, scope),
             ServiceCallHandler(forwarder, claims, versions),
             CallObserver(metrics, burn, traces),
             clock,
@@ -377,6 +379,7 @@
             generation = { config.current?.generation ?: 0 },
             members = { membership.members().size },
             isMoveController = { lease.held(Duration.ZERO) != null },
+            heldBodyBytes = { heldBodies.heldBytes },
             journalEntries = { journal.entryCount },
             grantedTokens = { budget.accounts().sumOf { it.grantedTokens } },
             spentTokens = { budget.accounts().sumOf { it.spentTokens } },
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -42,6 +42,7 @@
     private val versions: VersionRouter,
     private val journal: CallJournal,
     private val runs: RunRegistry,
+    private val bodies: HeldBodies,
     private val clock: InstantSource,
     private val background: CoroutineScope,
 ) : CallHandler {
@@ -49,7 +50,14 @@
         if (call.exchange.head.method != "POST") {
             return refuse(call, Refusal.InvalidRequest("method must be POST", METHOD_NOT_ALLOWED))
         }
-        val body = call.exchange.readBody(call.route.maxRequestBytes.bytes.toInt())
+        return bodies.read(call.exchange, call.route.maxRequestBytes.bytes.toInt()) { answer(call, it) }
+            ?: refuse(call, Refusal.RouterOverloaded("request bodies held", OVERLOADED_RETRY_AFTER))
+    }
+
+    private suspend fun answer(
+        call: Call,
+        body: ByteArray,
+    ): CallEnd {
         val chat =
             ChatRequest.parse(body, DEFAULT_MAX_TOKENS, MAX_TOKENS_LIMIT).getOrElse {
                 return refuse(call, Refusal.InvalidRequest(it))
@@ -300,6 +308,7 @@
 
         /** A caller waits this long for a grant or a transfer under way before it is refused. */
         val BUDGET_PATIENCE: Duration = Duration.ofSeconds(3)
+        val OVERLOADED_RETRY_AFTER: Duration = Duration.ofSeconds(1)
         val UNFINISHED_RETRY_AFTER: Duration = Duration.ofSeconds(5)
     }
 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterGauges.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterGauges.kt
@@ -4,6 +4,7 @@
 internal class RouterGauges(
     private val bufferedBytes: () -> Number,
     private val bufferedBytesPeak: () -> Number,
+    private val heldBodyBytes: () -> Number,
     private val generation: () -> Number,
     private val members: () -> Number,
     private val isMoveController: () -> Boolean,
@@ -19,6 +20,7 @@
         ) = metrics.gauge(name, description) { value().toDouble() }
         gauge("limpetfold_buffered_bytes", "Bytes held for slow readers", bufferedBytes)
         gauge("limpetfold_buffered_bytes_peak", "Most bytes ever held for slow readers", bufferedBytesPeak)
+        gauge("limpetfold_held_body_bytes", "Bytes of request bodies held whole", heldBodyBytes)
         gauge("limpetfold_config_generation", "Configuration generation in force", generation)
         gauge("limpetfold_members", "Other routers heard", members)
         gauge("limpetfold_move_controller", "1 while this router holds the move lease") { if (isMoveController()) 1 else 0 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettings.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettings.kt
@@ -95,13 +95,19 @@
     }
 }
 
-/** Bounds of the bytes held for slow readers: in the whole process and for each direction of a stream. */
+/**
+ * Bounds of the bytes held for slow readers: in the whole process and for each direction of a stream.
+ *
+ * @property bodies bound on the bodies of model requests, which are held whole; in the whole process.
+ */
 @Serializable
 data class BufferSettings(
     @AllowedRange("1MiB", "16GiB")
     val process: ByteSize = ByteSize(64L * 1024 * 1024),
     @AllowedRange("32KiB", "4MiB")
     val stream: ByteSize = ByteSize(64L * 1024),
+    @AllowedRange("8MiB", "16GiB")
+    val bodies: ByteSize = ByteSize(64L * 1024 * 1024),
 )
 
 /**
--- /dev/null
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/call/HeldBodiesTest.kt
@@ -0,0 +1,58 @@
+package io.limpetfold.router.call
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.limpetfold.http.BodySource
+import io.limpetfold.http.HttpExchange
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.yield
+import java.lang.reflect.Proxy
+
+class HeldBodiesTest :
+    FunSpec({
+        test("guards against many uploads at once that together fill the memory") {
+            val bodies = HeldBodies(limitBytes = LIMIT_BYTES)
+            var most = 0L
+            val results =
+                coroutineScope {
+                    (1..50)
+                        .map { number ->
+                            async {
+                                repeat(number) { yield() }
+                                bodies.read(upload(), maxBytes = 5_000) {
+                                    yield()
+                                    most = maxOf(most, bodies.heldBytes)
+                                    it.size
+                                }
+                            }
+                        }.awaitAll()
+                }
+
+            most shouldBeLessThanOrEqual LIMIT_BYTES
+            results.count { it == null } shouldBeGreaterThan 0
+            results.filterNotNull().toSet() shouldBe setOf(PIECES * PIECE_BYTES)
+            bodies.heldBytes shouldBe 0
+        }
+    }) {
+    private companion object {
+        const val LIMIT_BYTES = 6_000L
+        const val PIECES = 10
+        const val PIECE_BYTES = 100
+
+        fun upload(): HttpExchange {
+            var left = PIECES
+            val body =
+                BodySource {
+                    yield()
+                    if (left-- > 0) ByteArray(PIECE_BYTES) else null
+                }
+            return Proxy.newProxyInstance(HttpExchange::class.java.classLoader, arrayOf(HttpExchange::class.java)) { _, method, _ ->
+                if (method.name == "getBody") body else null
+            } as HttpExchange
+        }
+    }
+}
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
@@ -29,7 +29,7 @@
     FunSpec({
         test("guards against a page whose metrics or labels differ from those of a router, and against a workspace label") {
             val metrics = RouterMetrics()
-            RouterGauges({ 1 }, { 1 }, { 1 }, { 1 }, { true }, { 1 }, { 1 }, { 1 }).register(metrics)
+            RouterGauges({ 1 }, { 1 }, { 1 }, { 1 }, { 1 }, { true }, { 1 }, { 1 }, { 1 }).register(metrics)
             listOf(RouterMetrics.BUDGET_EVENTS, RouterMetrics.MEMBER_EVENTS, RouterMetrics.WITHDRAWALS).forEach { metrics.count(it, "a") }
             val ends =
                 listOf(
