ctl: end the watch of a move that nobody confirms

Cause: move watch waited for ever when no controller gathered confirmations; a test had hung on it for eight minutes. Ruled out: a time limit of the command line (the operator would have to know when to give up). Change: two minutes after the move's end the command shows the move and ends with exit code 6. Measured: the new test passes. Conclusion: scripts can rely on the command to end.

--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlProgram.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlProgram.kt
@@ -56,7 +56,7 @@
 
     override fun helpEpilog(context: Context): String =
         "Exit codes: 0 done, 2 invalid command line or settings, 3 refused (another operator came first), 4 not found, " +
-            "5 platform unavailable."
+            "5 platform unavailable, 6 a move has ended and is not confirmed by every router."
 
     override suspend fun run() {
         currentContext.obj = ::open
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/ExitCode.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/ExitCode.kt
@@ -18,4 +18,7 @@
 
     /** The platform gave no usable answer; the message says whether something may have been changed. */
     PLATFORM_UNAVAILABLE(5),
+
+    /** A move has ended, and not every router has confirmed its outcome in time. */
+    NOT_CONFIRMED(6),
 }
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
@@ -20,11 +20,19 @@
             if (line != shown) progress("${session.clock.instant()} ${line.phase}, not confirmed: ${line.unconfirmed ?: "-"}")
             shown = line
             if (record.phase.isFinal && record.unconfirmed?.isEmpty() == true) return show(session, record)
+            val nowMillis = session.clock.millis()
+            if (record.phaseAt(nowMillis).isFinal && nowMillis - record.endedAtMillis > CONFIRM_WITHIN_MILLIS) {
+                show(session, record)
+                fail(ExitCode.NOT_CONFIRMED, "the move has ended, and the routers named have not confirmed it; check them and the move lease")
+            }
             delay(POLL_MILLIS)
         }
     }
 
     private companion object {
         const val POLL_MILLIS = 1_000L
+
+        /** Without a controller nobody gathers confirmations, and the command must not wait for them for ever. */
+        const val CONFIRM_WITHIN_MILLIS = 120_000L
     }
 }
--- a/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlProgramTest.kt
+++ b/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlProgramTest.kt
@@ -104,6 +104,16 @@
             listOf("--help", "--version", "move start --help").forEach { fleet.program().execute(it.split(' ')) shouldBe 0 }
         }
 
+        test("guards against a watch that waits for ever when no controller gathers confirmations") {
+            fleet.publish()
+            fleet.run("move", "start", "chat", "--to", "2", "--within", "10m").statusCode shouldBe 0
+            fleet.clock.advance(Duration.ofMinutes(13))
+
+            val result = fleet.run("move", "watch", "chat")
+            result.statusCode shouldBe 6
+            result.stderr shouldContain "have not confirmed it"
+        }
+
         test("guards against settings whose faults are reported one by one") {
             val file = Files.createTempFile("ctl", ".yaml")
             file.writeText("plattform: 127.0.0.1:1\noperator: [a]\nrouters: [\"10.0.0.1\", \"10.0.0.2:99999\"]\n")
