--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.measure.fleet
 
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
 import io.limpetfold.budget.BudgetLedgers
 import io.limpetfold.budget.TopUpId
 import io.limpetfold.config.ByteSize
@@ -78,7 +79,7 @@
     fun start() {
         val store = HttpObjectStore(client, PlatformSettings(platform.address))
         runBlocking {
-            checkNotNull(ConfigPublisher(store).publish(config(), 0, "measure").get()) { "the configuration was not published" }
+            ConfigPublisher(store).publish(config(), 0, "measure").getOrElse { error("the configuration was not published: ${it.message}") }
             checkNotNull(BudgetLedgers(store).topUp(WORKSPACE, TopUpId("2026-01-01/measure"), PAID_TOKENS).get()) { "no top-up" }
         }
         repeat(ports.size / PORTS_PER_ROUTER) { startRouter(it) }
@@ -152,7 +153,7 @@
         private const val LOOPS = 4
         private const val MAX_CALLERS = 4_000
         private const val MAX_IN_FLIGHT = 4_000
-        private const val MAX_REQUEST_BYTES = 16L * 1024 * 1024
+        private const val MAX_REQUEST_BYTES = 8L shl 20
         private const val PAID_TOKENS = 1_000_000_000_000L
         private const val POLL_MILLIS = 100L
         private val READY_LIMIT = 40.seconds
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -48,10 +48,10 @@
 ) : CallHandler {
     override suspend fun handle(call: Call): CallEnd {
         if (call.exchange.head.method != "POST") {
-            return refuse(call, Refusal.InvalidRequest("method must be POST", METHOD_NOT_ALLOWED))
+            return RefusalWriter.refuse(call, Refusal.InvalidRequest("method must be POST", METHOD_NOT_ALLOWED))
         }
         return bodies.read(call.exchange, call.route.maxRequestBytes.bytes.toInt()) { answer(call, it) }
-            ?: refuse(call, Refusal.RouterOverloaded("request bodies held", OVERLOADED_RETRY_AFTER))
+            ?: RefusalWriter.refuse(call, Refusal.RouterOverloaded("request bodies held", OVERLOADED_RETRY_AFTER))
     }
 
     private suspend fun answer(
@@ -60,7 +60,7 @@
     ): CallEnd {
         val chat =
             ChatRequest.parse(body, DEFAULT_MAX_TOKENS, MAX_TOKENS_LIMIT).getOrElse {
-                return refuse(call, Refusal.InvalidRequest(it))
+                return RefusalWriter.refuse(call, Refusal.InvalidRequest(it))
             }
         if (!call.isCallerIdentity) return runBilled(call, chat, null)
         if (!runs.beginStart(call)) return refuseUnfinished(call)
@@ -77,7 +77,7 @@
     }
 
     private suspend fun refuseUnfinished(call: Call): CallEnd =
-        refuse(call, Refusal.DuplicateUnfinished(clock.instant(), UNFINISHED_RETRY_AFTER))
+        RefusalWriter.refuse(call, Refusal.DuplicateUnfinished(clock.instant(), UNFINISHED_RETRY_AFTER))
 
     private suspend fun runBilled(
         call: Call,
@@ -88,7 +88,7 @@
         val reservation =
             budget
                 .reserve(call.workspace.workspace, call.request, promptBound + chat.maxTokens, patience(call))
-                .getOrElse { return refuse(call, it.toRefusal()) }
+                .getOrElse { return RefusalWriter.refuse(call, it.toRefusal()) }
         call.trace.add("reserved tokens=${reservation.tokens}")
         val takeovers = if (earlier == null) 0 else earlier.takeovers + 1
         val run = BillableRun(chat, reservation, AnswerMeter(chat.maxTokens.toLong(), promptBound), takeovers)
@@ -119,7 +119,7 @@
         chat: ChatRequest,
         endpoint: EndpointId?,
     ): CallEnd {
-        val resumed = endpoint?.let { engines.resumeEarlier(call, it) } ?: return refuse(call, Refusal.DuplicateFinished(OK))
+        val resumed = endpoint?.let { engines.resumeEarlier(call, it) } ?: return RefusalWriter.refuse(call, Refusal.DuplicateFinished(OK))
         call.trace.add("answer replayed endpoint=$endpoint")
         val meter = AnswerMeter(chat.maxTokens.toLong(), estimator.boundTokens(chat.model, chat.promptBytes))
         val result = ForwardResult.Answering.resumed(call, resumed.attempt, resumed.answer)
@@ -147,7 +147,7 @@
             }
         return when (result) {
             is ForwardResult.Ended ->
-                refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
+                RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
             is ForwardResult.Answering -> passOn(call, run, result)
         }
     }
@@ -281,13 +281,6 @@
 
     private fun patience(call: Call): Duration = minOf(BUDGET_PATIENCE, call.remaining())
 
-    private suspend fun refuse(
-        call: Call,
-        refusal: Refusal,
-    ): CallEnd {
-        RefusalWriter.write(call.exchange, refusal, call.request)
-        return CallEnd.Refused(refusal)
-    }
 
     private fun BudgetRefusal.toRefusal(): Refusal.NotRun =
         when (this) {
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RefusalWriter.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RefusalWriter.kt
@@ -11,6 +11,15 @@
 internal object RefusalWriter {
     private const val MILLIS_PER_SECOND = 1000L
 
+    /** Refuses [call]. */
+    suspend fun refuse(
+        call: Call,
+        refusal: Refusal,
+    ): CallEnd {
+        write(call.exchange, refusal, call.request)
+        return CallEnd.Refused(refusal)
+    }
+
     suspend fun write(
         exchange: HttpExchange,
         refusal: Refusal,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
@@ -37,7 +37,7 @@
     override suspend fun handle(call: Call): CallEnd {
         val rule = call.route.callRule(call.exchange.head.method, call.exchange.head.path)
         val key = call.exchange.head.headers[KEY_HEADER]
-        keyProblem(rule, key)?.let { return refuse(call, it) }
+        keyProblem(rule, key)?.let { return RefusalWriter.refuse(call, it) }
         // The body is checked first, so that a claim is not taken for a call that can't be forwarded.
         val body = RequestBody.read(call.exchange, call.route.maxRequestBytes.bytes)
         val claim =
@@ -72,11 +72,11 @@
         val decision =
             claims
                 .claim(call.workspace.workspace, call.route.route, key, call.request, patience)
-                .getOrElse { return Decided.End(refuse(call, it.toRefusal())) }
+                .getOrElse { return Decided.End(RefusalWriter.refuse(call, it.toRefusal())) }
         return when (decision) {
             is ClaimDecision.Granted -> Decided.Forward(decision.claim)
             is ClaimDecision.Finished -> Decided.End(replay(call, decision))
-            is ClaimDecision.Unfinished -> Decided.End(refuse(call, decision.toRefusal()))
+            is ClaimDecision.Unfinished -> Decided.End(RefusalWriter.refuse(call, decision.toRefusal()))
         }
     }
 
@@ -84,7 +84,7 @@
         call: Call,
         decision: ClaimDecision.Finished,
     ): CallEnd {
-        val body = decision.outcome.body ?: return refuse(call, decision.toRefusal())
+        val body = decision.outcome.body ?: return RefusalWriter.refuse(call, decision.toRefusal())
         call.trace.add("recorded answer replayed status=${decision.outcome.status}")
         val headers =
             Headers.of(
@@ -133,7 +133,7 @@
             is ForwardResult.Ended -> {
                 val isProven = result.state is RequestState.Refused
                 if (claim != null && isProven) claims.abandon(claim, isProvenNotStarted = true)
-                refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
+                RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
             }
         }
     }
@@ -193,7 +193,7 @@
         val first =
             answer.next().getOrElse {
                 val lost = RequestLifecycle.next(result.state, RequestEvent.UpstreamLost)
-                return refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
+                return RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
             }
         val sink = call.exchange.respondStream(answer.head.status, answerHeaders(call, answer))
         val failure = withTimeoutOrNull(call.remaining().toMillis()) { pump(first, answer, sink) } ?: "the request exceeded the time limit of its route"
@@ -230,7 +230,7 @@
         val body =
             answer.readAll(MAX_CLAIMED_ANSWER_BYTES).getOrElse {
                 val lost = RequestLifecycle.next(result.state, RequestEvent.UpstreamLost)
-                return refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
+                return RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
             }
         val contentType = answer.head.headers["Content-Type"] ?: "application/json"
         val recorded = ClaimOutcome(answer.head.status, contentType, body.decodeToString())
@@ -246,13 +246,6 @@
         answer: UpstreamAnswer,
     ): Headers = answer.head.headers.forwardable().without("X-Draining").with(REQUEST_HEADER, call.request.value)
 
-    private suspend fun refuse(
-        call: Call,
-        refusal: Refusal,
-    ): CallEnd {
-        RefusalWriter.write(call.exchange, refusal, call.request)
-        return CallEnd.Refused(refusal)
-    }
 
     private fun elapsed(call: Call): Duration = Duration.ofNanos(call.arrived.elapsedNow().inWholeNanoseconds)
 
