router: give the updates of the limiter a class of their own

Ruled out: more classes for the status view (it reads nearly every part). Change: LimiterUpdates; behaviour is unchanged. Conclusion: Router assembles, starts and stops.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -10,7 +10,6 @@
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.config.ConfigKeeper
-import io.limpetfold.config.FleetConfig
 import io.limpetfold.config.Preset
 import io.limpetfold.config.RouterStatus
 import io.limpetfold.core.EndpointId
@@ -26,9 +25,7 @@
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamSettings
 import io.limpetfold.lease.LeaseKeeper
-import io.limpetfold.limits.EndpointCapacity
 import io.limpetfold.limits.EndpointLimiter
-import io.limpetfold.limits.RouteLimit
 import io.limpetfold.membership.Heartbeat
 import io.limpetfold.membership.Member
 import io.limpetfold.membership.Membership
@@ -63,6 +60,7 @@
 import io.limpetfold.router.observe.TraceLog
 import io.limpetfold.router.operate.EndpointHealth
 import io.limpetfold.router.operate.HttpEndpointOrders
+import io.limpetfold.router.operate.LimiterUpdates
 import io.limpetfold.router.operate.LoadPoller
 import io.limpetfold.router.operate.Maintenance
 import io.limpetfold.router.operate.OperatorsApi
@@ -71,7 +69,6 @@
 import io.limpetfold.router.operate.RouterView
 import io.limpetfold.router.operate.StatusReporter
 import io.limpetfold.router.settings.RouterSettings
-import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -112,6 +109,7 @@
         BudgetAgent(self, store, peers, ::budgetPolicy, monotonic, random, budgetEvents(), predecessorSpend = ::predecessorSpend)
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, EndpointHealth(upstream, ::addressOf))
+    private val limiterUpdates = LimiterUpdates(config, membership, seats, limiter)
     private val versions =
         VersionRouter(
             store,
@@ -161,13 +159,6 @@
     @Volatile
     private var hasReadMoves = false
 
-    @Volatile
-    private var limitsOfGeneration: Pair<Long, List<RouteLimit>>? = null
-
-    /** The seat that the limiter was last told. */
-    @Volatile
-    private var appliedSeat: Int? = null
-
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
         gaugeValues().register(metrics)
@@ -246,41 +237,13 @@
         maintenance.every(ONE_SECOND, "status") { status.maintain() }
     }
 
-    /** Made once for each generation: with many workspaces the map of weights is large. */
-    private fun routeLimits(current: FleetConfig): List<RouteLimit> {
-        val known = limitsOfGeneration
-        if (known != null && known.first == current.generation) return known.second
-        val weights = current.workspaces.associate { it.workspace to it.weight }.toImmutableMap()
-        val limits = current.routes.map { RouteLimit(it.route, it.queue.maxRequests, weights) }
-        limitsOfGeneration = current.generation to limits
-        return limits
-    }
-
-    /** Hands the configuration, the seat and the endpoints in force to the limiter. */
     private fun applyConfig() {
-        val current = config.current ?: return
-        val routes = routeLimits(current)
-        val capacities =
-            current.services.flatMap { service ->
-                val limits = service.versions.associate { it.version to it.maxInFlightPerEndpoint }
-                membership.endpoints(service.name).mapNotNull { listed ->
-                    limits[listed.version]?.let {
-                        EndpointCapacity(EndpointId(listed.instance.value), listed.zone, it, listed.isLeaving)
-                    }
-                }
-            }
-        val seat = seats.seat
-        appliedSeat = seat?.number
-        limiter.update(routes, seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities)
-        if (readiness == Readiness.STARTING && seat != null && hasReadMoves) readiness = Readiness.READY
-    }
-
-    private fun refreshSeat() {
-        if (seats.seat?.number != appliedSeat) applyConfig()
+        limiterUpdates.apply()
+        if (readiness == Readiness.STARTING && seats.seat != null && hasReadMoves) readiness = Readiness.READY
     }
 
     private fun gateway(): CallerGateway {
-        val access = EndpointAccess(versions, membership, limiter, ::refreshSeat)
+        val access = EndpointAccess(versions, membership, limiter, limiterUpdates::refreshSeat)
         val forwarder = Forwarder(access, upstream, limiter, versions, monotonic)
         val engines = EngineClient(upstream, membership, limiter, versions)
         val callJournal = CallJournal(self, journal, runs, peers) {
--- /dev/null
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/LimiterUpdates.kt
@@ -0,0 +1,58 @@
+package io.limpetfold.router.operate
+
+import io.limpetfold.config.ConfigKeeper
+import io.limpetfold.config.FleetConfig
+import io.limpetfold.core.EndpointId
+import io.limpetfold.limits.EndpointCapacity
+import io.limpetfold.limits.EndpointLimiter
+import io.limpetfold.limits.RouteLimit
+import io.limpetfold.membership.Membership
+import io.limpetfold.membership.SeatKeeper
+import kotlinx.collections.immutable.toImmutableMap
+
+/** Hands the configuration, the seat and the endpoints in force to the limiter; safe for concurrent use. */
+internal class LimiterUpdates(
+    private val config: ConfigKeeper,
+    private val membership: Membership,
+    private val seats: SeatKeeper,
+    private val limiter: EndpointLimiter,
+) {
+    @Volatile
+    private var limitsOfGeneration: Pair<Long, List<RouteLimit>>? = null
+
+    @Volatile
+    private var appliedSeat: Int? = null
+
+    /** Applies what is in force now; does nothing before the first configuration. */
+    fun apply() {
+        val current = config.current ?: return
+        val seat = seats.seat
+        appliedSeat = seat?.number
+        limiter.update(routeLimits(current), seat?.number, seat?.isUnused ?: false, current.maxRouters, capacities(current))
+    }
+
+    /** Applies a change of the seat at once; it runs before each attempt, see [io.limpetfold.router.call.EndpointAccess]. */
+    fun refreshSeat() {
+        if (seats.seat?.number != appliedSeat) apply()
+    }
+
+    private fun capacities(current: FleetConfig): List<EndpointCapacity> =
+        current.services.flatMap { service ->
+            val limits = service.versions.associate { it.version to it.maxInFlightPerEndpoint }
+            membership.endpoints(service.name).mapNotNull { listed ->
+                limits[listed.version]?.let {
+                    EndpointCapacity(EndpointId(listed.instance.value), listed.zone, it, listed.isLeaving)
+                }
+            }
+        }
+
+    /** Made once for each generation: with many workspaces the map of weights is large. */
+    private fun routeLimits(current: FleetConfig): List<RouteLimit> {
+        val known = limitsOfGeneration
+        if (known != null && known.first == current.generation) return known.second
+        val weights = current.workspaces.associate { it.workspace to it.weight }.toImmutableMap()
+        val limits = current.routes.map { RouteLimit(it.route, it.queue.maxRequests, weights) }
+        limitsOfGeneration = current.generation to limits
+        return limits
+    }
+}
