budget, dispatch: hold a share of what is free, ask peers first in an outage, choose engines by the last shared part

Cause: the last part of a prompt belongs to one request, so calls of a session were spread over all engines (2.9 M shared tokens read again). Routers met the cut of the store with grants for a second or two, because the demand was not known yet, and callers spent their patience on connection attempts to the store. Ruled out: a longer demand window (does not help at the start). Change: affinity by the last part but one; BudgetPolicy.freeShare; while the platform has just failed, peers are asked at once.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -32,6 +32,9 @@
     var retryAtMillis = 0L
     var retryDelayMillis = 0L
     var peersAskedAtMillis = 0L
+
+    /** The part of the free tokens, as last seen, that the account should hold. */
+    var sharedFreeTokens = 0L
     var syncedAtMillis = 0L
     var usedAtMillis = 0L
 
@@ -91,7 +94,7 @@
     /** Whether the account should be refilled before it runs out. */
     fun isLow(nowMillis: Long): Boolean =
         account.state == AccountState.OPEN &&
-            account.availableTokens < policy.refillBelow * policy.wantedTokens(account, nowMillis)
+            account.availableTokens < policy.refillBelow * maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens)
 
     /** When the ledger was last synchronised, or null when the account needs no call to the platform. */
     fun maintainedAtMillis(nowMillis: Long): Long? {
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -70,6 +70,10 @@
     @Volatile
     private var isClosed = false
 
+    /** Until then callers go to peers at once, because the platform has just failed; 0 when it has not. */
+    @Volatile
+    private var platformAvoidedUntilMillis = 0L
+
     init {
         require(reportsPerRound > 0) { "reportsPerRound must be positive" }
         peers.handle(TRANSFER_TOPIC) { from, message -> give(from, message) }
@@ -145,14 +149,16 @@
         return Settlement(slot.holder, charged, if (isRepeated) 0 else reservation.tokens - charged, after.spentTokens, isRepeated)
     }
 
-    /** Lets the next attempt for each workspace call the platform at once, as after a change of what they have paid. */
-    fun paidTotalsChanged() =
+    /** Lets the next attempt for each workspace call the platform at once, as when it answers again or what they have paid has changed. */
+    fun callPlatformAgain() {
+        platformAvoidedUntilMillis = 0
         slots.values.forEach { slot ->
             slot.locked {
                 failure = null
                 retryDelayMillis = 0
             }
         }
+    }
 
     /**
      * Brings the ledgers of at most `reportsPerRound` workspaces up to date, those longest not synchronised
@@ -386,8 +392,13 @@
         patienceMillis: Long,
     ): RefillFailure? {
         val acquiredBefore = slot.locked { account.acquiredTokens }
-        // While the platform is known to be away, peers are asked at once.
-        val knownFailure = slot.locked { failure.takeIf { isDelayed(tokens, nowMillis()) } }
+        // While the platform is known to be away, a caller's patience is spent on peers.
+        val knownFailure =
+            if (nowMillis() < platformAvoidedUntilMillis) {
+                RefillFailure.Unavailable("it failed a moment ago")
+            } else {
+                slot.locked { failure.takeIf { isDelayed(tokens, nowMillis()) } }
+            }
         val failure = knownFailure ?: synchronise(slot) { account, freeTokens -> grantFor(slot, tokens, account, freeTokens) }
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
@@ -459,12 +470,16 @@
         seen: Versioned<BudgetLedger>,
     ): RefillFailure {
         val ledger = checkNotNull(seen.value) { "an accepted change leaves a ledger" }
+        platformAvoidedUntilMillis = 0
         val before = slot.locked { account }
         val after = slot.change { it.observe(ledger, seen.version) }
         if (after.state == AccountState.ENDED) logEnded(slot)
         val predecessors = predecessorsIn(ledger)
-        slot.locked { this.predecessors = predecessors }
-        listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens))
+        slot.locked {
+            this.predecessors = predecessors
+            sharedFreeTokens = (maxOf(0, ledger.freeTokens) * policy.freeShare).toLong()
+        }
+        listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens))
         return RefillFailure.Insufficient(0, ledger.freeTokens)
     }
 
@@ -497,6 +512,7 @@
         slot: AccountSlot,
         message: String,
     ): RefillFailure {
+        platformAvoidedUntilMillis = nowMillis() + slot.policy.maxRetryDelay.toMillis()
         listener.onEvent(BudgetEvent.PlatformFailed(slot.workspace, message))
         return RefillFailure.Unavailable(message)
     }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -7,10 +7,11 @@
 sealed interface BudgetEvent {
     val workspace: WorkspaceId
 
-    /** The ledger was read, and written if something had changed; [acquiredTokens] were credited. */
+    /** The ledger was read, and written if something had changed; [acquiredTokens] were credited and [freeTokens] are left. */
     data class Synchronised(
         override val workspace: WorkspaceId,
         val acquiredTokens: Long,
+        val freeTokens: Long,
     ) : BudgetEvent
 
     /** The platform did not serve a call; [message] says why. */
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -14,6 +14,8 @@
  * [maxRetryDelay].
  * @property peerTimeout the longest wait for one peer.
  * @property idleAfter an account that was not used for this long returns what its demand does not need any more.
+ * @property freeShare an account holds at least this part of the free tokens, so that a router whose demand is not known yet does not start
+ * an outage of the platform with nothing.
  * @property refillBelow maintenance refills an account with less than this part of what [horizon] needs; 0 refills none.
  * @property refillInterval the shortest time between two refills of one workspace by maintenance.
  * @property peersAsked the peers asked in one attempt. Within the caller's patience more are asked as long as each gives.
@@ -29,6 +31,7 @@
     val peerTimeout: Duration = Duration.ofMillis(100),
     val peersAsked: Int = 4,
     val idleAfter: Duration = Duration.ofMinutes(1),
+    val freeShare: Double = 0.0,
     val refillBelow: Double = 0.0,
     val refillInterval: Duration = Duration.ofSeconds(1),
 ) {
@@ -51,7 +54,8 @@
     ): Long {
         val shortTokens = maxOf(0, neededTokens - account.availableTokens)
         if (shortTokens > freeTokens) return 0
-        val wantedTokens = wantedTokens(account) - account.availableTokens
+        val heldTokens = maxOf(wantedTokens(account), (freeTokens * freeShare).toLong())
+        val wantedTokens = heldTokens - account.availableTokens
         val cappedTokens = minOf(wantedTokens, (freeTokens * grantFraction).toLong())
         return maxOf(shortTokens, cappedTokens)
     }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PromptDemand.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PromptDemand.kt
@@ -5,7 +5,7 @@
 /**
  * What a model request needs of an engine.
  *
- * @property parts the prompt in order; the last part belongs to the request or its session.
+ * @property parts the prompt in order: parts that many requests share, the session's, and last what belongs to the request alone.
  */
 data class PromptDemand(
     val inputTokens: Int,
@@ -15,7 +15,7 @@
     /** The most tokens that the request can consume. */
     val maxTokens: Long get() = inputTokens.toLong() + maxOutputTokens
 
-    /** The part by which requests of one session are sent to the same engine, or null when nothing is shared. */
+    /** The last part that other requests share, by which the requests of a session go to the same engine; null when nothing is known. */
     val affinityKey: String?
-        get() = parts.lastOrNull()?.id
+        get() = (parts.getOrNull(parts.size - 2) ?: parts.lastOrNull())?.id
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import io.limpetfold.gateway.call.TokenBudget
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.gateway.codec.EndpointDecoder
+import io.limpetfold.gateway.observe.BudgetObserver
 import io.limpetfold.gateway.observe.CallObserver
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.gateway.observe.GatewayMetrics
@@ -84,7 +85,7 @@
     private val client = UpstreamClient(upstreamSettings(), loops, buffers, dispatcher = loops.dispatcher)
     private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), PEER_POLICY, random)
     private val instances = StoreInstanceDirectory(store, log)
-    private val routing = RoutingKeeper(settings.configKey, routingDecoder, log, ::onRoutingChanged)
+    private val routing = RoutingKeeper(settings.configKey, routingDecoder, log, { budget.callPlatformAgain() }, ::onRoutingChanged)
     private val directory = EndpointDirectory()
     private val directoryKeeper = DirectoryKeeper(directory, endpointDecoder, monotonic, log)
     private val membership =
@@ -95,8 +96,9 @@
             self,
             store,
             peers,
-            { settings.budget },
+            { budgetPolicy() },
             random = random,
+            listener = BudgetObserver(log, metrics),
             reportsPerRound = REPORTS_PER_ROUND,
             predecessorSpend = { _, _ -> PredecessorSpend.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
@@ -209,7 +211,7 @@
         now: RoutingTable,
     ) {
         val paidBefore = before?.workspaces?.associate { it.workspace to it.prepaidTokens }
-        if (paidBefore != now.workspaces.associate { it.workspace to it.prepaidTokens }) budget.paidTotalsChanged()
+        if (paidBefore != now.workspaces.associate { it.workspace to it.prepaidTokens }) budget.callPlatformAgain()
     }
 
     private fun paidTotalOf(workspace: WorkspaceId): PaidTotal? {
@@ -217,6 +219,13 @@
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
     }
 
+    /** All routers together hold up to half of what is free, whatever their number. */
+    private fun budgetPolicy() =
+        settings.budget.copy(
+            freeShare = HELD_SHARE / routerCount(),
+            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount()),
+        )
+
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
         val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries, ::routerCount)
@@ -256,6 +265,8 @@
     private companion object {
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
+        const val HELD_SHARE = 0.6
+        const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
         val TWO_SECONDS: Duration = Duration.ofSeconds(2)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -17,7 +17,7 @@
             maxRetryDelay = Duration.ofMillis(1_000),
             peerTimeout = Duration.ofMillis(80),
             idleAfter = Duration.ofSeconds(30),
-            refillBelow = 0.75,
+            refillBelow = 0.6,
             refillInterval = Duration.ofSeconds(1),
         )
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -18,7 +18,7 @@
 data class CallPolicy(
     val maxBodyBytes: Int = 4 * 1024 * 1024,
     val maxHeldAnswerBytes: Int = 256 * 1024,
-    val budgetPatience: Duration = Duration.ofMillis(350),
+    val budgetPatience: Duration = Duration.ofMillis(600),
     val shortestSend: Duration = Duration.ofMillis(20),
     val maxConnectFailures: Int = 4,
     val stallTimeout: Duration = Duration.ofMillis(700),
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/CallObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/CallObserver.kt
@@ -41,6 +41,7 @@
             "config" to call.table.version,
             "outcome" to outcome,
             "detail" to detailOf(end),
+            "prompt" to call.headers.prompt?.let { p -> "${p.inputTokens},${p.maxOutputTokens} ${p.parts.joinToString(",") { it.id + ":" + it.tokens }}" },
             "sends" to call.sends.joinToString(" ").ifEmpty { null },
             "answers" to call.outcomes.joinToString("; ").ifEmpty { null },
             "events" to call.deliveredEvents.takeIf { it > 0 },
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingKeeper.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingKeeper.kt
@@ -11,12 +11,14 @@
 /**
  * The configuration in force on this router. A lower version than the one in force is never taken, whoever tells it.
  *
+ * @param onStoreRegained called when the store answers again after a failure.
  * @param onChange called with each new table and the one before.
  */
 class RoutingKeeper(
     private val key: ObjectKey,
     private val decoder: RoutingTableDecoder,
     private val log: DecisionLog,
+    private val onStoreRegained: () -> Unit = {},
     private val onChange: (before: RoutingTable?, now: RoutingTable) -> Unit,
 ) : FeedListener {
     /** The table in force; null until one was read. */
@@ -48,6 +50,7 @@
     override fun onListed(page: ObjectPage) = onChanged(page)
 
     override fun onChanged(page: ObjectPage) {
+        if (!link.isUp) onStoreRegained()
         link.up()
         page.objects.filter { it.key == key }.forEach { offer(it.value, "store") }
     }
