--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -315,7 +315,8 @@
             val seenChanges = slot.changes.value
             val failure = refill(slot, tokens, remainingMillis)
             tryReserve(slot, request, tokens)?.let { return Ok(it) }
-            if (isClosed || failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) {
+            val isFinal = failure is RefillFailure.Insufficient && !slot.policy.waitsForTopUps
+            if (isClosed || isFinal || failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) {
                 return refused(refusal(slot, tokens, failure))
             }
             remainingMillis = minOf(remainingMillis, deadlineMillis - nowMillis())
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -18,6 +18,7 @@
  * an outage of the platform with nothing.
  * @property refillBelow maintenance refills an account with less than this part of what [horizon] needs; 0 refills none.
  * @property refillInterval the shortest time between two refills of one workspace by maintenance.
+ * @property waitsForTopUps whether a caller waits within its patience although the platform has said that the tokens are not there.
  * @property peersAsked the peers asked in one attempt. Within the caller's patience more are asked as long as each gives.
  */
 data class BudgetPolicy(
@@ -31,6 +32,7 @@
     val peerTimeout: Duration = Duration.ofMillis(100),
     val peersAsked: Int = 4,
     val idleAfter: Duration = Duration.ofMinutes(1),
+    val waitsForTopUps: Boolean = true,
     val freeShare: Double = 0.0,
     val refillBelow: Double = 0.0,
     val refillInterval: Duration = Duration.ofSeconds(1),
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -17,6 +17,7 @@
             maxRetryDelay = Duration.ofMillis(1_000),
             peerTimeout = Duration.ofMillis(80),
             idleAfter = Duration.ofSeconds(30),
+            waitsForTopUps = false,
             refillBelow = 0.6,
             refillInterval = Duration.ofSeconds(1),
         )
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -6,7 +6,7 @@
  * Bounds of one forwarded call.
  *
  * @property maxBodyBytes bound on the body of a request, which is held whole so that it can be sent to another endpoint.
- * @property maxHeldAnswerBytes an answer of known length up to this size is held whole before its first byte goes to the caller, so that
+ * @property maxHeldAnswerBytes an answer up to this size is held whole before its first byte goes to the caller, so that
  * one that breaks off can still be replaced.
  * @property budgetPatience the longest wait for tokens of a budget.
  * @property shortestSend with less time left a call is not sent any more.
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -15,6 +15,7 @@
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamError
 import io.limpetfold.http.UpstreamRequest
+import java.io.ByteArrayOutputStream
 import java.time.Duration
 
 /** Sends a call to one endpoint and passes its answer on. */
@@ -69,32 +70,40 @@
             answer.readAll(policy.maxHeldAnswerBytes)
             return SendResult.Unknown("status $status")
         }
-        val lengthBytes = answer.head.headers["Content-Length"]?.toLongOrNull()
-        val isHeld = lengthBytes != null && lengthBytes <= policy.maxHeldAnswerBytes
-        return if (isHeld) passWhole(exchange, call, answer) else passPieces(exchange, call, answer)
+        return pass(exchange, call, answer)
     }
 
-    private suspend fun passWhole(
+    /** Holds an answer back until it is whole; one above the bound begins to go out before. */
+    private suspend fun pass(
         exchange: HttpExchange,
         call: ForwardCall,
         answer: UpstreamAnswer,
     ): SendResult {
-        val body = answer.readAll(policy.maxHeldAnswerBytes).getOrElse { return SendResult.Unknown(text(it)) }
-        begin(call)
-        exchange.respond(answer.head.status, answer.head.headers.forwardable(), body)
-        return SendResult.Delivered(answer.head.status)
+        val held = ByteArrayOutputStream()
+        while (held.size() <= policy.maxHeldAnswerBytes) {
+            val piece = answer.next().getOrElse { return SendResult.Unknown(text(it)) }
+            if (piece == null) {
+                begin(call)
+                exchange.respond(answer.head.status, answer.head.headers.forwardable(), held.toByteArray())
+                return SendResult.Delivered(answer.head.status)
+            }
+            held.write(piece)
+        }
+        return passPieces(exchange, call, answer, held.toByteArray())
     }
 
     private suspend fun passPieces(
         exchange: HttpExchange,
         call: ForwardCall,
         answer: UpstreamAnswer,
+        held: ByteArray,
     ): SendResult {
         val headers = answer.head.headers
         val length = headers["Content-Length"]
         val forwarded = if (length == null) headers.forwardable() else headers.forwardable().with("Content-Length", length)
         begin(call)
         val sink = exchange.respondStream(answer.head.status, forwarded)
+        sink.write(held)
         while (true) {
             val piece =
                 answer.next().getOrElse {
