budget: refuse a spent budget at once, and know the holders that joined

Cause: after the last tokens were granted each refused call made an attempt of its own, one after the other, and waited 600 ms for a 429; maintenance asked for grants of a few tokens; a router that restarted was not asked, because the others had not read the ledger since. Ruled out: a longer patience of callers (it is held time, and the tokens are not there). Change: an attempt that the tokens left can't cover is not repeated within the retry delay; refills stop when free tokens are few; ledgers are read again after routers joined.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -33,6 +33,9 @@
     var retryDelayMillis = 0L
     var peersAskedAtMillis = 0L
 
+    /** The free tokens of the ledger as last seen; the largest number when they are not known. */
+    var freeTokensSeen = Long.MAX_VALUE
+
     /** The part of the free tokens, as last seen, that the account should hold. */
     var sharedFreeTokens = 0L
     var syncedAtMillis = 0L
@@ -94,8 +97,13 @@
     /** Whether the account should be refilled before it runs out. */
     fun isLow(nowMillis: Long): Boolean =
         account.state == AccountState.OPEN &&
+            isRefillWorthwhile(nowMillis) &&
             account.availableTokens < policy.refillBelow * maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens)
 
+    /** Whether the free tokens, as last seen, make a grant that lasts for a while; the last ones go to callers that need them. */
+    private fun isRefillWorthwhile(nowMillis: Long): Boolean =
+        freeTokensSeen * policy.grantFraction >= SMALLEST_REFILL_PART * policy.wantedTokens(account, nowMillis)
+
     /** When the ledger was last synchronised, or null when the account needs no call to the platform. */
     fun maintainedAtMillis(nowMillis: Long): Long? {
         val isDue = isForgotten || (account.state == AccountState.OPEN && (isRegistering || isForgettable(nowMillis)))
@@ -110,10 +118,16 @@
         nowMillis: Long,
     ): Boolean {
         val last = failure ?: return false
-        val isSmaller = last is RefillFailure.Insufficient && tokens < last.neededTokens
-        return nowMillis < retryAtMillis && !isSmaller
+        // One that the tokens left could not cover either would only repeat the refused attempt.
+        val mayFit = last is RefillFailure.Insufficient && tokens < last.neededTokens && tokens <= last.freeTokens + account.availableTokens
+        return nowMillis < retryAtMillis && !mayFit
     }
 
     /** Runs [action] under the monitor; it must not suspend or block. */
     inline fun <T> locked(action: AccountSlot.() -> T): T = synchronized(this) { action() }
+
+    private companion object {
+        /** Smaller refills cost as many calls to the platform as large ones. */
+        const val SMALLEST_REFILL_PART = 0.1
+    }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -173,10 +173,14 @@
             slot.locked {
                 failure = null
                 retryDelayMillis = 0
+                freeTokensSeen = Long.MAX_VALUE
             }
         }
     }
 
+    /** Lets maintenance read all ledgers again, as after a router has joined: only holders that an account has seen can exchange tokens. */
+    fun holdersChanged() = slots.values.forEach { slot -> slot.locked { syncedAtMillis = NEVER_MILLIS } }
+
     /**
      * Brings the ledgers of at most `reportsPerRound` workspaces up to date, those longest not synchronised
      * first: reports spend, records transfers, learns of top-ups, closed peers and unseen transfers, and closes the entry of an
@@ -495,6 +499,7 @@
         val predecessors = predecessorsIn(ledger)
         slot.locked {
             this.predecessors = predecessors
+            freeTokensSeen = maxOf(0, ledger.freeTokens)
             sharedFreeTokens = (maxOf(0, ledger.freeTokens) * policy.freeShare).toLong()
         }
         listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens))
@@ -648,5 +653,8 @@
 
     private companion object {
         const val MAX_LOST_REFILLS = 3
+
+        /** Before any time that the agent's clock shows, with room for differences. */
+        const val NEVER_MILLIS = Long.MIN_VALUE / 2
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -34,13 +34,16 @@
 import io.limpetfold.gateway.state.RoutingKeeper
 import io.limpetfold.http.BufferBudget
 import io.limpetfold.http.HttpEventLoops
+import io.limpetfold.http.HttpHandler
 import io.limpetfold.http.HttpServer
 import io.limpetfold.http.HttpServerSettings
 import io.limpetfold.http.UpstreamAddress
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamSettings
 import io.limpetfold.membership.Heartbeat
+import io.limpetfold.membership.Member
 import io.limpetfold.membership.Membership
+import io.limpetfold.membership.MembershipListener
 import io.limpetfold.membership.MembershipPolicy
 import io.limpetfold.peer.ListedInstance
 import io.limpetfold.peer.ktor.FleetKey
@@ -58,6 +61,7 @@
 import java.time.Duration
 import java.time.InstantSource
 import kotlin.random.Random
+import kotlin.time.TimeSource
 
 /**
  * A router that forwards requests unchanged and keeps everything that must last in the platform's store.
@@ -90,7 +94,7 @@
     private val directory = EndpointDirectory()
     private val directoryKeeper = DirectoryKeeper(directory, endpointDecoder, monotonic, log)
     private val membership =
-        Membership(self.instance, instances, peers, kotlin.time.TimeSource.Monotonic, MEMBERSHIP_POLICY) { heartbeat() }
+        Membership(self.instance, instances, peers, TimeSource.Monotonic, MEMBERSHIP_POLICY, memberEvents()) { heartbeat() }
     private val sync = PeerSync(peers, routing, directory, directoryKeeper, monotonic, loops.dispatcher)
     private val budget =
         BudgetAgent(
@@ -111,6 +115,9 @@
     private val metricsServer = server(settings.metrics, OperatorHandler({ readiness }, metrics))
     private val work = PeriodicWork(scope, random, log)
 
+    @Volatile
+    private var haveRoutersJoined = false
+
     @Volatile
     private var readiness = Readiness.STARTING
 
@@ -165,6 +172,10 @@
         val accounts = AccountOpener(budget, { routing.current }, random)
         work.every(QUARTER_SECOND, "accounts") { accounts.maintain() }
         work.every(HALF_SECOND, "budget") { budget.maintain() }
+        work.every(FOUR_SECONDS, "budget holders") {
+            if (haveRoutersJoined) budget.holdersChanged()
+            haveRoutersJoined = false
+        }
         work.every(TEN_SECONDS, "endpoints") { picker.forgetGone(monotonic.now()) }
     }
 
@@ -209,6 +220,13 @@
             directory.position,
         )
 
+    private fun memberEvents() =
+        object : MembershipListener {
+            override fun memberJoined(member: Member) {
+                haveRoutersJoined = true
+            }
+        }
+
     private fun onRoutingChanged(
         before: RoutingTable?,
         now: RoutingTable,
@@ -248,7 +266,7 @@
 
     private fun server(
         address: UpstreamAddress,
-        handler: io.limpetfold.http.HttpHandler,
+        handler: HttpHandler,
     ) = HttpServer(
         HttpServerSettings(host = address.host, port = address.port, idleTimeout = CALLER_IDLE),
         loops,
@@ -274,6 +292,7 @@
         val HALF_SECOND: Duration = Duration.ofMillis(500)
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
         val TWO_SECONDS: Duration = Duration.ofSeconds(2)
+        val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
         /** A new connection takes a few milliseconds between zones; a silent address is given up soon enough to try another endpoint. */
