budget: hold less of a budget that runs out

Cause: grants for 10 s at 8 routers were all that was left of most budgets when every router lost power; they count as spent (about 5 M tokens, 700 owed calls refused afterwards). Ruled out: taking back what a dead router has not reported (it may have spent it); clocks as a proof (they jump). Change: BudgetPolicy.heldPart, a bound relative to what is not spent yet.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -36,6 +36,9 @@
     /** The free tokens of the ledger as last seen; the largest number when they are not known. */
     var freeTokensSeen = Long.MAX_VALUE
 
+    /** The most tokens that the account should hold, by the ledger as last seen. */
+    var mostHeldTokens = Long.MAX_VALUE
+
     /** The part of the free tokens, as last seen, that the account should hold. */
     var sharedFreeTokens = 0L
     var syncedAtMillis = 0L
@@ -98,11 +101,11 @@
     fun isLow(nowMillis: Long): Boolean =
         account.state == AccountState.OPEN &&
             isRefillWorthwhile(nowMillis) &&
-            account.availableTokens < policy.refillBelow * maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens)
+            account.availableTokens < policy.refillBelow * minOf(mostHeldTokens, maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens))
 
     /** Whether the free tokens, as last seen, make a grant that lasts for a while; the last ones go to callers that need them. */
     private fun isRefillWorthwhile(nowMillis: Long): Boolean =
-        freeTokensSeen * policy.grantFraction >= SMALLEST_REFILL_PART * policy.wantedTokens(account, nowMillis)
+        freeTokensSeen * policy.grantFraction >= SMALLEST_REFILL_PART * minOf(mostHeldTokens, policy.wantedTokens(account, nowMillis))
 
     /** When the ledger was last synchronised, or null when the account needs no call to the platform. */
     fun maintainedAtMillis(nowMillis: Long): Long? {
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -120,7 +120,7 @@
         val slot = enter(workspace) ?: return false
         return try {
             if (slot.locked { account.sequence } > 0) return true
-            synchronise(slot) { account, freeTokens -> grantFor(slot, 0, account, freeTokens) }
+            synchronise(slot) { account, free, unspent -> grantFor(slot, 0, account, free, unspent) }
             slot.locked { account.sequence } > 0
         } finally {
             slot.leave(nowMillis())
@@ -198,14 +198,14 @@
     }
 
     private suspend fun maintain(slot: AccountSlot) {
-        val outcome = synchronise(slot) { account, freeTokens -> if (slot.isLow(nowMillis())) grantFor(slot, 0, account, freeTokens) else 0 }
+        val outcome = synchronise(slot) { account, free, unspent -> if (slot.isLow(nowMillis())) grantFor(slot, 0, account, free, unspent) else 0 }
         // While the platform is down, idle tokens stay where peers can get them.
         if (outcome !is RefillFailure.Insufficient && outcome !is RefillFailure.UnknownWorkspace) return
         reclaimPredecessor(slot)
         if (forget(slot)) {
             closeForgotten(slot)
         } else if (returnIdle(slot)) {
-            synchronise(slot) { _, _ -> 0 }
+            synchronise(slot) { _, _, _ -> 0 }
         }
     }
 
@@ -421,7 +421,7 @@
             } else {
                 slot.locked { failure.takeIf { isDelayed(tokens, nowMillis()) } }
             }
-        val failure = knownFailure ?: synchronise(slot) { account, freeTokens -> grantFor(slot, tokens, account, freeTokens) }
+        val failure = knownFailure ?: synchronise(slot) { account, free, unspent -> grantFor(slot, tokens, account, free, unspent) }
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
         // Other callers may have taken the grant already; the platform is not short of tokens then.
@@ -438,16 +438,17 @@
         tokens: Long,
         account: LocalAccount,
         freeTokens: Long,
+        unspentTokens: Long,
     ): Long {
         val allTokens = slot.locked { maxOf(tokens, waitingTokens) }
-        val grant = slot.policy.grantSize(account, allTokens, freeTokens)
-        return if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens)
+        val grant = slot.policy.grantSize(account, allTokens, freeTokens, unspentTokens)
+        return if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens, unspentTokens)
     }
 
     /** Reads the ledger and writes what it lacks; returns null or [RefillFailure.Insufficient] when the platform answered. */
     private suspend fun synchronise(
         slot: AccountSlot,
-        grantSize: (LocalAccount, Long) -> Long,
+        grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
             slot.policy = policyOf(slot.workspace)
@@ -466,7 +467,7 @@
                             Change.Refuse(LedgerRefusal.UnknownWorkspace)
                         } else {
                             isOwnWriteUnseen = (ledger.holders[slot.holder.key]?.sequence ?: snapshot.sequence) != snapshot.sequence
-                            ledger.update(slot.holder, snapshot.update()) { grantSize(snapshot, it) }.fold(
+                            ledger.update(slot.holder, snapshot.update()) { grantSize(snapshot, it, ledger.unspentTokens) }.fold(
                                 success = { if (it === stored) Change.Keep else Change.Write(it) },
                                 failure = { Change.Refuse(it) },
                             )
@@ -500,6 +501,7 @@
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
+            mostHeldTokens = (ledger.unspentTokens * policy.heldPart).toLong()
             sharedFreeTokens = (maxOf(0, ledger.freeTokens) * policy.freeShare).toLong()
         }
         listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens))
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -45,6 +45,9 @@
     /** Tokens paid and neither settled nor granted. */
     val freeTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
 
+    /** Tokens paid and not reported as spent. */
+    val unspentTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.reportedSpentTokens.coerceAtMost(it.grantedTokens) }
+
     /** Adds [tokens] under [id]; a repeated identity changes nothing. */
     fun topUp(
         id: TopUpId,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -16,6 +16,8 @@
  * @property idleAfter an account that was not used for this long returns what its demand does not need any more.
  * @property freeShare an account holds at least this part of the free tokens, so that a router whose demand is not known yet does not start
  * an outage of the platform with nothing.
+ * @property heldPart an account holds at most this part of the tokens that are not spent yet, unless one reservation needs more. What is
+ * held when all routers lose power is lost, so less is held of a budget that runs out.
  * @property refillBelow maintenance refills an account with less than this part of what [horizon] needs; 0 refills none.
  * @property refillInterval the shortest time between two refills of one workspace by maintenance.
  * @property waitsForTopUps whether a caller waits within its patience although the platform has said that the tokens are not there.
@@ -34,6 +36,7 @@
     val idleAfter: Duration = Duration.ofMinutes(1),
     val waitsForTopUps: Boolean = true,
     val freeShare: Double = 0.0,
+    val heldPart: Double = 1.0,
     val refillBelow: Double = 0.0,
     val refillInterval: Duration = Duration.ofSeconds(1),
 ) {
@@ -46,17 +49,19 @@
     }
 
     /**
-     * The tokens to ask the platform for, given the [account]'s needs and the [freeTokens] of the ledger; 0 when the free
-     * tokens do not cover [neededTokens].
+     * The tokens to ask the platform for, given the [account]'s needs, the [freeTokens] of the ledger and the [unspentTokens] of all
+     * holders together; 0 when the free tokens do not cover [neededTokens].
      */
     fun grantSize(
         account: LocalAccount,
         neededTokens: Long,
         freeTokens: Long,
+        unspentTokens: Long = Long.MAX_VALUE,
     ): Long {
         val shortTokens = maxOf(0, neededTokens - account.availableTokens)
         if (shortTokens > freeTokens) return 0
-        val heldTokens = maxOf(wantedTokens(account), (freeTokens * freeShare).toLong())
+        val demandedTokens = maxOf(wantedTokens(account), (freeTokens * freeShare).toLong())
+        val heldTokens = minOf(demandedTokens, (unspentTokens * heldPart).toLong())
         val wantedTokens = heldTokens - account.availableTokens
         val cappedTokens = minOf(wantedTokens, (freeTokens * grantFraction).toLong())
         return maxOf(shortTokens, cappedTokens)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -244,6 +244,7 @@
     private fun budgetPolicy() =
         settings.budget.copy(
             freeShare = HELD_SHARE / routerCount(),
+            heldPart = minOf(1.0, MOST_HELD_SHARE / routerCount()),
             grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount()),
         )
 
@@ -287,6 +288,9 @@
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
         const val HELD_SHARE = 0.45
+
+        /** Above [HELD_SHARE], because demand is not the same at all routers. */
+        const val MOST_HELD_SHARE = 0.6
         const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
