--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -231,8 +231,19 @@
         before: RoutingTable?,
         now: RoutingTable,
     ) {
-        val paidBefore = before?.workspaces?.associate { it.workspace to it.prepaidTokens }
-        if (paidBefore != now.workspaces.associate { it.workspace to it.prepaidTokens }) budget.callPlatformAgain()
+        val paidBefore = before?.workspaces?.associate { it.workspace to it.prepaidTokens }.orEmpty()
+        val changed = now.workspaces.filter { it.prepaidTokens != paidBefore[it.workspace] }
+        if (changed.isEmpty()) return
+        budget.callPlatformAgain()
+        for (workspace in changed.take(MAX_LOGGED_WORKSPACES)) {
+            log.info(
+                "config.prepaid",
+                "workspace" to workspace.workspace,
+                "version" to now.version,
+                "before" to paidBefore[workspace.workspace],
+                "tokens" to workspace.prepaidTokens,
+            )
+        }
     }
 
     private fun paidTotalOf(workspace: WorkspaceId): PaidTotal? {
@@ -287,6 +298,7 @@
     private companion object {
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
+        const val MAX_LOGGED_WORKSPACES = 32
         const val HELD_SHARE = 0.45
 
         /** Above [HELD_SHARE], because demand is not the same at all routers. */
