gateway: charge a workspace for what its callers got

Cause: the input of runs whose answer was lost was charged. Change: TokenBudget.settle charges nothing unless a part of an answer went to the caller.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.ImmutableList
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * One version of the forwarding configuration.
@@ -43,6 +44,6 @@
     companion object {
         /** Returns the form in which keys are held; lookups by it reveal nothing of a key through their timing. */
         fun hashOf(key: String): String =
-            MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+            HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/TokenBudget.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/TokenBudget.kt
@@ -28,9 +28,9 @@
     }
 
     /**
-     * Charges the input once and the output that was delivered.
+     * Charges the input once and the output that was delivered; a workspace whose caller got no part of an answer pays nothing.
      *
-     * An endpoint that may have run the call is taken to have read the input.
+     * Events count as delivered when they are written to the caller's connection.
      */
     fun settle(
         call: ForwardCall,
@@ -38,7 +38,7 @@
     ) {
         if (reservation == null) return
         val input = call.headers.prompt?.inputTokens ?: 0
-        val used = if (call.mayHaveRun) input + call.deliveredEvents.toLong() * call.tokensPerEvent else 0
+        val used = if (call.isAnswerBegun) input + call.deliveredEvents.toLong() * call.tokensPerEvent else 0
         agent.settle(reservation, used)
     }
 
