--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -336,8 +336,7 @@
             val seenChanges = slot.changes.value
             val failure = refill(slot, tokens, remainingMillis)
             tryReserve(slot, request, tokens)?.let { return Ok(it) }
-            val isFinal = failure is RefillFailure.Insufficient && !slot.policy.waitsForTopUps
-            if (isClosed || isFinal || failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) {
+            if (isClosed || isFinal(slot, failure)) {
                 return refused(refusal(slot, tokens, failure))
             }
             remainingMillis = minOf(remainingMillis, deadlineMillis - nowMillis())
@@ -349,6 +348,17 @@
         }
     }
 
+    /** Whether waiting can't change [failure]. */
+    private fun isFinal(
+        slot: AccountSlot,
+        failure: RefillFailure?,
+    ): Boolean =
+        when (failure) {
+            is RefillFailure.Closed, RefillFailure.UnknownWorkspace -> true
+            is RefillFailure.Insufficient -> !slot.policy.waitsForTopUps
+            is RefillFailure.Unavailable, null -> false
+        }
+
     /** Joins the refill under way or makes one; returns null when it covered the need, else why not. */
     private suspend fun refill(
         slot: AccountSlot,
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/core/RendezvousHash.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/core/RendezvousHash.kt
@@ -16,7 +16,20 @@
         key: String,
         candidates: Iterable<T>,
         identity: (T) -> String,
-    ): List<T> = candidates.sortedWith(compareByDescending<T> { score(key, identity(it)) }.thenBy { identity(it) })
+    ): List<T> {
+        val keyHash = hash(key)
+        return candidates
+            .map { Scored(it, identity(it), mix(keyHash xor mix(hash(identity(it))))) }
+            .sortedWith(compareByDescending<Scored<T>> { it.score }.thenBy { it.identity })
+            .map { it.candidate }
+    }
+
+    /** A candidate with its score, which is computed once and not for each comparison. */
+    private class Scored<T>(
+        val candidate: T,
+        val identity: String,
+        val score: Long,
+    )
 
     /** Returns the score of [candidate] for [key]; the same on every JVM. */
     fun score(
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/DirectoryPolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/DirectoryPolicy.kt
@@ -9,5 +9,9 @@
  * within about two seconds of its return.
  */
 data class DirectoryPolicy(
-    val returnGrace: Duration = Duration.ofMillis(1_900),
-)
+    val returnGrace: Duration = RETURN_GRACE,
+) {
+    private companion object {
+        val RETURN_GRACE: Duration = Duration.ofMillis(1_900)
+    }
+}
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
@@ -17,9 +17,14 @@
     val loadBound: Double = 1.5,
     val loadMargin: Int = 3,
     val otherZoneLoad: Double = 0.25,
-    val firstEjection: Duration = Duration.ofMillis(400),
+    val firstEjection: Duration = FIRST_EJECTION,
     val maxEjection: Duration = Duration.ofSeconds(3),
-    val fullPause: Duration = Duration.ofMillis(150),
+    val fullPause: Duration = FULL_PAUSE,
     val failureWindow: Double = 0.15,
     val failureShareBound: Double = 0.3,
-)
+) {
+    private companion object {
+        val FIRST_EJECTION: Duration = Duration.ofMillis(400)
+        val FULL_PAUSE: Duration = Duration.ofMillis(150)
+    }
+}
--- /dev/null
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -0,0 +1,83 @@
+package io.limpetfold.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.EndpointId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.directory.Endpoint
+import io.limpetfold.directory.EndpointDirectory
+import java.time.Duration
+import kotlin.random.Random
+
+class EndpointPickerTest :
+    FunSpec({
+        fun directory(
+            count: Int,
+            zones: Int = 1,
+        ) = EndpointDirectory().also { directory ->
+            val endpoints =
+                (1..count).map {
+                    Endpoint(EndpointId("i-$it"), 1, "s", "10.0.0.$it", 80, ZoneId("z${it % zones}"), "v1", 6)
+                }
+            directory.listed(endpoints, 1, NOW)
+        }
+
+        fun picker(
+            directory: EndpointDirectory,
+            seed: Int = 1,
+        ) = EndpointPicker(directory, ZoneId("z0"), random = Random(seed))
+
+        test("guards against routers that send one session to different engines and read its prompt again") {
+            val directory = directory(13)
+            val chosen = (1..8).map { seed -> picker(directory, seed).pick(PickRequest("s", "session-1"), NOW)?.endpoint?.endpoint }
+            chosen.toSet() shouldHaveSize 1
+        }
+
+        test("guards against a hot key that fills one engine while the others are idle") {
+            val picker = picker(directory(8))
+            val states = (1..40).map { picker.pick(PickRequest("s", "hot"), NOW).shouldNotBeNull().also(picker::started) }
+            states.maxOf { it.inFlight } shouldBeLessThanOrEqual 16
+            states.distinct().size shouldBeGreaterThan 2
+        }
+
+        test("guards against calls for an endpoint that does not answer, and against none when all fail") {
+            val picker = picker(directory(2))
+            val failing = picker.pick(PickRequest("s", "k"), NOW).shouldNotBeNull()
+            picker.started(failing)
+            picker.ended(failing, CallOutcome.UNREACHABLE, NOW)
+            val other = picker.pick(PickRequest("s", "k"), NOW).shouldNotBeNull()
+            (other === failing) shouldBe false
+            picker.started(other)
+            picker.ended(other, CallOutcome.UNREACHABLE, NOW)
+            picker.pick(PickRequest("s", "k"), NOW).shouldNotBeNull()
+            picker.pick(PickRequest("s", "k", setOf(failing.endpoint.endpoint, other.endpoint.endpoint)), NOW) shouldBe null
+        }
+
+        test("guards against an endpoint that fails a part of its calls and keeps its share") {
+            val picker = picker(directory(4))
+            val counts = HashMap<String, Int>()
+            repeat(800) {
+                val state = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
+                picker.started(state)
+                val id = state.endpoint.endpoint.value
+                counts.merge(id, 1, Int::plus)
+                val isFailure = id == "i-1" && it % 2 == 0
+                picker.ended(state, if (isFailure) CallOutcome.FAILED else CallOutcome.SUCCEEDED, NOW)
+            }
+            counts.getValue("i-1") shouldBeLessThanOrEqual 140
+        }
+
+        test("guards against calls that cross zones while the own zone has room") {
+            val picker = picker(directory(4, zones = 2))
+            val state = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
+            state.endpoint.zone shouldBe ZoneId("z0")
+        }
+    }) {
+    private companion object {
+        val NOW: Duration = Duration.ofSeconds(1)
+    }
+}
--- /dev/null
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/RetryAllowanceTest.kt
@@ -0,0 +1,38 @@
+package io.limpetfold.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import java.time.Duration
+import kotlin.random.Random
+
+class RetryAllowanceTest :
+    FunSpec({
+        test("guards against a fleet that repeats more in any window than its bound when every call fails") {
+            val policy = RetryPolicy(share = 0.2, slack = 54.0, window = Duration.ofSeconds(10))
+            for (seed in 1..20) {
+                val random = Random(seed)
+                val routers = List(8) { RetryAllowance(policy) }
+                val calls = mutableListOf<Long>()
+                val repeats = mutableListOf<Long>()
+                for (millis in 0L until 60_000L step 10) {
+                    // Traffic jumps and pauses, so that windows with few calls follow ones with many.
+                    val perStep = if (millis / 7_000 % 2 == 0L) 4 else 0
+                    repeat(random.nextInt(perStep + 1)) {
+                        val router = routers[random.nextInt(routers.size)]
+                        router.onCall(Duration.ofMillis(millis))
+                        calls += millis
+                        if (router.tryAcquire(routers.size, Duration.ofMillis(millis))) repeats += millis
+                    }
+                }
+                repeats.size shouldBeGreaterThan 0
+                for (end in 10_000L..60_000L step 250) {
+                    val repeated = repeats.count { it in (end - 10_000) until end }
+                    val counted = calls.count { it in (end - 10_000) until end }
+                    val before = calls.count { it in (end - 20_000) until (end - 10_000) }
+                    val half = calls.count { it in (end - 15_000) until (end - 5_000) }
+                    repeated shouldBeLessThanOrEqual (0.2 * maxOf(counted, before, half) + 54).toInt()
+                }
+            }
+        }
+    })
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -221,15 +221,13 @@
         val isChunked = encodings.size == 1 && encodings[0].equals("chunked", ignoreCase = true)
         val isBodiless = running.request.method == "HEAD" || status == NO_CONTENT || status == NOT_MODIFIED
         val isUnframed = !isBodiless && !isChunked && headers["Content-Length"] == null
-        val echo = headers[settings.requestIdHeader]
-        val isEchoRequired = running.request.echo == EchoRule.REQUIRED
         when {
             running.isAnswered -> onUnsolicited()
             status < OK -> fail(malformed("status $status is not supported"))
             encodings.isNotEmpty() && !isChunked -> fail(malformed("Transfer-Encoding is not exactly 'chunked'"))
             // Without a length a truncated answer looks like a whole one.
             isUnframed && !settings.acceptsUnframedAnswers -> fail(malformed("the answer has no length"))
-            running.requestId != null && (if (echo == null) isEchoRequired else echo != running.requestId) -> {
+            !isEchoRight(running, headers) -> {
                 owner.onIdentityMismatch(this)
                 fail(UpstreamFailure(UpstreamError.Reason.IDENTITY_MISMATCH, "$address answered another request"))
             }
@@ -252,6 +250,15 @@
         }
     }
 
+    private fun isEchoRight(
+        running: ClientExchange,
+        headers: Headers,
+    ): Boolean {
+        val sent = running.requestId ?: return true
+        val echo = headers[settings.requestIdHeader] ?: return running.request.echo != EchoRule.REQUIRED
+        return echo == sent
+    }
+
     /** A request sent as the endpoint closes an idle connection is lost with an unknown outcome, so the connection is left alone before. */
     private fun keepAliveLimit(headers: Headers): Duration {
         val seconds = headers["Keep-Alive"]?.let { KEEP_ALIVE_SECONDS.find(it) }?.groupValues?.get(1)?.toLong()
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
@@ -20,12 +20,13 @@
     val pooledIdleTimeout: Duration = DEFAULT_TIMEOUT,
     val maxConnectionsPerAddress: Int = DEFAULT_MAX_CONNECTIONS,
     val maxHeaderBytes: Int = DEFAULT_MAX_HEADER_BYTES,
-    val keepAliveMargin: Duration = Duration.ofMillis(500),
+    val keepAliveMargin: Duration = KEEP_ALIVE_MARGIN,
     val requestIdHeader: String = "X-Request-Id",
     val acceptsUnframedAnswers: Boolean = false,
 ) {
     private companion object {
         val DEFAULT_TIMEOUT: Duration = Duration.ofSeconds(30)
+        val KEEP_ALIVE_MARGIN: Duration = Duration.ofMillis(500)
         const val DEFAULT_MAX_CONNECTIONS = 1024
         const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
     }
