--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -16,12 +16,20 @@
  * @property retryAfterMax the longest such `Retry-After`; the times are spread between both so that callers do not return at once.
  */
 data class CallPolicy(
-    val maxBodyBytes: Int = 4 * 1024 * 1024,
-    val maxHeldAnswerBytes: Int = 256 * 1024,
-    val budgetPatience: Duration = Duration.ofMillis(600),
+    val maxBodyBytes: Int = MAX_BODY_BYTES,
+    val maxHeldAnswerBytes: Int = MAX_HELD_ANSWER_BYTES,
+    val budgetPatience: Duration = BUDGET_PATIENCE,
     val shortestSend: Duration = Duration.ofMillis(20),
     val maxConnectFailures: Int = 4,
-    val stallTimeout: Duration = Duration.ofMillis(700),
+    val stallTimeout: Duration = STALL_TIMEOUT,
     val retryAfterMin: Duration = Duration.ofMillis(60),
-    val retryAfterMax: Duration = Duration.ofMillis(250),
-)
+    val retryAfterMax: Duration = RETRY_AFTER_MAX,
+) {
+    private companion object {
+        const val MAX_BODY_BYTES = 4 * 1024 * 1024
+        const val MAX_HELD_ANSWER_BYTES = 256 * 1024
+        val BUDGET_PATIENCE: Duration = Duration.ofMillis(600)
+        val STALL_TIMEOUT: Duration = Duration.ofMillis(700)
+        val RETRY_AFTER_MAX: Duration = Duration.ofMillis(250)
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalWriter.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalWriter.kt
@@ -1,6 +1,5 @@
 package io.limpetfold.gateway.call
 
-import io.limpetfold.http.CallerGoneException
 import io.limpetfold.http.ErrorBody
 import io.limpetfold.http.Headers
 import io.limpetfold.http.HttpExchange
@@ -35,8 +34,6 @@
             withTimeoutOrNull(DRAIN_WAIT.toMillis()) { exchange.readBody(DRAINED_BYTES) }
         } catch (_: RequestBodyException) {
             // The answer closes the connection, which is all that a body that is not read to its end needs.
-        } catch (e: CallerGoneException) {
-            throw e
         }
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StopPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StopPolicy.kt
@@ -10,7 +10,12 @@
  * @property closeReserve the part of [grace] that is kept for the return of grants and the close.
  */
 data class StopPolicy(
-    val balancerWait: Duration = Duration.ofMillis(2_300),
+    val balancerWait: Duration = BALANCER_WAIT,
     val grace: Duration = Duration.ofSeconds(8),
-    val closeReserve: Duration = Duration.ofMillis(700),
-)
+    val closeReserve: Duration = CLOSE_RESERVE,
+) {
+    private companion object {
+        val BALANCER_WAIT: Duration = Duration.ofMillis(2_300)
+        val CLOSE_RESERVE: Duration = Duration.ofMillis(700)
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/FeedPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/FeedPolicy.kt
@@ -9,7 +9,12 @@
  * @property backoffMin the first pause after a failed call; doubles up to [backoffMax], with jitter.
  */
 data class FeedPolicy(
-    val watchWait: Duration = Duration.ofMillis(2_000),
+    val watchWait: Duration = WATCH_WAIT,
     val backoffMin: Duration = Duration.ofMillis(60),
-    val backoffMax: Duration = Duration.ofMillis(600),
-)
+    val backoffMax: Duration = BACKOFF_MAX,
+) {
+    private companion object {
+        val WATCH_WAIT: Duration = Duration.ofMillis(2_000)
+        val BACKOFF_MAX: Duration = Duration.ofMillis(600)
+    }
+}
