budget: split the agent by duty; http: tests of endpoints' habits; gateway: gauges

Cause: BudgetAgent had grown to 672 lines with four duties; the client's new rules (Keep-Alive, answers without a length, echo field, host) had no test of their own; unused fields. Ruled out: splitting the reservation loop too (its steps share the slot's state closely). Change: LedgerSync and PeerTransfers hold the calls to the store and to peers; EndpointHabitsTest; four gauges; warmUpMillis and an unused function are gone. Behaviour is unchanged.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -4,22 +4,17 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.get
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.peer.PeerNetwork
-import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.StoreError
-import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
-import io.limpetfold.store.Versioned
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.time.Duration
@@ -50,14 +45,14 @@
 class BudgetAgent(
     private val self: Incarnation,
     private val store: ObjectStore,
-    private val peers: PeerNetwork,
+    peers: PeerNetwork,
     private val policyOf: (WorkspaceId) -> BudgetPolicy = { BudgetPolicy.availability },
     timeSource: TimeSource = TimeSource.Monotonic,
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
     private val listener: BudgetListener = BudgetListener.NONE,
     private val reportsPerRound: Int = 1,
     private val predecessorSpend: PredecessorSpend = PredecessorSpend.NONE,
-    private val paidTotalOf: (WorkspaceId) -> PaidTotal? = { null },
+    paidTotalOf: (WorkspaceId) -> PaidTotal? = { null },
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
     private val start = timeSource.markNow()
@@ -70,13 +65,12 @@
     @Volatile
     private var isClosed = false
 
-    /** Until then callers go to peers at once, because the platform has just failed; 0 when it has not. */
-    @Volatile
-    private var platformAvoidedUntilMillis = 0L
+    private val ledgers = LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis)
+    private val transfers = PeerTransfers(self, peers, random, listener) { slots[it] }
 
     init {
         require(reportsPerRound > 0) { "reportsPerRound must be positive" }
-        peers.handle(TRANSFER_TOPIC) { from, message -> give(from, message) }
+        peers.handle(TRANSFER_TOPIC) { from, message -> transfers.give(from, message) }
     }
 
     /**
@@ -120,7 +114,7 @@
         val slot = enter(workspace) ?: return false
         return try {
             if (slot.locked { account.sequence } > 0) return true
-            synchronise(slot) { account, free, unspent -> grantFor(slot, 0, account, free, unspent) }
+            ledgers.synchronise(slot) { account, free, unspent -> grantFor(slot, 0, account, free, unspent) }
             slot.locked { account.sequence } > 0
         } finally {
             slot.leave(nowMillis())
@@ -168,7 +162,7 @@
 
     /** Lets the next attempt for each workspace call the platform at once, as when it answers again or what they have paid has changed. */
     fun callPlatformAgain() {
-        platformAvoidedUntilMillis = 0
+        ledgers.callPlatformAgain()
         slots.values.forEach { slot ->
             slot.locked {
                 failure = null
@@ -198,14 +192,14 @@
     }
 
     private suspend fun maintain(slot: AccountSlot) {
-        val outcome = synchronise(slot) { account, free, unspent -> if (slot.isLow(nowMillis())) grantFor(slot, 0, account, free, unspent) else 0 }
+        val outcome = ledgers.synchronise(slot) { account, free, unspent -> if (slot.isLow(nowMillis())) grantFor(slot, 0, account, free, unspent) else 0 }
         // While the platform is down, idle tokens stay where peers can get them.
         if (outcome !is RefillFailure.Insufficient && outcome !is RefillFailure.UnknownWorkspace) return
         reclaimPredecessor(slot)
         if (forget(slot)) {
             closeForgotten(slot)
         } else if (returnIdle(slot)) {
-            synchronise(slot) { _, _, _ -> 0 }
+            ledgers.synchronise(slot) { _, _, _ -> 0 }
         }
     }
 
@@ -237,8 +231,8 @@
 
     private suspend fun closeForgotten(slot: AccountSlot) {
         slot.locked { syncedAtMillis = nowMillis() }
-        val error = closeSlot(slot)
-        if (error == null) leaving -= slot else unavailable(slot, error.message)
+        val error = ledgers.close(slot)
+        if (error == null) leaving -= slot else ledgers.unavailable(slot, error.message)
     }
 
     /** Closes at most one entry, so that a round makes a bounded number of writes; the next read shows the others again. */
@@ -247,7 +241,7 @@
             val spentTokens = predecessorSpend.find(holder, slot.workspace) ?: continue
             BudgetLedgers(store).reclaim(slot.workspace, holder, spentTokens).fold(
                 success = { log.info("budget: closed the entry of an ended process workspace={} holder={}", slot.workspace, holder) },
-                failure = { if (it is UpdateError.Failed) unavailable(slot, it.error.message) },
+                failure = { if (it is UpdateError.Failed) ledgers.unavailable(slot, it.error.message) },
             )
             return
         }
@@ -262,7 +256,7 @@
         var firstError: StoreError? = null
         val all = slots.values + leaving
         all.forEach { slot -> slot.change { it.closing() } }
-        all.forEach { slot -> closeSlot(slot)?.let { error -> firstError = firstError ?: error } }
+        all.forEach { slot -> ledgers.close(slot)?.let { error -> firstError = firstError ?: error } }
         return firstError?.let { Err(it) } ?: Ok(Unit)
     }
 
@@ -426,18 +420,18 @@
         val acquiredBefore = slot.locked { account.acquiredTokens }
         // While the platform is known to be away, a caller's patience is spent on peers.
         val knownFailure =
-            if (nowMillis() < platformAvoidedUntilMillis) {
+            if (ledgers.isPlatformAvoided) {
                 RefillFailure.Unavailable("it failed a moment ago")
             } else {
                 slot.locked { failure.takeIf { isDelayed(tokens, nowMillis()) } }
             }
-        val failure = knownFailure ?: synchronise(slot) { account, free, unspent -> grantFor(slot, tokens, account, free, unspent) }
+        val failure = knownFailure ?: ledgers.synchronise(slot) { account, free, unspent -> grantFor(slot, tokens, account, free, unspent) }
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
         // Other callers may have taken the grant already; the platform is not short of tokens then.
         val isGranted = slot.locked { account.acquiredTokens } > acquiredBefore
         if (failure is RefillFailure.Insufficient && (isGranted || failure.freeTokens >= tokens)) return null
-        askPeers(slot, tokens, patienceMillis)
+        transfers.ask(slot, tokens, patienceMillis)
         if (slot.locked { account.availableTokens } >= tokens) return null
         slot.locked { peersAskedAtMillis = nowMillis() }
         return if (failure is RefillFailure.Insufficient) failure.copy(neededTokens = tokens) else failure
@@ -455,187 +449,6 @@
         return if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens, unspentTokens)
     }
 
-    /** Reads the ledger and writes what it lacks; returns null or [RefillFailure.Insufficient] when the platform answered. */
-    private suspend fun synchronise(
-        slot: AccountSlot,
-        grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
-    ): RefillFailure? =
-        slot.platformAccess.withLock {
-            slot.policy = policyOf(slot.workspace)
-            repeat(2) { round ->
-                if (isClosed || slot.locked { account.state } != AccountState.OPEN) return RefillFailure.Closed
-                slot.locked {
-                    isRegistering = true
-                    syncedAtMillis = nowMillis()
-                }
-                val snapshot = slot.change { it.writing() }
-                var isOwnWriteUnseen = false
-                val written =
-                    ledger(slot).update<LedgerRefusal>({ (it.holders[slot.holder.key]?.sequence ?: 0) > snapshot.sequence }) { stored ->
-                        val ledger = withPaidTotal(slot.workspace, stored)
-                        if (ledger == null) {
-                            Change.Refuse(LedgerRefusal.UnknownWorkspace)
-                        } else {
-                            isOwnWriteUnseen = (ledger.holders[slot.holder.key]?.sequence ?: snapshot.sequence) != snapshot.sequence
-                            ledger.update(slot.holder, snapshot.update()) { grantSize(snapshot, it, ledger.unspentTokens) }.fold(
-                                success = { if (it === stored) Change.Keep else Change.Write(it) },
-                                failure = { Change.Refuse(it) },
-                            )
-                        }
-                    }
-                val failure = written.fold({ observed(slot, it) }, { failureOf(slot, it) })
-                // A write with a lost answer was found and credited; what it lacks is written in a second round.
-                if (round > 0 || failure !is RefillFailure.Insufficient || !isOwnWriteUnseen) return failure
-            }
-            null
-        }
-
-    private fun withPaidTotal(
-        workspace: WorkspaceId,
-        stored: BudgetLedger?,
-    ): BudgetLedger? {
-        val total = paidTotalOf(workspace) ?: return stored
-        return (stored ?: BudgetLedger()).withPaidTotal(total)
-    }
-
-    private fun observed(
-        slot: AccountSlot,
-        seen: Versioned<BudgetLedger>,
-    ): RefillFailure {
-        val ledger = checkNotNull(seen.value) { "an accepted change leaves a ledger" }
-        platformAvoidedUntilMillis = 0
-        val before = slot.locked { account }
-        val after = slot.change { it.observe(ledger, seen.version) }
-        if (after.state == AccountState.ENDED) logEnded(slot)
-        val predecessors = predecessorsIn(ledger)
-        slot.locked {
-            this.predecessors = predecessors
-            freeTokensSeen = maxOf(0, ledger.freeTokens)
-            mostHeldTokens = (ledger.unspentTokens * policy.heldPart).toLong()
-            sharedFreeTokens = (maxOf(0, ledger.freeTokens) * policy.freeShare).toLong()
-        }
-        listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens))
-        return RefillFailure.Insufficient(0, ledger.freeTokens)
-    }
-
-    private fun predecessorsIn(ledger: BudgetLedger): ImmutableList<Incarnation> =
-        ledger.holders
-            .filter { (key, entry) -> !entry.isEnded && key.startsWith(self.instance.value) }
-            .mapNotNull { Incarnation.parse(it.key) }
-            .filter { it.instance == self.instance && it.number < self.number }
-            .toImmutableList()
-
-    private fun failureOf(
-        slot: AccountSlot,
-        error: UpdateError<LedgerRefusal>,
-    ): RefillFailure =
-        when (error) {
-            is UpdateError.Failed -> unavailable(slot, error.error.message)
-            is UpdateError.Refused ->
-                when (val reason = error.reason) {
-                    is LedgerRefusal.UnknownWorkspace -> RefillFailure.UnknownWorkspace
-                    is LedgerRefusal.HolderEnded -> {
-                        slot.change { it.copy(state = AccountState.ENDED) }
-                        logEnded(slot)
-                        RefillFailure.Closed
-                    }
-                    else -> unavailable(slot, reason.message)
-                }
-        }
-
-    private fun unavailable(
-        slot: AccountSlot,
-        message: String,
-    ): RefillFailure {
-        platformAvoidedUntilMillis = nowMillis() + slot.policy.maxRetryDelay.toMillis()
-        listener.onEvent(BudgetEvent.PlatformFailed(slot.workspace, message))
-        return RefillFailure.Unavailable(message)
-    }
-
-    private fun logEnded(slot: AccountSlot) =
-        log.warn("budget: the entry was reclaimed while its holder runs workspace={} holder={}", slot.workspace, slot.holder)
-
-    private suspend fun askPeers(
-        slot: AccountSlot,
-        tokens: Long,
-        patienceMillis: Long,
-    ) {
-        val timeout = if (patienceMillis > 0) minOf(slot.policy.peerTimeout, Duration.ofMillis(patienceMillis)) else slot.policy.peerTimeout
-        val asked = peersByUnspentTokens(slot)
-        asked.take(if (patienceMillis > 0) asked.size else slot.policy.peersAsked).forEachIndexed { index, peer ->
-            if (slot.locked { account.availableTokens } >= tokens) return
-            val receivedTokens = askPeer(slot, peer, tokens, timeout)
-            if (receivedTokens == 0L && index + 1 >= slot.policy.peersAsked) return
-        }
-    }
-
-    /** The reachable holders, those with the most unspent tokens first and equal ones in random order. */
-    private fun peersByUnspentTokens(slot: AccountSlot): List<Incarnation> {
-        val reachable = peers.reachable()
-        val unspent = slot.locked { account }.openPeers
-        val known = unspent.keys.mapNotNull { Incarnation.parse(it) }.filter { it.instance in reachable }
-        return synchronized(random) { known.sorted().shuffled(random) }.sortedByDescending { unspent[it.key] }
-    }
-
-    /** Returns the tokens that the peer gave. */
-    private suspend fun askPeer(
-        slot: AccountSlot,
-        peer: Incarnation,
-        tokens: Long,
-        timeout: Duration,
-    ): Long {
-        val account = slot.locked { account }
-        val neededTokens = tokens - account.availableTokens
-        val wantedTokens = maxOf(neededTokens, slot.policy.wantedTokens(account))
-        val seenTokens = account.receivedTokens[peer.key] ?: 0
-        val request = TransferRequest(slot.workspace, peer, slot.holder, neededTokens, wantedTokens, seenTokens)
-        val reply = peers.ask(peer.instance, TRANSFER_TOPIC, request, timeout).get()
-        if (reply == null || reply.sender != peer) {
-            slot.change { it.heard(peer.key, 0) }
-            return 0
-        }
-        val after = slot.change { it.receive(peer.key, reply.totalTokens).heard(peer.key, reply.availableTokens) }
-        val receivedTokens = (after.receivedTokens[peer.key] ?: 0) - seenTokens
-        if (receivedTokens > 0) listener.onEvent(BudgetEvent.TransferReceived(slot.workspace, peer.instance, receivedTokens))
-        return receivedTokens
-    }
-
-    /** Answers a peer that needs tokens: lowers the own account first, then tells the total. */
-    private fun give(
-        from: Incarnation,
-        message: TransferRequest,
-    ): TransferReply {
-        val slot = slots[message.workspace]
-        val receiver = message.receiver
-        val isOwn = receiver.instance == from.instance && receiver.number >= from.number
-        if (slot == null || message.sender != slot.holder || !isOwn) return TransferReply(self, 0, 0)
-        var sentTokens = 0L
-        val after =
-            slot.change {
-                sentTokens = it.sendable(receiver.key, message, slot.policy.transferFraction)
-                it.send(receiver.key, sentTokens)
-            }
-        if (sentTokens > 0) listener.onEvent(BudgetEvent.TransferSent(slot.workspace, from.instance, sentTokens))
-        return TransferReply(slot.holder, after.sentTokens[receiver.key] ?: 0, after.availableTokens)
-    }
-
-    private suspend fun closeSlot(slot: AccountSlot): StoreError? =
-        slot.platformAccess.withLock {
-            val account = slot.locked { account }
-            if (account.state != AccountState.CLOSING) return null
-            if (slot.locked { isRegistering }) {
-                val error =
-                    ledger(slot)
-                        .update<Nothing>({ it.holders[slot.holder.key]?.isEnded ?: true }) { ledger ->
-                            val closed = ledger?.close(slot.holder, account.update())
-                            if (closed == null || closed === ledger) Change.Keep else Change.Write(closed)
-                        }.fold({ null }, { (it as UpdateError.Failed).error })
-                if (error != null) return error
-            }
-            slot.change { it.copy(state = AccountState.CLOSED) }
-            null
-        }
-
     private fun refusal(
         slot: AccountSlot,
         tokens: Long,
@@ -658,9 +471,6 @@
         return Err(refusal)
     }
 
-    private fun ledger(slot: AccountSlot) =
-        TypedObject(store, BudgetLedgers.keyOf(slot.workspace), BudgetLedger.serializer())
-
     private fun nowMillis(): Long = start.elapsedNow().inWholeMilliseconds
 
     private companion object {
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
@@ -10,7 +10,6 @@
  * @property startedAtMillis when the process started, in Unix time; together with [endpoint] it names one incarnation. 0 when not told.
  * @property slots calls that the endpoint processes at once.
  * @property isDraining the endpoint finishes its calls and must get no new ones.
- * @property warmUpMillis how long the endpoint stays slow after its start.
  */
 @Serializable
 data class Endpoint(
@@ -23,5 +22,4 @@
     val version: String,
     val slots: Int,
     val isDraining: Boolean = false,
-    val warmUpMillis: Long = 0,
 )
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -59,9 +59,6 @@
         states.keys.removeIf { it !in known }
     }
 
-    /** Calls of this router that the endpoints of [service] hold. */
-    fun inFlight(service: String): Int = states.values.filter { it.endpoint.service == service }.sumOf { it.inFlight }
-
     /** Leaves out ejected endpoints; when all are ejected, the one whose ejection ends first is tried. */
     private fun inRotation(
         usable: List<EndpointState>,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -124,6 +124,7 @@
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
         sync.register()
+        registerGauges()
         operators.start()
         callers.start()
         startFeeds()
@@ -152,6 +153,13 @@
         log.info("router.stopped", "idle" to isIdle)
     }
 
+    private fun registerGauges() {
+        metrics.gauge("limpetfold_calls_running", "Calls being handled") { callers.runningCount.toDouble() }
+        metrics.gauge("limpetfold_config_version", "Version of the configuration in force") { (routing.current?.version ?: 0).toDouble() }
+        metrics.gauge("limpetfold_routers_heard", "Other routers heard a moment ago") { membership.members().size.toDouble() }
+        metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
+    }
+
     private fun startFeeds() {
         scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, random = random).run() }
         scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, random = random).run() }
--- /dev/null
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointHabitsTest.kt
@@ -0,0 +1,111 @@
+package io.limpetfold.http
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.delay
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.time.Duration
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+class EndpointHabitsTest :
+    FunSpec({
+        suspend fun withClient(
+            settings: UpstreamSettings,
+            test: suspend (UpstreamClient) -> Unit,
+        ) = HttpEventLoops(threads = 1).use { loops -> UpstreamClient(settings, loops, BufferBudget()).use { test(it) } }
+
+        suspend fun UpstreamClient.fetch(
+            address: UpstreamAddress,
+            headers: Headers = Headers.EMPTY,
+        ): String? = send(address, UpstreamRequest("GET", "/", headers)).get()?.use { it.readAll(MAX_BYTES).get()?.decodeToString() }
+
+        test("guards against a request on a connection that its endpoint is about to close") {
+            RawServer { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=1\r\n\r\nok" }.use { server ->
+                withClient(UpstreamSettings(keepAliveMargin = Duration.ofMillis(900))) { client ->
+                    client.fetch(server.address) shouldBe "ok"
+                    delay(250)
+                    client.fetch(server.address) shouldBe "ok"
+                    server.connections.get() shouldBe 2
+                }
+            }
+        }
+
+        test("guards against an answer that ends with its connection and is refused, or is taken for whole after a reset") {
+            val unframed = "HTTP/1.1 200 OK\r\n\r\nwhole"
+            val settings = UpstreamSettings(acceptsUnframedAnswers = true)
+            RawServer(Ending.CLOSE) { unframed }.use { server ->
+                withClient(settings) { it.fetch(server.address) shouldBe "whole" }
+                withClient(UpstreamSettings()) { it.send(server.address, UpstreamRequest("GET", "/")).getError().shouldNotBeNull() }
+            }
+            RawServer(Ending.RESET) { unframed }.use { server ->
+                withClient(settings) { it.fetch(server.address) shouldBe null }
+            }
+        }
+
+        test("guards against an answer to another request where the echo has a field of its own") {
+            RawServer { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nCall-Id: other\r\n\r\nok" }.use { server ->
+                withClient(UpstreamSettings(requestIdHeader = "Call-Id")) { client ->
+                    val request = UpstreamRequest("GET", "/", Headers.of("Call-Id" to "mine"))
+                    client.send(server.address, request).getError().shouldBeInstanceOf<UpstreamError.OutcomeUnknown>()
+                }
+            }
+        }
+
+        test("guards against a host of the caller that is replaced by the endpoint's address") {
+            RawServer { head -> "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n${Regex("(?i)host: (.{9})").find(head)?.groupValues?.get(1)}" }
+                .use { server ->
+                    withClient(UpstreamSettings()) { it.fetch(server.address, Headers.of("Host" to "h.example")) shouldBe "h.example" }
+                }
+        }
+    }) {
+    private enum class Ending { KEEP, CLOSE, RESET }
+
+    /** Answers each request with the raw bytes that [answer] makes of its head. */
+    private class RawServer(
+        private val ending: Ending = Ending.KEEP,
+        private val answer: (head: String) -> String,
+    ) : AutoCloseable {
+        private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+        val connections = AtomicInteger()
+        val address = UpstreamAddress("127.0.0.1", listener.localPort)
+
+        init {
+            thread(isDaemon = true) {
+                while (!listener.isClosed) {
+                    val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                    connections.incrementAndGet()
+                    thread(isDaemon = true) { runCatching { serve(socket) } }
+                }
+            }
+        }
+
+        private fun serve(socket: Socket) {
+            val input = socket.getInputStream().bufferedReader()
+            while (true) {
+                val head = generateSequence { input.readLine() }.takeWhile { it.isNotEmpty() }.toList()
+                if (head.isEmpty()) return
+                socket.getOutputStream().write(answer(head.joinToString("\n")).encodeToByteArray())
+                socket.getOutputStream().flush()
+                if (ending == Ending.KEEP) continue
+                Thread.sleep(ENDING_PAUSE_MILLIS)
+                if (ending == Ending.RESET) socket.setSoLinger(true, 0)
+                return socket.close()
+            }
+        }
+
+        override fun close() = listener.close()
+    }
+
+    private companion object {
+        const val MAX_BYTES = 1_000
+        const val BACKLOG = 50
+        const val ENDING_PAUSE_MILLIS = 100L
+    }
+}
