gateway: a class for the listing of routers; feeds pause after an empty watch

Cause: Gateway held the assembly and the listing of routers; a store whose watch returns at once kept the event loop busy. Ruled out: a bound on the rate of all calls (the feed is the only loop without a pause). Conclusion: behaviour on the platform differs by a pause of 20 ms after each empty watch.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -1,13 +1,10 @@
 package io.limpetfold.gateway
 
-import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpend
 import io.limpetfold.core.Incarnation
-import io.limpetfold.core.InstanceId
-import io.limpetfold.core.VersionId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
 import io.limpetfold.dispatch.EndpointPicker
@@ -24,6 +21,7 @@
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.gateway.observe.GatewayMetrics
 import io.limpetfold.gateway.operate.AccountOpener
+import io.limpetfold.gateway.operate.FleetListing
 import io.limpetfold.gateway.operate.OperatorHandler
 import io.limpetfold.gateway.operate.PeriodicWork
 import io.limpetfold.gateway.operate.Readiness
@@ -45,10 +43,8 @@
 import io.limpetfold.membership.Membership
 import io.limpetfold.membership.MembershipListener
 import io.limpetfold.membership.MembershipPolicy
-import io.limpetfold.peer.ListedInstance
 import io.limpetfold.peer.ktor.FleetKey
 import io.limpetfold.peer.ktor.KtorPeerNetwork
-import io.limpetfold.peer.ktor.PeerAddress
 import io.limpetfold.peer.ktor.PeerPolicy
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
@@ -90,13 +86,14 @@
     private val client = UpstreamClient(upstreamSettings(), loops, buffers, dispatcher = loops.dispatcher)
     private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), PEER_POLICY, random)
     private val instances = StoreInstanceDirectory(store, log)
-    private val routing = RoutingKeeper(settings.configKey, routingDecoder, log, { budget.callPlatformAgain() }, ::onRoutingChanged)
+    private val routing: RoutingKeeper = RoutingKeeper(settings.configKey, routingDecoder, log, { budget.callPlatformAgain() }, ::onRoutingChanged)
     private val directory = EndpointDirectory()
     private val directoryKeeper = DirectoryKeeper(directory, endpointDecoder, monotonic, log)
-    private val membership =
+    private val membership: Membership =
         Membership(self.instance, instances, peers, TimeSource.Monotonic, MEMBERSHIP_POLICY, memberEvents()) { heartbeat() }
+    private val listing: FleetListing = FleetListing(settings, instances, membership, peers, random, log)
     private val sync = PeerSync(peers, routing, directory, directoryKeeper, monotonic, loops.dispatcher)
-    private val budget =
+    private val budget: BudgetAgent =
         BudgetAgent(
             self,
             store,
@@ -130,8 +127,8 @@
         startFeeds()
         log.info("router.started", "instance" to self.instance, "incarnation" to self.number, "zone" to settings.zone)
         peers.start(settings.peers.host, settings.peers.port)
-        membership.seed(seeds())
-        connectPeers()
+        listing.seed()
+        listing.connect()
         startWork()
         metricsServer.start()
     }
@@ -171,10 +168,10 @@
     }
 
     private fun startWork() {
-        scope.launch { register() }
+        scope.launch { listing.register() }
         work.every(HALF_SECOND, "membership") {
             membership.maintain()
-            connectPeers()
+            listing.connect()
         }
         work.every(HALF_SECOND, "peer sync") { sync.maintain(membership.members()) }
         val accounts = AccountOpener(budget, { routing.current }, random)
@@ -187,37 +184,6 @@
         work.every(TEN_SECONDS, "endpoints") { picker.forgetGone(monotonic.now()) }
     }
 
-    private suspend fun register() {
-        val own =
-            ListedInstance(
-                self.instance,
-                ListedInstance.ROUTER_SERVICE,
-                VersionId("1"),
-                settings.zone,
-                settings.peers.host,
-                settings.peers.port,
-            )
-        while (true) {
-            val failure = instances.register(own).fold({ null }, { it.toString() }) ?: return
-            log.warn("router.not_listed", "reason" to failure)
-            delay(random.nextLong(HALF_SECOND.toMillis(), TWO_SECONDS.toMillis()))
-        }
-    }
-
-    private fun connectPeers() = peers.update(membership.connections().map { PeerAddress(it.instance, it.host, it.port) })
-
-    private fun seeds(): List<ListedInstance> =
-        settings.seedHosts.filter { it != self.instance.value }.map {
-            ListedInstance(
-                InstanceId(it),
-                ListedInstance.ROUTER_SERVICE,
-                VersionId("seed"),
-                settings.zone,
-                it,
-                settings.peers.port,
-            )
-        }
-
     private fun heartbeat() =
         Heartbeat(
             self,
@@ -262,14 +228,14 @@
     /** All routers together hold up to half of what is free, whatever their number. */
     private fun budgetPolicy() =
         settings.budget.copy(
-            freeShare = HELD_SHARE / routerCount(),
-            heldPart = minOf(1.0, MOST_HELD_SHARE / routerCount()),
-            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount()),
+            freeShare = HELD_SHARE / listing.routerCount,
+            heldPart = minOf(1.0, MOST_HELD_SHARE / listing.routerCount),
+            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / listing.routerCount),
         )
 
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
-        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries, ::routerCount)
+        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries) { listing.routerCount }
         return CallHandler(
             CallGate(codec, { routing.current }, random),
             TokenBudget(budget),
@@ -282,8 +248,6 @@
         )
     }
 
-    private fun routerCount(): Int = membership.listedRouters().size + 1
-
     private fun server(
         address: UpstreamAddress,
         handler: HttpHandler,
@@ -315,7 +279,6 @@
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
-        val TWO_SECONDS: Duration = Duration.ofSeconds(2)
         val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/FeedPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/FeedPolicy.kt
@@ -6,10 +6,12 @@
  * Times of an [ObjectFeed].
  *
  * @property watchWait how long one watch waits for a change; a connection that fell silent is noticed after this time and a call's timeout.
+ * @property pauseAfterEmpty the pause after a watch that ended without a change.
  * @property backoffMin the first pause after a failed call; doubles up to [backoffMax], with jitter.
  */
 data class FeedPolicy(
     val watchWait: Duration = WATCH_WAIT,
+    val pauseAfterEmpty: Duration = Duration.ofMillis(20),
     val backoffMin: Duration = Duration.ofMillis(60),
     val backoffMax: Duration = BACKOFF_MAX,
 ) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
@@ -46,6 +46,8 @@
             success = { page ->
                 position = maxOf(from, page.position)
                 listener.onChanged(page)
+                // A store that does not wait must not keep the event loop busy.
+                if (page.objects.isEmpty() && page.removed.isEmpty()) delay(policy.pauseAfterEmpty.toMillis())
                 null
             },
             failure = { it },
