--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -36,7 +36,8 @@
         }
     }
 
-    private companion object {
+    companion object {
+        /** Counts what the budget agent did, by event. */
         const val EVENTS = "limpetfold_budget_events"
     }
 }
--- /dev/null
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -0,0 +1,35 @@
+package io.limpetfold.gateway.observe
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Duration
+
+class GatewayMetricsPageTest :
+    FunSpec({
+        test("guards against a page that lacks a metric of the gateway or names one that does not exist, and against a workspace label") {
+            val metrics = GatewayMetrics()
+            metrics.callEnded("route", "answered", Duration.ofMillis(5), Duration.ofMillis(2), sends = 2)
+            metrics.refused("no_route")
+            metrics.event(BudgetObserver.EVENTS, "refused")
+            GAUGES.forEach { metrics.gauge(it, "A gauge") { 1.0 } }
+            val scraped = metrics.scrape()
+
+            val served = Regex("# TYPE (limpetfold_\\S+)").findAll(scraped).map { it.groupValues[1] }.filterNot { it.endsWith("_max") }.toSet()
+            val listed = Regex("\\| `(limpetfold_\\w+)` \\|").findAll(page()).map { it.groupValues[1] }.toSet()
+            listed shouldBe served
+            Regex("workspace=").findAll(scraped).toList().shouldBeEmpty()
+        }
+    }) {
+    private companion object {
+        val GAUGES = listOf("limpetfold_calls_running", "limpetfold_buffered_bytes", "limpetfold_config_version", "limpetfold_routers_heard")
+
+        fun page(): String =
+            generateSequence(Path.of("").toAbsolutePath()) { it.parent }
+                .map { it.resolve("docs/gateway-metrics.md") }
+                .first { Files.exists(it) }
+                .let { Files.readString(it) }
+    }
+}
