gateway: hold less of each budget

What the routers held counts as spent, and the workspaces had little else left. Ruled out: more time for recovery (the routers were ready; the refused calls were 402).

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -271,10 +271,10 @@
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
         const val MAX_LOGGED_WORKSPACES = 32
-        const val HELD_SHARE = 0.45
+        const val HELD_SHARE = 0.35
 
         /** Above [HELD_SHARE], because demand is not the same at all routers. */
-        const val MOST_HELD_SHARE = 0.6
+        const val MOST_HELD_SHARE = 0.45
         const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
