gateway: a success without the endpoint's signature is not passed on

Ruled out: an answer to another request (the echo was not wrong). Change: CallCodec.isSigned; such a success counts as an unknown outcome: repeated where the route allows it, else 502.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -64,6 +64,7 @@
         mayReplaceFailure: Boolean,
     ): SendResult {
         val status = answer.head.status
+        if (status in SUCCESSES && !codec.isSigned(answer.head)) return unsigned(relay)
         if (isEventStream(answer.head)) return relay.pass(exchange, call, state, answer)
         if (relay.hasBegun) return SendResult.Interrupted("status $status in place of the rest of a stream")
         if (mayReplaceFailure && status >= SERVER_ERROR) {
@@ -73,6 +74,12 @@
         return pass(exchange, call, answer)
     }
 
+    /** A success without a signature is not the endpoint's answer to this call. */
+    private fun unsigned(relay: StreamRelay): SendResult {
+        val reason = "a success without a signature"
+        return if (relay.hasBegun) SendResult.Interrupted(reason) else SendResult.Unknown(reason)
+    }
+
     /** Holds an answer back until it is whole; one above the bound begins to go out before. */
     private suspend fun pass(
         exchange: HttpExchange,
@@ -163,6 +170,7 @@
     private companion object {
         const val OK = 200
         const val SERVER_ERROR = 500
+        val SUCCESSES = 200..299
 
         /** The call's own end comes first; the connection's limits only clean up behind it. */
         val LIMIT_MARGIN: Duration = Duration.ofMillis(500)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
@@ -18,6 +18,9 @@
         call: ForwardedCall,
     ): Headers
 
+    /** Whether an answer carries the endpoint's signature, without which a success counts for nothing. */
+    fun isSigned(head: ResponseHead): Boolean
+
     /** Whether an endpoint's answer proves that it did not run the call. */
     fun isNotRun(head: ResponseHead): Boolean
 }
