gateway, platform: one place for what stood twice

Cause: a read of the whole change. Ruled out: KeyHash for RoutingTable.hashOf (it would tie the dispatch module to the configuration module; it belongs in core, with its users), and one reader for ServerSentEventReader and EventSplitter (one gives decoded events, the other unchanged bytes); both are noted.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/core/RendezvousHash.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/core/RendezvousHash.kt
@@ -19,7 +19,7 @@
     ): List<T> {
         val keyHash = hash(key)
         return candidates
-            .map { Scored(it, identity(it), mix(keyHash xor mix(hash(identity(it))))) }
+            .map { candidate -> identity(candidate).let { Scored(candidate, it, score(keyHash, it)) } }
             .sortedWith(compareByDescending<Scored<T>> { it.score }.thenBy { it.identity })
             .map { it.candidate }
     }
@@ -35,7 +35,12 @@
     fun score(
         key: String,
         candidate: String,
-    ): Long = mix(hash(key) xor mix(hash(candidate)))
+    ): Long = score(hash(key), candidate)
+
+    private fun score(
+        keyHash: Long,
+        candidate: String,
+    ): Long = mix(keyHash xor mix(hash(candidate)))
 
     private fun hash(text: String): Long {
         var hash = FNV_OFFSET
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpend
 import io.limpetfold.core.Incarnation
@@ -106,10 +107,10 @@
             paidTotalOf = ::paidTotalOf,
         )
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
-    private val handler = callHandler()
-    private val callers = server(settings.callers, handler)
-    private val operators = server(settings.readiness, OperatorHandler({ readiness }, metrics))
-    private val metricsServer = server(settings.metrics, OperatorHandler({ readiness }, metrics))
+    private val callers = server(settings.callers, callHandler())
+    private val operatorHandler = OperatorHandler({ readiness }, metrics)
+    private val operators = server(settings.readiness, operatorHandler)
+    private val metricsServer = server(settings.metrics, operatorHandler)
     private val work = PeriodicWork(scope, random, log)
 
     @Volatile
@@ -226,12 +227,14 @@
     }
 
     /** All routers together hold up to half of what is free, whatever their number. */
-    private fun budgetPolicy() =
-        settings.budget.copy(
-            freeShare = HELD_SHARE / listing.routerCount,
-            heldPart = minOf(1.0, MOST_HELD_SHARE / listing.routerCount),
-            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / listing.routerCount),
+    private fun budgetPolicy(): BudgetPolicy {
+        val routerCount = listing.routerCount
+        return settings.budget.copy(
+            freeShare = HELD_SHARE / routerCount,
+            heldPart = minOf(1.0, MOST_HELD_SHARE / routerCount),
+            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount),
         )
+    }
 
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
