gateway, http: a stopping router takes no call that it would cut

Change: after the balancer's wait idle connections are closed, and a call is taken only when its whole time lies within the stop; others are refused at once as not run.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import io.limpetfold.gateway.operate.FleetListing
 import io.limpetfold.gateway.operate.OperatorHandler
 import io.limpetfold.gateway.operate.PeriodicWork
+import io.limpetfold.gateway.operate.PlannedStop
 import io.limpetfold.gateway.operate.Readiness
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.state.DirectoryKeeper
@@ -106,6 +107,7 @@
             predecessorSpend = { _, _ -> PredecessorSpend.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
         )
+    private val plannedStop = PlannedStop(settings.stop, monotonic)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callers = server(settings.callers, callHandler())
     private val operatorHandler = OperatorHandler({ readiness }, metrics)
@@ -136,13 +138,13 @@
 
     /** Performs a planned stop: readiness goes off first, running calls end, grants go back, listeners close last. */
     suspend fun stop() {
-        val began = monotonic.now()
         log.info("router.stopping", "running" to callers.runningCount)
+        plannedStop.begin()
         readiness = Readiness.STOPPING
         callers.beginDrain()
         delay(settings.stop.balancerWait.toMillis())
-        val left = settings.stop.grace - settings.stop.closeReserve - (monotonic.now() - began)
-        val isIdle = callers.awaitIdle(if (left.isNegative) Duration.ZERO else left)
+        callers.closeIdle()
+        val isIdle = callers.awaitIdle(plannedStop.timeLeft)
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
         callers.close()
         operators.close()
@@ -240,7 +242,7 @@
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
         val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries) { listing.routerCount }
         return CallHandler(
-            CallGate(codec, { routing.current }, random),
+            CallGate(codec, { routing.current }, random, plannedStop),
             TokenBudget(budget),
             dispatcher,
             RefusalWriter(settings.calls, random),
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallGate.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallGate.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.limpetfold.gateway.codec.CallCodec
+import io.limpetfold.gateway.operate.PlannedStop
 import io.limpetfold.http.RequestHead
 import io.limpetfold.routing.RoutingTable
 import java.time.Duration
@@ -14,6 +15,7 @@
     private val codec: CallCodec,
     private val table: () -> RoutingTable?,
     private val random: Random,
+    private val stop: PlannedStop,
 ) {
     /** Returns the call, or why it is refused. */
     fun admit(
@@ -29,6 +31,7 @@
         val request = headers.request ?: return Err(RefusalReason.NO_IDENTITY)
         val service = route.serviceFor(random.nextDouble()) ?: return Err(RefusalReason.NO_ENDPOINT)
         val patience = headers.deadline?.let { minOf(it, route.timeout) } ?: route.timeout
+        if (!stop.mayTake(now + patience)) return Err(RefusalReason.STOPPING)
         return Ok(ForwardCall(head, headers, request, table, route, workspace, service, now, now + patience))
     }
 }
--- /dev/null
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/PlannedStop.kt
@@ -0,0 +1,29 @@
+package io.limpetfold.gateway.operate
+
+import io.limpetfold.gateway.MonotonicClock
+import java.time.Duration
+
+/** The planned stop of a router: when it began, and which calls are still taken. */
+internal class PlannedStop(
+    private val policy: StopPolicy,
+    private val clock: MonotonicClock,
+) {
+    private var beganAt: Duration? = null
+
+    /** When the calls that still run are cut; null before [begin]. */
+    private val endsAt: Duration? get() = beganAt?.let { it + policy.grace - policy.closeReserve }
+
+    /** The time left for running calls; zero before [begin]. */
+    val timeLeft: Duration get() = maxOf(Duration.ZERO, (endsAt ?: Duration.ZERO) - clock.now())
+
+    /** Begins the stop. */
+    fun begin() {
+        beganAt = clock.now()
+    }
+
+    /** Whether a call that its caller awaits until [callEndsAt] is taken: one that may outlast the stop would be cut. */
+    fun mayTake(callEndsAt: Duration): Boolean {
+        val began = beganAt ?: return true
+        return clock.now() - began < policy.balancerWait || callEndsAt <= endsAt
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StopPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StopPolicy.kt
@@ -5,7 +5,8 @@
 /**
  * Times of a planned stop.
  *
- * @property balancerWait how long new connections are still accepted after readiness went off, so that the platform's balancer notices.
+ * @property balancerWait how long every call is still taken after readiness went off, so that the platform's balancer notices. After
+ * it idle connections are closed, and a call is taken only when its whole time lies within the stop.
  * @property grace the time from the signal to the end of the process, with the return of grants and the close included.
  * @property closeReserve the part of [grace] that is kept for the return of grants and the close.
  */
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
@@ -27,7 +27,7 @@
 /**
  * An HTTP/1.1 server whose handlers suspend.
  *
- * A planned stop is [beginDrain], [awaitIdle], [close]: listeners close last. [close] without the others cuts running exchanges.
+ * A planned stop is [beginDrain], [closeIdle], [awaitIdle], [close]: listeners close last. [close] without the others cuts running exchanges.
  */
 class HttpServer(
     private val settings: HttpServerSettings,
@@ -81,6 +81,12 @@
         isDraining = true
     }
 
+    /** Closes the connections on which no request runs or arrives, so that their callers send the next one elsewhere. */
+    fun closeIdle() =
+        connections.forEach { channel ->
+            channel.eventLoop().execute { channel.pipeline().get(ServerConnection::class.java)?.closeIfIdle() }
+        }
+
     /** Suspends until no exchange runs, at most [timeout]; returns whether none does. */
     suspend fun awaitIdle(timeout: Duration): Boolean = withTimeoutOrNull(timeout.toMillis()) { running.first { it == 0 } } != null
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -121,6 +121,11 @@
         ctx.close()
     }
 
+    /** Closes the connection unless a request runs on it or has begun to arrive; call it on the event loop. */
+    fun closeIfIdle() {
+        if (exchange == null && headStartNanos == null && !isClosing) context.close()
+    }
+
     /** Reads while the running request has room, and afterwards only to notice that the caller goes. */
     fun updateRead() {
         val running = exchange
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
@@ -40,6 +40,28 @@
             slow.readToEnd() shouldContain "done"
         }
 
+        test("guards against a request on a kept connection late in a stop, and against a cut of one that runs when idle connections close") {
+            val release = CompletableDeferred<Unit>()
+            val server =
+                start { exchange ->
+                    if (exchange.head.path == "/slow") release.await()
+                    exchange.respond(200, body = "done".encodeToByteArray())
+                }
+            val kept = connect(server)
+            kept.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            kept.readHead() shouldContain "200 OK"
+            kept.readBytes("done".length) shouldBe "done"
+            val slow = connect(server)
+            slow.write("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+            eventually(5.seconds) { server.runningCount shouldBe 1 }
+            server.beginDrain()
+            server.closeIdle()
+            kept.readToEnd() shouldBe ""
+            release.complete(Unit)
+            slow.readToEnd() shouldContain "done"
+            server.close()
+        }
+
         test("a caller that goes cancels the work for it and fails a suspended read") {
             val cancelled = CompletableDeferred<String>()
             val server =
