rollout, gateway, platform: move services between versions as operators order it

Cause: orders under rollouts/ were neither read nor answered on the users' platform, so all versions of a service shared its calls: a version got them before its move was ordered, and none was ever reported as completed or reverted. Ruled out: the move controller with its lease. It plans for minutes, reckons deadlines by the time of day, which jumps there, and needs a holder; the store already takes one final status by a conditional write. Change: io.limpetfold.rollout.timed: each router follows the same steps by its steady clock, compares both versions with the existing guards, pools them with its peers and withdraws a worse version at once. Any router may store the outcome; the first one wins, and without one the move counts as taken back. Evidence of guards has a type of its own (GuardReport), which both kinds of move share. ObjectStore gains the status of an object. The endpoint picker keeps to the version that a call was given. Tests: TimedMovesTest (seeded fleets: good, bad, bad late, bad on one route, cut off), MovePathTest over the platform's protocol.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectStore.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectStore.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.store
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import java.time.Duration
 
@@ -19,6 +20,13 @@
         expected: ObjectVersion,
     ): Result<ObjectVersion, StoreError>
 
+    /** Replaces the status of an object if it is still at [expected]; its value stays as it is. */
+    suspend fun putStatus(
+        key: ObjectKey,
+        status: String,
+        expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError> = Err(StoreError.Rejected("this store keeps no status; write $key whole"))
+
     /** Lists all objects whose path starts with [prefix]. */
     suspend fun list(prefix: String): Result<ObjectPage, StoreError>
 
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -27,8 +27,8 @@
         request: PickRequest,
         now: Duration,
     ): EndpointState? {
-        val usable = directory.usable(request.service, now).filter { it.endpoint !in request.excluded }.map(::stateOf)
-        val candidates = inRotation(usable, now)
+        val usable = directory.usable(request.service, now).filter { it.endpoint !in request.excluded }
+        val candidates = inRotation(ofVersion(usable, request.versions).map(::stateOf), now)
         if (candidates.isEmpty()) return null
         val key = request.affinityKey ?: return leastLoaded(candidates)
         return byAffinity(key, candidates)
@@ -59,6 +59,15 @@
         states.keys.removeIf { it !in known }
     }
 
+    private fun ofVersion(
+        usable: List<Endpoint>,
+        versions: VersionPreference?,
+    ): List<Endpoint> {
+        if (versions == null) return usable
+        val (preferred, others) = usable.partition { (it.version == versions.target) == versions.isTargetPreferred }
+        return if (preferred.isEmpty() && versions.isOtherSideAllowed) others else preferred
+    }
+
     /** Leaves out ejected endpoints; when all are ejected, the one whose ejection ends first is tried. */
     private fun inRotation(
         usable: List<EndpointState>,
--- /dev/null
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/VersionPreference.kt
@@ -0,0 +1,14 @@
+package io.limpetfold.dispatch
+
+/**
+ * Which endpoints a call prefers while its service is moved to another version.
+ *
+ * @property target the version that the service is moved to.
+ * @property isTargetPreferred whether the call goes to the endpoints of [target], or to those of any other version.
+ * @property isOtherSideAllowed whether the other side serves the call when the preferred one has no endpoint.
+ */
+data class VersionPreference(
+    val target: String,
+    val isTargetPreferred: Boolean,
+    val isOtherSideAllowed: Boolean,
+)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.limpetfold.gateway.call.TokenBudget
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.gateway.codec.EndpointDecoder
+import io.limpetfold.gateway.codec.MoveOrderCodec
 import io.limpetfold.gateway.observe.BudgetObserver
 import io.limpetfold.gateway.observe.CallObserver
 import io.limpetfold.gateway.observe.DecisionLog
@@ -29,6 +30,8 @@
 import io.limpetfold.gateway.operate.Readiness
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.state.DirectoryKeeper
+import io.limpetfold.gateway.state.FeedPolicy
+import io.limpetfold.gateway.state.MoveKeeper
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
 import io.limpetfold.gateway.state.RoutingKeeper
@@ -48,6 +51,7 @@
 import io.limpetfold.peer.ktor.FleetKey
 import io.limpetfold.peer.ktor.KtorPeerNetwork
 import io.limpetfold.peer.ktor.PeerPolicy
+import io.limpetfold.rollout.timed.TimedMoves
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
 import io.limpetfold.store.ObjectStore
@@ -73,6 +77,7 @@
     private val codec: CallCodec,
     routingDecoder: RoutingTableDecoder,
     endpointDecoder: EndpointDecoder,
+    moveCodec: MoveOrderCodec,
     clock: InstantSource = InstantSource.system(),
     private val random: Random = Random.Default,
     createStore: (HttpEventLoops, BufferBudget) -> ObjectStore,
@@ -107,6 +112,8 @@
             predecessorSpend = { _, _ -> PredecessorSpend.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
         )
+    private val moves = TimedMoves(self, monotonic::now, random)
+    private val moveKeeper = MoveKeeper(moves, moveCodec, store, peers, loops.dispatcher, log)
     private val plannedStop = PlannedStop(settings.stop, monotonic)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callers = server(settings.callers, callHandler())
@@ -124,6 +131,7 @@
     /** Starts all parts; throws [java.io.IOException] when an address is in use. */
     suspend fun start() {
         sync.register()
+        moveKeeper.register()
         registerGauges()
         operators.start()
         callers.start()
@@ -163,6 +171,7 @@
     private fun startFeeds() {
         scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, random = random).run() }
         scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, random = random).run() }
+        scope.launch { ObjectFeed(store, settings.movePrefix, moveKeeper, MOVE_FEED, random).run() }
         scope.launch {
             while (readiness == Readiness.STARTING && (routing.current == null || !directory.isKnown)) delay(READY_CHECK.toMillis())
             if (readiness == Readiness.STARTING) readiness = Readiness.READY
@@ -177,6 +186,7 @@
             listing.connect()
         }
         work.every(HALF_SECOND, "peer sync") { sync.maintain(membership.members()) }
+        work.every(QUARTER_SECOND, "moves") { moveKeeper.maintain(membership.members()) }
         val accounts = AccountOpener(budget, { routing.current }, random)
         work.every(QUARTER_SECOND, "accounts") { accounts.maintain() }
         work.every(HALF_SECOND, "budget") { budget.maintain() }
@@ -240,7 +250,7 @@
 
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
-        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries) { listing.routerCount }
+        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries, moves) { listing.routerCount }
         return CallHandler(
             CallGate(codec, { routing.current }, random, plannedStop),
             TokenBudget(budget),
@@ -287,6 +297,9 @@
         val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
+        /** Orders come a few times a day, and verdicts go from router to router; a longer watch saves calls to the store. */
+        val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10))
+
         /** A new connection takes a few milliseconds between zones; a silent address is given up soon enough to try another endpoint. */
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
         val POOLED_IDLE: Duration = Duration.ofSeconds(4)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
@@ -24,6 +24,7 @@
  * @property fleetSecret a text that all routers share.
  * @property configKey the object that holds the configuration.
  * @property endpointPrefix the objects that list endpoints.
+ * @property movePrefix the objects that order moves between versions.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -35,6 +36,7 @@
     val fleetSecret: String,
     val configKey: ObjectKey,
     val endpointPrefix: String,
+    val movePrefix: String,
     val retries: RetryPolicy,
     val seedHosts: ImmutableList<String> = persistentListOf(),
     val budget: BudgetPolicy = GatewayDefaults.BUDGET,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -1,15 +1,22 @@
 package io.limpetfold.gateway.call
 
 import io.limpetfold.core.EndpointId
+import io.limpetfold.core.VersionId
 import io.limpetfold.dispatch.CallOutcome
 import io.limpetfold.dispatch.EndpointPicker
 import io.limpetfold.dispatch.EndpointState
 import io.limpetfold.dispatch.PickRequest
 import io.limpetfold.dispatch.RetryAllowance
 import io.limpetfold.dispatch.RetryPolicy
+import io.limpetfold.dispatch.VersionPreference
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.http.HttpExchange
+import io.limpetfold.rollout.MoveSide
+import io.limpetfold.rollout.VersionObservation
+import io.limpetfold.rollout.timed.MoveChoice
+import io.limpetfold.rollout.timed.TimedMoves
 import io.limpetfold.routing.CallKind
+import java.time.Duration
 
 /** Sends a call to endpoints until one answers, within the route's attempts and the fleet's allowance for repeats. */
 internal class CallDispatcher(
@@ -18,6 +25,7 @@
     private val clock: MonotonicClock,
     private val policy: CallPolicy,
     private val retryPolicy: RetryPolicy,
+    private val moves: TimedMoves,
     private val routerCount: () -> Int,
 ) {
     private val allowances = HashMap<String, RetryAllowance>()
@@ -39,9 +47,10 @@
         private var connectFailures = 0
 
         suspend fun run(): CallEnd {
+            call.move = moves.choose(call.service)
             while (true) {
                 if (call.endsAt - clock.now() < policy.shortestSend) return outOfTime()
-                val request = PickRequest(call.service, call.headers.prompt?.affinityKey, tried)
+                val request = PickRequest(call.service, call.headers.prompt?.affinityKey, tried, call.move?.let(::preferenceOf))
                 val state = picker.pick(request, clock.now()) ?: return noEndpoint()
                 val result = attempt(state)
                 call.outcomes += outcomeText(result)
@@ -58,7 +67,10 @@
         private suspend fun attempt(state: EndpointState): SendResult {
             tried += state.endpoint.endpoint
             call.sends += "${state.endpoint.endpoint}(load=${state.inFlight})"
+            val move = call.move?.servedBy(VersionId(state.endpoint.version))
+            val sentAt = clock.now()
             picker.started(state)
+            moves.started(move)
             var outcome = CallOutcome.UNKNOWN
             try {
                 val result = sender.send(exchange, call, state, relay, mayReplaceFailure())
@@ -70,6 +82,7 @@
                 return result
             } finally {
                 picker.ended(state, outcome, clock.now())
+                moves.ended(move, call.route.route, observationOf(outcome, call, sentAt))
             }
         }
 
@@ -104,6 +117,30 @@
         }
     }
 
+    /** What the end of an attempt says about the version of its endpoint; a call that did not run says nothing. */
+    private fun observationOf(
+        outcome: CallOutcome,
+        call: ForwardCall,
+        sentAt: Duration,
+    ): VersionObservation? =
+        when (outcome) {
+            CallOutcome.SUCCEEDED ->
+                if (call.route.kind == CallKind.STREAM) {
+                    VersionObservation(isSuccess = true, firstToken = call.firstByteAt?.let { it - sentAt }?.takeIf { !it.isNegative })
+                } else {
+                    VersionObservation(isSuccess = true, latency = clock.now() - sentAt)
+                }
+            CallOutcome.FAILED, CallOutcome.UNREACHABLE -> VersionObservation(isSuccess = false)
+            CallOutcome.FULL, CallOutcome.UNKNOWN -> null
+        }
+
+    private fun preferenceOf(choice: MoveChoice) =
+        VersionPreference(
+            choice.target.value,
+            isTargetPreferred = choice.side == MoveSide.NEW,
+            isOtherSideAllowed = choice.side == MoveSide.NEW || !choice.isWithdrawn,
+        )
+
     private fun outcomeOf(result: SendResult): CallOutcome =
         when (result) {
             is SendResult.Delivered -> if (result.status >= SERVER_ERROR) CallOutcome.FAILED else CallOutcome.SUCCEEDED
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -1,7 +1,9 @@
 package io.limpetfold.gateway.state
 
+import io.limpetfold.core.Incarnation
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.peer.PeerTopic
+import io.limpetfold.rollout.timed.TimedMoveReport
 import kotlinx.serialization.Serializable
 
 /** Asks a peer for a configuration above [knownVersion]. */
@@ -29,5 +31,13 @@
     val endpoints: List<Endpoint>,
 )
 
+/** What [router] saw of the running moves; the reply carries the receiver's. */
+@Serializable
+internal data class MoveReports(
+    val router: Incarnation,
+    val reports: List<TimedMoveReport>,
+)
+
+internal val MOVES_TOPIC = PeerTopic("gateway.moves", MoveReports.serializer(), MoveReports.serializer())
 internal val ROUTING_TOPIC = PeerTopic("gateway.routing", RoutingRequest.serializer(), RoutingReply.serializer())
 internal val ENDPOINTS_TOPIC = PeerTopic("gateway.endpoints", EndpointsRequest.serializer(), EndpointsReply.serializer())
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -98,7 +98,7 @@
         if (record.fencing < fencing) return write(record, record.copy(fencing = fencing))
         val known = reports[record.id].orEmpty()
         val evidence = pooled.getOrPut(record.id) { PooledEvidence(record.plan) }
-        evidence.add(known)
+        evidence.add(known.mapValues { it.value.guard })
         val view = MoveView(clock.millis(), known, heard.filterTo(HashSet()) { it in known }, evidence.finding)
         return when (val decision = MoveDecider.decide(record, view)) {
             MoveDecision.Keep -> false
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
@@ -15,14 +15,14 @@
 ) {
     private val failures = SequentialComparison(VersionGuard.priorShare(GuardMetric.FAILURES))
     private val evidence = GuardMetric.entries.associateWith { Evidence() }
-    private val seen = HashMap<Incarnation, MoveReport>()
+    private val seen = HashMap<Incarnation, GuardReport>()
     private val limit = ln(2.0 * GuardMetric.entries.size / plan.errorRate)
 
     /** The metric on which the new version was found worse; null when there is none. */
     val finding: GuardMetric? get() = evidence.entries.firstOrNull { it.value.log >= limit }?.key
 
     /** Takes the latest [reports]; a report that was seen before adds nothing. */
-    fun add(reports: Map<Incarnation, MoveReport>) {
+    fun add(reports: Map<Incarnation, GuardReport>) {
         val sums = DoubleArray(DURATION_METRICS.size * SequentialComparison.ALTERNATIVE_COUNT)
         for ((router, report) in reports.entries.sortedBy { it.key }) {
             val last = seen.put(router, report)
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -62,9 +62,7 @@
  * @property usedRequests requests sent to the new version so far, in all steps.
  * @property requestsPerSecond recent demand on the route.
  * @property outcomesByStep outcomes of the new version per step.
- * @property failures failures on this router.
- * @property earlierFailures failures of the old version on this router before the move.
- * @property logEvidence logarithms of the e-values of durations: for latency, first token and between tokens, one for each alternative.
+ * @property guard what this router has seen of both versions.
  * @property hasAgreed whether the router agrees to complete the move at [version].
  */
 @Serializable
@@ -75,9 +73,7 @@
     val usedRequests: Long,
     val requestsPerSecond: Double,
     val outcomesByStep: List<Long>,
-    val failures: OutcomeCounts,
-    val earlierFailures: OutcomeCounts,
-    val logEvidence: List<Double>,
+    val guard: GuardReport,
     val verdict: Verdict? = null,
     val hasAgreed: Boolean = false,
 )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -98,9 +98,7 @@
         usedRequests = usedRequests,
         requestsPerSecond = rate(),
         outcomesByStep = outcomes.toList(),
-        failures = guard.failures,
-        earlierFailures = baseline.failures,
-        logEvidence = guard.logEvidence,
+        guard = guard.report,
         verdict = verdict,
         hasAgreed = hasAgreed && verdict == null,
     )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
@@ -22,12 +22,14 @@
     private val evidence = GuardMetric.entries.associateWith { Evidence() }
     private val limit = ln(2.0 * GuardMetric.entries.size * plan.guardCount / plan.errorRate)
 
-    /** Failures so far, for pooling over routers. */
-    var failures = OutcomeCounts()
-        private set
+    /** Failures so far. */
+    private var failures = OutcomeCounts()
 
     /** Logarithms of the e-values of the durations: for each metric but failures in order, one for each alternative. */
-    val logEvidence: List<Double> get() = comparisons.filterKeys { it != GuardMetric.FAILURES }.values.flatMap { it.logEvidence }
+    private val logEvidence: List<Double> get() = comparisons.filterKeys { it != GuardMetric.FAILURES }.values.flatMap { it.logEvidence }
+
+    /** What was seen so far. */
+    val report: GuardReport get() = GuardReport(failures, baseline.failures, logEvidence)
 
     /** The metric on which the new version was found worse; null when there is none. */
     var finding: GuardMetric? = null
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOrder.kt
@@ -0,0 +1,19 @@
+package io.limpetfold.rollout.timed
+
+import io.limpetfold.core.VersionId
+import io.limpetfold.store.ObjectVersion
+import java.time.Duration
+
+/**
+ * An operator's order to move all calls of a service to the endpoints of one version within a duration.
+ *
+ * @property outcome what was reported of the move to [target]; null before the first report.
+ * @property position the version of the object that holds the order, for a conditional report.
+ */
+data class MoveOrder(
+    val service: String,
+    val target: VersionId,
+    val duration: Duration,
+    val outcome: MoveOutcome?,
+    val position: ObjectVersion,
+)
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOutcome.kt
@@ -0,0 +1,15 @@
+package io.limpetfold.rollout.timed
+
+/** What is reported of an ordered move. */
+enum class MoveOutcome(
+    val isFinal: Boolean,
+) {
+    /** Calls are moved step by step. */
+    ACTIVE(false),
+
+    /** All calls go to the new version; the endpoints of the old one may stop. */
+    COMPLETED(true),
+
+    /** All calls go to the old version; the endpoints of the new one may stop. */
+    TAKEN_BACK(true),
+}
--- /dev/null
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMoves.kt
@@ -0,0 +1,94 @@
+package io.limpetfold.rollout.timed
+
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.RouteId
+import io.limpetfold.rollout.MoveSide
+import io.limpetfold.rollout.RouteBaseline
+import io.limpetfold.rollout.VersionObservation
+import java.time.Duration
+import kotlin.random.Random
+
+/**
+ * The ordered moves of all services on one router: chooses the version of each call and judges the new one.
+ *
+ * Needs no controller and no lease: the store takes one final outcome for each order, by a conditional write, and each router keeps the
+ * deadline by itself. Not safe for concurrent use.
+ *
+ * @param now monotonic time.
+ */
+class TimedMoves(
+    val self: Incarnation,
+    private val now: () -> Duration,
+    private val random: Random = Random.Default,
+    private val policy: TimedMovePolicy = TimedMovePolicy(),
+) {
+    private val moves = HashMap<String, TimedMove>()
+    private val baselines = HashMap<RouteId, RouteBaseline>()
+
+    /** Whether a move is known that has no final outcome. */
+    val hasRunning: Boolean get() = moves.values.any { it.order.outcome?.isFinal != true }
+
+    /** Takes over an order as read from the store; a new target is a new move. */
+    fun ordered(order: MoveOrder) {
+        val known = moves[order.service]
+        if (known != null && known.order.target == order.target) {
+            known.seen(order)
+        } else {
+            moves[order.service] = TimedMove(order, now(), ::baseline, policy)
+        }
+    }
+
+    /** Forgets the move of [service]: its order was removed. */
+    fun removed(service: String) {
+        moves.remove(service)
+    }
+
+    /** Chooses the version of a call of [service]; null when no move bears on it. */
+    fun choose(service: String): MoveChoice? {
+        val move = moves[service] ?: return null
+        val isNew = random.nextDouble() < move.weightAt(now())
+        return MoveChoice(service, move.order.target, if (isNew) MoveSide.NEW else MoveSide.OLD, isWithdrawn = move.withdrawal != null)
+    }
+
+    /** Counts a call of [choice] as sent. */
+    fun started(choice: MoveChoice?) {
+        choice?.let { moveOf(it) }?.started(choice.side)
+    }
+
+    /** Counts a call out; [observation] is null when its end says nothing about the version. */
+    fun ended(
+        choice: MoveChoice?,
+        route: RouteId,
+        observation: VersionObservation?,
+    ) {
+        val move = choice?.let { moveOf(it) }
+        when {
+            move != null -> move.ended(choice.side, route, observation)
+            observation != null -> baseline(route).learn(observation)
+        }
+    }
+
+    /** Takes over what [router] reports. */
+    fun heard(
+        router: Incarnation,
+        reports: List<TimedMoveReport>,
+    ) = reports.forEach { report ->
+        moves[report.service]?.takeIf { it.order.target == report.target }?.heard(router, report, now())
+    }
+
+    /** What this router tells the others about its running moves. */
+    fun reports(): List<TimedMoveReport> = moves.values.filter { it.order.outcome?.isFinal != true }.map { it.report(now()) }
+
+    /** Judges all running moves and returns the outcomes that are to be stored now. */
+    fun decide(running: Set<Incarnation>): List<MoveDecision> {
+        val rank = running.count { it < self }
+        return moves.values.mapNotNull { move ->
+            move.judge(self, now())
+            move.decide(now(), rank, running)?.let { MoveDecision(move.order, it, move.withdrawal) }
+        }
+    }
+
+    private fun baseline(route: RouteId) = baselines.getOrPut(route) { RouteBaseline() }
+
+    private fun moveOf(choice: MoveChoice): TimedMove? = moves[choice.service]?.takeIf { it.order.target == choice.target }
+}
