budget, gateway: hold tokens where their calls are, and return what is above the target

Of the largest workspace's 9.52 million tokens the first router to start took 35 %, the second 35 % of the rest and so on: each reckoned with a fleet of one, as the others were not listed yet. 1.4 million were lost with one router, 4.6 of 5.4 million unspent ones were held when the second cut from the store began, and most of them not where the calls came. A router with most of a workspace's calls could hold 5.6 % of what was unspent, whatever its demand. Ruled out: peers that give nothing (they answer in 3 to 5 ms, also in the cut); endpoints (no refusal of theirs). The new bounds of BudgetPolicy are checked. Tests: BudgetSpreadTest.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -101,7 +101,17 @@
     fun isLow(nowMillis: Long): Boolean =
         account.state == AccountState.OPEN &&
             isRefillWorthwhile(nowMillis) &&
-            account.availableTokens < policy.refillBelow * minOf(mostHeldTokens, maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens))
+            account.availableTokens < policy.refillBelow * targetTokens(nowMillis)
+
+    /** The tokens above the target, when they are worth a write to the ledger; 0 else, and where nothing is kept back from the ledger. */
+    fun excessTokens(nowMillis: Long): Long {
+        if (account.state != AccountState.OPEN || account.sequence == 0L) return 0
+        val excessTokens = account.availableTokens - targetTokens(nowMillis)
+        return if (excessTokens > policy.returnAbove * maxOf(targetTokens(nowMillis), (freeTokensSeen * SMALLEST_RETURN_PART).toLong())) excessTokens else 0
+    }
+
+    /** What the account should hold at [nowMillis], by the ledger as last seen. */
+    private fun targetTokens(nowMillis: Long): Long = minOf(mostHeldTokens, maxOf(policy.wantedTokens(account, nowMillis), sharedFreeTokens))
 
     /** Whether the free tokens, as last seen, make a grant that lasts for a while; the last ones go to callers that need them. */
     private fun isRefillWorthwhile(nowMillis: Long): Boolean =
@@ -111,7 +121,7 @@
     fun maintainedAtMillis(nowMillis: Long): Long? {
         val isDue = isForgotten || (account.state == AccountState.OPEN && (isRegistering || isForgettable(nowMillis)))
         if (isDue && syncedAtMillis <= nowMillis - policy.reportInterval.toMillis()) return syncedAtMillis
-        val isRefillDue = isLow(nowMillis) && syncedAtMillis <= nowMillis - policy.refillInterval.toMillis()
+        val isRefillDue = (isLow(nowMillis) || excessTokens(nowMillis) > 0) && syncedAtMillis <= nowMillis - policy.refillInterval.toMillis()
         return if (isRefillDue) syncedAtMillis else null
     }
 
@@ -132,5 +142,8 @@
     private companion object {
         /** Smaller refills cost as many calls to the platform as large ones. */
         const val SMALLEST_REFILL_PART = 0.1
+
+        /** A return that raises the free tokens by less is not worth its calls. */
+        const val SMALLEST_RETURN_PART = 0.05
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -203,13 +203,13 @@
         }
     }
 
-    /** Lowers the account by what its demand does not need, unless that is too little for a write; true when it was. */
+    /** Lowers the account by what it does not need, or by what is above its target, unless that is too little for a write; true when it was. */
     private fun returnIdle(slot: AccountSlot): Boolean {
         var idleTokens = 0L
         slot.change {
             val now = nowMillis()
             idleTokens = if (slot.isIdle(now)) maxOf(0, it.availableTokens - slot.policy.wantedTokens(it, now)) else 0
-            if (idleTokens * 2 < it.availableTokens) idleTokens = 0
+            if (idleTokens * 2 < it.availableTokens) idleTokens = slot.excessTokens(now)
             it.returning(idleTokens)
         }
         return idleTokens > 0
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -93,7 +93,7 @@
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
-            mostHeldTokens = (ledger.unspentTokens * policy.heldPart).toLong()
+            mostHeldTokens = policy.mostHeldTokens(after, ledger.freeTokens, ledger.unspentTokens)
             sharedFreeTokens = (maxOf(0, ledger.freeTokens) * policy.freeShare).toLong()
         }
         listener.onEvent(BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens))
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSpreadTest.kt
@@ -0,0 +1,107 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.get
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+import kotlin.random.Random
+
+/** Load pattern: the calls of one workspace come through one router, cuts from the store outlast seconds, and all routers lose power. */
+class BudgetSpreadTest :
+    FunSpec({
+        test("guards against tokens that stay with a router that took them while it knew of no other") {
+            val fleet = Fleet(routerCount = 1)
+            fleet.prepareAll()
+            fleet.routerCount = 8
+            fleet.agents.forEach { it.holdersChanged() }
+            repeat(3) { fleet.round() }
+            for (agent in fleet.agents) agent.held() shouldBeLessThanOrEqual PAID / 20
+            fleet.free() shouldBeGreaterThan PAID * 8 / 10
+        }
+
+        test("guards against a cut from the store in which the only router with calls runs out long before the cut ends") {
+            val fleet = Fleet(routerCount = 8)
+            fleet.prepareAll()
+            repeat(20) { fleet.round(callsOnFirst = 20) }
+            fleet.fault = StoreFault.UNAVAILABLE
+            // Twenty calls of a thousand tokens a second, for seven seconds.
+            repeat(140) { fleet.call(fleet.agents.first()).shouldNotBeNull() }
+        }
+
+        test("guards against routers that hold so much of a budget that a loss of power takes most of it") {
+            val fleet = Fleet(routerCount = 8)
+            fleet.prepareAll()
+            repeat(70) { fleet.round(callsOnFirst = 10) }
+            fleet.agents.sumOf { it.held() } shouldBeLessThan (fleet.free() + fleet.agents.sumOf { it.held() }) / 2
+        }
+
+        test("guards against a policy whose parts are no parts") {
+            listOf<() -> BudgetPolicy>(
+                { POLICY.copy(heldPart = 0.0) },
+                { POLICY.copy(freeShare = 1.5) },
+                { POLICY.copy(refillBelow = -0.1) },
+                { POLICY.copy(returnAbove = 0.0) },
+            ).count { runCatching(it).isFailure } shouldBe 4
+        }
+    }) {
+    private class Fleet(
+        var routerCount: Int,
+    ) {
+        private val clock = TestClock()
+        private val hub = FakePeerHub()
+        private val store = FakeObjectStore()
+        private var requests = 0
+        var fault = StoreFault.NONE
+        val agents = List(8) { agent("router-$it") }
+
+        suspend fun prepareAll() = agents.forEach { it.prepare(WORKSPACE) shouldBe true }
+
+        /** One second with [callsOnFirst] calls at the first router. */
+        suspend fun round(callsOnFirst: Int = 0) {
+            repeat(callsOnFirst) { call(agents.first()).shouldNotBeNull() }
+            clock.advance(Duration.ofSeconds(1))
+            agents.forEach { it.maintain() }
+        }
+
+        suspend fun call(agent: BudgetAgent): Settlement? =
+            agent.reserve(WORKSPACE, RequestId("r-${requests++}"), CALL_TOKENS, Duration.ZERO).get()?.let { agent.settle(it, CALL_TOKENS) }
+
+        suspend fun free(): Long = BudgetLedgers(store).read(WORKSPACE).get().shouldNotBeNull().freeTokens
+
+        private fun agent(name: String): BudgetAgent {
+            val self = Incarnation(InstanceId(name), 1)
+            val policyOf = { _: WorkspaceId -> POLICY.copy(freeShare = 0.15 / routerCount, grantFraction = 1.0 / routerCount) }
+            return BudgetAgent(self, store.withFaults { fault }, hub.join(self), policyOf, clock.monotonic, Random(1), paidTotalOf = { PaidTotal(PAID, 1) })
+        }
+    }
+
+    private companion object {
+        const val PAID = 1_000_000L
+        const val CALL_TOKENS = 1_000L
+        val WORKSPACE = WorkspaceId("w")
+        val POLICY =
+            BudgetPolicy(
+                horizon = Duration.ofSeconds(11),
+                grantFraction = 0.15,
+                demandWindow = Duration.ofSeconds(8),
+                heldPart = 0.45,
+                waitsForTopUps = false,
+                refillBelow = 0.7,
+                returnAbove = 0.5,
+            )
+
+        fun BudgetAgent.held(): Long = accounts().sumOf { it.availableTokens }
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -187,7 +187,7 @@
         }
         work.every(HALF_SECOND, "peer sync") { sync.maintain(membership.members()) }
         work.every(QUARTER_SECOND, "moves") { moveKeeper.maintain(membership.members()) }
-        val accounts = AccountOpener(budget, { routing.current }, random)
+        val accounts = AccountOpener(budget, { listing.isSettled }, { routing.current }, random)
         work.every(QUARTER_SECOND, "accounts") { accounts.maintain() }
         work.every(HALF_SECOND, "budget") { budget.maintain() }
         work.every(FOUR_SECONDS, "budget holders") {
@@ -238,12 +238,11 @@
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
     }
 
-    /** All routers together hold up to half of what is free, whatever their number. */
+    /** What all routers together hold does not depend on their number. */
     private fun budgetPolicy(): BudgetPolicy {
         val routerCount = listing.routerCount
         return settings.budget.copy(
             freeShare = HELD_SHARE / routerCount,
-            heldPart = minOf(1.0, MOST_HELD_SHARE / routerCount),
             grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount),
         )
     }
@@ -286,10 +285,9 @@
         const val BUFFER_BYTES = 48L * 1024 * 1024
         const val REPORTS_PER_ROUND = 24
         const val MAX_LOGGED_WORKSPACES = 32
-        const val HELD_SHARE = 0.35
 
-        /** Above [HELD_SHARE], because demand is not the same at all routers. */
-        const val MOST_HELD_SHARE = 0.45
+        /** What routers hold of a budget of which they have seen no call yet, all together. */
+        const val HELD_SHARE = 0.15
         const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/AccountOpener.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/AccountOpener.kt
@@ -9,13 +9,19 @@
 /** Opens the accounts of all prepaid workspaces of a small fleet before calls need them; a large one opens them as calls come. */
 internal class AccountOpener(
     private val budget: BudgetAgent,
+    private val isFleetKnown: () -> Boolean,
     private val table: () -> RoutingTable?,
     private val random: Random,
 ) {
     private val opened = mutableSetOf<String>()
 
-    /** Opens what is not open yet, with pauses so that routers that start together do not write to one ledger at once. */
+    /**
+     * Opens what is not open yet, with pauses so that routers that start together do not write to one ledger at once.
+     *
+     * Waits until the number of routers is known: the first of many that start together would else hold its part of a fleet of one.
+     */
     suspend fun maintain() {
+        if (!isFleetKnown()) return
         val prepaid = table()?.workspaces?.filter { it.prepaidTokens != null }.orEmpty()
         if (prepaid.size > MAX_WORKSPACES) return
         for (workspace in prepaid.filter { it.workspace.value !in opened }.shuffled(random)) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetListing.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetListing.kt
@@ -34,14 +34,22 @@
     /** Connects to the routers that membership chooses. */
     fun connect() = peers.update(membership.connections().map { PeerAddress(it.instance, it.host, it.port) })
 
-    /** Writes the entry of this router, again and again until the store has it. */
+    /** Whether the routers that started together with this one are counted in [routerCount]. */
+    var isSettled = false
+        private set
+
+    /** Writes the entry of this router, again and again until the store has it, and then reads those of the routers that started with it. */
     suspend fun register() {
         val own = listed(settings.instance, settings.peers.host, OWN_VERSION)
         while (true) {
-            val failure = instances.register(own).fold({ null }, { it.toString() }) ?: return
+            val failure = instances.register(own).fold({ null }, { it.toString() }) ?: break
             log.warn("router.not_listed", "reason" to failure)
             delay(random.nextLong(RETRY_MIN.toMillis(), RETRY_MAX.toMillis()))
         }
+        delay(SETTLE.toMillis())
+        membership.readListAgain()
+        delay(READ_WAIT.toMillis())
+        isSettled = true
     }
 
     private fun listed(
@@ -53,6 +61,12 @@
     private companion object {
         val SEED_VERSION = VersionId("seed")
         val OWN_VERSION = VersionId("1")
+
+        /** Routers that start together list themselves within this time. */
+        val SETTLE: Duration = Duration.ofSeconds(2)
+
+        /** Membership reads the list within this time after it was told to. */
+        val READ_WAIT: Duration = Duration.ofSeconds(1)
         val RETRY_MIN: Duration = Duration.ofMillis(500)
         val RETRY_MAX: Duration = Duration.ofSeconds(2)
     }
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -86,6 +86,11 @@
         synchronized(this) { seeds = addresses.toImmutableList() }
     }
 
+    /** Lets the next [maintain] read the list, whenever it was last read. */
+    fun readListAgain() {
+        directoryReadAt = null
+    }
+
     /** Reads the list and exchanges heartbeats when they are due. */
     suspend fun maintain() {
         if (isDue(directoryReadAt, policy.directoryInterval.toKotlinDuration())) readDirectory()
