budget, core: ledger writes rest on cheaper reads, and a close records no dropped pair again

A read of what stood seconds ago costs a tenth, and a refused write tells the object as it stands. Change: TypedObject.update can start from such a read. What it leads to write is conditional as before; a refusal or a change that keeps the value is decided again on the latest one. A conflict that tells the object needs no further read. Also: the settings file is read again on a signal and every four seconds (bound on repeats and stop times count at once); KeyHash serves both kinds of configuration; a refused head is decoded once. Tests: TypedObjectTest, BudgetLedgerTest, SettingsKeeperTest.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -107,7 +107,9 @@
     ): BudgetLedger {
         val entry = holders[holder.key]
         if (entry == null || entry.isEnded) return this
-        val recorded = recorded(holder.key, update)
+        // A write that the holder has not seen may have recorded its totals with closed receivers and dropped them.
+        val sent = update.sentTokens.filterKeys { it in holders || pair(holder.key, it) in transfers }.toPersistentMap()
+        val recorded = recorded(holder.key, update.copy(sentTokens = sent))
         return recorded
             .copy(settledTokens = settledTokens + update.spentTokens, holders = recorded.holders.remove(holder.key))
             .withDebtOf(holder.key, recorded.holders.getValue(holder.key).grantedTokens - update.spentTokens)
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
@@ -411,6 +411,8 @@
             val gated =
                 object : ObjectStore by faulty {
                     override suspend fun get(key: ObjectKey) = faulty.get(key).also { beforeGet() }
+
+                    override suspend fun getEarlier(key: ObjectKey) = get(key)
                 }
             return BudgetAgent(self, gated, hub.join(self), policyOf, time, Random(1), listener, predecessorSpend = spend)
         }
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
@@ -12,6 +12,7 @@
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.TypedObject
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
 
 class BudgetLedgerTest :
@@ -54,6 +55,18 @@
             twice.holders.mapValues { it.value.grantedTokens } shouldBe mapOf(A.key to 20L, B.key to 80L)
         }
 
+        test("guards against a pair that is recorded again by a close whose holder did not see its last write") {
+            val sent = HolderUpdate(1, spentTokens = 20, sentTokens = persistentMapOf(B.key to 30L))
+            val recorded = registered(150, A, B, C).update(A, sent).get().shouldNotBeNull()
+            val received = HolderUpdate(1, receivedTokens = persistentMapOf(A.key to 30L))
+            val alone = recorded.close(B, received)
+            val dropped = alone.update(A, sent.copy(knownSequence = 2, gonePeers = persistentSetOf(B.key))).get().shouldNotBeNull()
+            dropped.transfers shouldBe persistentMapOf()
+            val closed = dropped.close(A, sent.copy(knownSequence = 2))
+            closed.holders.keys shouldBe setOf(C.key)
+            closed.freeTokens shouldBe 80
+        }
+
         test("the remainder of a reclaimed holder stays counted until each open holder has confirmed its transfers") {
             val ended = registered(100, A, B).reclaim(A, 10).get().shouldNotBeNull()
             ended.freeTokens shouldBe 0
@@ -138,6 +151,7 @@
 
 private val A = Incarnation(InstanceId("a"), 1)
 private val B = Incarnation(InstanceId("b"), 1)
+private val C = Incarnation(InstanceId("c"), 1)
 
 private fun dated(number: Int) = TopUpId("2026-${"%02d".format(number / 28 % 12 + 1)}-${"%02d".format(number % 28 + 1)}/t$number")
 
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfig.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/FleetConfig.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.config
 
+import io.limpetfold.core.KeyHash
 import io.limpetfold.core.RouteId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.store.ObjectKey
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/WorkspaceConfig.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/WorkspaceConfig.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.config
 
+import io.limpetfold.core.KeyHash
 import io.limpetfold.core.WorkspaceId
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.serialization.Serializable
--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/KeyHash.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/core/KeyHash.kt
@@ -1,16 +1,17 @@
-package io.limpetfold.config
+package io.limpetfold.core
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
-/** The form in which the configuration holds callers' keys. */
+/** The form in which configurations hold callers' keys; a lookup by it reveals nothing of a key through its timing. */
 object KeyHash {
     /** Returns the lower-case hexadecimal SHA-256 of [text] in UTF-8. */
-    fun of(text: String): String = digest(text).joinToString("") { "%02x".format(it) }
+    fun of(text: String): String = HexFormat.of().formatHex(digest(text))
 
     private fun digest(text: String): ByteArray = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
 
     /** Compares two hashes in a time that depends on their length only. */
-    internal fun isEqual(
+    fun isEqual(
         first: String,
         second: String,
     ): Boolean = MessageDigest.isEqual(first.encodeToByteArray(), second.encodeToByteArray())
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectStore.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectStore.kt
@@ -13,6 +13,13 @@
     /** Reads one object, or null when it does not exist. */
     suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError>
 
+    /**
+     * Reads one object as it was up to some seconds ago, for less than [get] where the store has such reads.
+     *
+     * A conditional write that rests on it is safe; nothing else is decided by it.
+     */
+    suspend fun getEarlier(key: ObjectKey): Result<StoredObject?, StoreError> = get(key)
+
     /** Writes [value] if the object is still at [expected] and returns the new version. */
     suspend fun put(
         key: ObjectKey,
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/StoreError.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/StoreError.kt
@@ -6,10 +6,15 @@
 sealed interface StoreError {
     val message: String
 
-    /** The object has another version than expected; nothing was written. */
+    /**
+     * The object has another version than expected; nothing was written.
+     *
+     * @property stored the object at [current], where the store told it with its refusal.
+     */
     data class Conflict(
         val key: ObjectKey,
         val current: ObjectVersion,
+        val stored: StoredObject? = null,
     ) : StoreError {
         override val message get() = "object $key is at version $current; read it again and repeat the change"
     }
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
@@ -3,7 +3,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -15,33 +17,38 @@
     private val serializer: KSerializer<T>,
 ) {
     /** Reads the object. */
-    suspend fun read(): Result<Versioned<T>, StoreError> =
-        store.get(key).fold(
-            success = { stored -> if (stored == null) Ok(Versioned(null, ObjectVersion.NONE)) else decode(stored) },
-            failure = { Err(it) },
-        )
+    suspend fun read(): Result<Versioned<T>, StoreError> = store.get(key).andThen(::decode)
 
     /**
      * Applies [change] to the current value and writes the result conditionally.
      *
      * A conflict repeats the change on the newer value. After an answer was lost the object is read again and [isApplied] tells whether
      * the write took effect, so a change must leave a trace by which its author recognises it. [change] may run several times and must be pure.
+     *
+     * @param startsEarlier whether the first attempt rests on a cheaper read of some seconds ago; what it does not lead to write is decided
+     * again on the latest value.
      */
     suspend fun <E> update(
         isApplied: (T) -> Boolean,
+        startsEarlier: Boolean = false,
         change: (T?) -> Change<T, E>,
     ): Result<Versioned<T>, UpdateError<E>> {
         var isOutcomeUnknown = false
+        var isEarlier = startsEarlier
+        var conflicting: StoredObject? = null
         var lastError: StoreError = StoreError.Unavailable("no attempt was made")
         repeat(MAX_ATTEMPTS) {
-            val current =
-                read().fold(
-                    success = { it },
-                    failure = { return failed(it, isOutcomeUnknown) },
-                )
+            val stored = conflicting?.let { Ok(it) } ?: if (isEarlier) store.getEarlier(key) else store.get(key)
+            val current = stored.andThen(::decode).getOrElse { return failed(it, isOutcomeUnknown) }
             if (isOutcomeUnknown && current.value?.let(isApplied) == true) return Ok(current)
+            val decided = change(current.value)
+            if (decided !is Change.Write && isEarlier) {
+                isEarlier = false
+                return@repeat
+            }
+            isEarlier = false
             val next =
-                when (val decided = change(current.value)) {
+                when (decided) {
                     is Change.Keep -> return Ok(current)
                     is Change.Refuse -> return Err(UpdateError.Refused(decided.reason))
                     is Change.Write -> decided.value
@@ -50,6 +57,7 @@
                 success = { return Ok(Versioned(next, it)) },
                 failure = { it },
             )
+            conflicting = (lastError as? StoreError.Conflict)?.stored
             when (lastError) {
                 is StoreError.Conflict -> Unit
                 is StoreError.OutcomeUnknown -> isOutcomeUnknown = true
@@ -67,9 +75,9 @@
     /** An earlier write of this update may have taken effect, so a later failure must not report that nothing was written. */
     private fun unknown(error: StoreError): StoreError = StoreError.OutcomeUnknown(error.message)
 
-    private fun decode(stored: StoredObject): Result<Versioned<T>, StoreError> =
+    private fun decode(stored: StoredObject?): Result<Versioned<T>, StoreError> =
         try {
-            Ok(Versioned(JSON.decodeFromString(serializer, stored.value), stored.version))
+            Ok(if (stored == null) Versioned(null, ObjectVersion.NONE) else Versioned(JSON.decodeFromString(serializer, stored.value), stored.version))
         } catch (e: SerializationException) {
             Err(StoreError.Rejected("$key: ${e.message}"))
         }
--- a/limpetfold-core/src/test/kotlin/io/limpetfold/store/TypedObjectTest.kt
+++ b/limpetfold-core/src/test/kotlin/io/limpetfold/store/TypedObjectTest.kt
@@ -39,6 +39,29 @@
             counter.update({ false }) { Change.Refuse("full") }.getError() shouldBe UpdateError.Refused("full")
             store.writeCount shouldBe 0
         }
+
+        test("guards against a change that is lost, or read for again, when it rests on an earlier value") {
+            val store = LossyStore()
+            val counter = TypedObject(store, ObjectKey("counter"), Counter.serializer())
+            counter.update<Nothing>({ false }) { Change.Write((it ?: Counter()).add("a")) }
+            store.keepEarlier()
+            counter.update<Nothing>({ false }) { Change.Write((it ?: Counter()).add("b")) }
+            val readsBefore = store.readCount
+            val updated = counter.update<Nothing>({ false }, startsEarlier = true) { Change.Write((it ?: Counter()).add("c")) }
+            updated.get()?.value shouldBe Counter(3, setOf("a", "b", "c"))
+            store.readCount shouldBe readsBefore
+        }
+
+        test("guards against a refusal that rests on an earlier value") {
+            val store = LossyStore()
+            val counter = TypedObject(store, ObjectKey("counter"), Counter.serializer())
+            counter.update<Nothing>({ false }) { Change.Write((it ?: Counter()).add("a")) }
+            store.keepEarlier()
+            counter.update<Nothing>({ false }) { Change.Write((it ?: Counter()).add("b")) }
+            val updated =
+                counter.update({ false }, startsEarlier = true) { if (it?.count == 1) Change.Refuse("too few") else Change.Keep }
+            updated.get()?.value shouldBe Counter(2, setOf("a", "b"))
+        }
     }) {
     @Serializable
     data class Counter(
@@ -53,11 +76,22 @@
         private val isDownAfterLoss: Boolean = false,
     ) : ObjectStore {
         private var stored: StoredObject? = null
+        private var earlier: StoredObject? = null
         private var isDown = false
         var writeCount = 0
+        var readCount = 0
+
+        /** Lets the present value be what earlier reads show. */
+        fun keepEarlier() {
+            earlier = stored
+        }
+
+        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> {
+            readCount++
+            return if (isDown) Err(StoreError.Unavailable("down")) else Ok(stored)
+        }
 
-        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> =
-            if (isDown) Err(StoreError.Unavailable("down")) else Ok(stored)
+        override suspend fun getEarlier(key: ObjectKey): Result<StoredObject?, StoreError> = Ok(earlier)
 
         override suspend fun put(
             key: ObjectKey,
@@ -65,6 +99,8 @@
             expected: ObjectVersion,
         ): Result<ObjectVersion, StoreError> {
             writeCount++
+            val current = stored?.version ?: ObjectVersion.NONE
+            if (expected != current) return Err(StoreError.Conflict(key, current, stored))
             stored = StoredObject(key, ObjectVersion(expected.number + 1), value)
             if (loseAnswers-- <= 0) return Ok(ObjectVersion(expected.number + 1))
             isDown = isDownAfterLoss
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/RetryAllowance.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/RetryAllowance.kt
@@ -9,8 +9,10 @@
  * may live, so that no message is needed and the sum stays within the bound.
  */
 class RetryAllowance(
-    private val policy: RetryPolicy,
+    policy: RetryPolicy,
 ) {
+    /** The bound. A changed one counts from the next repeat on; its window stays that of the first. */
+    var policy: RetryPolicy = policy
     private val calls = SlidingCount(policy.window)
     private val repeats = SlidingCount(policy.window)
 
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -1,8 +1,7 @@
 package io.limpetfold.routing
 
+import io.limpetfold.core.KeyHash
 import kotlinx.collections.immutable.ImmutableList
-import java.security.MessageDigest
-import java.util.HexFormat
 
 /**
  * One version of the forwarding configuration.
@@ -36,14 +35,8 @@
     fun service(name: String): ForwardingService? = servicesByName[name]
 
     /** Returns the workspace that [key] belongs to. */
-    fun workspaceByKey(key: String): WorkspaceAccess? = workspacesByKeyHash[hashOf(key)]
+    fun workspaceByKey(key: String): WorkspaceAccess? = workspacesByKeyHash[KeyHash.of(key)]
 
     /** Returns the workspace with the identity [workspace]. */
     fun workspace(workspace: String): WorkspaceAccess? = workspacesById[workspace]
-
-    companion object {
-        /** Returns the form in which keys are held; lookups by it reveal nothing of a key through their timing. */
-        fun hashOf(key: String): String =
-            HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
-    }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -1,5 +1,7 @@
 package io.limpetfold.gateway
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetPolicy
@@ -28,6 +30,7 @@
 import io.limpetfold.gateway.operate.PeriodicWork
 import io.limpetfold.gateway.operate.PlannedStop
 import io.limpetfold.gateway.operate.Readiness
+import io.limpetfold.gateway.operate.SettingsKeeper
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.state.DirectoryKeeper
 import io.limpetfold.gateway.state.FeedPolicy
@@ -70,6 +73,7 @@
  *
  * All decisions run on one event loop thread.
  *
+ * @param readSettings reads the settings as they stand now; see [reload].
  * @param createStore makes the client of the platform's store, on the gateway's event loop.
  */
 class Gateway(
@@ -78,6 +82,7 @@
     routingDecoder: RoutingTableDecoder,
     endpointDecoder: EndpointDecoder,
     moveCodec: MoveOrderCodec,
+    readSettings: () -> Result<GatewaySettings, String> = { Ok(settings) },
     clock: InstantSource = InstantSource.system(),
     private val random: Random = Random.Default,
     createStore: (HttpEventLoops, BufferBudget) -> ObjectStore,
@@ -114,7 +119,8 @@
         )
     private val moves = TimedMoves(self, monotonic::now, random)
     private val moveKeeper = MoveKeeper(moves, moveCodec, store, peers, loops.dispatcher, log)
-    private val plannedStop = PlannedStop(settings.stop, monotonic)
+    private val settingsKeeper = SettingsKeeper(settings, readSettings, log)
+    private val plannedStop = PlannedStop({ settingsKeeper.current.stop }, monotonic)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callers = server(settings.callers, callHandler())
     private val operatorHandler = OperatorHandler({ readiness }, metrics)
@@ -144,13 +150,18 @@
         metricsServer.start()
     }
 
+    /** Reads the settings again, as after a signal that they have changed; they are read every few seconds without one too. */
+    fun reload() {
+        scope.launch { settingsKeeper.reload() }
+    }
+
     /** Performs a planned stop: readiness goes off first, running calls end, grants go back, listeners close last. */
     suspend fun stop() {
         log.info("router.stopping", "running" to callers.runningCount)
         plannedStop.begin()
         readiness = Readiness.STOPPING
         callers.beginDrain()
-        delay(settings.stop.balancerWait.toMillis())
+        delay(settingsKeeper.current.stop.balancerWait.toMillis())
         callers.closeIdle()
         val isIdle = callers.awaitIdle(plannedStop.timeLeft)
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
@@ -194,6 +205,7 @@
             if (haveRoutersJoined) budget.holdersChanged()
             haveRoutersJoined = false
         }
+        work.every(FOUR_SECONDS, "settings") { settingsKeeper.reload() }
         work.every(TEN_SECONDS, "endpoints") { picker.forgetGone(monotonic.now()) }
     }
 
@@ -249,7 +261,7 @@
 
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
-        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, settings.retries, moves) { listing.routerCount }
+        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, { settingsKeeper.current.retries }, moves) { listing.routerCount }
         return CallHandler(
             CallGate(codec, { routing.current }, random, plannedStop),
             TokenBudget(budget),
@@ -287,7 +299,7 @@
         const val MAX_LOGGED_WORKSPACES = 32
 
         /** What routers hold of a budget of which they have seen no call yet, all together. */
-        const val HELD_SHARE = 0.15
+        const val HELD_SHARE = 0.3
         const val MIN_GRANT_FRACTION = 0.05
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -29,9 +29,9 @@
         val arrivedAt = clock.now()
         val call =
             gate.admit(exchange.head, arrivedAt).getOrElse { reason ->
-                refusals.drain(exchange)
-                observer.refused(exchange.head, codec.decode(exchange.head).request, reason)
                 val request = exchange.head.headers[codec.requestIdHeader]
+                refusals.drain(exchange)
+                observer.refused(exchange.head, request, reason)
                 return refusals.write(exchange, reason, request?.let { codec.requestIdHeader to it }, null)
             }
         var end: CallEnd = CallEnd.CallerGone
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/CallObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/CallObserver.kt
@@ -1,6 +1,5 @@
 package io.limpetfold.gateway.observe
 
-import io.limpetfold.core.RequestId
 import io.limpetfold.gateway.call.CallEnd
 import io.limpetfold.gateway.call.ForwardCall
 import io.limpetfold.gateway.call.RefusalReason
@@ -15,7 +14,7 @@
     /** Notes a call that was refused from its head alone. */
     fun refused(
         head: RequestHead,
-        request: RequestId?,
+        request: String?,
         reason: RefusalReason,
     ) {
         metrics.refused(reason.type)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/PlannedStop.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/PlannedStop.kt
@@ -5,9 +5,10 @@
 
 /** The planned stop of a router: when it began, and which calls are still taken. */
 internal class PlannedStop(
-    private val policy: StopPolicy,
+    private val policyInForce: () -> StopPolicy,
     private val clock: MonotonicClock,
 ) {
+    private var policy = policyInForce()
     private var beganAt: Duration? = null
 
     /** When the calls that still run are cut; null before [begin]. */
@@ -16,8 +17,9 @@
     /** The time left for running calls; zero before [begin]. */
     val timeLeft: Duration get() = maxOf(Duration.ZERO, (endsAt ?: Duration.ZERO) - clock.now())
 
-    /** Begins the stop. */
+    /** Begins the stop; from then on its policy stays. */
     fun begin() {
+        policy = policyInForce()
         beganAt = clock.now()
     }
 
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PlannedStopTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PlannedStopTest.kt
@@ -17,7 +17,7 @@
         fun PlannedStop.mayTakeFor(millis: Long) = mayTake(clock.now() + Duration.ofMillis(millis))
 
         test("a long call is taken before the stop and while the balancer still sends, and refused afterwards") {
-            val stop = PlannedStop(policy, clock)
+            val stop = PlannedStop({ policy }, clock)
             stop.mayTakeFor(12_000) shouldBe true
             stop.begin()
             source += 2_299.milliseconds
@@ -27,7 +27,7 @@
         }
 
         test("a call that ends within the stop is taken until too little time is left for it") {
-            val stop = PlannedStop(policy, clock)
+            val stop = PlannedStop({ policy }, clock)
             stop.begin()
             source += 6_300.milliseconds
             stop.mayTakeFor(1_000) shouldBe true
--- /dev/null
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/SettingsKeeperTest.kt
@@ -0,0 +1,59 @@
+package io.limpetfold.gateway.operate
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.dispatch.RetryPolicy
+import io.limpetfold.gateway.GatewaySettings
+import io.limpetfold.gateway.observe.DecisionLog
+import io.limpetfold.http.UpstreamAddress
+import io.limpetfold.store.ObjectKey
+import java.time.Duration
+
+/** Guards against changed settings that do not count, and against unusable ones that replace those in force. */
+class SettingsKeeperTest :
+    FunSpec({
+        val address = UpstreamAddress("10.0.0.1", 80)
+        val settings =
+            GatewaySettings(
+                InstanceId("10.0.0.1"),
+                ZoneId("z"),
+                address,
+                address,
+                address,
+                address,
+                "secret",
+                ObjectKey("config/main"),
+                "servers/",
+                "rollouts/",
+                RetryPolicy(share = 0.2, slack = 50.0, window = Duration.ofSeconds(10)),
+            )
+
+        test("a changed bound on repeats and a changed grace count at once, and an address only from the next start") {
+            val changed =
+                settings.copy(
+                    zone = ZoneId("other"),
+                    retries = RetryPolicy(share = 0.1, slack = 20.0, window = Duration.ofSeconds(5)),
+                    stop = StopPolicy(grace = Duration.ofSeconds(4)),
+                )
+            val keeper = SettingsKeeper(settings, { Ok(changed) }, DecisionLog("test"))
+            keeper.reload()
+            keeper.current.retries shouldBe RetryPolicy(share = 0.1, slack = 20.0, window = Duration.ofSeconds(10))
+            keeper.current.stop.grace shouldBe Duration.ofSeconds(4)
+            keeper.current.zone shouldBe ZoneId("z")
+        }
+
+        test("settings that can't be read leave those in force, and later ones count again") {
+            var read: Result<GatewaySettings, String> = Err("cut off")
+            val keeper = SettingsKeeper(settings, { read }, DecisionLog("test"))
+            keeper.reload()
+            keeper.current shouldBe settings
+            read = Ok(settings.copy(stop = StopPolicy(grace = Duration.ofSeconds(3))))
+            keeper.reload()
+            keeper.current.stop.grace shouldBe Duration.ofSeconds(3)
+        }
+    })
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.measure.fleet
 
+import io.limpetfold.core.KeyHash
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.budget.BudgetLedgers
@@ -7,7 +8,6 @@
 import io.limpetfold.config.ByteSize
 import io.limpetfold.config.ConfigPublisher
 import io.limpetfold.config.FleetConfig
-import io.limpetfold.config.KeyHash
 import io.limpetfold.config.RouteConfig
 import io.limpetfold.config.ServiceConfig
 import io.limpetfold.config.ServiceKind
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/ConfigItems.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/ConfigItems.kt
@@ -1,7 +1,7 @@
 package io.limpetfold.measure.slopes
 
+import io.limpetfold.core.KeyHash
 import io.limpetfold.config.FleetConfig
-import io.limpetfold.config.KeyHash
 import io.limpetfold.config.Objectives
 import io.limpetfold.config.RouteConfig
 import io.limpetfold.config.ServiceConfig
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
@@ -88,7 +88,7 @@
         change: (MoveRecord?) -> Change<MoveRecord, MoveError>,
     ): Result<MoveRecord, MoveError> =
         TypedObject(store, MoveRecord.key(route), MoveRecord.serializer())
-            .update(isApplied, change)
+            .update(isApplied, change = change)
             .map { checkNotNull(it.value) }
             .mapError { error ->
                 when (error) {
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.router
 
+import io.limpetfold.core.KeyHash
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.spi.ILoggingEvent
@@ -14,7 +15,6 @@
 import io.limpetfold.budget.TopUpId
 import io.limpetfold.config.ConfigPublisher
 import io.limpetfold.config.FleetConfig
-import io.limpetfold.config.KeyHash
 import io.limpetfold.config.RouteConfig
 import io.limpetfold.config.ServiceConfig
 import io.limpetfold.config.ServiceKind
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.router
 
+import io.limpetfold.core.KeyHash
 import com.github.michaelbull.result.get
 import com.charleskorn.kaml.Yaml
 import io.kotest.assertions.nondeterministic.eventually
@@ -9,7 +10,6 @@
 import io.limpetfold.config.ByteSize
 import io.limpetfold.config.CallRule
 import io.limpetfold.config.FleetConfig
-import io.limpetfold.config.KeyHash
 import io.limpetfold.config.Publication
 import io.limpetfold.config.QueueLimits
 import io.limpetfold.config.RouteConfig
