--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
@@ -14,15 +14,17 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.TimeSource
 
 /** The platform: object API, instance list, and faults set by `POST /admin/faults`. */
 class PlatformStandin(
     settings: PlatformStandinSettings = PlatformStandinSettings(),
+    time: TimeSource = TimeSource.Monotonic,
 ) : HttpHandler {
     val objects = PlatformObjects()
     val instances = InstanceList(settings.instances, settings.listLagMillis)
-    private val writes = RateWindow(settings.writesPerSecond)
-    private val reads = RateWindow(settings.readsPerSecond)
+    private val writes = RateWindow(settings.writesPerSecond, time)
+    private val reads = RateWindow(settings.readsPerSecond, time)
     private val random = Random(settings.seed)
     private val counts = ConcurrentHashMap<String, AtomicLong>()
     private val waitingWatches = AtomicInteger()
--- a/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
+++ b/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 /** Guards against stand-ins that hide faults of the system: lost changes, effects without a count, answers that are too good. */
 class StandinsTest :
@@ -78,7 +79,8 @@
         }
 
         test("the platform's faults lose answers after the effect and requests before it, and its rates are bounded") {
-            val platform = PlatformStandin(PlatformStandinSettings(readsPerSecond = 10))
+            val time = TestTimeSource()
+            val platform = PlatformStandin(PlatformStandinSettings(readsPerSecond = 10), time)
             serve(platform) {
                 for (kind in listOf("ANSWER_LOST", "REQUEST_LOST")) {
                     call("POST", "/admin/faults", """[{"pathPrefix":"/v1/objects/","kind":"$kind"}]""").get()?.status shouldBe 200
@@ -86,10 +88,11 @@
                 }
                 platform.objects.list("", 0).first.map { it.key } shouldContainExactly listOf("ANSWER_LOST")
                 call("POST", "/admin/faults", "[]")
-                List(30) { call("GET", "/v1/instances").get()!! }.last().let {
-                    it.status shouldBe 429
-                    it.headers["Retry-After"] shouldBe "1"
-                }
+                val answers = List(30) { call("GET", "/v1/instances").get()!! }
+                answers.map { it.status } shouldBe List(10) { 200 } + List(20) { 429 }
+                answers.last().headers["Retry-After"] shouldBe "1"
+                time += 1.seconds
+                call("GET", "/v1/instances").get()?.status shouldBe 200
             }
         }
 
