--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -8,7 +8,7 @@
     /** Grants outlast an outage of the store; small parts of what is free keep the last tokens of a budget usable from every router. */
     val BUDGET: BudgetPolicy =
         BudgetPolicy(
-            horizon = Duration.ofSeconds(11),
+            horizon = Duration.ofSeconds(13),
             grantFraction = 0.15,
             transferFraction = 0.5,
             demandWindow = Duration.ofSeconds(8),
@@ -18,8 +18,8 @@
             peerTimeout = Duration.ofMillis(80),
             idleAfter = Duration.ofSeconds(30),
             waitsForTopUps = false,
-            heldPart = 0.45,
-            refillBelow = 0.7,
+            heldPart = 0.6,
+            refillBelow = 0.55,
             refillInterval = Duration.ofSeconds(1),
             returnAbove = 0.5,
         )
