--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -308,7 +308,7 @@
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
         /** Orders come a few times a day, and verdicts go from router to router; a longer watch saves calls to the store. */
-        val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10))
+        val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10), backoffMax = Duration.ofSeconds(4))
 
         /** A new connection takes a few milliseconds between zones; a silent address is given up soon enough to try another endpoint. */
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
