budget: classes of their own for refills and for maintenance

AccountRefill brings tokens to an account that runs short, AccountMaintenance keeps accounts and ledgers up to date between calls; no change of behaviour.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -10,16 +10,12 @@
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.StoreError
-import io.limpetfold.store.UpdateError
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
-import org.slf4j.LoggerFactory
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
@@ -44,29 +40,26 @@
  */
 class BudgetAgent(
     private val self: Incarnation,
-    private val store: ObjectStore,
+    store: ObjectStore,
     peers: PeerNetwork,
     private val policyOf: (WorkspaceId) -> BudgetPolicy = { BudgetPolicy.availability },
     timeSource: TimeSource = TimeSource.Monotonic,
     random: Random = Random.Default,
     private val listener: BudgetListener = BudgetListener.NONE,
     private val reportsPerRound: Int = 1,
-    private val predecessorSpend: PredecessorSpend = PredecessorSpend.NONE,
+    predecessorSpend: PredecessorSpend = PredecessorSpend.NONE,
     paidTotalOf: (WorkspaceId) -> PaidTotal? = { null },
 ) {
-    private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
     private val start = timeSource.markNow()
     private val slots = ConcurrentHashMap<WorkspaceId, AccountSlot>()
 
-    /** Forgotten accounts whose ledger entry is not closed yet. */
-    private val leaving = ConcurrentHashMap.newKeySet<AccountSlot>()
-    private val forgottenCount = AtomicLong()
-
     @Volatile
     private var isClosed = false
 
     private val ledgers = LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis)
     private val transfers = PeerTransfers(self, peers, random, listener) { slots[it] }
+    private val refills = AccountRefill(ledgers, transfers, ::nowMillis)
+    private val maintenance = AccountMaintenance(slots, store, ledgers, refills, predecessorSpend, ::nowMillis)
 
     init {
         require(reportsPerRound > 0) { "reportsPerRound must be positive" }
@@ -114,7 +107,7 @@
         val slot = enter(workspace) ?: return false
         return try {
             if (slot.locked { account.sequence } > 0) return true
-            ledgers.synchronise(slot) { account, free, unspent -> grantFor(slot, 0, account, free, unspent) }
+            ledgers.synchronise(slot) { account, free, unspent -> refills.grantFor(slot, 0, account, free, unspent) }
             slot.locked { account.sequence } > 0
         } finally {
             slot.leave(nowMillis())
@@ -182,69 +175,7 @@
      */
     suspend fun maintain() {
         if (isClosed) return
-        val now = nowMillis()
-        val due =
-            (slots.values + leaving)
-                .mapNotNull { slot -> slot.locked { maintainedAtMillis(now) }?.let { slot to it } }
-                .sortedBy { (_, maintainedAt) -> maintainedAt }
-                .take(reportsPerRound)
-        due.forEach { (slot, _) -> if (slot in leaving) closeForgotten(slot) else maintain(slot) }
-    }
-
-    private suspend fun maintain(slot: AccountSlot) {
-        val outcome = ledgers.synchronise(slot) { account, free, unspent -> if (slot.isLow(nowMillis())) grantFor(slot, 0, account, free, unspent) else 0 }
-        // While the platform is down, idle tokens stay where peers can get them.
-        if (outcome !is RefillFailure.Insufficient && outcome !is RefillFailure.UnknownWorkspace) return
-        reclaimPredecessor(slot)
-        if (forget(slot)) {
-            closeForgotten(slot)
-        } else if (returnIdle(slot)) {
-            ledgers.synchronise(slot) { _, _, _ -> 0 }
-        }
-    }
-
-    /** Lowers the account by what it does not need, or by what is above its target, unless that is too little for a write; true when it was. */
-    private fun returnIdle(slot: AccountSlot): Boolean {
-        var idleTokens = 0L
-        slot.change {
-            val now = nowMillis()
-            idleTokens = if (slot.isIdle(now)) maxOf(0, it.availableTokens - slot.policy.wantedTokens(it, now)) else 0
-            if (idleTokens * 2 < it.availableTokens) idleTokens = slot.excessTokens(now)
-            it.returning(idleTokens)
-        }
-        return idleTokens > 0
-    }
-
-    /** Ends the use of an account that has nothing left to charge or to keep; false when it has. */
-    private fun forget(slot: AccountSlot): Boolean {
-        slot.locked {
-            if (isForgotten || !isForgettable(nowMillis())) return false
-            // From here on a caller may open the next account, which needs a new number.
-            forgottenCount.incrementAndGet()
-            leaving += slot
-            isForgotten = true
-            change { it.closing() }
-        }
-        slots.remove(slot.workspace, slot)
-        return true
-    }
-
-    private suspend fun closeForgotten(slot: AccountSlot) {
-        slot.locked { syncedAtMillis = nowMillis() }
-        val error = ledgers.close(slot)
-        if (error == null) leaving -= slot else ledgers.unavailable(slot, error.message)
-    }
-
-    /** Closes at most one entry, so that a round makes a bounded number of writes; the next read shows the others again. */
-    private suspend fun reclaimPredecessor(slot: AccountSlot) {
-        for (holder in slot.locked { predecessors }) {
-            val spentTokens = predecessorSpend.find(holder, slot.workspace) ?: continue
-            BudgetLedgers(store).reclaim(slot.workspace, holder, spentTokens).fold(
-                success = { log.info("budget: closed the entry of an ended process workspace={} holder={}", slot.workspace, holder) },
-                failure = { if (it is UpdateError.Failed) ledgers.unavailable(slot, it.error.message) },
-            )
-            return
-        }
+        maintenance.maintain(reportsPerRound)
     }
 
     /**
@@ -254,7 +185,7 @@
     suspend fun close(): Result<Unit, StoreError> {
         isClosed = true
         var firstError: StoreError? = null
-        val all = slots.values + leaving
+        val all = slots.values + maintenance.leaving
         all.forEach { slot -> slot.change { it.closing() } }
         all.forEach { slot -> ledgers.close(slot)?.let { error -> firstError = firstError ?: error } }
         return firstError?.let { Err(it) } ?: Ok(Unit)
@@ -302,7 +233,7 @@
         return slots.computeIfAbsent(workspace) { AccountSlot(it, nextHolder(), policyOf(it)) }
     }
 
-    private fun nextHolder() = self.copy(number = self.number + forgottenCount.get())
+    private fun nextHolder() = self.copy(number = self.number + maintenance.forgottenCount)
 
     private fun tryReserve(
         slot: AccountSlot,
@@ -328,7 +259,7 @@
         var rounds = 0
         while (true) {
             val seenChanges = slot.changes.value
-            val failure = refill(slot, tokens, remainingMillis)
+            val failure = refills.refill(slot, tokens, remainingMillis)
             tryReserve(slot, request, tokens)?.let { return Ok(it) }
             if (isClosed || isFinal(slot, failure)) {
                 return refused(refusal(slot, tokens, failure))
@@ -353,102 +284,6 @@
             is RefillFailure.Unavailable, null -> false
         }
 
-    /** Joins the refill under way or makes one; returns null when it covered the need, else why not. */
-    private suspend fun refill(
-        slot: AccountSlot,
-        tokens: Long,
-        remainingMillis: Long,
-    ): RefillFailure? {
-        val own = CompletableDeferred<Unit>()
-        val running =
-            slot.locked {
-                if (refill == null && isDelayed(tokens, nowMillis()) && !canAskPeers(nowMillis())) return failure
-                refill ?: own.also { refill = it }
-            }
-        if (running === own) return makeRefill(slot, own, tokens, remainingMillis)
-        withTimeoutOrNull(remainingMillis) { running.await() }
-        if (!running.isCompleted) return RefillFailure.Unavailable("a refill is under way")
-        // The refill may have failed for more tokens than this caller needs; then this caller makes its own attempt.
-        return slot.locked { if (isDelayed(tokens, nowMillis())) failure else null }
-    }
-
-    private suspend fun makeRefill(
-        slot: AccountSlot,
-        own: CompletableDeferred<Unit>,
-        tokens: Long,
-        remainingMillis: Long,
-    ): RefillFailure? {
-        try {
-            val outcome = attemptWithin(slot, tokens, remainingMillis)
-            slot.locked { noteOutcome(outcome) }
-            return outcome
-        } finally {
-            slot.locked { refill = null }
-            own.complete(Unit)
-        }
-    }
-
-    private suspend fun attemptWithin(
-        slot: AccountSlot,
-        tokens: Long,
-        remainingMillis: Long,
-    ): RefillFailure? {
-        if (remainingMillis <= 0) return attempt(slot, tokens, 0)
-        val attempted = withTimeoutOrNull(remainingMillis) { Attempted(attempt(slot, tokens, remainingMillis)) }
-        return if (attempted == null) RefillFailure.Unavailable("no answer in time") else attempted.failure
-    }
-
-    private fun AccountSlot.noteOutcome(outcome: RefillFailure?) {
-        failure = outcome
-        if (outcome == null) {
-            retryDelayMillis = 0
-        } else {
-            retryDelayMillis = (retryDelayMillis * 2).coerceIn(policy.retryDelay.toMillis(), policy.maxRetryDelay.toMillis())
-            retryAtMillis = nowMillis() + retryDelayMillis
-        }
-    }
-
-    private class Attempted(
-        val failure: RefillFailure?,
-    )
-
-    private suspend fun attempt(
-        slot: AccountSlot,
-        tokens: Long,
-        patienceMillis: Long,
-    ): RefillFailure? {
-        val acquiredBefore = slot.locked { account.acquiredTokens }
-        // While the platform is known to be away, a caller's patience is spent on peers.
-        val knownFailure =
-            if (ledgers.isPlatformAvoided) {
-                RefillFailure.Unavailable("it failed a moment ago")
-            } else {
-                slot.locked { failure.takeIf { isDelayed(tokens, nowMillis()) } }
-            }
-        val failure = knownFailure ?: ledgers.synchronise(slot) { account, free, unspent -> grantFor(slot, tokens, account, free, unspent) }
-        if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
-        if (slot.locked { account.availableTokens } >= tokens) return null
-        // Other callers may have taken the grant already; the platform is not short of tokens then.
-        val isGranted = slot.locked { account.acquiredTokens } > acquiredBefore
-        if (failure is RefillFailure.Insufficient && (isGranted || failure.freeTokens >= tokens)) return null
-        transfers.ask(slot, tokens, patienceMillis)
-        if (slot.locked { account.availableTokens } >= tokens) return null
-        slot.locked { peersAskedAtMillis = nowMillis() }
-        return if (failure is RefillFailure.Insufficient) failure.copy(neededTokens = tokens) else failure
-    }
-
-    private fun grantFor(
-        slot: AccountSlot,
-        tokens: Long,
-        account: LocalAccount,
-        freeTokens: Long,
-        unspentTokens: Long,
-    ): Long {
-        val allTokens = slot.locked { maxOf(tokens, waitingTokens) }
-        val grant = slot.policy.grantSize(account, allTokens, freeTokens, unspentTokens)
-        return if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens, unspentTokens)
-    }
-
     private fun refusal(
         slot: AccountSlot,
         tokens: Long,
