gateway: a stopping router refuses calls while its tokens go back

Ruled out: the endpoint (it answered), the stop's time (5.6 s were left). Change: once idle, a stopping router refuses every further call as not run, waits for one that was taken just before, and lets refusals end before the listener closes. Test: PlannedStopTest.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -164,7 +164,11 @@
         delay(settingsKeeper.current.stop.balancerWait.toMillis())
         callers.closeIdle()
         val isIdle = callers.awaitIdle(plannedStop.timeLeft)
+        plannedStop.refuseAll()
+        // A call may have been taken just before; the refusals from here on are short.
+        callers.awaitIdle(plannedStop.timeLeft)
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
+        callers.awaitIdle(LAST_ANSWERS)
         callers.close()
         operators.close()
         metricsServer.close()
@@ -301,6 +305,9 @@
         /** What routers hold of a budget of which they have seen no call yet, all together. */
         const val HELD_SHARE = 0.3
         const val MIN_GRANT_FRACTION = 0.05
+
+        /** Refusals that are being written when the tokens have gone back end within this time. */
+        val LAST_ANSWERS: Duration = Duration.ofMillis(100)
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/PlannedStop.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/PlannedStop.kt
@@ -8,9 +8,15 @@
     private val policyInForce: () -> StopPolicy,
     private val clock: MonotonicClock,
 ) {
+    @Volatile
     private var policy = policyInForce()
+
+    @Volatile
     private var beganAt: Duration? = null
 
+    @Volatile
+    private var isClosing = false
+
     /** When the calls that still run are cut; null before [begin]. */
     private val endsAt: Duration? get() = beganAt?.let { it + policy.grace - policy.closeReserve }
 
@@ -23,9 +29,15 @@
         beganAt = clock.now()
     }
 
+    /** Ends the taking of calls, because what they need is being given back. */
+    fun refuseAll() {
+        isClosing = true
+    }
+
     /** Whether a call that its caller awaits until [callEndsAt] is taken: one that may outlast the stop would be cut. */
     fun mayTake(callEndsAt: Duration): Boolean {
         val began = beganAt ?: return true
+        if (isClosing) return false
         return clock.now() - began < policy.balancerWait || callEndsAt <= endsAt
     }
 }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PlannedStopTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PlannedStopTest.kt
@@ -26,6 +26,15 @@
             stop.mayTakeFor(12_000) shouldBe false
         }
 
+        test("guards against a call that is taken while the tokens go back, and cut when the listener closes") {
+            val stop = PlannedStop({ policy }, clock)
+            stop.begin()
+            source += 2_400.milliseconds
+            stop.mayTakeFor(1_000) shouldBe true
+            stop.refuseAll()
+            stop.mayTakeFor(1_000) shouldBe false
+        }
+
         test("a call that ends within the stop is taken until too little time is left for it") {
             val stop = PlannedStop({ policy }, clock)
             stop.begin()
