--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/MoveKeeper.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/MoveKeeper.kt
@@ -46,7 +46,7 @@
 
     override fun onListed(page: ObjectPage) {
         val present = page.objects.mapTo(HashSet()) { it.key }
-        keys.filterValues { it !in present }.keys.toList().forEach(::forget)
+        forgetWhere { it !in present }
         onChanged(page)
     }
 
@@ -58,7 +58,7 @@
                 failure = { log.warn("move.skipped", "entry" to stored.key, "reason" to it) },
             )
         }
-        keys.filterValues { it in page.removed }.keys.toList().forEach(::forget)
+        forgetWhere { it in page.removed }
     }
 
     override fun onFailed(error: StoreError) = link.down(error.message)
@@ -105,10 +105,12 @@
         )
     }
 
-    private fun forget(service: String) {
-        keys.remove(service)
-        moves.removed(service)
-        log.info("move.removed", "service" to service)
+    private fun forgetWhere(isRemoved: (ObjectKey) -> Boolean) {
+        for (service in keys.filterValues(isRemoved).keys) {
+            keys.remove(service)
+            moves.removed(service)
+            log.info("move.removed", "service" to service)
+        }
     }
 
     private companion object {
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
@@ -17,15 +17,18 @@
 
         fun start(handler: HttpHandler) = HttpServer(HttpServerSettings(), loops, BufferBudget(), handler).start()
 
+        /** Answers `/slow` once [release] completes, and all else at once. */
+        fun startHeldBy(release: CompletableDeferred<Unit>) =
+            start { exchange ->
+                if (exchange.head.path == "/slow") release.await()
+                exchange.respond(200, body = "done".encodeToByteArray())
+            }
+
         fun connect(server: HttpServer) = Peer(Socket(server.address.host, server.address.port))
 
         test("a draining server finishes running requests, answers new ones with Connection: close, and closes last") {
             val release = CompletableDeferred<Unit>()
-            val server =
-                start { exchange ->
-                    if (exchange.head.path == "/slow") release.await()
-                    exchange.respond(200, body = "done".encodeToByteArray())
-                }
+            val server = startHeldBy(release)
             val slow = connect(server)
             slow.write("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
             eventually(5.seconds) { server.runningCount shouldBe 1 }
@@ -42,11 +45,7 @@
 
         test("guards against a request on a kept connection late in a stop, and against a cut of one that runs when idle connections close") {
             val release = CompletableDeferred<Unit>()
-            val server =
-                start { exchange ->
-                    if (exchange.head.path == "/slow") release.await()
-                    exchange.respond(200, body = "done".encodeToByteArray())
-                }
+            val server = startHeldBy(release)
             val kept = connect(server)
             kept.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
             kept.readHead() shouldContain "200 OK"
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -9,7 +9,7 @@
 /** What one router knows about the latest move of a route. Not safe for concurrent use; [VersionRouter] holds its lock. */
 internal class RouteMove(
     snapshot: MoveSnapshot,
-    private val baseline: RouteBaseline,
+    baseline: RouteBaseline,
     private val monotonic: TimeSource,
 ) {
     var snapshot = snapshot
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
@@ -16,7 +16,8 @@
  * One router's part in an ordered move. Pure; times are monotonic. Not safe for concurrent use.
  *
  * Every router follows the same steps by the time since the order was first seen, so that one that is cut off needs no message to keep the
- * deadline. The first final outcome that is stored wins; without one the move counts as taken back from [TimedMovePolicy.completeUntil] on.
+ * deadline. The first final outcome that is stored wins; without one the move counts as taken back soon after
+ * [TimedMovePolicy.completeUntil].
  */
 internal class TimedMove(
     order: MoveOrder,
@@ -32,6 +33,9 @@
     var withdrawal: String? = null
         private set
 
+    /** Whether a final outcome is stored. */
+    val hasEnded: Boolean get() = order.outcome?.isFinal == true
+
     private var startedAt = firstSeenAt
     private val plan = MovePlan(MovePreset.AVAILABILITY, emptyList(), policy.errorRate, policy.leastOutcomes, policy.guardCount)
     private val guards = HashMap<RouteId, VersionGuard>()
@@ -50,7 +54,7 @@
         when {
             order.outcome == MoveOutcome.COMPLETED -> 1.0
             order.outcome == MoveOutcome.TAKEN_BACK || withdrawal != null -> 0.0
-            shareAt(now) >= policy.completeUntil + UNDECIDED_SHARE -> 0.0
+            isOverdue(shareAt(now)) -> 0.0
             else -> policy.steps.last { it.from <= shareAt(now) }.weight
         }
 
@@ -120,11 +124,10 @@
         rank: Int,
         running: Set<Incarnation>,
     ): MoveOutcome? {
-        if (order.outcome?.isFinal == true) return null
+        if (hasEnded) return null
         val share = shareAt(now) - rank * policy.decisionDelayShare
         return when {
-            withdrawal != null -> MoveOutcome.TAKEN_BACK
-            share >= policy.completeUntil + UNDECIDED_SHARE -> MoveOutcome.TAKEN_BACK
+            withdrawal != null || isOverdue(share) -> MoveOutcome.TAKEN_BACK
             share >= policy.completeUntil -> if (hasProof()) MoveOutcome.COMPLETED else MoveOutcome.TAKEN_BACK
             share >= policy.completeFrom && hasProof() && hasLeftOld(running) -> MoveOutcome.COMPLETED
             share >= 0 && order.outcome == null -> MoveOutcome.ACTIVE
@@ -141,6 +144,9 @@
                 report.runningOld == 0 && report.elapsedMillis >= order.duration.toMillis() * policy.completeFrom
             }
 
+    /** Whether a move without a stored outcome counts as taken back at [share] of its duration. */
+    private fun isOverdue(share: Double) = share >= policy.completeUntil + UNDECIDED_SHARE
+
     private fun shareAt(now: Duration): Double = (now - startedAt).toMillis().toDouble() / maxOf(1, order.duration.toMillis())
 
     private fun withdraw(
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMoves.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMoves.kt
@@ -25,8 +25,10 @@
     private val moves = HashMap<String, TimedMove>()
     private val baselines = HashMap<RouteId, RouteBaseline>()
 
+    private val running: List<TimedMove> get() = moves.values.filter { !it.hasEnded }
+
     /** Whether a move is known that has no final outcome. */
-    val hasRunning: Boolean get() = moves.values.any { it.order.outcome?.isFinal != true }
+    val hasRunning: Boolean get() = moves.values.any { !it.hasEnded }
 
     /** Takes over an order as read from the store; a new target is a new move. */
     fun ordered(order: MoveOrder) {
@@ -77,14 +79,14 @@
     }
 
     /** What this router tells the others about its running moves. */
-    fun reports(): List<TimedMoveReport> = moves.values.filter { it.order.outcome?.isFinal != true }.map { it.report(now()) }
+    fun reports(): List<TimedMoveReport> = running.map { it.report(now()) }
 
-    /** Judges all running moves and returns the outcomes that are to be stored now. */
-    fun decide(running: Set<Incarnation>): List<MoveDecision> {
-        val rank = running.count { it < self }
-        return moves.values.mapNotNull { move ->
+    /** Judges all running moves and returns the outcomes that are to be stored now; [others] are the other routers that run. */
+    fun decide(others: Set<Incarnation>): List<MoveDecision> {
+        val rank = others.count { it < self }
+        return running.mapNotNull { move ->
             move.judge(self, now())
-            move.decide(now(), rank, running)?.let { MoveDecision(move.order, it, move.withdrawal) }
+            move.decide(now(), rank, others)?.let { MoveDecision(move.order, it, move.withdrawal) }
         }
     }
 
