standins: count no token after the end of a stream

Cause: a generator that is behind its pace doesn't suspend, so it doesn't see its cancellation; it counted tokens after the answer to DELETE had told the usage. PauseAndStopTest then saw one token more generated than billed (214 and 215). Ruled out: the router's bill, which is what the engine's answer says. Change: a token and its counts are added in one step that fails after the end.

--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineCore.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineCore.kt
@@ -144,14 +144,20 @@
                 cancel(stream)
                 return false
             }
-            stream.generatedTokens++
-            change { it.copy(generatedTokens = it.generatedTokens + 1) }
-            changeRequest(stream) { it.copy(generatedTokens = it.generatedTokens + 1) }
-            stream.add(EngineJson.token(stream))
+            if (!generateToken(stream)) return false
         }
         return true
     }
 
+    /** Generates one token and counts it in one step, so that no reader of the counts sees a stream's usage without it; returns false after the end. */
+    private fun generateToken(stream: EngineStream): Boolean =
+        synchronized(this) {
+            if (!stream.addToken(EngineJson::token)) return false
+            change { it.copy(generatedTokens = it.generatedTokens + 1) }
+            changeRequest(stream) { it.copy(generatedTokens = it.generatedTokens + 1) }
+            true
+        }
+
     private fun finish(stream: EngineStream) {
         stream.add(EngineJson.usage(stream))
         stream.add("[DONE]")
@@ -210,7 +216,7 @@
     private val requests = ConcurrentHashMap<String, EngineStats.RequestCounts>()
 
     /** The counts by request identity. */
-    fun requestCounts(): Map<String, EngineStats.RequestCounts> = requests.toMap()
+    fun requestCounts(): Map<String, EngineStats.RequestCounts> = synchronized(this) { requests.toMap() }
 
     private companion object {
         const val MAX_ORDERS = 1000
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStream.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStream.kt
@@ -30,6 +30,7 @@
 
     @Volatile
     var generatedTokens = 0
+        private set
 
     /** Whether the fault of the engine's version shows for this request. */
     @Volatile
@@ -49,6 +50,17 @@
         progress.value++
     }
 
+    /** Counts one token and adds its [event]; returns false, without either, once the stream has ended and its usage may have been told. */
+    fun addToken(event: (EngineStream) -> String): Boolean {
+        synchronized(events) {
+            if (state != State.RUNNING) return false
+            generatedTokens++
+            events += event(this)
+        }
+        progress.value++
+        return true
+    }
+
     /** Ends the stream; returns false when it had ended. */
     fun end(ended: State): Boolean {
         synchronized(events) {
--- a/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
+++ b/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
@@ -111,6 +111,20 @@
             engine.close()
         }
 
+        test("guards against tokens that the engine generates after a cancellation has told the usage") {
+            val core = EngineCore(EngineStandinSettings(tokenMillis = 0.0), CoroutineScope(Dispatchers.Default))
+
+            repeat(200) { index ->
+                val stream = checkNotNull(core.start(EngineStream("late-$index", promptTokens = 1, maxTokens = 100_000, priority = 0)))
+                checkNotNull(stream.event(index))
+                core.cancel(stream)
+                val toldTokens = stream.generatedTokens
+                stream.job?.join()
+                stream.generatedTokens shouldBe toldTokens
+                core.requestCounts().getValue(stream.requestId).generatedTokens shouldBe toldTokens
+            }
+        }
+
         test("the engine rejects above its bound as not started, then fails what it runs") {
             val engine = EngineStandin(EngineStandinSettings(capacity = 1, rejectAbove = 2, collapseRejections = 3))
             serve(engine) {
