budget, gateway: routers of a large fleet borrow tokens from a few that keep accounts

Cause: above the full mesh each router opened an account in every ledger. Ruled out: opening accounts as calls come (the same 1,872 entries a few seconds later, each refilled every 4 s); fixed home routers (a router is connected to 24 of 77 others, so most homes are two hops away). Change: TokenLender and TokenBorrower. A router asks the first of its neighbours by rendezvous hash; a loan is a reservation at the lender until the borrower says what it spent and gave back. Without a reachable lender a router opens its own account. Fleets of up to 17 routers keep the accounts as before. Measured without network: 80 routers with 200 calls lead to at most 2 entries and 12 writes (TokenLoanTest); 60 seeded runs with kills and lost messages spend no token twice.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -72,12 +72,15 @@
      * Tries the local account, then the platform, then peers, and waits up to [patience] for tokens to become available.
      * With a patience of zero one attempt is made and nothing is waited for beyond its calls. Two calls for the same
      * request are two runs with a reservation each.
+     *
+     * @param mostTokens reserved instead of [tokens] as far as the account can spare them, as for several runs of a peer.
      */
     suspend fun reserve(
         workspace: WorkspaceId,
         request: RequestId,
         tokens: Long,
         patience: Duration,
+        mostTokens: Long = tokens,
     ): Result<Reservation, BudgetRefusal> {
         require(tokens >= 0) { "a reservation of $tokens tokens is negative" }
         val slot =
@@ -91,7 +94,7 @@
                 )
         return try {
             slot.change { it.demanded(tokens, nowMillis(), slot.policy.demandWindow.toMillis()) }
-            tryReserve(slot, request, tokens)?.let { Ok(it) } ?: waitForTokens(slot, request, tokens, patience)
+            tryReserve(slot, request, tokens, mostTokens)?.let { Ok(it) } ?: waitForTokens(slot, request, tokens, patience)
         } finally {
             slot.leave(nowMillis())
         }
@@ -239,12 +242,17 @@
         slot: AccountSlot,
         request: RequestId,
         tokens: Long,
+        mostTokens: Long = tokens,
     ): Reservation? {
         if (isClosed) return null
         return slot.locked {
             val before = account
-            val after = change { it.reserve(tokens) ?: it }
-            if (after === before) null else Reservation(workspace, request, holder, before.nextReservation, tokens)
+            val spareTokens = (before.availableTokens * policy.transferFraction).toLong()
+            val reservedTokens = maxOf(tokens, minOf(mostTokens, spareTokens))
+            val after = change { it.reserve(reservedTokens) ?: it }
+            if (after === before) return null
+            if (reservedTokens > tokens) change { it.demanded(reservedTokens - tokens, nowMillis(), policy.demandWindow.toMillis()) }
+            Reservation(workspace, request, holder, before.nextReservation, reservedTokens)
         }
     }
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -34,6 +34,27 @@
         val tokens: Long,
     ) : BudgetEvent
 
+    /** Another router lent tokens. */
+    data class Borrowed(
+        override val workspace: WorkspaceId,
+        val from: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
+    /** Tokens were lent to another router. */
+    data class Lent(
+        override val workspace: WorkspaceId,
+        val to: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
+    /** A loan ended without word of its borrower, so what was left of it counts as spent. */
+    data class LoanWrittenOff(
+        override val workspace: WorkspaceId,
+        val borrower: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
     /** A reservation was refused. */
     data class Refused(
         val refusal: BudgetRefusal,
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -0,0 +1,87 @@
+package io.limpetfold.budget.loan
+
+import io.limpetfold.budget.DemandRate
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.WorkspaceId
+import kotlinx.coroutines.sync.Mutex
+
+/** What this router has borrowed for one workspace; all fields are guarded by the slot's monitor. */
+internal class BorrowerSlot(
+    val workspace: WorkspaceId,
+) {
+    /** Lets one request at a time ask for more, so that callers that come together share an answer. */
+    val access = Mutex()
+
+    private val loans = LinkedHashMap<Long, BorrowedTokens>()
+    private var demand = DemandRate()
+    private var usedAtMillis = 0L
+
+    /** Counts [tokens] as asked for and returns what lasts for [horizonMillis] at the demand. */
+    @Synchronized
+    fun demanded(
+        tokens: Long,
+        nowMillis: Long,
+        windowMillis: Long,
+        horizonMillis: Long,
+    ): Long {
+        usedAtMillis = nowMillis
+        demand = demand.plus(tokens, nowMillis, windowMillis)
+        return (demand.tokensPerSecond * horizonMillis / MILLIS_PER_SECOND).toLong()
+    }
+
+    /** Reserves [tokens] of the oldest loan that has them; null when none has. */
+    @Synchronized
+    fun reserve(tokens: Long): TokenHold.Borrowed? {
+        for ((number, loan) in loans) {
+            val after = loan.reserve(tokens) ?: continue
+            loans[number] = after
+            return TokenHold.Borrowed(workspace, number, loan.nextReservation)
+        }
+        return null
+    }
+
+    /** Charges [usedTokens] and releases the rest. */
+    @Synchronized
+    fun settle(
+        hold: TokenHold.Borrowed,
+        usedTokens: Long,
+        nowMillis: Long,
+    ) {
+        usedAtMillis = nowMillis
+        change(hold.loan) { it.settle(hold.number, usedTokens) }
+    }
+
+    /** The open loan of [lender], or a new one under [nextNumber]. */
+    @Synchronized
+    fun loanOf(
+        lender: InstanceId,
+        nextNumber: () -> Long,
+    ): BorrowedTokens =
+        loans.values.lastOrNull { it.lender == lender && !it.isEnded }
+            ?: BorrowedTokens(lender, nextNumber()).also { loans[it.number] = it }
+
+    /** Replaces the loan with [number]. */
+    @Synchronized
+    fun change(
+        number: Long,
+        transform: (BorrowedTokens) -> BorrowedTokens,
+    ) {
+        loans[number] = transform(loans[number] ?: return)
+    }
+
+    /** Gives back what nobody has used for [idleMillis], drops loans that are done with, and returns those whose lenders must be told. */
+    @Synchronized
+    fun returnIdle(
+        nowMillis: Long,
+        idleMillis: Long,
+    ): List<BorrowedTokens> {
+        if (nowMillis - usedAtMillis < idleMillis) return emptyList()
+        loans.replaceAll { _, loan -> loan.returning() }
+        loans.values.removeIf { it.isDone }
+        return loans.values.filter { !it.isEnded && it.hasNews }
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
@@ -0,0 +1,25 @@
+package io.limpetfold.budget.loan
+
+import java.time.Duration
+
+/**
+ * How much a router borrows and for how long.
+ *
+ * @property horizon a loan lasts this long at the borrower's demand; lenders keep what outlasts an outage of the platform.
+ * @property demandWindow the time over which the demand is averaged.
+ * @property idleAfter tokens that were not used for this long go back.
+ * @property answerTimeout the longest wait for a lender beyond the caller's patience.
+ * @property lendersAsked the lenders asked before this router opens an account of its own.
+ */
+data class LoanPolicy(
+    val horizon: Duration = Duration.ofSeconds(3),
+    val demandWindow: Duration = Duration.ofSeconds(8),
+    val idleAfter: Duration = Duration.ofSeconds(2),
+    val answerTimeout: Duration = Duration.ofMillis(100),
+    val lendersAsked: Int = 2,
+) {
+    init {
+        require(!horizon.isNegative && demandWindow > Duration.ZERO) { "horizon must not be negative and demandWindow must be positive" }
+        require(answerTimeout > Duration.ZERO && lendersAsked > 0) { "answerTimeout and lendersAsked must be positive" }
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -0,0 +1,173 @@
+package io.limpetfold.budget.loan
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.map
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetEvent
+import io.limpetfold.budget.BudgetListener
+import io.limpetfold.budget.BudgetRefusal
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.peer.PeerNetwork
+import kotlinx.coroutines.sync.withLock
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeSource
+
+/**
+ * Reserves tokens from lenders where [lenders] names some, and from this router's own accounts else; safe for concurrent use.
+ *
+ * A router that reaches no lender of a workspace opens an account of its own. What was borrowed counts as spent at the lender until this
+ * router says otherwise, so a kill of either never lets a token be spent twice.
+ *
+ * @param self the incarnation of this process.
+ */
+class TokenBorrower(
+    private val self: Incarnation,
+    private val agent: BudgetAgent,
+    private val peers: PeerNetwork,
+    private val lenders: LenderChoice,
+    private val policy: LoanPolicy = LoanPolicy(),
+    timeSource: TimeSource = TimeSource.Monotonic,
+    private val listener: BudgetListener = BudgetListener.NONE,
+) {
+    private val start = timeSource.markNow()
+    private val slots = ConcurrentHashMap<WorkspaceId, BorrowerSlot>()
+    private val lastLoan = AtomicLong()
+
+    /** Reserves [tokens] for one run of [request], and waits up to [patience] for them; see [BudgetAgent.reserve]. */
+    suspend fun reserve(
+        workspace: WorkspaceId,
+        request: RequestId,
+        tokens: Long,
+        patience: Duration,
+    ): Result<TokenHold, BudgetRefusal> {
+        val asked = lenders.lendersOf(workspace).take(policy.lendersAsked)
+        val slot = slots[workspace] ?: if (asked.isEmpty()) null else slots.computeIfAbsent(workspace, ::BorrowerSlot)
+        if (slot != null) {
+            val wantedTokens = slot.demanded(tokens, nowMillis(), policy.demandWindow.toMillis(), policy.horizon.toMillis())
+            slot.reserve(tokens)?.let { return Ok(it) }
+            val refusal =
+                slot.access.withLock {
+                    slot.reserve(tokens)?.let { return Ok(it) }
+                    borrow(slot, asked, tokens, maxOf(tokens, wantedTokens), patience)
+                }
+            slot.reserve(tokens)?.let { return Ok(it) }
+            if (refusal != null) return Err(refusal)
+        }
+        return agent.reserve(workspace, request, tokens, patience).map { TokenHold.Own(it) }
+    }
+
+    /** Charges [usedTokens], at most what [hold] has, and releases the rest; a second call changes nothing. */
+    fun settle(
+        hold: TokenHold,
+        usedTokens: Long,
+    ) {
+        when (hold) {
+            is TokenHold.Own -> agent.settle(hold.reservation, usedTokens)
+            is TokenHold.Borrowed -> slots[hold.workspace]?.settle(hold, usedTokens, nowMillis())
+        }
+    }
+
+    /** Has an account of [workspace] opened before calls need it, at a lender or here; see [BudgetAgent.prepare]. */
+    suspend fun prepare(workspace: WorkspaceId): Boolean {
+        for (lender in lenders.lendersOf(workspace).take(policy.lendersAsked)) {
+            val slot = slots.computeIfAbsent(workspace, ::BorrowerSlot)
+            val reply = slot.access.withLock { ask(slot, slot.loanOf(lender, lastLoan::incrementAndGet), 0, 0, Duration.ZERO) }
+            if (reply?.outcome == LoanOutcome.LENT) return true
+        }
+        return agent.prepare(workspace)
+    }
+
+    /** Gives back what was not used for a while. */
+    suspend fun maintain() = giveBack(policy.idleAfter.toMillis())
+
+    /** Gives back all that is not reserved, before the planned stop of this router. */
+    suspend fun close() = giveBack(idleMillis = Long.MIN_VALUE)
+
+    private suspend fun giveBack(idleMillis: Long) {
+        for (slot in slots.values) {
+            for (loan in slot.returnIdle(nowMillis(), idleMillis)) slot.access.withLock { ask(slot, loan, 0, 0, Duration.ZERO) }
+        }
+    }
+
+    /** Asks [asked] in turn until one lends; returns why none did when one knows that the tokens are not there. */
+    private suspend fun borrow(
+        slot: BorrowerSlot,
+        asked: List<InstanceId>,
+        neededTokens: Long,
+        mostTokens: Long,
+        patience: Duration,
+    ): BudgetRefusal? {
+        for (lender in asked) {
+            var reply = borrowFrom(slot, lender, neededTokens, mostTokens, patience)
+            if (reply?.outcome == LoanOutcome.UNKNOWN_LOAN) reply = borrowFrom(slot, lender, neededTokens, mostTokens, patience)
+            when (reply?.outcome) {
+                LoanOutcome.LENT -> return null
+                LoanOutcome.INSUFFICIENT ->
+                    return BudgetRefusal.InsufficientBudget(
+                        slot.workspace,
+                        neededTokens,
+                        reply.freeTokens,
+                        Duration.ofMillis(reply.retryAfterMillis),
+                    )
+                LoanOutcome.UNAVAILABLE, LoanOutcome.UNKNOWN_LOAN, null -> continue
+            }
+        }
+        return null
+    }
+
+    /** Asks [lender] for what its loan lacks. */
+    private suspend fun borrowFrom(
+        slot: BorrowerSlot,
+        lender: InstanceId,
+        neededTokens: Long,
+        mostTokens: Long,
+        patience: Duration,
+    ): LoanReply? {
+        val loan = slot.loanOf(lender, lastLoan::incrementAndGet)
+        val shortTokens = maxOf(1, neededTokens - loan.availableTokens)
+        val reply = ask(slot, loan, shortTokens, maxOf(shortTokens, mostTokens - loan.availableTokens), patience)
+        if (reply != null && reply.lentTokens > loan.lentTokens) {
+            listener.onEvent(BudgetEvent.Borrowed(slot.workspace, lender, reply.lentTokens - loan.lentTokens))
+        }
+        return reply
+    }
+
+    /** Sends one request of [loan] and takes over its answer; null when none came. */
+    private suspend fun ask(
+        slot: BorrowerSlot,
+        loan: BorrowedTokens,
+        neededTokens: Long,
+        mostTokens: Long,
+        patience: Duration,
+    ): LoanReply? {
+        val request =
+            LoanRequest(
+                slot.workspace,
+                self,
+                loan.number,
+                neededTokens,
+                mostTokens,
+                patience.toMillis(),
+                loan.lentTokens,
+                loan.spentTokens,
+                loan.returnedTokens,
+            )
+        slot.change(loan.number) { it.copy(isAnswerMissing = true) }
+        val reply = peers.ask(loan.lender, LOAN_TOPIC, request, policy.answerTimeout + patience).get() ?: return null
+        val told = loan.spentTokens + loan.returnedTokens
+        slot.change(loan.number) {
+            if (reply.outcome == LoanOutcome.UNKNOWN_LOAN) it.copy(isEnded = true) else it.answered(reply.lentTokens, told)
+        }
+        return reply
+    }
+
+    private fun nowMillis(): Long = start.elapsedNow().inWholeMilliseconds
+}
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
@@ -0,0 +1,128 @@
+package io.limpetfold.budget.loan
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.map
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.BudgetLedger
+import io.limpetfold.budget.BudgetLedgers
+import io.limpetfold.budget.BudgetPolicy
+import io.limpetfold.budget.BudgetRefusal
+import io.limpetfold.budget.PaidTotal
+import io.limpetfold.budget.PredecessorSpend
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreFault
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+import kotlin.random.Random
+
+/** Routers that spend one budget, of which the first two lend. */
+internal class LoanFleet(
+    routerCount: Int,
+    private val seed: Int = 1,
+) {
+    class Router(
+        val self: Incarnation,
+        val agent: BudgetAgent,
+        val borrower: TokenBorrower,
+    )
+
+    val hub = FakePeerHub()
+    var storeFault = StoreFault.NONE
+    private val clock = TestClock()
+    private val store = FakeObjectStore()
+    val routers = MutableList(routerCount) { router(it, number = 1) }
+
+    suspend fun ledger(): BudgetLedger = BudgetLedgers(store).read(WORKSPACE).get().shouldNotBeNull()
+
+    /** The writes that the ledger has seen. */
+    suspend fun storeWrites(): Int = ledger().holders.values.sumOf { it.sequence }.toInt()
+
+    suspend fun call(
+        router: Router,
+        tokens: Long = CALL_TOKENS,
+    ): Result<TokenHold, BudgetRefusal> =
+        router.borrower.reserve(WORKSPACE, REQUEST, tokens, Duration.ZERO).map { hold ->
+            router.borrower.settle(hold, minOf(tokens, USED_TOKENS))
+            hold
+        }
+
+    /** A call of random size through a random router, in one of five cases without its settlement; returns what it may have used. */
+    suspend fun randomCall(random: Random): Long {
+        val router = routers.random(random)
+        val tokens = random.nextLong(1, 30_000)
+        val hold = router.borrower.reserve(WORKSPACE, REQUEST, tokens, Duration.ZERO).get() ?: return 0
+        if (random.nextInt(5) == 0) return tokens
+        val used = random.nextLong(tokens + 1)
+        router.borrower.settle(hold, used)
+        return used
+    }
+
+    suspend fun advance(time: Duration) {
+        clock.advance(time)
+        for (router in routers) {
+            router.agent.maintain()
+            router.borrower.maintain()
+        }
+    }
+
+    /** Kills a router and starts the next process of its instance. */
+    fun restart(index: Int) {
+        hub.leave(routers[index].self.instance)
+        routers[index] = router(index, routers[index].self.number + 1)
+    }
+
+    fun randomFault(random: Random): (InstanceId, InstanceId) -> PeerFault {
+        val pairSeed = random.nextInt()
+        return { from, to -> PeerFault.entries[Random(pairSeed xor (from to to).hashCode()).nextInt(PeerFault.entries.size)] }
+    }
+
+    private fun router(
+        index: Int,
+        number: Long,
+    ): Router {
+        val self = Incarnation(InstanceId("router-$index"), number)
+        val peers = hub.join(self)
+        val agent =
+            BudgetAgent(
+                self,
+                store.withFaults { storeFault },
+                peers,
+                { POLICY },
+                clock.monotonic,
+                Random(seed),
+                predecessorSpend = { _, _ -> PredecessorSpend.WHOLE_GRANT },
+                paidTotalOf = { PaidTotal(PAID, version = 1) },
+            )
+        TokenLender(agent).register(peers)
+        val lenders = LenderChoice { LENDERS.filter { it != self.instance }.takeUnless { self.instance in LENDERS }.orEmpty() }
+        return Router(self, agent, TokenBorrower(self, agent, peers, lenders, timeSource = clock.monotonic))
+    }
+
+    companion object {
+        const val PAID = 1_000_000L
+        const val CALL_TOKENS = 1_000L
+        const val USED_TOKENS = 700L
+        val WORKSPACE = WorkspaceId("w")
+        val REQUEST = RequestId("r")
+        val LENDERS = listOf(InstanceId("router-0"), InstanceId("router-1"))
+        private val POLICY =
+            BudgetPolicy(
+                horizon = Duration.ofSeconds(13),
+                grantFraction = 0.5,
+                demandWindow = Duration.ofSeconds(8),
+                heldPart = 0.6,
+                freeShare = 0.1,
+                waitsForTopUps = false,
+                refillBelow = 0.55,
+                returnAbove = 0.5,
+            )
+    }
+}
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
@@ -0,0 +1,101 @@
+package io.limpetfold.budget.loan
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.budget.BudgetRefusal
+import io.limpetfold.core.InstanceId
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.StoreFault
+import java.time.Duration
+import kotlin.random.Random
+
+/** Load pattern: the calls of each workspace come through all of many routers, a few at a time at each. */
+class TokenLoanTest :
+    FunSpec({
+        test("guards against a ledger with an entry, and a start with a write, for each of many routers") {
+            val fleet = LoanFleet(routerCount = 80)
+            fleet.routers.forEach { it.borrower.prepare(LoanFleet.WORKSPACE) shouldBe true }
+            repeat(200) { fleet.call(fleet.routers[it % 80]).get().shouldNotBeNull() }
+            fleet.ledger().holders.size shouldBeLessThanOrEqual 2
+            fleet.storeWrites() shouldBeLessThanOrEqual 12
+        }
+
+        test("guards against calls refused in a cut from the store although the lender has tokens") {
+            val fleet = LoanFleet(routerCount = 20)
+            repeat(200) {
+                fleet.call(fleet.routers[it % 20]).get().shouldNotBeNull()
+                fleet.advance(Duration.ofMillis(100))
+            }
+            fleet.storeFault = StoreFault.UNAVAILABLE
+            repeat(70) {
+                fleet.call(fleet.routers[it % 20]).get().shouldNotBeNull()
+                fleet.advance(Duration.ofMillis(100))
+            }
+        }
+
+        test("guards against tokens that stay with idle borrowers") {
+            val fleet = LoanFleet(routerCount = 20)
+            repeat(40) { fleet.call(fleet.routers[it % 20]).get().shouldNotBeNull() }
+            repeat(3) { fleet.advance(Duration.ofSeconds(3)) }
+            fleet.routers.forEach { it.agent.close() }
+            fleet.ledger().settledTokens shouldBe 40 * LoanFleet.USED_TOKENS
+            fleet.ledger().freeTokens shouldBe LoanFleet.PAID - 40 * LoanFleet.USED_TOKENS
+        }
+
+        test("guards against a lost answer that hides a loan from its borrower or doubles it") {
+            val fleet = LoanFleet(routerCount = 20)
+            val borrower = fleet.routers.last()
+            fleet.hub.fault = { from, _ -> if (from == borrower.self.instance) PeerFault.REPLY_LOST else PeerFault.NONE }
+            borrower.borrower.reserve(LoanFleet.WORKSPACE, LoanFleet.REQUEST, 900_000, Duration.ZERO).getError().shouldNotBeNull()
+            fleet.hub.fault = { _, _ -> PeerFault.NONE }
+            val hold = borrower.borrower.reserve(LoanFleet.WORKSPACE, LoanFleet.REQUEST, 900_000, Duration.ZERO).get().shouldNotBeNull()
+            borrower.borrower.settle(hold, 900_000)
+            fleet.call(borrower, tokens = 200_000).getError().shouldBeInstanceOf<BudgetRefusal.InsufficientBudget>()
+        }
+
+        test("guards against a router that serves nothing when its lenders are gone") {
+            val fleet = LoanFleet(routerCount = 20)
+            fleet.call(fleet.routers.last()).get().shouldNotBeNull()
+            fleet.hub.fault = { from, _ -> if (from == fleet.routers.last().self.instance) PeerFault.REQUEST_LOST else PeerFault.NONE }
+            fleet.call(fleet.routers.last(), tokens = 100_000).get().shouldNotBeNull().shouldBeInstanceOf<TokenHold.Own>()
+        }
+
+        test("guards against a budget that is spent twice when lenders and borrowers are killed and messages get lost") {
+            for (seed in 1..60) {
+                val fleet = LoanFleet(routerCount = 20, seed = seed)
+                val random = Random(seed)
+                var usedTokens = 0L
+                repeat(400) {
+                    usedTokens += fleet.randomCall(random)
+                    if (random.nextInt(12) == 0) fleet.restart(random.nextInt(20))
+                    if (random.nextInt(8) == 0) fleet.hub.fault = fleet.randomFault(random)
+                    if (random.nextInt(4) == 0) fleet.advance(Duration.ofMillis(random.nextLong(2_000)))
+                }
+                withClue(seed) { usedTokens shouldBeLessThanOrEqual LoanFleet.PAID }
+                withClue(seed) { usedTokens shouldBeGreaterThan 0 }
+                withClue(seed) { fleet.ledger().freeTokens shouldBeLessThanOrEqual LoanFleet.PAID - usedTokens }
+            }
+        }
+
+        test("guards against borrowers of the wrong process, and loans that come back under an old number") {
+            val fleet = LoanFleet(routerCount = 20)
+            val borrower = fleet.routers.last()
+            fleet.call(borrower).get().shouldNotBeNull()
+            val lender = LoanFleet.LENDERS.first()
+            val network = fleet.hub.join(borrower.self)
+            val old = LoanRequest(LoanFleet.WORKSPACE, borrower.self, 0, 1_000, 1_000, 0, 0, 0, 0)
+            network.ask(lender, LOAN_TOPIC, old, Duration.ZERO).get().shouldNotBeNull().outcome shouldBe LoanOutcome.UNKNOWN_LOAN
+            val foreign = old.copy(borrower = fleet.routers.first().self.copy(instance = InstanceId("router-3")), number = 9)
+            network.ask(lender, LOAN_TOPIC, foreign, Duration.ZERO).get().shouldNotBeNull().outcome shouldBe LoanOutcome.UNKNOWN_LOAN
+            val unknown = old.copy(number = 9, spentTokens = 500)
+            network.ask(lender, LOAN_TOPIC, unknown, Duration.ZERO).get().shouldNotBeNull().outcome shouldBe LoanOutcome.UNKNOWN_LOAN
+        }
+    })
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -7,6 +7,8 @@
 import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpend
+import io.limpetfold.budget.loan.TokenBorrower
+import io.limpetfold.budget.loan.TokenLender
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
@@ -26,6 +28,7 @@
 import io.limpetfold.gateway.observe.GatewayMetrics
 import io.limpetfold.gateway.operate.AccountOpener
 import io.limpetfold.gateway.operate.FleetListing
+import io.limpetfold.gateway.operate.NeighbourLenders
 import io.limpetfold.gateway.operate.OperatorHandler
 import io.limpetfold.gateway.operate.PeriodicWork
 import io.limpetfold.gateway.operate.PlannedStop
@@ -63,6 +66,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.time.Duration
 import java.time.InstantSource
 import kotlin.random.Random
@@ -105,6 +109,7 @@
         Membership(self.instance, instances, peers, TimeSource.Monotonic, MEMBERSHIP_POLICY, memberEvents()) { heartbeat() }
     private val listing: FleetListing = FleetListing(settings, instances, membership, peers, random, log)
     private val sync = PeerSync(peers, routing, directory, directoryKeeper, monotonic, loops.dispatcher)
+    private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
         BudgetAgent(
             self,
@@ -112,11 +117,14 @@
             peers,
             { budgetPolicy() },
             random = random,
-            listener = BudgetObserver(log, metrics),
+            listener = budgetObserver,
             reportsPerRound = REPORTS_PER_ROUND,
             predecessorSpend = { _, _ -> PredecessorSpend.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
         )
+    private val lender = TokenLender(budget, budgetObserver)
+    private val lenders: NeighbourLenders = NeighbourLenders(self.instance, { listing.routerCount }, membership::members)
+    private val tokens = TokenBorrower(self, budget, peers, lenders, listener = budgetObserver)
     private val moves = TimedMoves(self, monotonic::now, random)
     private val moveKeeper = MoveKeeper(moves, moveCodec, store, peers, loops.dispatcher, log)
     private val settingsKeeper = SettingsKeeper(settings, readSettings, log)
@@ -138,6 +146,7 @@
     suspend fun start() {
         sync.register()
         moveKeeper.register()
+        lender.register(peers)
         registerGauges()
         operators.start()
         callers.start()
@@ -167,6 +176,7 @@
         plannedStop.refuseAll()
         // A call may have been taken just before; the refusals from here on are short.
         callers.awaitIdle(plannedStop.timeLeft)
+        withTimeoutOrNull(LAST_LOANS.toMillis()) { tokens.close() }
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
         callers.awaitIdle(LAST_ANSWERS)
         callers.close()
@@ -202,9 +212,10 @@
         }
         work.every(HALF_SECOND, "peer sync") { sync.maintain(membership.members()) }
         work.every(QUARTER_SECOND, "moves") { moveKeeper.maintain(membership.members()) }
-        val accounts = AccountOpener(budget, { listing.isSettled }, { routing.current }, random)
+        val accounts = AccountOpener(tokens, { listing.isSettled }, { routing.current }, random)
         work.every(QUARTER_SECOND, "accounts") { accounts.maintain() }
         work.every(HALF_SECOND, "budget") { budget.maintain() }
+        work.every(ONE_SECOND, "loans") { tokens.maintain() }
         work.every(FOUR_SECONDS, "budget holders") {
             if (haveRoutersJoined) budget.holdersChanged()
             haveRoutersJoined = false
@@ -254,12 +265,12 @@
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
     }
 
-    /** What all routers together hold does not depend on their number. */
+    /** What all routers together hold does not depend on the number of those that have accounts. */
     private fun budgetPolicy(): BudgetPolicy {
-        val routerCount = listing.routerCount
+        val holderCount = lenders.holderCount
         return settings.budget.copy(
-            freeShare = HELD_SHARE / routerCount,
-            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / routerCount),
+            freeShare = HELD_SHARE / holderCount,
+            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
         )
     }
 
@@ -268,7 +279,7 @@
         val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, { settingsKeeper.current.retries }, moves) { listing.routerCount }
         return CallHandler(
             CallGate(codec, { routing.current }, random, plannedStop),
-            TokenBudget(budget),
+            TokenBudget(tokens),
             dispatcher,
             RefusalWriter(settings.calls, random),
             codec,
@@ -308,9 +319,12 @@
 
         /** Refusals that are being written when the tokens have gone back end within this time. */
         val LAST_ANSWERS: Duration = Duration.ofMillis(100)
+        /** Lenders answer within a few milliseconds; what does not go back counts as spent. */
+        val LAST_LOANS: Duration = Duration.ofMillis(200)
         val READY_CHECK: Duration = Duration.ofMillis(10)
         val HALF_SECOND: Duration = Duration.ofMillis(500)
         val QUARTER_SECOND: Duration = Duration.ofMillis(250)
+        val ONE_SECOND: Duration = Duration.ofSeconds(1)
         val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -51,7 +51,7 @@
     ): CallEnd {
         call.body = exchange.readBody(policy.maxBodyBytes)
         val patience = minOf(policy.budgetPatience, (call.endsAt - clock.now()).dividedBy(2))
-        val reservation =
+        val hold =
             budget.reserve(call, if (patience.isNegative) Duration.ZERO else patience).fold(
                 success = { it },
                 failure = { return CallEnd.Refused(it) },
@@ -59,7 +59,7 @@
         try {
             return forward(exchange, call)
         } finally {
-            budget.settle(call, reservation)
+            budget.settle(call, hold)
         }
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/TokenBudget.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/TokenBudget.kt
@@ -4,24 +4,24 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.BudgetRefusal
-import io.limpetfold.budget.Reservation
+import io.limpetfold.budget.loan.TokenBorrower
+import io.limpetfold.budget.loan.TokenHold
 import java.time.Duration
 
 /** Reserves the most that a call can consume, and charges what it did consume. */
 internal class TokenBudget(
-    private val agent: BudgetAgent,
+    private val tokens: TokenBorrower,
 ) {
-    /** Returns a reservation; null for a call that consumes no prepaid tokens. */
+    /** Returns what was reserved; null for a call that consumes no prepaid tokens. */
     suspend fun reserve(
         call: ForwardCall,
         patience: Duration,
-    ): Result<Reservation?, RefusalReason> {
+    ): Result<TokenHold?, RefusalReason> {
         val prompt = call.headers.prompt ?: return Ok(null)
         val workspace = call.workspace ?: return Ok(null)
         if (workspace.prepaidTokens == null) return Ok(null)
-        return agent.reserve(workspace.workspace, call.request, prompt.maxTokens, patience).fold(
+        return tokens.reserve(workspace.workspace, call.request, prompt.maxTokens, patience).fold(
             success = { Ok(it) },
             failure = { Err(reasonOf(it)) },
         )
@@ -34,12 +34,12 @@
      */
     fun settle(
         call: ForwardCall,
-        reservation: Reservation?,
+        hold: TokenHold?,
     ) {
-        if (reservation == null) return
+        if (hold == null) return
         val input = call.headers.prompt?.inputTokens ?: 0
         val used = if (call.isAnswerBegun) input + call.deliveredEvents.toLong() * call.tokensPerEvent else 0
-        agent.settle(reservation, used)
+        tokens.settle(hold, used)
     }
 
     private fun reasonOf(refusal: BudgetRefusal): RefusalReason =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -23,6 +23,18 @@
                 metrics.event(EVENTS, "transfer_sent")
                 log.info("budget.sent", "workspace" to event.workspace, "peer" to event.to, "tokens" to event.tokens)
             }
+            is BudgetEvent.Borrowed -> {
+                metrics.event(EVENTS, "borrowed")
+                log.info("budget.borrowed", "workspace" to event.workspace, "peer" to event.from, "tokens" to event.tokens)
+            }
+            is BudgetEvent.Lent -> {
+                metrics.event(EVENTS, "lent")
+                log.info("budget.lent", "workspace" to event.workspace, "peer" to event.to, "tokens" to event.tokens)
+            }
+            is BudgetEvent.LoanWrittenOff -> {
+                metrics.event(EVENTS, "loan_written_off")
+                log.warn("budget.loan_written_off", "workspace" to event.workspace, "peer" to event.borrower, "tokens" to event.tokens)
+            }
             is BudgetEvent.Refused -> {
                 metrics.event(EVENTS, "refused")
                 log.info("budget.refused", "workspace" to event.workspace, "reason" to event.refusal.message)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/AccountOpener.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/AccountOpener.kt
@@ -1,14 +1,14 @@
 package io.limpetfold.gateway.operate
 
-import io.limpetfold.budget.BudgetAgent
+import io.limpetfold.budget.loan.TokenBorrower
 import io.limpetfold.routing.RoutingTable
 import kotlinx.coroutines.delay
 import java.time.Duration
 import kotlin.random.Random
 
-/** Opens the accounts of all prepaid workspaces of a small fleet before calls need them; a large one opens them as calls come. */
+/** Opens the accounts of all prepaid workspaces, here or at a lender, before calls need them; where there are many, they open as calls come. */
 internal class AccountOpener(
-    private val budget: BudgetAgent,
+    private val tokens: TokenBorrower,
     private val isFleetKnown: () -> Boolean,
     private val table: () -> RoutingTable?,
     private val random: Random,
@@ -25,7 +25,7 @@
         val prepaid = table()?.workspaces?.filter { it.prepaidTokens != null }.orEmpty()
         if (prepaid.size > MAX_WORKSPACES) return
         for (workspace in prepaid.filter { it.workspace.value !in opened }.shuffled(random)) {
-            if (!budget.prepare(workspace.workspace)) return
+            if (!tokens.prepare(workspace.workspace)) return
             opened += workspace.workspace.value
             delay(random.nextLong(PAUSE.toMillis()))
         }
