gateway, membership: large fleets watch the store less often, and choose lenders by measured neighbourhoods

Cause: each router of a large fleet watched configuration and endpoints for 2 s at a time and again at once after each change; the calls grow with routers x changes. The number of holders of a ledger was guessed (6 for 78 routers). Ruled out: longer watches of endpoints, as only heartbeats of the configuration tell that a watch fell silent; the list position in heartbeats moves with every write to the store. Change: above the full mesh the configuration is watched for 6 s and endpoints for 3 s, with 0.4 s between a change and the next watch; small fleets keep 2 s. Whether a fleet is a full mesh is asked of membership, not of a second constant.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -123,7 +123,7 @@
             paidTotalOf = ::paidTotalOf,
         )
     private val lender = TokenLender(budget, budgetObserver)
-    private val lenders: NeighbourLenders = NeighbourLenders(self.instance, { listing.routerCount }, membership::members)
+    private val lenders: NeighbourLenders = NeighbourLenders(self.instance, membership)
     private val tokens = TokenBorrower(self, budget, peers, lenders, listener = budgetObserver)
     private val moves = TimedMoves(self, monotonic::now, random)
     private val moveKeeper = MoveKeeper(moves, moveCodec, store, peers, loops.dispatcher, log)
@@ -194,9 +194,9 @@
     }
 
     private fun startFeeds() {
-        scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, random = random).run() }
-        scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, random = random).run() }
-        scope.launch { ObjectFeed(store, settings.movePrefix, moveKeeper, MOVE_FEED, random).run() }
+        scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, { feedPolicy(LARGE_FLEET_CONFIG) }, random).run() }
+        scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, { feedPolicy(LARGE_FLEET_ENDPOINTS) }, random).run() }
+        scope.launch { ObjectFeed(store, settings.movePrefix, moveKeeper, { MOVE_FEED }, random).run() }
         scope.launch {
             while (readiness == Readiness.STARTING && (routing.current == null || !directory.isKnown)) delay(READY_CHECK.toMillis())
             if (readiness == Readiness.STARTING) readiness = Readiness.READY
@@ -204,6 +204,8 @@
         }
     }
 
+    private fun feedPolicy(ofLargeFleet: FeedPolicy): FeedPolicy = if (membership.isFullMesh) SMALL_FLEET else ofLargeFleet
+
     private fun startWork() {
         scope.launch { listing.register() }
         work.every(HALF_SECOND, "membership") {
@@ -328,6 +330,14 @@
         val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
+        val SMALL_FLEET = FeedPolicy()
+
+        /** Heartbeats tell each second whether peers have a newer configuration, so a watch that fell silent is noticed without its timeout. */
+        val LARGE_FLEET_CONFIG = FeedPolicy(watchWait = Duration.ofSeconds(6), pauseAfterChange = Duration.ofMillis(400))
+
+        /** Many routers share the store's rate, and a change may take 3 s to be in force. */
+        val LARGE_FLEET_ENDPOINTS = FeedPolicy(watchWait = Duration.ofSeconds(3), pauseAfterChange = Duration.ofMillis(400))
+
         /** Orders come a few times a day, and verdicts go from router to router; a longer watch saves calls to the store. */
         val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10), backoffMax = Duration.ofSeconds(4))
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
@@ -12,7 +12,7 @@
     private val store: ObjectStore,
     private val prefix: String,
     private val listener: FeedListener,
-    private val policy: FeedPolicy = FeedPolicy(),
+    private val policyOf: () -> FeedPolicy = { FeedPolicy() },
     private val random: Random = Random.Default,
 ) {
     private var position: ObjectVersion? = null
@@ -41,17 +41,19 @@
             failure = { it },
         )
 
-    private suspend fun watch(from: ObjectVersion): StoreError? =
-        store.watch(prefix, from, policy.watchWait).fold(
+    private suspend fun watch(from: ObjectVersion): StoreError? {
+        val policy = policyOf()
+        return store.watch(prefix, from, policy.watchWait).fold(
             success = { page ->
                 position = maxOf(from, page.position)
                 listener.onChanged(page)
-                // A store that does not wait must not keep the event loop busy.
-                if (page.objects.isEmpty() && page.removed.isEmpty()) delay(policy.pauseAfterEmpty.toMillis())
+                val isEmpty = page.objects.isEmpty() && page.removed.isEmpty()
+                delay((if (isEmpty) policy.pauseAfterEmpty else policy.pauseAfterChange).toMillis())
                 null
             },
             failure = { it },
         )
+    }
 
     private suspend fun onError(error: StoreError) {
         if (error is StoreError.HistoryGone) {
@@ -61,6 +63,7 @@
         listener.onFailed(error)
         val shift = failures.coerceAtMost(MAX_DOUBLINGS)
         failures++
+        val policy = policyOf()
         val limitMillis = minOf(policy.backoffMin.toMillis() shl shift, policy.backoffMax.toMillis())
         delay(random.nextLong(limitMillis / 2, limitMillis + 1))
     }
--- /dev/null
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/NeighbourLendersTest.kt
@@ -0,0 +1,100 @@
+package io.limpetfold.gateway.operate
+
+import com.github.michaelbull.result.Ok
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.VersionId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.core.ZoneId
+import io.limpetfold.membership.Heartbeat
+import io.limpetfold.membership.Membership
+import io.limpetfold.peer.ListedInstance
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
+import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
+
+/** Load pattern: every router of a large fleet gets calls of every workspace, and each is connected to a part of the fleet. */
+class NeighbourLendersTest :
+    FunSpec({
+        test("guards against ledgers with an entry of every router, and a router that lends for all") {
+            for (routerCount in listOf(78, 330)) {
+                val fleet = Fleet(routerCount)
+                fleet.hear()
+                val firsts = WORKSPACES.associateWith { workspace -> fleet.routers.map { it.lenderOf(workspace) } }
+                val holders = firsts.mapValues { (_, lenders) -> lenders.toSet().size }
+
+                val estimate = fleet.routers.first().lenders.holderCount
+                val mean = holders.values.average().toInt()
+                mean shouldBeInRange estimate / 2..estimate * 2
+                holders.values.max() shouldBeLessThanOrEqual estimate * 2
+                val lentFor = fleet.routers.map { router -> firsts.count { (_, lenders) -> router.self in lenders } }
+                lentFor.max() shouldBeLessThanOrEqual WORKSPACES.size / 2
+            }
+        }
+
+        test("guards against a small fleet that depends on lenders, and against a lender that is about to stop") {
+            val small = Fleet(routerCount = 17)
+            small.hear()
+            small.routers.flatMap { it.lenders.lendersOf(WORKSPACES.first()) } shouldBe emptyList()
+
+            val large = Fleet(routerCount = 78)
+            large.hear()
+            val first = large.routers.first { it.lenderOf(WORKSPACES.first()) != it.self }
+            val lender = first.lenderOf(WORKSPACES.first())
+            large.stopping += lender
+            large.hear()
+            first.lenders.lendersOf(WORKSPACES.first()) shouldNotContain lender
+        }
+    }) {
+    private class Router(
+        val self: InstanceId,
+        val membership: Membership,
+    ) {
+        val lenders = NeighbourLenders(self, membership)
+
+        fun lenderOf(workspace: WorkspaceId): InstanceId = lenders.lendersOf(workspace).firstOrNull() ?: self
+    }
+
+    private class Fleet(
+        routerCount: Int,
+    ) {
+        private val hub = FakePeerHub()
+        private val clock = TestClock()
+        private val names = List(routerCount) { InstanceId("10.0.${it / 100}.${it % 100}") }
+        private val listed =
+            names.map { ListedInstance(it, ListedInstance.ROUTER_SERVICE, VersionId("1"), ZONE, it.value, 8485) }.toImmutableList()
+        val stopping = mutableSetOf<InstanceId>()
+        val routers = names.map(::router)
+
+        /** Reads the list and exchanges heartbeats over the connections that membership chooses. */
+        suspend fun hear() {
+            hub.fault = { _, _ -> PeerFault.REQUEST_LOST }
+            routers.forEach { it.membership.maintain() }
+            val chosen = routers.associate { router -> router.self to router.membership.connections().mapTo(HashSet()) { it.instance } }
+            hub.fault = { from, to -> if (to in chosen.getValue(from) || from in chosen.getValue(to)) PeerFault.NONE else PeerFault.REQUEST_LOST }
+            clock.advance(Duration.ofSeconds(3))
+            routers.forEach { it.membership.maintain() }
+        }
+
+        private fun router(name: InstanceId): Router {
+            val self = Incarnation(name, 1)
+            val membership =
+                Membership(name, { Ok(listed) }, hub.join(self), clock.monotonic) {
+                    Heartbeat(self, ZONE, generation = 1, seat = null, isDraining = name in stopping)
+                }
+            return Router(name, membership)
+        }
+    }
+
+    private companion object {
+        val ZONE = ZoneId("a")
+        val WORKSPACES = List(24) { WorkspaceId("workspace-$it") }
+    }
+}
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -28,7 +28,7 @@
             val recorded = Recorded()
             val store = ScriptedStore(answers.toList(), recorded)
             coroutineScope {
-                val feed = launch { ObjectFeed(store, "servers/", recorded, FeedPolicy(backoffMin = Duration.ofMillis(4))).run() }
+                val feed = launch { ObjectFeed(store, "servers/", recorded, { FeedPolicy(backoffMin = Duration.ofMillis(4)) }).run() }
                 store.awaitEnd()
                 feed.cancel()
             }
@@ -70,6 +70,19 @@
             }
             recorded.calls.size shouldBeLessThanOrEqual 40
         }
+
+        test("guards against a watch call of each of many routers for each of many changes") {
+            val changed = ObjectPage(persistentListOf(StoredObject(ObjectKey("servers/a"), ObjectVersion(2), "{}")), ObjectVersion(2))
+            val answers = Array<(String) -> Result<ObjectPage, StoreError>>(10_000) { { Ok(changed) } }
+            val recorded = Recorded()
+            val policy = FeedPolicy(pauseAfterChange = Duration.ofMillis(100))
+            coroutineScope {
+                val feed = launch { ObjectFeed(ScriptedStore(answers.toList(), recorded), "servers/", recorded, { policy }).run() }
+                delay(350)
+                feed.cancel()
+            }
+            recorded.calls.size shouldBeLessThanOrEqual 6
+        }
     }) {
     private class Recorded : FeedListener {
         val calls = mutableListOf<String>()
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -58,6 +58,9 @@
     fun listedRouters(): ImmutableList<ListedInstance> =
         synchronized(this) { routers().filter { it.instance != self }.toImmutableList() }
 
+    /** Whether every listed router connects to every other. */
+    val isFullMesh: Boolean get() = listedRouters().size <= policy.fullMeshLimit
+
     /** The listed endpoints of [service], also those marked as leaving. */
     fun endpoints(service: String): ImmutableList<ListedInstance> = synchronized(this) { view.service(service) }
 
