membership, gateway: what a router of a large fleet sends no longer grows with its connections

Ruled out: pings (a connection with traffic sends none). Change: where the fleet is no full mesh, heartbeats come every second interval, a router whose peer has just sent its heartbeat sends none of its own (its answer told it), silence is noticed after twice the time, and the list is read four times less often unless a router is heard that it does not show. Small fleets keep their times.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
-import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpend
 import io.limpetfold.budget.loan.TokenBorrower
@@ -28,6 +27,7 @@
 import io.limpetfold.gateway.observe.GatewayMetrics
 import io.limpetfold.gateway.operate.AccountOpener
 import io.limpetfold.gateway.operate.FleetListing
+import io.limpetfold.gateway.operate.FleetPolicies
 import io.limpetfold.gateway.operate.NeighbourLenders
 import io.limpetfold.gateway.operate.OperatorHandler
 import io.limpetfold.gateway.operate.PeriodicWork
@@ -36,7 +36,6 @@
 import io.limpetfold.gateway.operate.SettingsKeeper
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.state.DirectoryKeeper
-import io.limpetfold.gateway.state.FeedPolicy
 import io.limpetfold.gateway.state.MoveKeeper
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
@@ -53,10 +52,8 @@
 import io.limpetfold.membership.Member
 import io.limpetfold.membership.Membership
 import io.limpetfold.membership.MembershipListener
-import io.limpetfold.membership.MembershipPolicy
 import io.limpetfold.peer.ktor.FleetKey
 import io.limpetfold.peer.ktor.KtorPeerNetwork
-import io.limpetfold.peer.ktor.PeerPolicy
 import io.limpetfold.rollout.timed.TimedMoves
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
@@ -100,14 +97,16 @@
     private val metrics = GatewayMetrics()
     private val store = createStore(loops, buffers)
     private val client = UpstreamClient(upstreamSettings(), loops, buffers, dispatcher = loops.dispatcher)
-    private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), PEER_POLICY, random)
+    private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), FleetPolicies.PEERS, random)
     private val instances = StoreInstanceDirectory(store, log)
     private val routing: RoutingKeeper = RoutingKeeper(settings.configKey, routingDecoder, log, { budget.callPlatformAgain() }, ::onRoutingChanged)
     private val directory = EndpointDirectory()
     private val directoryKeeper = DirectoryKeeper(directory, endpointDecoder, monotonic, log)
     private val membership: Membership =
-        Membership(self.instance, instances, peers, TimeSource.Monotonic, MEMBERSHIP_POLICY, memberEvents()) { heartbeat() }
-    private val listing: FleetListing = FleetListing(settings, instances, membership, peers, random, log)
+        Membership(self.instance, instances, peers, TimeSource.Monotonic, FleetPolicies.MEMBERSHIP, memberEvents()) { heartbeat() }
+    private val lenders = NeighbourLenders(self.instance, membership)
+    private val policies = FleetPolicies(settings.budget, membership, lenders)
+    private val listing = FleetListing(settings, instances, membership, peers, random, log)
     private val sync = PeerSync(peers, routing, directory, directoryKeeper, monotonic, loops.dispatcher)
     private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
@@ -115,7 +114,7 @@
             self,
             store,
             peers,
-            { budgetPolicy() },
+            { policies.budget() },
             random = random,
             listener = budgetObserver,
             reportsPerRound = REPORTS_PER_ROUND,
@@ -123,7 +122,6 @@
             paidTotalOf = ::paidTotalOf,
         )
     private val lender = TokenLender(budget, budgetObserver)
-    private val lenders: NeighbourLenders = NeighbourLenders(self.instance, membership)
     private val tokens = TokenBorrower(self, budget, peers, lenders, listener = budgetObserver)
     private val moves = TimedMoves(self, monotonic::now, random)
     private val moveKeeper = MoveKeeper(moves, moveCodec, store, peers, loops.dispatcher, log)
@@ -194,9 +192,9 @@
     }
 
     private fun startFeeds() {
-        scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, { feedPolicy(LARGE_FLEET_CONFIG) }, random).run() }
-        scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, { feedPolicy(LARGE_FLEET_ENDPOINTS) }, random).run() }
-        scope.launch { ObjectFeed(store, settings.movePrefix, moveKeeper, { MOVE_FEED }, random).run() }
+        scope.launch { ObjectFeed(store, settings.configKey.path.substringBeforeLast('/') + "/", routing, policies::configFeed, random).run() }
+        scope.launch { ObjectFeed(store, settings.endpointPrefix, directoryKeeper, policies::endpointFeed, random).run() }
+        scope.launch { ObjectFeed(store, settings.movePrefix, moveKeeper, policies::moveFeed, random).run() }
         scope.launch {
             while (readiness == Readiness.STARTING && (routing.current == null || !directory.isKnown)) delay(READY_CHECK.toMillis())
             if (readiness == Readiness.STARTING) readiness = Readiness.READY
@@ -204,8 +202,6 @@
         }
     }
 
-    private fun feedPolicy(ofLargeFleet: FeedPolicy): FeedPolicy = if (membership.isFullMesh) SMALL_FLEET else ofLargeFleet
-
     private fun startWork() {
         scope.launch { listing.register() }
         work.every(HALF_SECOND, "membership") {
@@ -267,15 +263,6 @@
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
     }
 
-    /** What all routers together hold does not depend on the number of those that have accounts. */
-    private fun budgetPolicy(): BudgetPolicy {
-        val holderCount = lenders.holderCount
-        return settings.budget.copy(
-            freeShare = HELD_SHARE / holderCount,
-            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
-        )
-    }
-
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
         val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, { settingsKeeper.current.retries }, moves) { listing.routerCount }
@@ -315,9 +302,6 @@
         const val REPORTS_PER_ROUND = 24
         const val MAX_LOGGED_WORKSPACES = 32
 
-        /** What routers hold of a budget of which they have seen no call yet, all together. */
-        const val HELD_SHARE = 0.3
-        const val MIN_GRANT_FRACTION = 0.05
 
         /** Refusals that are being written when the tokens have gone back end within this time. */
         val LAST_ANSWERS: Duration = Duration.ofMillis(100)
@@ -330,37 +314,11 @@
         val FOUR_SECONDS: Duration = Duration.ofSeconds(4)
         val TEN_SECONDS: Duration = Duration.ofSeconds(10)
 
-        val SMALL_FLEET = FeedPolicy()
-
-        /** Heartbeats tell each second whether peers have a newer configuration, so a watch that fell silent is noticed without its timeout. */
-        val LARGE_FLEET_CONFIG = FeedPolicy(watchWait = Duration.ofSeconds(6), pauseAfterChange = Duration.ofMillis(400))
-
-        /** Many routers share the store's rate, and a change may take 3 s to be in force. */
-        val LARGE_FLEET_ENDPOINTS = FeedPolicy(watchWait = Duration.ofSeconds(3), pauseAfterChange = Duration.ofMillis(400))
-
-        /** Orders come a few times a day, and verdicts go from router to router; a longer watch saves calls to the store. */
-        val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10), backoffMax = Duration.ofSeconds(4))
-
         /** A new connection takes a few milliseconds between zones; a silent address is given up soon enough to try another endpoint. */
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
         val POOLED_IDLE: Duration = Duration.ofSeconds(4)
 
         /** Callers use connections that were idle for up to 12 s. */
         val CALLER_IDLE: Duration = Duration.ofSeconds(30)
-        val MEMBERSHIP_POLICY =
-            MembershipPolicy(
-                heartbeatInterval = Duration.ofSeconds(1),
-                silenceTimeout = Duration.ofSeconds(4),
-                directoryInterval = Duration.ofSeconds(5),
-            )
-        val PEER_POLICY =
-            PeerPolicy(
-                connectTimeout = Duration.ofMillis(700),
-                handshakeTimeout = Duration.ofSeconds(1),
-                writeTimeout = Duration.ofSeconds(2),
-                pingInterval = Duration.ofSeconds(1),
-                idleTimeout = Duration.ofSeconds(3),
-                backoffMax = Duration.ofSeconds(2),
-            )
     }
 }
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -41,11 +41,16 @@
     private var view = DirectoryView()
     private var directoryReadAt: Duration? = null
     private var heartbeatSentAt: Duration? = null
+    private var hasHeardUnlisted = false
+
+    /** When each peer last sent its heartbeat, to which this router's answer told its own. */
+    private val askedAt = HashMap<InstanceId, Duration>()
     private var seeds: ImmutableList<ListedInstance> = persistentListOf()
 
     init {
         peers.handle(HEARTBEAT_TOPIC) { _, heartbeat ->
             take(heartbeat)
+            synchronized(this) { askedAt[heartbeat.incarnation.instance] = now() }
             describeSelf()
         }
         peers.handle(DIRECTORY_TOPIC) { _, _ -> DirectoryReply(synchronized(this) { view.instances }) }
@@ -96,20 +101,31 @@
 
     /** Reads the list and exchanges heartbeats when they are due. */
     suspend fun maintain() {
-        if (isDue(directoryReadAt, policy.directoryInterval.toKotlinDuration())) readDirectory()
-        if (isDue(heartbeatSentAt, policy.heartbeatInterval.toKotlinDuration())) exchangeHeartbeats()
+        if (isDue(directoryReadAt, directoryInterval())) readDirectory()
+        if (isDue(heartbeatSentAt, spaced(policy.heartbeatInterval))) exchangeHeartbeats()
         val step =
             synchronized(this) {
-                val step = table.expire(now(), policy.silenceTimeout.toKotlinDuration())
+                val step = table.expire(now(), spaced(policy.silenceTimeout))
                 val listed = view.instances.mapTo(HashSet()) { it.instance }
                 table = if (view.isEmpty) step.table else step.table.retain { it in listed }
+                if (!view.isEmpty) askedAt.keys.retainAll(listed)
                 step
             }
         notify(step.changes)
     }
 
+    /** Times that a large fleet makes longer, so that what its routers send does not grow with their connections. */
+    private fun spaced(time: java.time.Duration): Duration = time.toKotlinDuration() * if (isFullMesh) 1 else LARGE_FLEET_SPACING
+
+    /** A large fleet reads the list less often, unless a router is heard that it does not show. */
+    private fun directoryInterval(): Duration {
+        val isStale = synchronized(this) { hasHeardUnlisted || view.isEmpty }
+        return policy.directoryInterval.toKotlinDuration() * if (isFullMesh || isStale) 1 else LARGE_FLEET_LIST_SPACING
+    }
+
     private suspend fun readDirectory() {
         directoryReadAt = now()
+        synchronized(this) { hasHeardUnlisted = false }
         directory.list().fold(
             success = { listed ->
                 synchronized(this) {
@@ -137,7 +153,8 @@
     private suspend fun exchangeHeartbeats() {
         heartbeatSentAt = now()
         val heartbeat = describeSelf()
-        val targets: ImmutableSet<InstanceId> = peers.reachable()
+        val reachable: ImmutableSet<InstanceId> = peers.reachable()
+        val targets = if (isFullMesh) reachable else reachable.filter { !wasAskedBy(it) }
         coroutineScope {
             targets
                 .map { peer ->
@@ -146,10 +163,14 @@
         }
     }
 
+    /** Whether [peer] sent its heartbeat within the interval; it knows this router's own from the answer. */
+    private fun wasAskedBy(peer: InstanceId): Boolean = synchronized(this) { !isDue(askedAt[peer], spaced(policy.heartbeatInterval)) }
+
     private fun take(heartbeat: Heartbeat) {
         if (heartbeat.incarnation.instance == self) return
         val step =
             synchronized(this) {
+                if (routers().none { it.instance == heartbeat.incarnation.instance }) hasHeardUnlisted = true
                 table.heard(heartbeat, now()).also { table = it.table }
             }
         notify(step.changes)
@@ -187,6 +208,11 @@
     private fun now(): Duration = start.elapsedNow()
 
     private companion object {
+        /** Doubles the heartbeat interval and the silence timeout of a fleet that is no full mesh. */
+        const val LARGE_FLEET_SPACING = 2
+
+        /** Heartbeats tell of routers that the list does not show yet, so a large fleet reads it this many times less often. */
+        const val LARGE_FLEET_LIST_SPACING = 4
         val LOGGER = LoggerFactory.getLogger(Membership::class.java)
     }
 }
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/MembershipPolicy.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/MembershipPolicy.kt
@@ -3,7 +3,7 @@
 import java.time.Duration
 
 /**
- * Intervals and bounds of membership.
+ * Intervals and bounds of membership; above [fullMeshLimit] heartbeats and list reads are spaced further apart.
  *
  * @property heartbeatInterval time between two heartbeats to the same peer.
  * @property silenceTimeout a member that was not heard for this long is no longer counted as reachable.
