budget: borrowers remember what lenders lacked a moment ago

Cause: found by reading. Each refused call of a spent budget asked its lender, and calls of one workspace that waited behind each other asked silent lenders one after the other, each with its whole patience. Change: a shortage is kept for the lender's retry time (200 ms when none answered); calls for as much or more are refused, or go on to this router's own account, without a message. The patience is shared among the lenders that are asked.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -15,6 +15,7 @@
     private val loans = LinkedHashMap<Long, BorrowedTokens>()
     private var demand = DemandRate()
     private var usedAtMillis = 0L
+    private var shortage: Shortage? = null
 
     /** Counts [tokens] as asked for and returns what lasts for [horizonMillis] at the demand. */
     @Synchronized
@@ -40,6 +41,19 @@
         return null
     }
 
+    /** Notes what lenders lacked. */
+    @Synchronized
+    fun note(shortage: Shortage) {
+        this.shortage = shortage
+    }
+
+    /** The shortage that another request for [tokens] would only meet again; null when lenders may have them. */
+    @Synchronized
+    fun shortageOf(
+        tokens: Long,
+        nowMillis: Long,
+    ): Shortage? = shortage?.takeIf { tokens >= it.tokens && nowMillis < it.untilMillis }
+
     /** Charges [usedTokens] and releases the rest. */
     @Synchronized
     fun settle(
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
@@ -9,6 +9,7 @@
  * @property demandWindow the time over which the demand is averaged.
  * @property idleAfter tokens that were not used for this long go back.
  * @property answerTimeout the longest wait for a lender beyond the caller's patience.
+ * @property retryDelay lenders that did not answer, or could not say, are asked again after this time.
  * @property lendersAsked the lenders asked before this router opens an account of its own.
  */
 data class LoanPolicy(
@@ -16,10 +17,15 @@
     val demandWindow: Duration = Duration.ofSeconds(8),
     val idleAfter: Duration = Duration.ofSeconds(2),
     val answerTimeout: Duration = Duration.ofMillis(100),
+    val retryDelay: Duration = RETRY_DELAY,
     val lendersAsked: Int = 2,
 ) {
     init {
         require(!horizon.isNegative && demandWindow > Duration.ZERO) { "horizon must not be negative and demandWindow must be positive" }
         require(answerTimeout > Duration.ZERO && lendersAsked > 0) { "answerTimeout and lendersAsked must be positive" }
     }
+
+    private companion object {
+        val RETRY_DELAY: Duration = Duration.ofMillis(200)
+    }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -53,13 +53,14 @@
         if (slot != null) {
             val wantedTokens = slot.demanded(tokens, nowMillis(), policy.demandWindow.toMillis(), policy.horizon.toMillis())
             slot.reserve(tokens)?.let { return Ok(it) }
-            val refusal =
-                slot.access.withLock {
+            val shortage =
+                slot.shortageOf(tokens, nowMillis()) ?: slot.access.withLock {
+                    // Another caller's answer may cover this one, or tell that lenders have none.
                     slot.reserve(tokens)?.let { return Ok(it) }
-                    borrow(slot, asked, tokens, maxOf(tokens, wantedTokens), patience)
+                    slot.shortageOf(tokens, nowMillis()) ?: borrow(slot, asked, tokens, maxOf(tokens, wantedTokens), patience)
                 }
             slot.reserve(tokens)?.let { return Ok(it) }
-            if (refusal != null) return Err(refusal)
+            shortage?.refusal?.let { return Err(it) }
         }
         return agent.reserve(workspace, request, tokens, patience).map { TokenHold.Own(it) }
     }
@@ -97,30 +98,36 @@
         }
     }
 
-    /** Asks [asked] in turn until one lends; returns why none did when one knows that the tokens are not there. */
+    /** Asks [asked] in turn until one lends, then returns null, or knows that the tokens are not there. */
     private suspend fun borrow(
         slot: BorrowerSlot,
         asked: List<InstanceId>,
         neededTokens: Long,
         mostTokens: Long,
         patience: Duration,
-    ): BudgetRefusal? {
+    ): Shortage? {
+        val shared = patience.dividedBy(policy.lendersAsked.toLong())
         for (lender in asked) {
-            var reply = borrowFrom(slot, lender, neededTokens, mostTokens, patience)
-            if (reply?.outcome == LoanOutcome.UNKNOWN_LOAN) reply = borrowFrom(slot, lender, neededTokens, mostTokens, patience)
+            var reply = borrowFrom(slot, lender, neededTokens, mostTokens, shared)
+            if (reply?.outcome == LoanOutcome.UNKNOWN_LOAN) reply = borrowFrom(slot, lender, neededTokens, mostTokens, shared)
             when (reply?.outcome) {
                 LoanOutcome.LENT -> return null
-                LoanOutcome.INSUFFICIENT ->
-                    return BudgetRefusal.InsufficientBudget(
-                        slot.workspace,
-                        neededTokens,
-                        reply.freeTokens,
-                        Duration.ofMillis(reply.retryAfterMillis),
-                    )
+                LoanOutcome.INSUFFICIENT -> return insufficient(slot.workspace, neededTokens, reply).also(slot::note)
                 LoanOutcome.UNAVAILABLE, LoanOutcome.UNKNOWN_LOAN, null -> continue
             }
         }
-        return null
+        if (asked.isEmpty()) return null
+        return Shortage(neededTokens, refusal = null, nowMillis() + policy.retryDelay.toMillis()).also(slot::note)
+    }
+
+    private fun insufficient(
+        workspace: WorkspaceId,
+        neededTokens: Long,
+        reply: LoanReply,
+    ): Shortage {
+        val retryAfter = Duration.ofMillis(reply.retryAfterMillis)
+        val refusal = BudgetRefusal.InsufficientBudget(workspace, neededTokens, reply.freeTokens, retryAfter)
+        return Shortage(neededTokens, refusal, nowMillis() + reply.retryAfterMillis)
     }
 
     /** Asks [lender] for what its loan lacks. */
