gateway: peers ping each other only where heartbeats stop

A connection pings after a second without traffic; heartbeats of a large fleet come every two, so most connections pinged. Change: pings after 2.5 s, idle connections are closed after 4 s (before 1 s and 3 s). Not measured apart.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -51,14 +51,14 @@
                 directoryInterval = Duration.ofSeconds(5),
             )
 
-        /** A connection that fell silent is closed after three pings without an answer. */
+        /** Heartbeats of one or two seconds keep connections alive, so pings are sent only where these stop. */
         val PEERS =
             PeerPolicy(
                 connectTimeout = Duration.ofMillis(700),
                 handshakeTimeout = Duration.ofSeconds(1),
                 writeTimeout = Duration.ofSeconds(2),
-                pingInterval = Duration.ofSeconds(1),
-                idleTimeout = Duration.ofSeconds(3),
+                pingInterval = Duration.ofMillis(2_500),
+                idleTimeout = Duration.ofSeconds(4),
                 backoffMax = Duration.ofSeconds(2),
             )
     }
