budget: a borrower gives back what is left of a loan when it has gone on to another lender

Cause: found by reading. Rests of earlier loans were given back only when a workspace was idle; in a busy one they stayed out, too small for a call.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -83,16 +83,21 @@
         loans[number] = transform(loans[number] ?: return)
     }
 
-    /** Gives back what nobody has used for [idleMillis], drops loans that are done with, and returns those whose lenders must be told. */
+    /**
+     * Gives back what nobody has used for [idleMillis], and what is left of loans before the newest: it is too little for the calls that went
+     * on to another lender. Drops loans that are done with, and returns those whose lenders must be told.
+     */
     @Synchronized
     fun returnIdle(
         nowMillis: Long,
         idleMillis: Long,
     ): List<BorrowedTokens> {
-        if (nowMillis - usedAtMillis < idleMillis) return emptyList()
-        loans.replaceAll { _, loan -> loan.returning() }
+        val isIdle = nowMillis - usedAtMillis >= idleMillis
+        val newest = loans.keys.lastOrNull()
+        val returned = loans.filterKeys { isIdle || it != newest }.mapValues { it.value.returning() }
+        loans += returned
         loans.values.removeIf { it.isDone }
-        return loans.values.filter { !it.isEnded && it.hasNews }
+        return returned.values.filter { !it.isDone && !it.isEnded && it.hasNews }
     }
 
     private companion object {
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
@@ -50,6 +50,20 @@
             fleet.ledger().freeTokens shouldBe LoanFleet.PAID - 40 * LoanFleet.USED_TOKENS
         }
 
+        test("guards against a rest of a loan that stays out when a busy borrower has gone on to another lender") {
+            val fleet = LoanFleet(routerCount = 20)
+            val borrower = fleet.routers.last()
+            fleet.call(borrower).get().shouldNotBeNull()
+            fleet.hub.fault = { from, to -> if (from == borrower.self.instance && to == LoanFleet.LENDERS[0]) PeerFault.REQUEST_LOST else PeerFault.NONE }
+            fleet.call(borrower).get().shouldNotBeNull()
+            fleet.hub.fault = { _, _ -> PeerFault.NONE }
+            fleet.advance(Duration.ofMillis(500))
+
+            val lender = fleet.routers.first().agent.accounts().single()
+            lender.reservedTokens shouldBe 0
+            lender.spentTokens shouldBe LoanFleet.USED_TOKENS
+        }
+
         test("guards against a lost answer that hides a loan from its borrower or doubles it") {
             val fleet = LoanFleet(routerCount = 20)
             val borrower = fleet.routers.last()
