--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
@@ -16,9 +16,6 @@
 import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.WorkspaceId
-import io.limpetfold.peer.PeerError
-import io.limpetfold.peer.PeerNetwork
-import io.limpetfold.peer.PeerTopic
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
@@ -48,8 +45,7 @@
     var storeFault = StoreFault.NONE
 
     /** Questions to lenders so far. */
-    var messages = 0
-        private set
+    val messages: Int get() = hub.askCount(LOAN_TOPIC)
     val clock = TestClock()
     private val store = FakeObjectStore()
     val routers = MutableList(routerCount) { router(it, number = 1) }
@@ -104,7 +100,7 @@
         number: Long,
     ): Router {
         val self = Incarnation(InstanceId("router-$index"), number)
-        val peers = Counted(hub.join(self))
+        val peers = hub.join(self)
         val agent =
             BudgetAgent(
                 self,
@@ -135,20 +131,6 @@
         return names.flatMap { from -> (names - from).shuffled(random).take(neighbours / 2).flatMap { listOf(from to it, it to from) } }.toSet()
     }
 
-    private inner class Counted(
-        private val network: PeerNetwork,
-    ) : PeerNetwork by network {
-        override suspend fun <Q : Any, A : Any> ask(
-            to: InstanceId,
-            topic: PeerTopic<Q, A>,
-            message: Q,
-            timeout: Duration,
-        ): Result<A, PeerError> {
-            if (topic.name == LOAN_TOPIC.name) messages++
-            return network.ask(to, topic, message, timeout)
-        }
-    }
-
     companion object {
         const val PAID = 1_000_000L
         const val CALL_TOKENS = 1_000L
--- a/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakePeerHub.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakePeerHub.kt
@@ -23,6 +23,10 @@
     @Volatile var fault: (from: InstanceId, to: InstanceId) -> PeerFault = { _, _ -> PeerFault.NONE },
 ) {
     private val networks = ConcurrentHashMap<InstanceId, Network>()
+    private val askCounts = ConcurrentHashMap<String, Int>()
+
+    /** The messages of [topic] that were sent so far, lost ones included. */
+    fun askCount(topic: PeerTopic<*, *>): Int = askCounts[topic.name] ?: 0
 
     /** Adds a router; a newer incarnation replaces the older one of the same instance. */
     fun join(incarnation: Incarnation): PeerNetwork = Network(incarnation).also { networks[incarnation.instance] = it }
@@ -50,6 +54,7 @@
             message: Q,
             timeout: Duration,
         ): Result<A, PeerError> {
+            askCounts.merge(topic.name, 1, Int::plus)
             val target = networks[to] ?: return Err(PeerError.Unreachable(to))
             val fate = fault(self.instance, to)
             if (fate == PeerFault.REQUEST_LOST) return Err(PeerError.Timeout(to, timeout))
