budget: a borrower forgets workspaces that it does not serve any more

Cause: found by reading. Test: TokenLoanTest, 'memory that is kept for each workspace'; the count stayed at 1 before.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -16,6 +16,24 @@
     private var demand = DemandRate()
     private var usedAtMillis = 0L
     private var shortage: Shortage? = null
+    private var isForgotten = false
+
+    /** Notes a use, so that the slot is kept; false when it was forgotten before. */
+    @Synchronized
+    fun enter(nowMillis: Long): Boolean {
+        if (!isForgotten) usedAtMillis = nowMillis
+        return !isForgotten
+    }
+
+    /** Ends the use of a slot that has no loans and was not used for [forgetMillis]; true when it has. */
+    @Synchronized
+    fun forget(
+        nowMillis: Long,
+        forgetMillis: Long,
+    ): Boolean {
+        if (loans.isEmpty() && nowMillis - usedAtMillis >= forgetMillis) isForgotten = true
+        return isForgotten
+    }
 
     /** Counts [tokens] as asked for and returns what lasts for [horizonMillis] at the demand. */
     @Synchronized
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -41,6 +41,9 @@
     private val slots = ConcurrentHashMap<WorkspaceId, BorrowerSlot>()
     private val lastLoan = AtomicLong()
 
+    /** The workspaces that this router keeps something of. */
+    internal val workspaceCount: Int get() = slots.size
+
     /** Reserves [tokens] for one run of [request], and waits up to [patience] for them; see [BudgetAgent.reserve]. */
     suspend fun reserve(
         workspace: WorkspaceId,
@@ -49,7 +52,7 @@
         patience: Duration,
     ): Result<TokenHold, BudgetRefusal> {
         val asked = lenders.lendersOf(workspace).take(policy.lendersAsked)
-        val slot = slots[workspace] ?: if (asked.isEmpty()) null else slots.computeIfAbsent(workspace, ::BorrowerSlot)
+        val slot = enter(workspace, isNeeded = asked.isNotEmpty())
         if (slot != null) {
             val wantedTokens = slot.demanded(tokens, nowMillis(), policy.demandWindow.toMillis(), policy.horizon.toMillis())
             slot.reserve(tokens)?.let { return Ok(it) }
@@ -79,19 +82,34 @@
     /** Has an account of [workspace] opened before calls need it, at a lender or here; see [BudgetAgent.prepare]. */
     suspend fun prepare(workspace: WorkspaceId): Boolean {
         for (lender in lenders.lendersOf(workspace).take(policy.lendersAsked)) {
-            val slot = slots.computeIfAbsent(workspace, ::BorrowerSlot)
+            val slot = checkNotNull(enter(workspace, isNeeded = true)) { "a needed slot is made" }
             val reply = slot.access.withLock { ask(slot, slot.loanOf(lender, lastLoan::incrementAndGet), 0, 0, Duration.ZERO) }
             if (reply?.outcome == LoanOutcome.LENT) return true
         }
         return agent.prepare(workspace)
     }
 
-    /** Gives back what was not used for a while. */
-    suspend fun maintain() = giveBack(policy.idleAfter.toMillis())
+    /** Gives back what was not used for a while, and forgets workspaces that are not served any more. */
+    suspend fun maintain() {
+        giveBack(policy.idleAfter.toMillis())
+        slots.values.removeIf { it.forget(nowMillis(), policy.forgetAfter.toMillis()) }
+    }
 
     /** Gives back all that is not reserved, before the planned stop of this router. */
     suspend fun close() = giveBack(idleMillis = Long.MIN_VALUE)
 
+    /** The slot of [workspace], a new one where it [isNeeded] and there is none. */
+    private fun enter(
+        workspace: WorkspaceId,
+        isNeeded: Boolean,
+    ): BorrowerSlot? {
+        while (true) {
+            val slot = slots[workspace] ?: if (isNeeded) slots.computeIfAbsent(workspace, ::BorrowerSlot) else return null
+            if (slot.enter(nowMillis())) return slot
+            slots.remove(workspace, slot)
+        }
+    }
+
     private suspend fun giveBack(idleMillis: Long) {
         for (slot in slots.values) {
             for (loan in slot.returnIdle(nowMillis(), idleMillis)) slot.access.withLock { ask(slot, loan, 0, 0, Duration.ZERO) }
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
@@ -64,6 +64,17 @@
             lender.spentTokens shouldBe LoanFleet.USED_TOKENS
         }
 
+        test("guards against memory that is kept for each workspace that was ever served") {
+            val fleet = LoanFleet(routerCount = 20)
+            val borrower = fleet.routers.last()
+            fleet.call(borrower).get().shouldNotBeNull()
+            fleet.advance(Duration.ofSeconds(3))
+            borrower.borrower.workspaceCount shouldBe 1
+            fleet.advance(Duration.ofSeconds(61))
+            borrower.borrower.workspaceCount shouldBe 0
+            fleet.call(borrower).get().shouldNotBeNull()
+        }
+
         test("guards against a lost answer that hides a loan from its borrower or doubles it") {
             val fleet = LoanFleet(routerCount = 20)
             val borrower = fleet.routers.last()
