budget: lenders are ranked only for calls that find nothing borrowed

Each call ranked all neighbours by hash before it looked at what was borrowed; the slot was entered under two conditions; the tokens for a horizon were worked out in BudgetPolicy and again in BorrowerSlot. Change: the ranking is lazy, one way to a slot, DemandRate.tokensFor for both. A condition of returnIdle that followed from the others is gone.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -3,7 +3,7 @@
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.WorkspaceId
 
-/** Something a [BudgetAgent] did, for metrics. */
+/** Something that an agent, a lender or a borrower of tokens did, for logs and metrics. */
 sealed interface BudgetEvent {
     val workspace: WorkspaceId
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -84,19 +84,15 @@
     }
 
     /** The unreserved tokens that last for the horizon at the account's demand rate. */
-    fun wantedTokens(account: LocalAccount): Long = wantedTokens(account.demand.tokensPerSecond)
+    fun wantedTokens(account: LocalAccount): Long = account.demand.tokensFor(horizon)
 
     /** Like the above, for a demand that has decayed until [nowMillis]. */
     fun wantedTokens(
         account: LocalAccount,
         nowMillis: Long,
-    ): Long = wantedTokens(account.demand.at(nowMillis, demandWindow.toMillis()))
-
-    private fun wantedTokens(tokensPerSecond: Double): Long = (tokensPerSecond * horizon.toMillis() / MILLIS_PER_SECOND).toLong()
+    ): Long = DemandRate(account.demand.at(nowMillis, demandWindow.toMillis())).tokensFor(horizon)
 
     companion object {
-        private const val MILLIS_PER_SECOND = 1000.0
-
         /**
          * Large grants that outlast long outages of the platform; more tokens are stranded when a router dies. In the sweep of
          * `bin/measure budgets` a horizon of 5 minutes has the fewest false refusals over all faults, and a longer one gains nothing.
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/DemandRate.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/DemandRate.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.budget
 
+import java.time.Duration
 import kotlin.math.exp
 
 /**
@@ -24,6 +25,9 @@
         windowMillis: Long,
     ): DemandRate = DemandRate(at(nowMillis, windowMillis) + tokens * MILLIS_PER_SECOND / windowMillis, maxOf(nowMillis, atMillis))
 
+    /** The tokens that last for [horizon] at this rate. */
+    fun tokensFor(horizon: Duration): Long = (tokensPerSecond * horizon.toMillis() / MILLIS_PER_SECOND).toLong()
+
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
     }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -35,17 +35,15 @@
         return isForgotten
     }
 
-    /** Counts [tokens] as asked for and returns what lasts for [horizonMillis] at the demand. */
+    /** Counts [tokens] as asked for and returns what lasts for the horizon of [policy] at the demand. */
     @Synchronized
     fun demanded(
         tokens: Long,
         nowMillis: Long,
-        windowMillis: Long,
-        horizonMillis: Long,
+        policy: LoanPolicy,
     ): Long {
-        usedAtMillis = nowMillis
-        demand = demand.plus(tokens, nowMillis, windowMillis)
-        return (demand.tokensPerSecond * horizonMillis / MILLIS_PER_SECOND).toLong()
+        demand = demand.plus(tokens, nowMillis, policy.demandWindow.toMillis())
+        return demand.tokensFor(policy.horizon)
     }
 
     /** Reserves [tokens] of the oldest loan that has them; null when none has. */
@@ -115,10 +113,6 @@
         val returned = loans.filterKeys { isIdle || it != newest }.mapValues { it.value.returning() }
         loans += returned
         loans.values.removeIf { it.isDone }
-        return returned.values.filter { !it.isDone && !it.isEnded && it.hasNews }
-    }
-
-    private companion object {
-        const val MILLIS_PER_SECOND = 1000.0
+        return returned.values.filter { !it.isEnded && it.hasNews }
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -51,10 +51,11 @@
         tokens: Long,
         patience: Duration,
     ): Result<TokenHold, BudgetRefusal> {
-        val asked = lenders.lendersOf(workspace).take(policy.lendersAsked)
-        val slot = enter(workspace, isNeeded = asked.isNotEmpty())
-        if (slot != null) {
-            val wantedTokens = slot.demanded(tokens, nowMillis(), policy.demandWindow.toMillis(), policy.horizon.toMillis())
+        // Ranking lenders costs a hash for each neighbour, and most calls find what was borrowed before.
+        val asked by lazy { askedFor(workspace) }
+        if (workspace in slots || asked.isNotEmpty()) {
+            val slot = slotOf(workspace)
+            val wantedTokens = slot.demanded(tokens, nowMillis(), policy)
             slot.reserve(tokens)?.let { return Ok(it) }
             val shortage =
                 slot.shortageOf(tokens, nowMillis()) ?: slot.access.withLock {
@@ -81,8 +82,8 @@
 
     /** Has an account of [workspace] opened before calls need it, at a lender or here; see [BudgetAgent.prepare]. */
     suspend fun prepare(workspace: WorkspaceId): Boolean {
-        for (lender in lenders.lendersOf(workspace).take(policy.lendersAsked)) {
-            val slot = checkNotNull(enter(workspace, isNeeded = true)) { "a needed slot is made" }
+        for (lender in askedFor(workspace)) {
+            val slot = slotOf(workspace)
             val reply = slot.access.withLock { ask(slot, slot.loanOf(lender, lastLoan::incrementAndGet), 0, 0, Duration.ZERO) }
             if (reply?.outcome == LoanOutcome.LENT) return true
         }
@@ -98,13 +99,13 @@
     /** Gives back all that is not reserved, before the planned stop of this router. */
     suspend fun close() = giveBack(idleMillis = Long.MIN_VALUE)
 
-    /** The slot of [workspace], a new one where it [isNeeded] and there is none. */
-    private fun enter(
-        workspace: WorkspaceId,
-        isNeeded: Boolean,
-    ): BorrowerSlot? {
+    /** The lenders to ask for tokens of [workspace], in turn. */
+    private fun askedFor(workspace: WorkspaceId): List<InstanceId> = lenders.lendersOf(workspace).take(policy.lendersAsked)
+
+    /** The slot of [workspace], noted as used; a new one where there is none. */
+    private fun slotOf(workspace: WorkspaceId): BorrowerSlot {
         while (true) {
-            val slot = slots[workspace] ?: if (isNeeded) slots.computeIfAbsent(workspace, ::BorrowerSlot) else return null
+            val slot = slots.computeIfAbsent(workspace, ::BorrowerSlot)
             if (slot.enter(nowMillis())) return slot
             slots.remove(workspace, slot)
         }
