membership, gateway: one place that counts the listed routers

FleetListing and NeighbourLenders each counted them, and each call and each neighbour of a heartbeat round copied and filtered the whole list for it. Change: Membership.routerCount; a reading of the list works out its routers once, a heartbeat round its interval once.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -265,7 +265,7 @@
 
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
-        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, { settingsKeeper.current.retries }, moves) { listing.routerCount }
+        val dispatcher = CallDispatcher(picker, sender, monotonic, settings.calls, { settingsKeeper.current.retries }, moves) { membership.routerCount }
         return CallHandler(
             CallGate(codec, { routing.current }, random, plannedStop),
             TokenBudget(tokens),
@@ -302,9 +302,9 @@
         const val REPORTS_PER_ROUND = 24
         const val MAX_LOGGED_WORKSPACES = 32
 
-
         /** Refusals that are being written when the tokens have gone back end within this time. */
         val LAST_ANSWERS: Duration = Duration.ofMillis(100)
+
         /** Lenders answer within a few milliseconds; what does not go back counts as spent. */
         val LAST_LOANS: Duration = Duration.ofMillis(200)
         val READY_CHECK: Duration = Duration.ofMillis(10)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetListing.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetListing.kt
@@ -22,9 +22,6 @@
     private val random: Random,
     private val log: DecisionLog,
 ) {
-    /** Routers that are listed, this one included, whether they are heard or not. */
-    val routerCount: Int get() = membership.listedRouters().size + 1
-
     /** Takes the settings' addresses until a list was read. */
     fun seed() =
         membership.seed(
@@ -34,7 +31,7 @@
     /** Connects to the routers that membership chooses. */
     fun connect() = peers.update(membership.connections().map { PeerAddress(it.instance, it.host, it.port) })
 
-    /** Whether the routers that started together with this one are counted in [routerCount]. */
+    /** Whether the routers that started together with this one are counted in [Membership.routerCount]. */
     var isSettled = false
         private set
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -34,7 +34,7 @@
         private const val MIN_GRANT_FRACTION = 0.05
         private val SMALL_FLEET_FEED = FeedPolicy()
 
-        /** Heartbeats tell each second whether peers have a newer configuration, so a watch that fell silent is noticed without its timeout. */
+        /** Heartbeats tell every two seconds whether peers have a newer configuration, so a watch that fell silent is noticed without its timeout. */
         private val LARGE_FLEET_CONFIG = FeedPolicy(watchWait = Duration.ofSeconds(6), pauseAfterChange = Duration.ofMillis(400))
 
         /** Many routers share the store's rate, and a change may take 3 s to be in force. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/NeighbourLenders.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/NeighbourLenders.kt
@@ -19,7 +19,7 @@
     /** About how many routers have an account of one workspace. */
     val holderCount: Int
         get() {
-            val routerCount = membership.listedRouters().size + 1
+            val routerCount = membership.routerCount
             return if (membership.isFullMesh) routerCount else maxOf(MIN_HOLDERS, HOLDERS_PER_NEIGHBOURHOOD * routerCount / NEIGHBOURS)
         }
 
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
@@ -20,6 +20,9 @@
     private val missingSince: PersistentMap<InstanceId, Duration> = persistentMapOf(),
     private val isFromPlatform: Boolean = false,
 ) {
+    /** The listed routers; worked out once, as each call asks how many there are. */
+    val routers: ImmutableList<ListedInstance> by lazy { service(ListedInstance.ROUTER_SERVICE) }
+
     val isEmpty: Boolean get() = instances.isEmpty()
 
     fun service(name: String): ImmutableList<ListedInstance> = instances.filter { it.service == name }.toImmutableList()
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -63,8 +63,11 @@
     fun listedRouters(): ImmutableList<ListedInstance> =
         synchronized(this) { routers().filter { it.instance != self }.toImmutableList() }
 
+    /** Routers that are listed, this one included, whether they are heard or not. */
+    val routerCount: Int get() = synchronized(this) { routers().count { it.instance != self } + 1 }
+
     /** Whether every listed router connects to every other. */
-    val isFullMesh: Boolean get() = listedRouters().size <= policy.fullMeshLimit
+    val isFullMesh: Boolean get() = routerCount <= policy.fullMeshLimit + 1
 
     /** The listed endpoints of [service], also those marked as leaving. */
     fun endpoints(service: String): ImmutableList<ListedInstance> = synchronized(this) { view.service(service) }
@@ -154,7 +157,7 @@
         heartbeatSentAt = now()
         val heartbeat = describeSelf()
         val reachable: ImmutableSet<InstanceId> = peers.reachable()
-        val targets = if (isFullMesh) reachable else reachable.filter { !wasAskedBy(it) }
+        val targets = if (isFullMesh) reachable else reachable - askersWithin(spaced(policy.heartbeatInterval))
         coroutineScope {
             targets
                 .map { peer ->
@@ -163,8 +166,9 @@
         }
     }
 
-    /** Whether [peer] sent its heartbeat within the interval; it knows this router's own from the answer. */
-    private fun wasAskedBy(peer: InstanceId): Boolean = synchronized(this) { !isDue(askedAt[peer], spaced(policy.heartbeatInterval)) }
+    /** The peers that sent their heartbeat within [interval]; they know this router's own from the answer. */
+    private fun askersWithin(interval: Duration): Set<InstanceId> =
+        synchronized(this) { askedAt.filterValues { !isDue(it, interval) }.keys.toSet() }
 
     private fun take(heartbeat: Heartbeat) {
         if (heartbeat.incarnation.instance == self) return
@@ -195,10 +199,7 @@
         }
     }
 
-    private fun routers(): List<ListedInstance> {
-        val listed = view.service(ListedInstance.ROUTER_SERVICE)
-        return listed.ifEmpty { seeds }
-    }
+    private fun routers(): List<ListedInstance> = view.routers.ifEmpty { seeds }
 
     private fun isDue(
         last: Duration?,
