dispatch, rollout: the retry policy in force is asked for, not set again with each call

It takes a function now; its test passes one. TimedMoves.hasRunning follows from the list of running moves.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/RetryAllowance.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/RetryAllowance.kt
@@ -7,14 +7,14 @@
  *
  * The part of the share follows from the calls that this router has forwarded itself; the slack is divided by the number of routers that
  * may live, so that no message is needed and the sum stays within the bound.
+ *
+ * @param policyInForce the bound; a changed one counts from the next repeat on, while the window stays that of the first.
  */
 class RetryAllowance(
-    policy: RetryPolicy,
+    private val policyInForce: () -> RetryPolicy,
 ) {
-    /** The bound. A changed one counts from the next repeat on; its window stays that of the first. */
-    var policy: RetryPolicy = policy
-    private val calls = SlidingCount(policy.window)
-    private val repeats = SlidingCount(policy.window)
+    private val calls = SlidingCount(policyInForce().window)
+    private val repeats = SlidingCount(policyInForce().window)
 
     /** Counts the first send of a call. */
     fun onCall(now: Duration) = calls.add(now)
@@ -24,6 +24,7 @@
         routerCount: Int,
         now: Duration,
     ): Boolean {
+        val policy = policyInForce()
         val own = policy.share * calls.count(now) + policy.slack / routerCount.coerceAtLeast(1)
         if (repeats.count(now) + 1 > own * (1 - policy.reserve)) return false
         repeats.add(now)
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/RetryAllowanceTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/RetryAllowanceTest.kt
@@ -12,7 +12,7 @@
             val policy = RetryPolicy(share = 0.2, slack = 54.0, window = Duration.ofSeconds(10))
             for (seed in 1..20) {
                 val random = Random(seed)
-                val routers = List(8) { RetryAllowance(policy) }
+                val routers = List(8) { RetryAllowance { policy } }
                 val calls = mutableListOf<Long>()
                 val repeats = mutableListOf<Long>()
                 for (millis in 0L until 60_000L step 10) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -40,7 +40,7 @@
         private val exchange: HttpExchange,
         private val call: ForwardCall,
     ) {
-        private val allowance = allowances.getOrPut(call.service) { RetryAllowance(retryPolicy()) }.also { it.policy = retryPolicy() }
+        private val allowance = allowances.getOrPut(call.service) { RetryAllowance(retryPolicy) }
         private val relay = StreamRelay(clock, policy)
         private val tried = mutableSetOf<EndpointId>()
         private var sent = 0
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMoves.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMoves.kt
@@ -28,7 +28,7 @@
     private val running: List<TimedMove> get() = moves.values.filter { !it.hasEnded }
 
     /** Whether a move is known that has no final outcome. */
-    val hasRunning: Boolean get() = moves.values.any { !it.hasEnded }
+    val hasRunning: Boolean get() = running.isNotEmpty()
 
     /** Takes over an order as read from the store; a new target is a new move. */
     fun ordered(order: MoveOrder) {
