--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -53,7 +53,7 @@
     ): Result<TokenHold, BudgetRefusal> {
         // Ranking lenders costs a hash for each neighbour, and most calls find what was borrowed before.
         val asked by lazy { askedFor(workspace) }
-        if (workspace in slots || asked.isNotEmpty()) {
+        if (slots.containsKey(workspace) || asked.isNotEmpty()) {
             val slot = slotOf(workspace)
             val wantedTokens = slot.demanded(tokens, nowMillis(), policy)
             slot.reserve(tokens)?.let { return Ok(it) }
