--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReadinessAndMetricsHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReadinessAndMetricsHandler.kt
@@ -15,7 +15,17 @@
             return exchange.respond(OK, METRICS_TYPE, metrics.scrape().encodeToByteArray())
         }
         val state = readiness()
-        exchange.respond(if (state == Readiness.READY) OK else UNAVAILABLE, Headers.EMPTY, state.name.lowercase().encodeToByteArray())
+        exchange.respond(
+            if (state ==
+                Readiness.READY
+            ) {
+                OK
+            } else {
+                UNAVAILABLE
+            },
+            Headers.EMPTY,
+            state.name.lowercase().encodeToByteArray(),
+        )
     }
 
     private companion object {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReloadableSettings.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReloadableSettings.kt
@@ -38,7 +38,11 @@
         lastError = null
         if (settings == lastRead) return
         lastRead = settings
-        current = initial.copy(retryBudget = settings.retryBudget.copy(window = initial.retryBudget.window), shutdown = settings.shutdown)
+        current =
+            initial.copy(
+                retryBudget = settings.retryBudget.copy(window = initial.retryBudget.window),
+                shutdown = settings.shutdown,
+            )
         log.info(
             "settings.applied",
             "repeatShare" to current.retryBudget.retryRatio,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/RendezvousLenderSelector.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/RendezvousLenderSelector.kt
@@ -21,7 +21,14 @@
     val holderCount: Int
         get() {
             val routerCount = membership.routerCount
-            return if (membership.isFullMesh) routerCount else maxOf(MIN_HOLDERS, HOLDERS_PER_CONNECTED_GROUP * routerCount / CONNECTED_ROUTERS)
+            return if (membership.isFullMesh) {
+                routerCount
+            } else {
+                maxOf(
+                    MIN_HOLDERS,
+                    HOLDERS_PER_CONNECTED_GROUP * routerCount / CONNECTED_ROUTERS,
+                )
+            }
         }
 
     override fun lendersOf(workspace: WorkspaceId): List<InstanceId> {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -40,4 +40,5 @@
 
 internal val MOVES_TOPIC = PeerTopic("gateway.moves", MoveReports.serializer(), MoveReports.serializer())
 internal val ROUTING_TOPIC = PeerTopic("gateway.routing", RoutingRequest.serializer(), RoutingReply.serializer())
-internal val ENDPOINTS_TOPIC = PeerTopic("gateway.endpoints", EndpointsRequest.serializer(), EndpointsReply.serializer())
+internal val ENDPOINTS_TOPIC =
+    PeerTopic("gateway.endpoints", EndpointsRequest.serializer(), EndpointsReply.serializer())
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
@@ -58,7 +58,9 @@
     private suspend fun fetchEndpoints(members: List<Member>) {
         val newest = members.maxByOrNull { it.directoryPosition } ?: return
         if (newest.directoryPosition <= directory.position) return
-        val reply = peers.ask(newest.instance, ENDPOINTS_TOPIC, EndpointsRequest(directory.position), PEER_TIMEOUT).get() ?: return
+        val reply =
+            peers.ask(newest.instance, ENDPOINTS_TOPIC, EndpointsRequest(directory.position), PEER_TIMEOUT).get()
+                ?: return
         directoryUpdater.applyIfNewer(reply.endpoints, reply.position, newest.instance.value)
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
@@ -79,7 +79,14 @@
     private suspend fun exchangeReports(instances: List<InstanceId>) =
         coroutineScope {
             val ownReports = MoveReports(versionSelector.self, versionSelector.reports())
-            instances.map { peer -> async { peers.ask(peer, MOVES_TOPIC, ownReports, PEER_TIMEOUT).get()?.let { versionSelector.applyReports(it.router, it.reports) } } }.awaitAll()
+            instances
+                .map { peer ->
+                    async {
+                        peers.ask(peer, MOVES_TOPIC, ownReports, PEER_TIMEOUT).get()?.let {
+                            versionSelector.applyReports(it.router, it.reports)
+                        }
+                    }
+                }.awaitAll()
         }
 
     private suspend fun reportStatus(decision: TimedMoveDecision) {
@@ -88,10 +95,23 @@
         store.putStatus(key, codec.encodeStatus(order, decision.status), order.objectVersion).fold(
             success = { position ->
                 versionSelector.applyOrder(order.copy(status = decision.status, objectVersion = position))
-                log.info("move.reported", "service" to order.service, "target" to order.target, "outcome" to decision.status, "withdrawn" to decision.withdrawalReason)
+                log.info(
+                    "move.reported",
+                    "service" to order.service,
+                    "target" to order.target,
+                    "outcome" to decision.status,
+                    "withdrawn" to decision.withdrawalReason,
+                )
             },
             // The watch delivers the state of the store, and the next round decides by it.
-            failure = { log.warn("move.not_reported", "service" to order.service, "outcome" to decision.status, "reason" to it.message) },
+            failure = {
+                log.warn(
+                    "move.not_reported",
+                    "service" to order.service,
+                    "outcome" to decision.status,
+                    "reason" to it.message,
+                )
+            },
         )
     }
 
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -9,7 +9,9 @@
 
 class GatewayMetricsPageTest :
     FunSpec({
-        test("guards against a metrics page that omits a metric of the gateway or lists one that does not exist, and against a workspace label") {
+        test(
+            "guards against a metrics page that omits a metric of the gateway or lists one that does not exist, and against a workspace label",
+        ) {
             val metrics = GatewayMetrics()
             metrics.recordCallEnded("route", "answered", Duration.ofMillis(5), Duration.ofMillis(2), attempts = 2)
             metrics.recordCallRefused("no_route")
@@ -17,14 +19,26 @@
             GAUGES.forEach { metrics.gauge(it, "A gauge") { 1.0 } }
             val scraped = metrics.scrape()
 
-            val served = Regex("# TYPE (limpetfold_\\S+)").findAll(scraped).map { it.groupValues[1] }.filterNot { it.endsWith("_max") }.toSet()
+            val served =
+                Regex("# TYPE (limpetfold_\\S+)")
+                    .findAll(scraped)
+                    .map {
+                        it.groupValues[1]
+                    }.filterNot { it.endsWith("_max") }
+                    .toSet()
             val listed = Regex("\\| `(limpetfold_\\w+)` \\|").findAll(page()).map { it.groupValues[1] }.toSet()
             listed shouldBe served
             Regex("workspace=").findAll(scraped).toList().shouldBeEmpty()
         }
     }) {
     private companion object {
-        val GAUGES = listOf("limpetfold_calls_running", "limpetfold_buffered_bytes", "limpetfold_config_version", "limpetfold_routers_heard")
+        val GAUGES =
+            listOf(
+                "limpetfold_calls_running",
+                "limpetfold_buffered_bytes",
+                "limpetfold_config_version",
+                "limpetfold_routers_heard",
+            )
 
         fun page(): String =
             generateSequence(Path.of("").toAbsolutePath()) { it.parent }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/GracefulShutdownTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/GracefulShutdownTest.kt
@@ -29,7 +29,9 @@
             shutdown.acceptsCallFor(12_000) shouldBe false
         }
 
-        test("guards against a call that is accepted while the tokens are returned, and aborted when the listener closes") {
+        test(
+            "guards against a call that is accepted while the tokens are returned, and aborted when the listener closes",
+        ) {
             val shutdown = GracefulShutdown({ policy }, clock)
             shutdown.start()
             source += 2_400.milliseconds
@@ -38,7 +40,9 @@
             shutdown.acceptsCallFor(1_000) shouldBe false
         }
 
-        test("a call with a deadline before the end of the drain is accepted, and refused once the remaining time is too short for it") {
+        test(
+            "a call with a deadline before the end of the drain is accepted, and refused once the remaining time is too short for it",
+        ) {
             val shutdown = GracefulShutdown({ policy }, clock)
             shutdown.start()
             source += 6_300.milliseconds
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/ReloadableSettingsTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/ReloadableSettingsTest.kt
@@ -37,12 +37,18 @@
             val changed =
                 settings.copy(
                     zone = ZoneId("other"),
-                    retryBudget = FleetRetryBudgetPolicy(retryRatio = 0.1, minRetries = 20.0, window = Duration.ofSeconds(5)),
+                    retryBudget =
+                        FleetRetryBudgetPolicy(
+                            retryRatio = 0.1,
+                            minRetries = 20.0,
+                            window = Duration.ofSeconds(5),
+                        ),
                     shutdown = ShutdownPolicy(gracePeriod = Duration.ofSeconds(4)),
                 )
             val reloadable = ReloadableSettings(settings, { Ok(changed) }, DecisionLog("test"))
             reloadable.reload()
-            reloadable.current.retryBudget shouldBe FleetRetryBudgetPolicy(retryRatio = 0.1, minRetries = 20.0, window = Duration.ofSeconds(10))
+            reloadable.current.retryBudget shouldBe
+                FleetRetryBudgetPolicy(retryRatio = 0.1, minRetries = 20.0, window = Duration.ofSeconds(10))
             reloadable.current.shutdown.gracePeriod shouldBe Duration.ofSeconds(4)
             reloadable.current.zone shouldBe ZoneId("z")
         }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/RendezvousLenderSelectorTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/RendezvousLenderSelectorTest.kt
@@ -26,18 +26,32 @@
  */
 class RendezvousLenderSelectorTest :
     FunSpec({
-        test("guards against ledgers with an entry of every router, and against a router that lends for all workspaces") {
+        test(
+            "guards against ledgers with an entry of every router, and against a router that lends for all workspaces",
+        ) {
             for (routerCount in listOf(78, 330)) {
                 val fleet = Fleet(routerCount)
                 fleet.exchangeHeartbeats()
-                val lendersByWorkspace = WORKSPACES.associateWith { workspace -> fleet.routers.map { it.lenderOf(workspace) } }
+                val lendersByWorkspace =
+                    WORKSPACES.associateWith { workspace ->
+                        fleet.routers.map { it.lenderOf(workspace) }
+                    }
                 val holders = lendersByWorkspace.mapValues { (_, lenders) -> lenders.toSet().size }
 
-                val estimate = fleet.routers.first().lenders.holderCount
+                val estimate =
+                    fleet.routers
+                        .first()
+                        .lenders.holderCount
                 val mean = holders.values.average().toInt()
                 mean shouldBeInRange estimate / 2..estimate * 2
                 holders.values.max() shouldBeLessThanOrEqual estimate * 2
-                val lentWorkspaceCounts = fleet.routers.map { router -> lendersByWorkspace.count { (_, lenders) -> router.self in lenders } }
+                val lentWorkspaceCounts =
+                    fleet.routers.map { router ->
+                        lendersByWorkspace.count { (_, lenders) ->
+                            router.self in
+                                lenders
+                        }
+                    }
                 lentWorkspaceCounts.max() shouldBeLessThanOrEqual WORKSPACES.size / 2
             }
         }
@@ -72,7 +86,17 @@
         private val clock = TestClock()
         private val names = List(routerCount) { InstanceId("10.0.${it / 100}.${it % 100}") }
         private val listed =
-            names.map { ListedInstance(it, ListedInstance.ROUTER_SERVICE, VersionId("1"), ZONE, it.value, 8485) }.toImmutableList()
+            names
+                .map {
+                    ListedInstance(
+                        it,
+                        ListedInstance.ROUTER_SERVICE,
+                        VersionId("1"),
+                        ZONE,
+                        it.value,
+                        8485,
+                    )
+                }.toImmutableList()
         val draining = mutableSetOf<InstanceId>()
         val routers = names.map(::router)
 
@@ -80,8 +104,21 @@
         suspend fun exchangeHeartbeats() {
             hub.fault = { _, _ -> PeerFault.REQUEST_LOST }
             routers.forEach { it.membership.maintain() }
-            val chosen = routers.associate { router -> router.self to router.membership.connectionTargets().mapTo(HashSet()) { it.instance } }
-            hub.fault = { from, to -> if (to in chosen.getValue(from) || from in chosen.getValue(to)) PeerFault.NONE else PeerFault.REQUEST_LOST }
+            val chosen =
+                routers.associate { router ->
+                    router.self to
+                        router.membership.connectionTargets().mapTo(HashSet()) { it.instance }
+                }
+            hub.fault =
+                { from, to ->
+                    if (to in chosen.getValue(from) ||
+                        from in chosen.getValue(to)
+                    ) {
+                        PeerFault.NONE
+                    } else {
+                        PeerFault.REQUEST_LOST
+                    }
+                }
             clock.advance(Duration.ofSeconds(5))
             routers.forEach { it.membership.maintain() }
         }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -30,7 +30,15 @@
             val recorded = RecordingListener()
             val store = ScriptedStore(responses.toList(), recorded)
             coroutineScope {
-                val feed = launch { ObjectFeed(store, "servers/", recorded, { FeedPolicy(backoffMin = Duration.ofMillis(4)) }).run() }
+                val feed =
+                    launch {
+                        ObjectFeed(
+                            store,
+                            "servers/",
+                            recorded,
+                            { FeedPolicy(backoffMin = Duration.ofMillis(4)) },
+                        ).run()
+                    }
                 store.awaitEnd()
                 feed.cancel()
             }
@@ -66,7 +74,8 @@
             val responses = Array<(String) -> Result<ObjectPage, StoreError>>(10_000) { { Ok(page(1)) } }
             val recorded = RecordingListener()
             coroutineScope {
-                val feed = launch { ObjectFeed(ScriptedStore(responses.toList(), recorded), "servers/", recorded).run() }
+                val feed =
+                    launch { ObjectFeed(ScriptedStore(responses.toList(), recorded), "servers/", recorded).run() }
                 delay(300)
                 feed.cancel()
             }
@@ -74,12 +83,24 @@
         }
 
         test("guards against one watch call per change in each router when there are many changes") {
-            val changed = ObjectPage(persistentListOf(StoredObject(ObjectKey("servers/a"), ObjectVersion(2), "{}")), ObjectVersion(2))
+            val changed =
+                ObjectPage(
+                    persistentListOf(StoredObject(ObjectKey("servers/a"), ObjectVersion(2), "{}")),
+                    ObjectVersion(2),
+                )
             val responses = Array<(String) -> Result<ObjectPage, StoreError>>(10_000) { { Ok(changed) } }
             val recorded = RecordingListener()
             val policy = FeedPolicy(pauseAfterChange = Duration.ofMillis(100))
             coroutineScope {
-                val feed = launch { ObjectFeed(ScriptedStore(responses.toList(), recorded), "servers/", recorded, { policy }).run() }
+                val feed =
+                    launch {
+                        ObjectFeed(
+                            ScriptedStore(responses.toList(), recorded),
+                            "servers/",
+                            recorded,
+                            { policy },
+                        ).run()
+                    }
                 delay(350)
                 feed.cancel()
             }
@@ -117,7 +138,8 @@
             wait: Duration,
         ) = respond("watch $after")
 
-        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> = error("unexpected get: a feed reads no single object")
+        override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> =
+            error("unexpected get: a feed reads no single object")
 
         override suspend fun put(
             key: ObjectKey,
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -34,7 +34,11 @@
     private val budget: BufferBudget,
     private val owner: Owner,
 ) : ChannelInboundHandlerAdapter() {
-    private val decoder = ResponseDecoder(settings.maxHeaderBytes, budget.pieceBytes, ::acceptBytes) { exchange?.request?.method == "HEAD" }
+    private val decoder =
+        ResponseDecoder(settings.maxHeaderBytes, budget.pieceBytes, ::acceptBytes) {
+            exchange?.request?.method ==
+                "HEAD"
+        }
     private var exchange: ClientExchange? = null
     private var isUsable = true
     private var isRequestWritten = false
@@ -65,7 +69,9 @@
     fun endRequest(ended: ClientExchange) {
         channel.eventLoop().execute {
             if (exchange === ended) {
-                channel.writeAndFlush(DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)).addListener { if (it.isSuccess) onRequestWritten() }
+                channel.writeAndFlush(DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)).addListener {
+                    if (it.isSuccess) onRequestWritten()
+                }
             }
         }
     }
@@ -85,7 +91,12 @@
             if (exchange === ended) {
                 exchange = null
                 ended.bodyJob?.cancel()
-                val isReusable = isReadToEnd && isResponseComplete && isRequestWritten && isResponseKeepAlive && decoder.undecodedBytes == 0
+                val isReusable =
+                    isReadToEnd &&
+                        isResponseComplete &&
+                        isRequestWritten &&
+                        isResponseKeepAlive &&
+                        decoder.undecodedBytes == 0
                 activityNanos = System.nanoTime()
                 if (isReusable && isUsable && channel.isActive) {
                     channel.config().isAutoRead = true
@@ -137,7 +148,11 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isUsable = false
-        if (!isResponseComplete) exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"))
+        if (!isResponseComplete) {
+            exchange?.fail(
+                UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"),
+            )
+        }
         owner.onClosed(this)
         ctx.fireChannelInactive()
     }
@@ -147,7 +162,11 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        if (!isResponseComplete) exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"))
+        if (!isResponseComplete) {
+            exchange?.fail(
+                UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"),
+            )
+        }
         discard()
     }
 
@@ -179,7 +198,12 @@
         activityNanos = System.nanoTime()
         val body = request.body
         if (body is UpstreamBody.Stream) {
-            channel.writeAndFlush(prepare(request, DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target)))
+            channel.writeAndFlush(
+                prepare(
+                    request,
+                    DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target),
+                ),
+            )
         } else {
             val bytes = (body as? UpstreamBody.Bytes)?.bytes ?: ByteArray(0)
             val message =
@@ -203,12 +227,21 @@
         message: HttpRequest,
     ): HttpRequest {
         val headers = message.headers()
-        request.headers.withoutHopByHop().entries.forEach { (name, value) -> headers.add(name, value) }
+        request.headers
+            .withoutHopByHop()
+            .entries
+            .forEach { (name, value) -> headers.add(name, value) }
         if (!headers.contains("Host")) headers.set("Host", address.toString())
         when (val body = request.body) {
             is UpstreamBody.Bytes -> headers.set("Content-Length", body.bytes.size)
             is UpstreamBody.Stream ->
-                if (body.lengthBytes == null) HttpUtil.setTransferEncodingChunked(message, true) else headers.set("Content-Length", body.lengthBytes)
+                if (body.lengthBytes ==
+                    null
+                ) {
+                    HttpUtil.setTransferEncodingChunked(message, true)
+                } else {
+                    headers.set("Content-Length", body.lengthBytes)
+                }
             UpstreamBody.None -> if (request.method !in setOf("GET", "HEAD", "DELETE")) headers.set("Content-Length", 0)
         }
         return message
@@ -274,13 +307,19 @@
      * therefore shorter than the `Keep-Alive` timeout of the endpoint by the configured margin.
      */
     private fun keepAliveLimit(headers: Headers): Duration {
-        val seconds = headers["Keep-Alive"]?.let { KEEP_ALIVE_SECONDS.find(it) }?.groupValues?.get(1)?.toLong()
+        val seconds =
+            headers["Keep-Alive"]
+                ?.let { KEEP_ALIVE_SECONDS.find(it) }
+                ?.groupValues
+                ?.get(1)
+                ?.toLong()
         if (seconds == null) return settings.pooledIdleTimeout
         val usable = Duration.ofSeconds(seconds).minus(settings.keepAliveMargin)
         return if (usable.isNegative) Duration.ZERO else minOf(usable, settings.pooledIdleTimeout)
     }
 
-    private fun malformed(detail: String) = UpstreamException(UpstreamError.Reason.MALFORMED_ANSWER, "$address: $detail")
+    private fun malformed(detail: String) =
+        UpstreamException(UpstreamError.Reason.MALFORMED_ANSWER, "$address: $detail")
 
     private fun scheduleTick() {
         val running = exchange
@@ -308,7 +347,8 @@
     ) {
         val isReading = isRequestWritten && channel.config().isAutoRead
         val isWriting = !isRequestWritten && (running.request.body !is UpstreamBody.Stream || !running.outbound.isEmpty)
-        val sinceActivityNanos = now - max(activityNanos, if (isWriting) running.outbound.progressNanos else activityNanos)
+        val sinceActivityNanos =
+            now - max(activityNanos, if (isWriting) running.outbound.progressNanos else activityNanos)
         when {
             isReading && !running.isHeadReceived ->
                 if (sinceActivityNanos > firstByteTimeout(running).toNanos()) {
@@ -316,7 +356,12 @@
                 }
             isReading || isWriting ->
                 if (sinceActivityNanos > idleTimeout(running).toNanos()) {
-                    fail(UpstreamException(UpstreamError.Reason.IDLE_TIMEOUT, "$address neither took nor gave a byte in time"))
+                    fail(
+                        UpstreamException(
+                            UpstreamError.Reason.IDLE_TIMEOUT,
+                            "$address neither took nor gave a byte in time",
+                        ),
+                    )
                 }
         }
         // While back-pressure stops reading, the delay is the reader's, so it must not count towards the endpoint's
@@ -324,7 +369,8 @@
         if (isRequestWritten && !isReading) activityNanos = now
     }
 
-    private fun firstByteTimeout(running: ClientExchange?): Duration = running?.request?.firstByteTimeout ?: settings.firstByteTimeout
+    private fun firstByteTimeout(running: ClientExchange?): Duration =
+        running?.request?.firstByteTimeout ?: settings.firstByteTimeout
 
     private fun idleTimeout(running: ClientExchange?): Duration = running?.request?.idleTimeout ?: settings.idleTimeout
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientExchange.kt
@@ -60,14 +60,22 @@
     }
 
     override suspend fun next(): Result<ByteArray?, UpstreamError> {
-        if (isReleased.get() && !isAtEnd) return incomplete(UpstreamError.Reason.CANCELLED, "the answer was closed before its end")
+        if (isReleased.get() &&
+            !isAtEnd
+        ) {
+            return incomplete(UpstreamError.Reason.CANCELLED, "the answer was closed before its end")
+        }
         return try {
             val piece = inbound.next()
             if (piece == null) {
                 isAtEnd = true
                 // Waits for the release: the reader's next request may follow at once and should find the connection in
                 // the pool.
-                if (isReleased.compareAndSet(false, true)) withContext(NonCancellable) { connection.release(this@ClientExchange, true).await() }
+                if (isReleased.compareAndSet(false, true)) {
+                    withContext(NonCancellable) {
+                        connection.release(this@ClientExchange, true).await()
+                    }
+                }
             } else {
                 deliveredBytes.addAndGet(piece.size.toLong())
             }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpExchange.kt
@@ -32,7 +32,8 @@
     val callerDisconnected: Job
 
     /** Calls [callback] on an event loop when the caller disconnects, or at once if it already has. */
-    fun onCallerDisconnected(callback: () -> Unit): DisposableHandle = callerDisconnected.invokeOnCompletion { callback() }
+    fun onCallerDisconnected(callback: () -> Unit): DisposableHandle =
+        callerDisconnected.invokeOnCompletion { callback() }
 
     /** Reads the whole body. Throws [RequestBodyException] with status 413 above [maxBytes]. */
     suspend fun readBody(maxBytes: Int): ByteArray
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
@@ -53,8 +53,11 @@
     /** The bound address; valid after [start]. */
     val address: HostPort
         get() =
-            (checkNotNull(listener) { "the server is not started: call start first" }.localAddress() as InetSocketAddress)
-                .let { HostPort(it.address.hostAddress, it.port) }
+            (
+                checkNotNull(
+                    listener,
+                ) { "the server is not started: call start first" }.localAddress() as InetSocketAddress
+            ).let { HostPort(it.address.hostAddress, it.port) }
 
     /** Binds the address and returns this server. Throws [java.io.IOException] if the address is in use. */
     fun start(): HttpServer {
@@ -92,7 +95,8 @@
         }
 
     /** Waits up to [timeout] until no exchange is running; returns whether that was reached. */
-    suspend fun awaitIdle(timeout: Duration): Boolean = withTimeoutOrNull(timeout.toMillis()) { running.first { it == 0 } } != null
+    suspend fun awaitIdle(timeout: Duration): Boolean =
+        withTimeoutOrNull(timeout.toMillis()) { running.first { it == 0 } } != null
 
     /** Closes all connections. Running handlers see that their callers disconnected and can still finish their work. */
     fun closeAllConnections() {
@@ -119,13 +123,25 @@
         }
         connections.add(channel)
         val connection = ServerConnection(this, settings, budget)
-        channel.pipeline().addLast(RequestDecoder(settings, budget.pieceBytes, connection::acceptBytes), connection.encoder, connection)
+        channel.pipeline().addLast(
+            RequestDecoder(settings, budget.pieceBytes, connection::acceptBytes),
+            connection.encoder,
+            connection,
+        )
     }
 
     private suspend fun run(exchange: ServerExchange) {
         try {
             handler.handle(exchange)
-            if (!exchange.isResponseStarted) fail(exchange, INTERNAL_ERROR, "internal_error", "the request was not answered", "report this fault")
+            if (!exchange.isResponseStarted) {
+                fail(
+                    exchange,
+                    INTERNAL_ERROR,
+                    "internal_error",
+                    "the request was not answered",
+                    "report this fault",
+                )
+            }
         } catch (e: CancellationException) {
             exchange.close()
             throw e
@@ -151,7 +167,11 @@
         val ran = if (status >= INTERNAL_ERROR) "unknown" else "no"
         try {
             val headers = ErrorBody.HEADERS.with("Connection", "close")
-            exchange.respond(status, headers, ErrorBody.encode(type, message, remedy, ran, exchange.head.headers["X-Request-Id"]))
+            exchange.respond(
+                status,
+                headers,
+                ErrorBody.encode(type, message, remedy, ran, exchange.head.headers["X-Request-Id"]),
+            )
         } catch (e: CallerDisconnectedException) {
             LOGGER.debug("http: caller disconnected path={} cause={}", exchange.head.path, e.message)
         }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.http
 
 import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
@@ -14,30 +15,84 @@
     /** Returns the refusal for [request], or null when it is acceptable. */
     fun refusal(request: HttpRequest): Refusal? {
         if (request.decoderResult().isFailure) return decoderRefusal(request.decoderResult().cause())
+        val isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1
+        return headRefusal(request, isVersion11) ?: bodyRefusal(request.headers(), isVersion11)
+    }
+
+    private fun headRefusal(
+        request: HttpRequest,
+        isVersion11: Boolean,
+    ): Refusal? {
         val headers = request.headers()
         val hosts = headers.getAll("Host")
-        val encodings = headers.getAll("Transfer-Encoding")
-        val lengths = headers.getAll("Content-Length")
-        val isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1
         return when {
             !isVersion11 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
-                Refusal(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "the HTTP version is not supported", "use HTTP/1.1")
+                Refusal(
+                    HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED,
+                    "the HTTP version is not supported",
+                    "use HTTP/1.1",
+                )
             headers.size() > settings.maxHeaderCount ->
-                Refusal(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "more than ${settings.maxHeaderCount} header fields", "send fewer header fields")
+                Refusal(
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    "more than ${settings.maxHeaderCount} header fields",
+                    "send fewer header fields",
+                )
             !isOriginForm(request.uri()) ->
-                Refusal(HttpResponseStatus.BAD_REQUEST, "the request target is not a path", "send the target in origin form, such as /v1/models")
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "the request target is not a path",
+                    "send the target in origin form, such as /v1/models",
+                )
             hosts.size > 1 || (isVersion11 && hosts.isEmpty()) ->
-                Refusal(HttpResponseStatus.BAD_REQUEST, "the request needs exactly one Host field", "send one Host field")
-            encodings.isNotEmpty() && (encodings.size > 1 || !isVersion11 || !encodings[0].equals("chunked", ignoreCase = true)) ->
-                Refusal(HttpResponseStatus.BAD_REQUEST, "Transfer-Encoding is not exactly 'chunked'", "send a Content-Length or 'Transfer-Encoding: chunked'")
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "the request needs exactly one Host field",
+                    "send one Host field",
+                )
+            else -> null
+        }
+    }
+
+    private fun bodyRefusal(
+        headers: HttpHeaders,
+        isVersion11: Boolean,
+    ): Refusal? {
+        val encodings = headers.getAll("Transfer-Encoding")
+        val lengths = headers.getAll("Content-Length")
+        return when {
+            encodings.isNotEmpty() &&
+                (encodings.size > 1 || !isVersion11 || !encodings[0].equals("chunked", ignoreCase = true)) ->
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "Transfer-Encoding is not exactly 'chunked'",
+                    "send a Content-Length or 'Transfer-Encoding: chunked'",
+                )
             encodings.isNotEmpty() && lengths.isNotEmpty() ->
-                Refusal(HttpResponseStatus.BAD_REQUEST, "both Content-Length and Transfer-Encoding are present", "send only one of them")
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "both Content-Length and Transfer-Encoding are present",
+                    "send only one of them",
+                )
             lengths.size > 1 || lengths.any { it.isEmpty() || !it.all(Char::isAsciiDigit) } ->
-                Refusal(HttpResponseStatus.BAD_REQUEST, "Content-Length is not one number", "send one decimal Content-Length")
-            (lengths.firstOrNull()?.toLongOrNull() ?: if (lengths.isEmpty()) 0 else Long.MAX_VALUE) > settings.maxBodyBytes ->
-                Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body exceeds ${settings.maxBodyBytes} bytes", "send a smaller body")
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "Content-Length is not one number",
+                    "send one decimal Content-Length",
+                )
+            (lengths.firstOrNull()?.toLongOrNull() ?: if (lengths.isEmpty()) 0 else Long.MAX_VALUE) >
+                settings.maxBodyBytes ->
+                Refusal(
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                    "the body exceeds ${settings.maxBodyBytes} bytes",
+                    "send a smaller body",
+                )
             headers.getAll("Expect").any { !it.equals("100-continue", ignoreCase = true) } ->
-                Refusal(HttpResponseStatus.EXPECTATION_FAILED, "the expectation is not supported", "send no Expect field")
+                Refusal(
+                    HttpResponseStatus.EXPECTATION_FAILED,
+                    "the expectation is not supported",
+                    "send no Expect field",
+                )
             else -> null
         }
     }
@@ -45,10 +100,23 @@
     private fun decoderRefusal(cause: Throwable): Refusal =
         when (cause) {
             is TooLongHttpLineException ->
-                Refusal(HttpResponseStatus.REQUEST_URI_TOO_LONG, "the request line exceeds ${settings.maxRequestLineBytes} bytes", "shorten the target")
+                Refusal(
+                    HttpResponseStatus.REQUEST_URI_TOO_LONG,
+                    "the request line exceeds ${settings.maxRequestLineBytes} bytes",
+                    "shorten the target",
+                )
             is TooLongHttpHeaderException, is TooLongFrameException ->
-                Refusal(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the header fields exceed ${settings.maxHeaderBytes} bytes", "send smaller header fields")
-            else -> Refusal(HttpResponseStatus.BAD_REQUEST, "the request head is malformed", "send a request as in RFC 9112")
+                Refusal(
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    "the header fields exceed ${settings.maxHeaderBytes} bytes",
+                    "send smaller header fields",
+                )
+            else ->
+                Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "the request head is malformed",
+                    "send a request as in RFC 9112",
+                )
         }
 
     private fun isOriginForm(target: String): Boolean = target.startsWith("/") && target.all { it in '!'..'~' }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
@@ -17,7 +17,11 @@
     private val accept: (ByteBuf) -> Boolean,
     private val isBodiless: () -> Boolean,
 ) : HttpResponseDecoder(
-        HttpDecoderConfig().setMaxHeaderSize(maxHeaderBytes).setMaxChunkSize(pieceBytes).setAllowDuplicateContentLengths(false),
+        HttpDecoderConfig()
+            .setMaxHeaderSize(
+                maxHeaderBytes,
+            ).setMaxChunkSize(pieceBytes)
+            .setAllowDuplicateContentLengths(false),
     ) {
     /** The number of bytes received but not decoded; more than 0 at the end of a response means surplus bytes. */
     val undecodedBytes: Int get() = actualReadableBytes()
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -107,7 +107,13 @@
         // A caller that half-closes the connection while a request runs counts as disconnected. A truncated head can
         // still get a response.
         if (exchange == null && headStartNanos != null && !isClosing) {
-            refuse(RequestCheck.Refusal(HttpResponseStatus.BAD_REQUEST, "the request head is truncated", "send the whole head"))
+            refuse(
+                RequestCheck.Refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "the request head is truncated",
+                    "send the whole head",
+                ),
+            )
         } else {
             ctx.close()
         }
@@ -133,7 +139,11 @@
      */
     fun updateAutoRead() {
         val running = exchange
-        val mayRead = isClosing || running == null || (isRequestComplete && !isPipelined) || (!isRequestComplete && running.inbound.hasRoom)
+        val mayRead =
+            isClosing ||
+                running == null ||
+                (isRequestComplete && !isPipelined) ||
+                (!isRequestComplete && running.inbound.hasRoom)
         context.channel().config().isAutoRead = mayRead
     }
 
@@ -171,14 +181,22 @@
         val started =
             ServerExchange(
                 head = RequestHead(request.method().name(), request.uri(), headers),
-                callerAddress = (context.channel().remoteAddress() as? InetSocketAddress)?.address?.hostAddress.orEmpty(),
+                callerAddress =
+                    (context.channel().remoteAddress() as? InetSocketAddress)
+                        ?.address
+                        ?.hostAddress
+                        .orEmpty(),
                 isProcessBufferFull = budget.isFull,
                 channel = context.channel(),
                 connection = this,
                 traits =
                     ServerExchange.Traits(
                         isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1,
-                        isKeepAlive = HttpUtil.isKeepAlive(request) && request.protocolVersion() == HttpVersion.HTTP_1_1,
+                        isKeepAlive =
+                            HttpUtil.isKeepAlive(
+                                request,
+                            ) &&
+                                request.protocolVersion() == HttpVersion.HTTP_1_1,
                         hasResponseBody = request.method() != HttpMethod.HEAD,
                         expectsContinue = HttpUtil.is100ContinueExpected(request),
                     ),
@@ -194,11 +212,15 @@
         val running = exchange ?: return
         if (isRequestComplete) return markPipelined()
         if (content.decoderResult().isFailure) {
-            return running.inbound.fail(RequestBodyException(BAD_REQUEST, "the body is malformed: send valid chunks"), afterBufferedPieces = false)
+            return running.inbound.fail(
+                RequestBodyException(BAD_REQUEST, "the body is malformed: send valid chunks"),
+                afterBufferedPieces = false,
+            )
         }
         bodyBytes += content.content().readableBytes()
         if (bodyBytes > settings.maxBodyBytes) {
-            val tooLarge = RequestBodyException(TOO_LARGE, "the body exceeds ${settings.maxBodyBytes} bytes: send a smaller body")
+            val tooLarge =
+                RequestBodyException(TOO_LARGE, "the body exceeds ${settings.maxBodyBytes} bytes: send a smaller body")
             return running.inbound.fail(tooLarge, afterBufferedPieces = false)
         }
         running.inbound.offer(ByteBufUtil.getBytes(content.content()))
@@ -219,7 +241,10 @@
     }
 
     private fun writeRefusal(refusal: RequestCheck.Refusal) {
-        val body = Unpooled.wrappedBuffer(ErrorBody.encode("invalid_request", refusal.message, refusal.remedy, ran = "no"))
+        val body =
+            Unpooled.wrappedBuffer(
+                ErrorBody.encode("invalid_request", refusal.message, refusal.remedy, ran = "no"),
+            )
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status, body)
         response.headers().set("Content-Type", "application/json")
         response.headers().set("Content-Length", body.readableBytes())
@@ -240,7 +265,12 @@
     }
 
     private fun scheduleTick() {
-        val shortest = minOf(settings.headerTimeout, settings.idleTimeout, minOf(settings.bodyIdleTimeout, settings.writeIdleTimeout))
+        val shortest =
+            minOf(
+                settings.headerTimeout,
+                settings.idleTimeout,
+                minOf(settings.bodyIdleTimeout, settings.writeIdleTimeout),
+            )
         val tickMillis = (shortest.toMillis() / TICKS_PER_TIMEOUT).coerceIn(MIN_TICK_MILLIS, MAX_TICK_MILLIS)
         context.channel().eventLoop().schedule(::tick, tickMillis, TimeUnit.MILLISECONDS)
     }
@@ -254,7 +284,13 @@
             isClosing -> Unit
             running != null -> checkRunning(running, now)
             headStart != null && isTimedOut(headStart, now, settings.headerTimeout) ->
-                refuse(RequestCheck.Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "the request head took too long", "send the head at once"))
+                refuse(
+                    RequestCheck.Refusal(
+                        HttpResponseStatus.REQUEST_TIMEOUT,
+                        "the request head took too long",
+                        "send the head at once",
+                    ),
+                )
             headStart == null && isTimedOut(activityNanos, now, settings.idleTimeout) -> context.close()
         }
         scheduleTick()
@@ -267,10 +303,16 @@
         val awaitedSince = running.bodyAwaitedSinceNanos
         val isBodyAwaited = !isRequestComplete && awaitedSince != null
         if (isBodyAwaited && isTimedOut(maxOf(activityNanos, awaitedSince), now, settings.bodyIdleTimeout)) {
-            running.inbound.fail(RequestBodyException(TIMEOUT, "the body took too long: send it without pauses"), afterBufferedPieces = false)
+            running.inbound.fail(
+                RequestBodyException(TIMEOUT, "the body took too long: send it without pauses"),
+                afterBufferedPieces = false,
+            )
         }
         if (!running.outbound.isEmpty && isTimedOut(running.outbound.progressNanos, now, settings.writeIdleTimeout)) {
-            LOGGER.info("http: connection closed, the caller reads no bytes idleMillis={}", settings.writeIdleTimeout.toMillis())
+            LOGGER.info(
+                "http: connection closed, the caller reads no bytes idleMillis={}",
+                settings.writeIdleTimeout.toMillis(),
+            )
             context.close()
         }
     }
@@ -284,9 +326,17 @@
     private companion object {
         val LOGGER = LoggerFactory.getLogger(ServerConnection::class.java)
         val PIPELINED =
-            RequestCheck.Refusal(HttpResponseStatus.BAD_REQUEST, "a second request arrived before the answer ended", "wait for the answer before the next request")
+            RequestCheck.Refusal(
+                HttpResponseStatus.BAD_REQUEST,
+                "a second request arrived before the answer ended",
+                "wait for the answer before the next request",
+            )
         val FOLDED =
-            RequestCheck.Refusal(HttpResponseStatus.BAD_REQUEST, "a header field is folded over lines", "send each field on one line")
+            RequestCheck.Refusal(
+                HttpResponseStatus.BAD_REQUEST,
+                "a header field is folded over lines",
+                "send each field on one line",
+            )
         const val BAD_REQUEST = 400
         const val TIMEOUT = 408
         const val TOO_LARGE = 413
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.http
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -7,7 +8,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.buffer.Unpooled
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import java.io.ByteArrayOutputStream
@@ -54,7 +54,9 @@
     override val body =
         BodySource {
             if (isContinuePending.compareAndSet(true, false) && !responseStarted.get()) {
-                channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+                channel.writeAndFlush(
+                    DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+                )
             }
             bodyAwaitedSinceNanos = System.nanoTime()
             try {
@@ -68,7 +70,14 @@
         val collected = ByteArrayOutputStream()
         while (true) {
             val piece = body.next() ?: return collected.toByteArray()
-            if (collected.size() + piece.size > maxBytes) throw RequestBodyException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "the body exceeds $maxBytes bytes: send a smaller body")
+            if (collected.size() + piece.size >
+                maxBytes
+            ) {
+                throw RequestBodyException(
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(),
+                    "the body exceeds $maxBytes bytes: send a smaller body",
+                )
+            }
             collected.write(piece)
         }
     }
@@ -108,10 +117,16 @@
         status: Int,
         headers: Headers,
     ): Framing {
-        val isBodiless = status == HttpResponseStatus.NO_CONTENT.code() || status == HttpResponseStatus.NOT_MODIFIED.code()
+        val isBodiless =
+            status == HttpResponseStatus.NO_CONTENT.code() || status == HttpResponseStatus.NOT_MODIFIED.code()
         val lengthBytes = if (isBodiless) null else headers["Content-Length"]?.toLongOrNull()
         val isChunked = lengthBytes == null && traits.isVersion11 && !isBodiless
-        return Framing(lengthBytes, isChunked, isBodiless || isChunked || lengthBytes != null, traits.hasResponseBody && !isBodiless)
+        return Framing(
+            lengthBytes,
+            isChunked,
+            isBodiless || isChunked || lengthBytes != null,
+            traits.hasResponseBody && !isBodiless,
+        )
     }
 
     /** Fails the handler's reads and writes after the connection was lost. */
@@ -169,7 +184,9 @@
 
         override suspend fun write(bytes: ByteArray) {
             check(hasBody || bytes.isEmpty()) { "this response has no body: write nothing" }
-            check(lengthBytes == null || writtenBytes + bytes.size <= lengthBytes) { "the body exceeds its Content-Length: set the right length" }
+            check(lengthBytes == null || writtenBytes + bytes.size <= lengthBytes) {
+                "the body exceeds its Content-Length: set the right length"
+            }
             if (bytes.isEmpty()) return
             writtenBytes += bytes.size
             val isEnd = writtenBytes == lengthBytes
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerSentEventReader.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerSentEventReader.kt
@@ -31,7 +31,11 @@
             if (byte == LINE_FEED || byte == CARRIAGE_RETURN) {
                 endLine()?.let(events::add)
             } else {
-                if (++eventBytes > maxEventBytes) throw IOException("an event exceeds $maxEventBytes bytes: send smaller events")
+                if (++eventBytes >
+                    maxEventBytes
+                ) {
+                    throw IOException("an event exceeds $maxEventBytes bytes: send smaller events")
+                }
                 line.write(byte.toInt())
             }
         }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -69,7 +69,10 @@
                     ConnectionPool.Acquisition.New -> connect(address).getOrElse { return Err(it) }
                     ConnectionPool.Acquisition.Exhausted ->
                         return notSent(UpstreamError.Reason.POOL_EXHAUSTED, "all connections to $address are in use")
-                    ConnectionPool.Acquisition.Closed -> return notSent(UpstreamError.Reason.POOL_CLOSED, "the client was closed")
+                    ConnectionPool.Acquisition.Closed -> return notSent(
+                        UpstreamError.Reason.POOL_CLOSED,
+                        "the client was closed",
+                    )
                 }
             if (!currentCoroutineContext().isActive) pool.onIdle(connection)
             currentCoroutineContext().ensureActive()
@@ -90,7 +93,10 @@
         exchange: ClientExchange,
     ): Result<UpstreamResponse, UpstreamError> {
         val body = exchange.request.body
-        if (body is UpstreamBody.Stream) exchange.bodyJob = scope.launch(start = CoroutineStart.ATOMIC) { pump(connection, exchange, body) }
+        if (body is UpstreamBody.Stream) {
+            exchange.bodyJob =
+                scope.launch(start = CoroutineStart.ATOMIC) { pump(connection, exchange, body) }
+        }
         val head =
             try {
                 exchange.awaitHead()
@@ -111,17 +117,23 @@
             while (true) {
                 val piece = body.source.next() ?: break
                 writtenBytes += piece.size
-                check(body.lengthBytes == null || writtenBytes <= body.lengthBytes) { "the body exceeds its declared length" }
+                check(
+                    body.lengthBytes == null || writtenBytes <= body.lengthBytes,
+                ) { "the body exceeds its declared length" }
                 exchange.outbound.write(piece)
             }
-            check(body.lengthBytes == null || writtenBytes == body.lengthBytes) { "the body is shorter than its declared length" }
+            check(
+                body.lengthBytes == null || writtenBytes == body.lengthBytes,
+            ) { "the body is shorter than its declared length" }
             connection.endRequest(exchange)
         } catch (e: CancellationException) {
             throw e
         } catch (e: UpstreamException) {
             connection.fail(e)
         } catch (e: Exception) {
-            connection.fail(UpstreamException(UpstreamError.Reason.REQUEST_BODY_FAILED, "the request body failed: ${e.message}"))
+            connection.fail(
+                UpstreamException(UpstreamError.Reason.REQUEST_BODY_FAILED, "the request body failed: ${e.message}"),
+            )
         }
     }
 
@@ -133,7 +145,9 @@
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
-                            created.set(ClientConnection(address, channel, settings, budget, pool).also { it.install() })
+                            created.set(
+                                ClientConnection(address, channel, settings, budget, pool).also { it.install() },
+                            )
                         }
                     },
                 ).connect(address.host, address.port)
@@ -141,7 +155,12 @@
         val failure = withContext(NonCancellable) { future.awaitCause() }
         if (failure != null) {
             pool.connectFailed(address)
-            val reason = if (failure is ConnectTimeoutException) UpstreamError.Reason.CONNECT_TIMEOUT else UpstreamError.Reason.REFUSED
+            val reason =
+                if (failure is ConnectTimeoutException) {
+                    UpstreamError.Reason.CONNECT_TIMEOUT
+                } else {
+                    UpstreamError.Reason.REFUSED
+                }
             return notSent(reason, "no connection to $address: ${failure.message}")
         }
         val connection = created.get()
@@ -155,7 +174,11 @@
     private fun validationError(request: UpstreamRequest): String? {
         val isTargetValid = request.target.startsWith("/") && request.target.all { it in '!'..'~' }
         val isMethodValid = request.method.isNotEmpty() && request.method.all { it in 'A'..'Z' }
-        val invalidHeader = request.headers.entries.firstOrNull { (name, value) -> !isToken(name) || value.any { it < ' ' && it != '\t' } }
+        val invalidHeader =
+            request.headers.entries.firstOrNull { (name, value) ->
+                !isToken(name) ||
+                    value.any { it < ' ' && it != '\t' }
+            }
         return when {
             !isTargetValid -> "the target is not a path: use origin form"
             !isMethodValid -> "the method is not valid: use upper-case letters"
@@ -164,7 +187,8 @@
         }
     }
 
-    private fun isToken(name: String): Boolean = name.isNotEmpty() && name.all { it.isAsciiLetterOrDigit() || it in "!#$%&'*+-.^_`|~" }
+    private fun isToken(name: String): Boolean =
+        name.isNotEmpty() && name.all { it.isAsciiLetterOrDigit() || it in "!#$%&'*+-.^_`|~" }
 
     /**
      * Streams a large body, so that the idle timeout applies to the progress of the endpoint and not to the transfer of
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/BackPressureTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/BackPressureTest.kt
@@ -34,8 +34,20 @@
                         refused.incrementAndGet()
                         exchange.respond(503)
                     } else {
-                        val body = if (exchange.head.method == "POST") UpstreamBody.Stream(exchange.body) else UpstreamBody.None
-                        val response = client.send(endpoint, UpstreamRequest(exchange.head.method, "/", body = body)).get()!!
+                        val body =
+                            if (exchange.head.method ==
+                                "POST"
+                            ) {
+                                UpstreamBody.Stream(exchange.body)
+                            } else {
+                                UpstreamBody.None
+                            }
+                        val response =
+                            client
+                                .send(
+                                    endpoint,
+                                    UpstreamRequest(exchange.head.method, "/", body = body),
+                                ).get()!!
                         response.use {
                             val sink = exchange.respondStream(it.head.status, it.head.headers)
                             while (true) sink.write(it.next().get() ?: break)
@@ -44,7 +56,13 @@
                     }
                 }).start()
 
-            fun connect() = RawConnection(Socket(server.address.host, server.address.port).also { it.receiveBufferSize = 256 * 1024 })
+            fun connect() =
+                RawConnection(
+                    Socket(server.address.host, server.address.port).also {
+                        it.receiveBufferSize =
+                            256 * 1024
+                    },
+                )
 
             override fun close() {
                 server.close()
@@ -63,7 +81,9 @@
                 }
             }
 
-        test("guards against unbounded reading from endpoints while callers do not read, and against a truncated response once they do") {
+        test(
+            "guards against unbounded reading from endpoints while callers do not read, and against a truncated response once they do",
+        ) {
             val sentBytes = AtomicLong()
             largeResponses(sentBytes).use { endpoint ->
                 Relay(BufferBudget(streamBytes = streamBytes), endpoint.address).use { relay ->
@@ -80,7 +100,9 @@
             }
         }
 
-        test("guards against new requests that do not see the process at its buffer limit, and against truncated responses to running ones") {
+        test(
+            "guards against new requests that do not see the process at its buffer limit, and against truncated responses to running ones",
+        ) {
             val sentBytes = AtomicLong()
             largeResponses(sentBytes).use { endpoint ->
                 Relay(BufferBudget(processBytes = 100_000, streamBytes = streamBytes), endpoint.address).use { relay ->
@@ -92,7 +114,15 @@
                     val late = relay.connect()
                     late.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
                     late.readHead()!!.substringBefore("\r\n") shouldBe "HTTP/1.1 503 Service Unavailable"
-                    callers.map { thread { it.readBytes(responseBytes).length shouldBe responseBytes } }.forEach { it.join() }
+                    callers
+                        .map {
+                            thread {
+                                it
+                                    .readBytes(
+                                        responseBytes,
+                                    ).length shouldBe responseBytes
+                            }
+                        }.forEach { it.join() }
                     relay.refused.get() shouldBe 1
                 }
             }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
@@ -19,14 +19,21 @@
         suspend fun withClient(
             settings: UpstreamSettings,
             test: suspend (UpstreamClient) -> Unit,
-        ) = HttpEventLoops(threads = 1).use { loops -> UpstreamClient(settings, loops, BufferBudget()).use { test(it) } }
+        ) = HttpEventLoops(threads = 1).use { loops ->
+            UpstreamClient(settings, loops, BufferBudget()).use { test(it) }
+        }
 
         suspend fun UpstreamClient.fetch(
             address: HostPort,
             headers: Headers = Headers.EMPTY,
-        ): String? = send(address, UpstreamRequest("GET", "/", headers)).get()?.use { it.readAll(MAX_BYTES).get()?.decodeToString() }
+        ): String? =
+            send(address, UpstreamRequest("GET", "/", headers)).get()?.use {
+                it.readAll(MAX_BYTES).get()?.decodeToString()
+            }
 
-        test("guards against reusing a connection that its endpoint is about to close, as its Keep-Alive timeout says") {
+        test(
+            "guards against reusing a connection that its endpoint is about to close, as its Keep-Alive timeout says",
+        ) {
             RawServer { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=1\r\n\r\nok" }.use { server ->
                 withClient(UpstreamSettings(keepAliveMargin = Duration.ofMillis(900))) { client ->
                     client.fetch(server.address) shouldBe "ok"
@@ -37,19 +44,25 @@
             }
         }
 
-        test("guards against a close-delimited response that is refused although accepted by the settings, or looks complete after a reset") {
+        test(
+            "guards against a close-delimited response that is refused although accepted by the settings, or looks complete after a reset",
+        ) {
             val closeDelimited = "HTTP/1.1 200 OK\r\n\r\nwhole"
             val settings = UpstreamSettings(acceptsCloseDelimitedResponses = true)
             RawServer(Ending.CLOSE) { closeDelimited }.use { server ->
                 withClient(settings) { it.fetch(server.address) shouldBe "whole" }
-                withClient(UpstreamSettings()) { it.send(server.address, UpstreamRequest("GET", "/")).getError().shouldNotBeNull() }
+                withClient(
+                    UpstreamSettings(),
+                ) { it.send(server.address, UpstreamRequest("GET", "/")).getError().shouldNotBeNull() }
             }
             RawServer(Ending.RESET) { closeDelimited }.use { server ->
                 withClient(settings) { it.fetch(server.address) shouldBe null }
             }
         }
 
-        test("guards against accepting the response to another request where the request id has a custom header field") {
+        test(
+            "guards against accepting the response to another request where the request id has a custom header field",
+        ) {
             RawServer { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nCall-Id: other\r\n\r\nok" }.use { server ->
                 withClient(UpstreamSettings(requestIdHeader = "Call-Id")) { client ->
                     val request = UpstreamRequest("GET", "/", Headers.of("Call-Id" to "mine"))
@@ -59,10 +72,16 @@
         }
 
         test("guards against a Host field of the caller that is replaced by the endpoint's address") {
-            RawServer { head -> "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n${Regex("(?i)host: (.{9})").find(head)?.groupValues?.get(1)}" }
-                .use { server ->
-                    withClient(UpstreamSettings()) { it.fetch(server.address, Headers.of("Host" to "h.example")) shouldBe "h.example" }
+            RawServer { head ->
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n${Regex(
+                    "(?i)host: (.{9})",
+                ).find(head)?.groupValues?.get(1)}"
+            }.use { server ->
+                withClient(UpstreamSettings()) {
+                    it.fetch(server.address, Headers.of("Host" to "h.example")) shouldBe
+                        "h.example"
                 }
+            }
         }
     }) {
     private enum class Ending { KEEP, CLOSE, RESET }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
@@ -29,7 +29,9 @@
 
         fun connect(server: HttpServer) = RawConnection(Socket(server.address.host, server.address.port))
 
-        test("guards against a drain that aborts running requests, refuses new ones, or lets a response go out without Connection: close") {
+        test(
+            "guards against a drain that aborts running requests, refuses new ones, or lets a response go out without Connection: close",
+        ) {
             val release = CompletableDeferred<Unit>()
             val server = startWithSlowPath(release)
             val slow = connect(server)
@@ -46,7 +48,9 @@
             slow.readToEnd() shouldContain "done"
         }
 
-        test("guards against idle connections that stay open during a drain, and against aborting a running request when they are closed") {
+        test(
+            "guards against idle connections that stay open during a drain, and against aborting a running request when they are closed",
+        ) {
             val release = CompletableDeferred<Unit>()
             val server = startWithSlowPath(release)
             val kept = connect(server)
@@ -69,7 +73,13 @@
             val server =
                 start { exchange ->
                     try {
-                        if (exchange.head.path == "/read") exchange.readBody(100) else exchange.cancelOnDisconnect { awaitCancellation() }
+                        if (exchange.head.path ==
+                            "/read"
+                        ) {
+                            exchange.readBody(100)
+                        } else {
+                            exchange.cancelOnDisconnect { awaitCancellation() }
+                        }
                     } catch (e: CallerDisconnectedException) {
                         cancelled.complete(exchange.head.path)
                         throw e
@@ -77,7 +87,9 @@
                 }
             for (path in listOf("/wait", "/read")) {
                 val caller = connect(server)
-                caller.write("POST $path HTTP/1.1\r\nHost: a\r\nContent-Length: ${if (path == "/read") 5 else 0}\r\n\r\n")
+                caller.write(
+                    "POST $path HTTP/1.1\r\nHost: a\r\nContent-Length: ${if (path == "/read") 5 else 0}\r\n\r\n",
+                )
                 eventually(5.seconds) { server.runningCount shouldBe 1 }
                 caller.socket.close()
                 server.awaitIdle(Duration.ofSeconds(5)) shouldBe true
@@ -86,7 +98,9 @@
             server.close()
         }
 
-        test("guards against a handler that throws, or returns without a response, and leaves the caller without an error response") {
+        test(
+            "guards against a handler that throws, or returns without a response, and leaves the caller without an error response",
+        ) {
             val server = start { exchange -> if (exchange.head.path == "/fail") error("fault of the test") }
             for (path in listOf("/fail", "/silent")) {
                 val caller = connect(server)
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/KeepAliveTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/KeepAliveTest.kt
@@ -13,11 +13,30 @@
     FunSpec({
         test("guards against refusing a caller that sends its next request as soon as it has the whole response") {
             HttpEventLoops(threads = 2).use { loops ->
-                val handler = HttpHandler { it.respond(200, Headers.EMPTY, if (it.head.method == "HEAD") ByteArray(0) else BODY) }
+                val handler =
+                    HttpHandler {
+                        it.respond(
+                            200,
+                            Headers.EMPTY,
+                            if (it.head.method ==
+                                "HEAD"
+                            ) {
+                                ByteArray(0)
+                            } else {
+                                BODY
+                            },
+                        )
+                    }
                 HttpServer(HttpServerSettings(), loops, BufferBudget(), handler).start().use { server ->
                     val refused =
                         coroutineScope {
-                            (1..CALLERS).map { async(Dispatchers.IO) { sendSequentially(server.address) } }.awaitAll().sum()
+                            (1..CALLERS)
+                                .map {
+                                    async(
+                                        Dispatchers.IO,
+                                    ) { sendSequentially(server.address) }
+                                }.awaitAll()
+                                .sum()
                         }
 
                     refused shouldBe 0
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/ResponseCorrelationTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ResponseCorrelationTest.kt
@@ -34,14 +34,25 @@
             client
                 .send(
                     endpoint.address,
-                    UpstreamRequest("GET", "/$id", Headers.of("X-Request-Id" to id), requestIdEcho = requestIdEcho, firstByteTimeout = firstByte),
+                    UpstreamRequest(
+                        "GET",
+                        "/$id",
+                        Headers.of("X-Request-Id" to id),
+                        requestIdEcho = requestIdEcho,
+                        firstByteTimeout = firstByte,
+                    ),
                 ).flatMap { it.readAll(1000) }
                 .map { String(it) }
 
-        suspend fun awaitUnused(endpoint: ScriptedEndpoint) = eventually(5.seconds) { client.openConnections(endpoint.address) shouldBe 0 }
+        suspend fun awaitUnused(endpoint: ScriptedEndpoint) =
+            eventually(5.seconds) {
+                client.openConnections(endpoint.address) shouldBe
+                    0
+            }
 
         test("requests reuse a connection whose responses were complete") {
-            ScriptedEndpoint { while (true) respond(readHead()!!.substringAfter("/").substringBefore(" ")) }.use { endpoint ->
+            val echo = ScriptedEndpoint { while (true) respond(readHead()!!.substringAfter("/").substringBefore(" ")) }
+            echo.use { endpoint ->
                 repeat(5) { fetch(endpoint, "r$it").get() shouldBe "r$it" }
                 endpoint.connectionCount shouldBe 1
             }
@@ -77,14 +88,21 @@
                 readHead()
                 respond("anonymous")
             }.use { endpoint ->
-                fetch(endpoint, "a", requestIdEcho = RequestIdEcho.REQUIRED).getError()?.reason shouldBe UpstreamError.Reason.IDENTITY_MISMATCH
+                fetch(endpoint, "a", requestIdEcho = RequestIdEcho.REQUIRED).getError()?.reason shouldBe
+                    UpstreamError.Reason.IDENTITY_MISMATCH
             }
         }
 
         test("surplus bytes in the same segment as a response are not taken for the next response") {
             ScriptedEndpoint { connection ->
                 readHead()
-                if (connection == 1) write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+                if (connection ==
+                    1
+                ) {
+                    write(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale",
+                    )
+                }
                 if (connection == 2) respond("b")
                 readHead()
             }.use { endpoint ->
@@ -113,7 +131,15 @@
                 readHead()
                 respond("asked", "X-Request-Id: a")
             }.use { endpoint ->
-                repeat(3) { fetch(endpoint, "a", requestIdEcho = RequestIdEcho.REQUIRED).get().let { if (it != null) it shouldBe "asked" } }
+                repeat(3) {
+                    fetch(endpoint, "a", requestIdEcho = RequestIdEcho.REQUIRED).get().let {
+                        if (it !=
+                            null
+                        ) {
+                            it shouldBe "asked"
+                        }
+                    }
+                }
             }
         }
 
@@ -129,7 +155,11 @@
                     readHead()
                     write(text)
                 }.use { endpoint ->
-                    val incomplete = fetch(endpoint, "a").getError().shouldBeInstanceOf<UpstreamError.IncompleteResponse>()
+                    val incomplete =
+                        fetch(
+                            endpoint,
+                            "a",
+                        ).getError().shouldBeInstanceOf<UpstreamError.IncompleteResponse>()
                     incomplete.deliveredBytes shouldBe 4
                     awaitUnused(endpoint)
                 }
@@ -166,7 +196,8 @@
                 val response = client.send(endpoint.address, UpstreamRequest("GET", "/a")).get()!!
                 response.next()
                 response.close()
-                fetch(endpoint, "b").getError()?.reason shouldBe UpstreamError.Reason.MALFORMED_ANSWER // the body exceeds the 1000 bytes that fetch accepts
+                // The body exceeds the 1000 bytes that fetch accepts.
+                fetch(endpoint, "b").getError()?.reason shouldBe UpstreamError.Reason.MALFORMED_ANSWER
                 awaitUnused(endpoint)
                 endpoint.connectionCount shouldBe 2
             }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/ScriptedEndpoint.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ScriptedEndpoint.kt
@@ -22,7 +22,9 @@
         thread(isDaemon = true) {
             while (!listener.isClosed) {
                 val socket = runCatching { listener.accept() }.getOrNull() ?: break
-                thread(isDaemon = true) { socket.use { runCatching { RawConnection(it).script(connections.incrementAndGet()) } } }
+                thread(
+                    isDaemon = true,
+                ) { socket.use { runCatching { RawConnection(it).script(connections.incrementAndGet()) } } }
             }
         }
     }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/ServerSentEventReaderTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ServerSentEventReaderTest.kt
@@ -8,9 +8,16 @@
 class ServerSentEventReaderTest :
     FunSpec({
         test("guards against events that depend on where the stream is split into pieces or on its line endings") {
-            val events = listOf(ServerSentEvent("čist\nlonec"), ServerSentEvent("{}", "error", "7"), ServerSentEvent("[DONE]"))
+            val events =
+                listOf(ServerSentEvent("čist\nlonec"), ServerSentEvent("{}", "error", "7"), ServerSentEvent("[DONE]"))
             for (ending in listOf("\n", "\r\n", "\r")) {
-                val bytes = events.joinToString(": comment\n\n") { String(it.encode()) }.replace("\n", ending).encodeToByteArray()
+                val bytes =
+                    events
+                        .joinToString(
+                            ": comment\n\n",
+                        ) { String(it.encode()) }
+                        .replace("\n", ending)
+                        .encodeToByteArray()
                 for (size in 1..bytes.size) {
                     val reader = ServerSentEventReader()
                     bytes.toList().chunked(size).flatMap { reader.feed(it.toByteArray()) } shouldBe events
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -176,7 +176,8 @@
         get() =
             synchronized(lock) {
                 val isShareUsable = shareUsableAt?.hasPassedNow() ?: true
-                isShareUsable && states.values.all { it.loans.lentSlots == 0 && it.loans.borrowedSlots == 0 && it.inFlight == 0 }
+                isShareUsable &&
+                    states.values.all { it.loans.lentSlots == 0 && it.loans.borrowedSlots == 0 && it.inFlight == 0 }
             }
 
     /** Returns the status of all known endpoints, ordered by id. */
@@ -258,7 +259,12 @@
     ): LeavingAcknowledged {
         val newNotices = leavingNotices.receive(from, message.notices)
         val removed =
-            updateAndDispatch { newNotices.filter { notice -> states[notice.endpoint]?.let(::removeFromRotation) ?: false } }
+            updateAndDispatch {
+                newNotices.filter { notice ->
+                    states[notice.endpoint]?.let(::removeFromRotation)
+                        ?: false
+                }
+            }
         removed.forEach { listener.onRemovedFromRotation(it.endpoint, from.instance) }
         return LeavingAcknowledged(message.notices.size)
     }
@@ -360,7 +366,14 @@
         val preferred = usable.filter { it.zone == zone }.ifEmpty { usable }
         if (preferred.isEmpty()) return null
         val first = random.nextInt(preferred.size)
-        val second = if (preferred.size == 1) first else (first + 1 + random.nextInt(preferred.size - 1)) % preferred.size
+        val second =
+            if (preferred.size ==
+                1
+            ) {
+                first
+            } else {
+                (first + 1 + random.nextInt(preferred.size - 1)) % preferred.size
+            }
         return listOf(preferred[first], preferred[second])
             .map { states.getValue(it.endpoint) }
             .minBy { it.score(loanLifetime, policy.loadHalfLife.toKotlinDuration()) }
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointState.kt
@@ -55,7 +55,8 @@
     }
 
     /** Slots that this router may use now, before the adaptive limit is applied. */
-    fun capacity(loanLifetime: Duration): Int = (baseSlots - loans.lentSlots + loans.usableSlots(loanLifetime)).coerceAtLeast(0)
+    fun capacity(loanLifetime: Duration): Int =
+        (baseSlots - loans.lentSlots + loans.usableSlots(loanLifetime)).coerceAtLeast(0)
 
     /** Whether a slot is free for a request of this router; does not check [rotation]. */
     fun canStart(loanLifetime: Duration): Boolean {
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/FairQueue.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/FairQueue.kt
@@ -48,7 +48,11 @@
 
     /** Removes and returns the newest entry of the workspace with the most entries in proportion to its weight. */
     fun removeLastOfLongest(): T? {
-        val longest = queues.maxByOrNull { it.value.entries.size.toDouble() / weight(it.key).coerceAtLeast(1) } ?: return null
+        val longest =
+            queues.maxByOrNull {
+                it.value.entries.size
+                    .toDouble() / weight(it.key).coerceAtLeast(1)
+            } ?: return null
         val last = longest.value.entries.removeLast()
         size--
         if (longest.value.entries.isEmpty()) removeWorkspace(longest.key)
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LeavingNoticeGossip.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LeavingNoticeGossip.kt
@@ -6,7 +6,6 @@
 import io.limpetfold.peer.PeerNetwork
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import java.time.Duration
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import kotlin.time.toKotlinDuration
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LoanExchange.kt
@@ -66,7 +66,9 @@
         peer: InstanceId,
         wanted: Int,
     ): LoanReport? {
-        val loan = state.loans.borrowed.entries.firstOrNull { it.key.holder.instance == peer }
+        val loan =
+            state.loans.borrowed.entries
+                .firstOrNull { it.key.holder.instance == peer }
         if (loan == null && wanted == 0) return null
         return LoanReport(
             endpoint = state.endpoint,
@@ -128,7 +130,17 @@
         report: LoanReport,
     ): Long {
         val idle = if (isClosed) 0 else state.idleFor(from, loanLifetime)
-        val offered = maxOf(idle / 2, if (report.isWithoutSlots || isLastSlotLendable(state)) idle.coerceAtMost(1) else 0)
+        val offered =
+            maxOf(
+                idle / 2,
+                if (report.isWithoutSlots ||
+                    isLastSlotLendable(state)
+                ) {
+                    idle.coerceAtMost(1)
+                } else {
+                    0
+                },
+            )
         val before = state.loans.lent[from]?.lentTotal ?: 0
         val total = state.loans.lend(from, report, offered, isTenureKnown = report.lender == currentTenure())
         if (total > before) {
@@ -158,7 +170,9 @@
         state: EndpointState,
         lender: Incarnation,
     ): LoanReport? {
-        val loan = state.loans.borrowed.entries.firstOrNull { it.key.holder == lender } ?: return null
+        val loan =
+            state.loans.borrowed.entries
+                .firstOrNull { it.key.holder == lender } ?: return null
         return LoanReport(
             state.endpoint,
             lender = loan.key,
@@ -178,7 +192,10 @@
         state: EndpointState,
         requester: Incarnation,
     ): InstanceId? {
-        val loans = state.loans.borrowed.filterValues { it.held > 0 }.keys
+        val loans =
+            state.loans.borrowed
+                .filterValues { it.held > 0 }
+                .keys
         val lender = loans.firstOrNull { it.holder == requester } ?: loans.firstOrNull() ?: return null
         if (state.loans.returnSlots(lender, minOf(1, state.returnable(lender, loanLifetime))) == 0) {
             reserveNext(state, requester)
@@ -209,6 +226,12 @@
     private fun returnIdle(state: EndpointState) {
         val isIdle = state.lastUsedAt?.let { it.elapsedNow() >= policy.idleBeforeReturn.toKotlinDuration() } ?: true
         if (!isIdle && !isClosed) return
-        for (lender in state.loans.borrowed.keys.toList()) state.loans.returnSlots(lender, state.returnable(lender, loanLifetime))
+        for (lender in state.loans.borrowed.keys
+            .toList()) {
+            state.loans.returnSlots(
+                lender,
+                state.returnable(lender, loanLifetime),
+            )
+        }
     }
 }
--- a/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimitPropertyTest.kt
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimitPropertyTest.kt
@@ -58,12 +58,24 @@
             repeat(SEEDS) { seed ->
                 val schedule = Schedule(seed)
                 runBlocking { schedule.run(this) }
-                withClue("seed=$seed schedule=\n${schedule.log.joinToString("\n")}") { schedule.violation shouldBe null }
+                withClue(
+                    "seed=$seed schedule=\n${schedule.log.joinToString("\n")}",
+                ) { schedule.violation shouldBe null }
                 schedule.counts.forEach { (name, count) -> sums.merge(name, count, Int::plus) }
             }
             println("EndpointLimit: seeds=$SEEDS ${sums.toSortedMap()}")
             // Guards against schedules that pass only because they never reach these paths.
-            for (name in listOf("acquired", "lent", "killed", "takenOver", "seatLost", "left", "atLimit", "lost", "settled")) {
+            for (name in listOf(
+                "acquired",
+                "lent",
+                "killed",
+                "takenOver",
+                "seatLost",
+                "left",
+                "atLimit",
+                "lost",
+                "settled",
+            )) {
                 withClue(name) { (sums[name] ?: 0) shouldBeGreaterThan 100 }
             }
         }
@@ -84,6 +96,7 @@
 
         /** The holder of each seat; [replace] replaces a holder that is killed, loses its seat or shuts down. */
         private val holders = arrayOfNulls<Router>(seats)
+
         /** Routers without a seat, which still serve callers on borrowed slots. */
         private val withoutSeat = mutableListOf<Router>()
         private var partitioned = emptySet<InstanceId>()
@@ -122,7 +135,15 @@
             }
 
             suspend fun acquire() {
-                val candidates = endpoints.map { EndpointCandidate(it.endpoint, ZONE) }.shuffled(random).take(random.nextInt(1, 3))
+                val candidates =
+                    endpoints
+                        .map {
+                            EndpointCandidate(
+                                it.endpoint,
+                                ZONE,
+                            )
+                        }.shuffled(random)
+                        .take(random.nextInt(1, 3))
                 val permit = limiter.acquire(ROUTE, WorkspaceId("w"), candidates, Duration.ofHours(1)).get() ?: return
                 inFlight += Held(this, permit, clock.monotonic.markNow())
                 record("acquired", "$incarnation ${permit.endpoint}")
@@ -156,8 +177,22 @@
         }
 
         suspend fun run(scope: CoroutineScope) {
-            hub.fault = { from, to -> if ((from in partitioned) != (to in partitioned)) PeerFault.REQUEST_LOST else PeerFault.NONE }
-            for (seat in 0 until seats) start("r$seat", scope).also { holders[seat] = it }.updateSeat(seat, wasDrained = true)
+            hub.fault =
+                { from, to ->
+                    if ((from in partitioned) !=
+                        (to in partitioned)
+                    ) {
+                        PeerFault.REQUEST_LOST
+                    } else {
+                        PeerFault.NONE
+                    }
+                }
+            for (seat in 0 until seats) {
+                start(
+                    "r$seat",
+                    scope,
+                ).also { holders[seat] = it }.updateSeat(seat, wasDrained = true)
+            }
             withoutSeat += start("r$seats", scope).also { it.updateSeat(null) }
             repeat(STEPS) {
                 val seat = random.nextInt(seats)
@@ -169,13 +204,21 @@
                     12, 13 -> router?.let { it.scope.launch { it.limiter.borrow() } }
                     14 -> advance(random.nextLong(1, 4_000))
                     15 -> if (random.nextInt(3) == 0) advance(random.nextLong(10_000, 140_000))
-                    16 -> partitioned = holders.filterNotNull().filter { random.nextInt(3) == 0 }.map { it.instance }.toSet()
+                    16 ->
+                        partitioned =
+                            holders
+                                .filterNotNull()
+                                .filter { random.nextInt(3) == 0 }
+                                .map { it.instance }
+                                .toSet()
                     17 -> partitioned = emptySet()
                     else -> if (random.nextInt(3) == 0) replace(seat, scope)
                 }
                 repeat(random.nextInt(8)) { yield() }
             }
-            scope.coroutineContext.job.children.toList().forEach { it.cancelAndJoin() }
+            scope.coroutineContext.job.children
+                .toList()
+                .forEach { it.cancelAndJoin() }
         }
 
         /** Replaces the holder of a seat after it was killed, lost its seat, or shut down gracefully. */
@@ -233,7 +276,8 @@
         private suspend fun kill(router: Router) {
             hub.disconnect(router.instance)
             inFlight.removeAll { it.router === router }
-            router.scope.coroutineContext.job.cancelAndJoin()
+            router.scope.coroutineContext.job
+                .cancelAndJoin()
             inFlight.removeAll { it.router === router }
         }
 
@@ -263,7 +307,10 @@
             val maxInFlight = endpoints.single { it.endpoint == endpoint }.maxInFlight
             if (count == maxInFlight) counts.merge("atLimit", 1, Int::plus)
             if (count > maxInFlight && violation == null) {
-                violation = "$count of $maxInFlight at $endpoint: ${inFlight.map { "${it.router.incarnation} ${it.permit.endpoint}" }}"
+                violation =
+                    "$count of $maxInFlight at $endpoint: ${inFlight.map {
+                        "${it.router.incarnation} ${it.permit.endpoint}"
+                    }}"
             }
         }
 
--- a/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimiterTest.kt
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/EndpointLimiterTest.kt
@@ -47,16 +47,20 @@
             maxRouters: Int = 1,
             limit: RouteQueueConfig = RouteQueueConfig(route),
             timeSource: TimeSource = TestClock().monotonic,
-        ) = EndpointLimiter(Incarnation(InstanceId(name), 1), near, hub.join(Incarnation(InstanceId(name), 1)), timeSource)
-            .also {
-                val endpoints = listOf(DeclaredEndpoint(endpoint, near, maxInFlight))
-                it.update(listOf(limit), seat, wasSeatDrained = true, maxRouters, endpoints)
-            }
+        ) = EndpointLimiter(
+            Incarnation(InstanceId(name), 1),
+            near,
+            hub.join(Incarnation(InstanceId(name), 1)),
+            timeSource,
+        ).also {
+            val endpoints = listOf(DeclaredEndpoint(endpoint, near, maxInFlight))
+            it.update(listOf(limit), seat, wasSeatDrained = true, maxRouters, endpoints)
+        }
 
         test("a busy workspace does not starve a small one, and slots are shared by weight") {
             runBlocking {
                 val weights =
-    persistentMapOf(WorkspaceId("heavy") to 2)
+                    persistentMapOf(WorkspaceId("heavy") to 2)
                 val limiter = limiter(maxInFlight = 1, limit = RouteQueueConfig(route, weights = weights))
                 val running = limiter.acquire(route, WorkspaceId("large"), candidates, long).get()!!
                 val served = mutableListOf<String>()
@@ -80,12 +84,35 @@
             runBlocking {
                 val limiter = limiter(maxInFlight = 1, limit = RouteQueueConfig(route, maxQueued = 5))
                 val running = limiter.acquire(route, WorkspaceId("large"), candidates, long).get()!!
-                val large = List(5) { async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("large"), candidates, long) } }
-                limiter.acquire(route, WorkspaceId("large"), candidates, long).getError().shouldBeInstanceOf<LimitRefusal.QueueFull>()
-                val small = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("small"), candidates, long) }
-                large.last().await().getError().shouldBeInstanceOf<LimitRefusal.QueueFull>()
+                val large =
+                    List(5) {
+                        async(
+                            start = CoroutineStart.UNDISPATCHED,
+                        ) { limiter.acquire(route, WorkspaceId("large"), candidates, long) }
+                    }
+                limiter
+                    .acquire(
+                        route,
+                        WorkspaceId("large"),
+                        candidates,
+                        long,
+                    ).getError()
+                    .shouldBeInstanceOf<LimitRefusal.QueueFull>()
+                val small =
+                    async(
+                        start = CoroutineStart.UNDISPATCHED,
+                    ) { limiter.acquire(route, WorkspaceId("small"), candidates, long) }
+                large
+                    .last()
+                    .await()
+                    .getError()
+                    .shouldBeInstanceOf<LimitRefusal.QueueFull>()
                 running.release(EndpointOutcome.Ignored)
-                large.first().await().get()!!.release(EndpointOutcome.Ignored)
+                large
+                    .first()
+                    .await()
+                    .get()!!
+                    .release(EndpointOutcome.Ignored)
                 small.await().isOk shouldBe true
                 (large.drop(1).dropLast(1)).forEach { it.cancelAndJoin() }
             }
@@ -95,9 +122,22 @@
             runBlocking {
                 val limiter = limiter(maxInFlight = 1)
                 val running = limiter.acquire(route, WorkspaceId("w"), candidates, long).get()!!
-                limiter.acquire(route, WorkspaceId("w"), candidates, Duration.ZERO).getError().shouldBeInstanceOf<LimitRefusal.NoCapacity>()
-                val cancelled = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
-                val served = async(start = CoroutineStart.UNDISPATCHED) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
+                limiter
+                    .acquire(
+                        route,
+                        WorkspaceId("w"),
+                        candidates,
+                        Duration.ZERO,
+                    ).getError()
+                    .shouldBeInstanceOf<LimitRefusal.NoCapacity>()
+                val cancelled =
+                    async(
+                        start = CoroutineStart.UNDISPATCHED,
+                    ) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
+                val served =
+                    async(
+                        start = CoroutineStart.UNDISPATCHED,
+                    ) { limiter.acquire(route, WorkspaceId("w"), candidates, long) }
                 // The first waiter is given the slot, and is cancelled before it can run.
                 running.release(EndpointOutcome.Ignored)
                 running.release(EndpointOutcome.Ignored)
@@ -110,7 +150,13 @@
         test("routers without a slot of their own make progress while the others stay busy") {
             val hub = FakePeerHub()
             val names = List(4) { "r$it" }
-            val limiters = names.mapIndexed { seat, name -> limiter(1, hub, name, seat, maxRouters = 4, timeSource = TimeSource.Monotonic) }
+            val limiters =
+                names.mapIndexed {
+                    seat,
+                    name,
+                    ->
+                    limiter(1, hub, name, seat, maxRouters = 4, timeSource = TimeSource.Monotonic)
+                }
             val withoutSeat = limiter(1, hub, "r4", seat = null, maxRouters = 4, timeSource = TimeSource.Monotonic)
             val done =
                 withTimeout(60_000) {
@@ -142,7 +188,13 @@
             clock.advance(Duration.ofSeconds(3))
             borrower.maintain()
             lender.isSeatDrained shouldBe true
-            borrower.update(listOf(RouteQueueConfig(route)), null, false, 2, listOf(DeclaredEndpoint(endpoint, near, 4)))
+            borrower.update(
+                listOf(RouteQueueConfig(route)),
+                null,
+                false,
+                2,
+                listOf(DeclaredEndpoint(endpoint, near, 4)),
+            )
             lender.close()
             borrower.acquire(route, WorkspaceId("w"), candidates, Duration.ZERO).isErr shouldBe true
         }
@@ -157,12 +209,19 @@
                     clock.monotonic,
                     Random(1),
                 )
-            val all = listOf("a" to near, "b" to near, "far" to ZoneId("far")).map { DeclaredEndpoint(EndpointId(it.first), it.second, 10) }
+            val all =
+                listOf("a" to near, "b" to near, "far" to ZoneId("far")).map {
+                    DeclaredEndpoint(EndpointId(it.first), it.second, 10)
+                }
             limiter.update(listOf(RouteQueueConfig(route)), 0, true, 1, all)
             val allCandidates = all.map { EndpointCandidate(it.endpoint, it.zone) }
             limiter.observe(EndpointId("a"), EndpointSignal.Load(0.9))
 
-            suspend fun next() = limiter.acquire(route, WorkspaceId("w"), allCandidates, long).get()!!.endpoint.value
+            suspend fun next() =
+                limiter
+                    .acquire(route, WorkspaceId("w"), allCandidates, long)
+                    .get()!!
+                    .endpoint.value
             List(8) { next() } shouldBe List(8) { "b" }
             clock.advance(Duration.ofMinutes(1))
             List(4) { next() } shouldBe List(4) { "a" }
--- a/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/LeavingEndpointTest.kt
+++ b/limpetfold-limits/src/test/kotlin/io/limpetfold/limits/LeavingEndpointTest.kt
@@ -40,7 +40,16 @@
             fleet.limiters[0].observe(LEAVING, EndpointSignal.Draining)
             fleet.limiters[0].notifyPeers()
             fleet.chosen(1) shouldBe setOf(STAYING, LEAVING)
-            fleet.hub.fault = { from, to -> if (setOf(from.value, to.value) == setOf("r0", "r2")) PeerFault.REQUEST_LOST else PeerFault.NONE }
+            fleet.hub.fault =
+                { from, to ->
+                    if (setOf(from.value, to.value) ==
+                        setOf("r0", "r2")
+                    ) {
+                        PeerFault.REQUEST_LOST
+                    } else {
+                        PeerFault.NONE
+                    }
+                }
             fleet.limiters[0].maintain()
             fleet.chosen(1) shouldBe setOf(STAYING)
             fleet.chosen(2) shouldBe setOf(STAYING, LEAVING)
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
@@ -13,8 +13,14 @@
 /** Runs the measurement that the first argument names. */
 fun main(args: Array<String>) =
     MeasureProgram()
-        .subcommands(BudgetsCommand(), LimitsCommand(), MovesCommand(), OverheadCommand(), SlopesCommand(), SlowReadersCommand())
-        .main(args)
+        .subcommands(
+            BudgetsCommand(),
+            LimitsCommand(),
+            MovesCommand(),
+            OverheadCommand(),
+            SlopesCommand(),
+            SlowReadersCommand(),
+        ).main(args)
 
 private class MeasureProgram : CliktCommand(name = "measure") {
     override fun run() = Unit
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetSimulation.kt
@@ -19,7 +19,16 @@
     private val random = Random(seed)
     private val environment = BudgetEnvironment(settings.routers, settings.workspaces)
     private val strategy = createStrategy(environment, seed)
-    private val weights = DoubleArray(settings.workspaces) { if (it < LARGE_COUNT) LARGE_SHARE / LARGE_COUNT else smallShare() }
+    private val weights =
+        DoubleArray(settings.workspaces) {
+            if (it <
+                LARGE_COUNT
+            ) {
+                LARGE_SHARE / LARGE_COUNT
+            } else {
+                smallShare()
+            }
+        }
     private val budgets = LongArray(settings.workspaces)
     private val paid = LongArray(settings.workspaces)
     private val spent = LongArray(settings.workspaces)
@@ -128,7 +137,15 @@
         val handle = strategy.reserve(router, request.workspace, request.tokens)
         if (handle != null) {
             reserved[request.workspace] += request.tokens
-            running += RunningRequest(router, request.workspace, request.tokens, request.usedTokens, nowMillis + random.nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS), handle)
+            running +=
+                RunningRequest(
+                    router,
+                    request.workspace,
+                    request.tokens,
+                    request.usedTokens,
+                    nowMillis + random.nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS),
+                    handle,
+                )
         } else if (request.retryAtMillis == 0L) {
             retries += request.copy(retryAtMillis = nowMillis + RETRY_MILLIS)
         } else {
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetsMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetsMeasurement.kt
@@ -12,7 +12,10 @@
  */
 class BudgetsMeasurement {
     fun run(settings: BudgetsSettings): MeasurementReport {
-        val rows = strategies(settings).flatMap { strategy -> BudgetScenario.DEFAULTS.map { row(settings, strategy, it) } }
+        val rows =
+            strategies(settings).flatMap { strategy ->
+                BudgetScenario.DEFAULTS.map { row(settings, strategy, it) }
+            }
         return MeasurementReport(
             "budgets",
             mapOf(
@@ -30,7 +33,9 @@
     private fun strategies(settings: BudgetsSettings): List<Strategy> {
         val named =
             listOf(
-                Strategy("availability") { environment, seed -> EscrowBudgets(environment, BudgetPolicy.availability, seed) },
+                Strategy(
+                    "availability",
+                ) { environment, seed -> EscrowBudgets(environment, BudgetPolicy.availability, seed) },
                 Strategy("exposure") { environment, seed -> EscrowBudgets(environment, BudgetPolicy.exposure, seed) },
                 Strategy("equal split") { environment, _ -> EqualSplit(environment) },
                 Strategy("update per request") { environment, _ -> UpdatePerRequest(environment) },
@@ -66,7 +71,8 @@
             "overspent tokens" to results.sumOf { it.overspentTokens },
             "refused, in 1,000" to PER_THOUSAND * results.sumOf { it.refused } / requests,
             "falsely refused, in 1,000" to PER_THOUSAND * results.sumOf { it.falselyRefused } / requests,
-            "stranded at peak, in 1,000 paid" to PER_THOUSAND * results.sumOf { it.peakStrandedTokens } / results.sumOf { it.paidTokens },
+            "stranded at peak, in 1,000 paid" to
+                PER_THOUSAND * results.sumOf { it.peakStrandedTokens } / results.sumOf { it.paidTokens },
             "platform writes per request" to results.sumOf { it.platformWrites } / requests,
             "grants per request" to results.sumOf { it.grantWrites } / requests,
         )
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/EscrowBudgets.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/EscrowBudgets.kt
@@ -29,7 +29,12 @@
     private val store = FakeObjectStore()
     private val ledgers = BudgetLedgerStore(store)
     private val hub =
-        FakePeerHub { from, to -> if (environment.reachesPeer(number(from), number(to))) PeerFault.NONE else PeerFault.REQUEST_LOST }
+        FakePeerHub {
+            from,
+            to,
+            ->
+            if (environment.reachesPeer(number(from), number(to))) PeerFault.NONE else PeerFault.REQUEST_LOST
+        }
     private val nodes = MutableList(environment.routers) { Node(it, 1) }
     private val spentByKilled = mutableMapOf<Incarnation, List<Long>>()
     private var topUps = 0
@@ -78,7 +83,9 @@
         nodes[router] = Node(router, previous.number + 1)
         val spentTokens = spentByKilled.getValue(previous)
         runBlocking {
-            repeat(environment.workspaces) { workspace -> ledgers.reclaim(id(workspace), previous, spentTokens[workspace]) }
+            repeat(
+                environment.workspaces,
+            ) { workspace -> ledgers.reclaim(id(workspace), previous, spentTokens[workspace]) }
         }
     }
 
@@ -96,7 +103,10 @@
         number: Long,
     ) {
         val self = Incarnation(InstanceId("r$index"), number)
-        private val faultyStore = store.withFaults { if (environment.reachesPlatform(index)) StoreFault.NONE else StoreFault.UNAVAILABLE }
+        private val faultyStore =
+            store.withFaults {
+                if (environment.reachesPlatform(index)) StoreFault.NONE else StoreFault.UNAVAILABLE
+            }
         val agent =
             BudgetAgent(
                 self,
@@ -105,7 +115,13 @@
                 { policy },
                 environment.clock.monotonic,
                 Random(seed * environment.routers + index),
-                listener = { event -> if (event is BudgetEvent.Synchronised && event.acquiredTokens > 0) grantWrites++ },
+                listener = { event ->
+                    if (event is BudgetEvent.Synchronised &&
+                        event.acquiredTokens > 0
+                    ) {
+                        grantWrites++
+                    }
+                },
             )
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/UpdatePerRequest.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/UpdatePerRequest.kt
@@ -70,7 +70,8 @@
         spentTokens: List<Long>,
     ) {
         strandedBy[router] =
-            spentTokens.indices.sumOf { reserved[router][it] - (spentTokens[it] - settled[router][it]) } + unwrittenRefunds[router].sumOf { it.tokens }
+            spentTokens.indices.sumOf { reserved[router][it] - (spentTokens[it] - settled[router][it]) } +
+            unwrittenRefunds[router].sumOf { it.tokens }
     }
 
     override fun restart(router: Int) {
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/DemoCallCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/DemoCallCommand.kt
@@ -12,11 +12,17 @@
 
 /** Calls the fleet as an application would: a streamed plan through one router, one booking through two others. */
 internal class DemoCallCommand : CliktCommand(name = "call") {
-    private val routers by option("--router", help = "address of a router's listener for callers, host:port").multiple(required = true)
+    private val routers by option(
+        "--router",
+        help = "address of a router's listener for callers, host:port",
+    ).multiple(required = true)
     private val platform by option("--platform", help = "address of the object API, host:port").required()
     private val workspace by option("--workspace").required()
     private val key by option("--key", help = "API key of the workspace").required()
-    private val outcome by option("--outcome", help = "file for the usage and the booking key that the callers received; read by verify").path().required()
+    private val outcome by option(
+        "--outcome",
+        help = "file for the usage and the booking key that the callers received; read by verify",
+    ).path().required()
     private val http = JdkHttp()
 
     override fun run() {
@@ -47,9 +53,12 @@
             """{"model":"jezik","stream":true,"max_tokens":40,
                "messages":[{"role":"user","content":"Draft a visit plan for Trubarjeva 12: oven serviced twice, door code changed."}]}"""
         val response = http.post("http://${routers[0]}/v1/chat/completions", body, "Authorization" to "Bearer $key")
-        check(response.statusCode() == OK) { "the router refused the plan: HTTP status ${response.statusCode()} ${response.body()}" }
+        check(response.statusCode() == OK) {
+            "the router refused the plan: HTTP status ${response.statusCode()} ${response.body()}"
+        }
         val plan = StreamedResponse.parse(response.body())
-        echo("plan through router 1: \"${plan.text.take(PREVIEW_CHARS)}\" tokens=${plan.totalTokens} whole=${plan.isComplete}")
+        val preview = plan.text.take(PREVIEW_CHARS)
+        echo("plan through router 1: \"$preview\" tokens=${plan.totalTokens} whole=${plan.isComplete}")
         return plan
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/DemoVerifyCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/DemoVerifyCommand.kt
@@ -15,7 +15,10 @@
 /** Checks after the routers have stopped that the bill matches the reported usage and the booking took effect once. */
 internal class DemoVerifyCommand : CliktCommand(name = "verify") {
     private val platform by option("--platform", help = "address of the object API, host:port").required()
-    private val services by option("--service", help = "address of a booking service, host:port").multiple(required = true)
+    private val services by option(
+        "--service",
+        help = "address of a booking service, host:port",
+    ).multiple(required = true)
     private val outcome by option("--outcome", help = "file written by the call command").path().required()
     private val http = JdkHttp()
 
@@ -25,10 +28,15 @@
         echo("ledger after: $ledger")
         val effects = services.sumOf { effects(it, expected.idempotencyKey) }
         val billed = ledger.settledTokens - expected.settledTokensBefore
-        echo("billed tokens: $billed, usage told to callers: ${expected.reportedTokens}, effects of the booking: $effects")
+        echo(
+            "billed tokens: $billed, usage told to callers: ${expected.reportedTokens}, effects of the booking: $effects",
+        )
         val isExact = billed == expected.reportedTokens && ledger.grantedTokens == 0L && effects == 1L
         if (!isExact) {
-            echo("FAILED: billed tokens differ from the reported usage, a grant was not returned, or the booking did not take effect exactly once", err = true)
+            echo(
+                "FAILED: billed tokens differ from the reported usage, a grant was not returned, or the booking did not take effect exactly once",
+                err = true,
+            )
             throw ProgramResult(1)
         }
         echo("OK: whole answers, exact bill, one booking")
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/JdkHttp.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/JdkHttp.kt
@@ -12,7 +12,13 @@
  * The JDK's client shares no code with the fleet's HTTP modules, so a bug in those modules can't hide from the checks.
  */
 internal class JdkHttp {
-    private val client: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build()
+    private val client: HttpClient =
+        HttpClient
+            .newBuilder()
+            .version(
+                HttpClient.Version.HTTP_1_1,
+            ).connectTimeout(TIMEOUT)
+            .build()
 
     fun get(
         url: String,
@@ -23,7 +29,8 @@
         url: String,
         body: String,
         vararg headers: Pair<String, String>,
-    ): HttpResponse<String> = send(HttpRequest.newBuilder(URI(url)).POST(HttpRequest.BodyPublishers.ofString(body)), headers)
+    ): HttpResponse<String> =
+        send(HttpRequest.newBuilder(URI(url)).POST(HttpRequest.BodyPublishers.ofString(body)), headers)
 
     private fun send(
         builder: HttpRequest.Builder,
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/StreamedResponse.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/demo/StreamedResponse.kt
@@ -20,10 +20,26 @@
 ) {
     companion object {
         fun parse(body: String): StreamedResponse {
-            val data = body.lineSequence().filter { it.startsWith("data:") }.map { it.removePrefix("data:").trim() }.toList()
+            val data =
+                body
+                    .lineSequence()
+                    .filter {
+                        it.startsWith(
+                            "data:",
+                        )
+                    }.map { it.removePrefix("data:").trim() }
+                    .toList()
             val events = data.filter { it != "[DONE]" }.map { Json.parseToJsonElement(it).jsonObject }
             val text = events.joinToString("") { content(it) }
-            val usage = events.lastOrNull { it.containsKey("usage") && it["usage"] is JsonObject }?.get("usage")?.jsonObject
+            val usage =
+                events
+                    .lastOrNull {
+                        it.containsKey(
+                            "usage",
+                        ) &&
+                            it["usage"] is JsonObject
+                    }?.get("usage")
+                    ?.jsonObject
             val totalTokens = usage?.get("total_tokens")?.jsonPrimitive?.long ?: 0
             val hasError = events.any { it.containsKey("error") }
             return StreamedResponse(text, totalTokens, data.lastOrNull() == "[DONE]" && usage != null && !hasError)
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
@@ -50,7 +50,12 @@
     engine: HttpHandler,
     service: HttpHandler? = null,
 ) : AutoCloseable {
-    private val root = Path.of(checkNotNull(System.getenv("LIMPETFOLD_ROOT")) { "LIMPETFOLD_ROOT is not set: start bin/measure" })
+    private val root =
+        Path.of(
+            checkNotNull(System.getenv("LIMPETFOLD_ROOT")) {
+                "LIMPETFOLD_ROOT is not set: start bin/measure"
+            },
+        )
     private val directory: Path = createTempDirectory("limpetfold-measure")
     private val eventLoops = HttpEventLoops(EVENT_LOOPS)
     private val ports = freePorts(routers * PORTS_PER_ROUTER)
@@ -63,7 +68,12 @@
     private val processes = mutableListOf<RouterProcess>()
 
     /** The HTTP client that all callers of a measurement share. */
-    val client = UpstreamClient(UpstreamSettings(maxConnectionsPerAddress = MAX_CALLERS), eventLoops, BufferBudget(Long.MAX_VALUE))
+    val client =
+        UpstreamClient(
+            UpstreamSettings(maxConnectionsPerAddress = MAX_CALLERS),
+            eventLoops,
+            BufferBudget(Long.MAX_VALUE),
+        )
 
     val routers: List<RouterProcess> get() = processes
 
@@ -80,13 +90,19 @@
     fun start() {
         val store = HttpObjectStore(client, PlatformSettings(platform.address))
         runBlocking {
-            ConfigPublisher(store).publish(config(), 0, "measure").getOrElse { error("the configuration was not published: ${it.message}") }
-            checkNotNull(BudgetLedgerStore(store).topUp(WORKSPACE, TopUpId("2026-01-01/measure"), PAID_TOKENS).get()) { "the top-up of the workspace failed" }
+            ConfigPublisher(store).publish(config(), 0, "measure").getOrElse {
+                error("the configuration was not published: ${it.message}")
+            }
+            checkNotNull(BudgetLedgerStore(store).topUp(WORKSPACE, TopUpId("2026-01-01/measure"), PAID_TOKENS).get()) {
+                "the top-up of the workspace failed"
+            }
         }
         repeat(ports.size / PORTS_PER_ROUTER) { startRouter(it) }
         val start = TimeSource.Monotonic.markNow()
         while (!processes.all { it.isReady() }) {
-            check(start.elapsedNow() < READY_TIMEOUT) { "a router is not ready after $READY_TIMEOUT; its log is in $directory" }
+            check(
+                start.elapsedNow() < READY_TIMEOUT,
+            ) { "a router is not ready after $READY_TIMEOUT; its log is in $directory" }
             Thread.sleep(POLL_MILLIS)
         }
     }
@@ -120,12 +136,26 @@
     private fun instances(routers: Int): List<ListedInstance> {
         val endpointList =
             endpoints.map { (name, process) ->
-                ListedInstance(InstanceId("$name-0"), name, VERSION, ZoneId("zone-0"), "127.0.0.1", process.address.port)
+                ListedInstance(
+                    InstanceId("$name-0"),
+                    name,
+                    VERSION,
+                    ZoneId("zone-0"),
+                    "127.0.0.1",
+                    process.address.port,
+                )
             }
         val routerList =
             List(routers) {
                 val port = ports[it * PORTS_PER_ROUTER + 2]
-                ListedInstance(InstanceId("router-$it"), ListedInstance.ROUTER_SERVICE, VERSION, ZoneId("zone-$it"), "127.0.0.1", port)
+                ListedInstance(
+                    InstanceId("router-$it"),
+                    ListedInstance.ROUTER_SERVICE,
+                    VERSION,
+                    ZoneId("zone-$it"),
+                    "127.0.0.1",
+                    port,
+                )
             }
         return endpointList + routerList
     }
@@ -137,7 +167,13 @@
             routes =
                 persistentListOf(
                     RouteConfig(RouteId("model"), "/v1", "model", VERSION),
-                    RouteConfig(RouteId("plain"), "/plain", "plain", VERSION, maxRequestBytes = ByteSize(MAX_REQUEST_BYTES)),
+                    RouteConfig(
+                        RouteId("plain"),
+                        "/plain",
+                        "plain",
+                        VERSION,
+                        maxRequestBytes = ByteSize(MAX_REQUEST_BYTES),
+                    ),
                 ),
             workspaces = persistentListOf(WorkspaceConfig(WORKSPACE, persistentListOf(Sha256Hex.of(KEY)))),
         )
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterProcess.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterProcess.kt
@@ -34,7 +34,12 @@
 
     /** The value of the gauge [name], which must have no labels. */
     fun gauge(name: String): Double =
-        get("/metrics").body().lineSequence().first { it.startsWith("$name ") }.substringAfter(' ').toDouble()
+        get("/metrics")
+            .body()
+            .lineSequence()
+            .first { it.startsWith("$name ") }
+            .substringAfter(' ')
+            .toDouble()
 
     /** Heap in use after a full collection, in bytes. */
     fun heapAfterCollectionBytes(): Long {
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsCommand.kt
@@ -7,8 +7,12 @@
 import io.limpetfold.measure.MeasureCommand
 
 /** Runs [LimitsMeasurement]. */
-internal class LimitsCommand : MeasureCommand("limits", "Requests in flight, refusals and waits of routers that share endpoints.") {
-    private val seeds by option("--seeds", help = "runs for each row").int().restrictTo(1..1_000).default(LimitsSettings().seeds)
+internal class LimitsCommand :
+    MeasureCommand("limits", "Requests in flight, refusals and waits of routers that share endpoints.") {
+    private val seeds by option(
+        "--seeds",
+        help = "runs for each row",
+    ).int().restrictTo(1..1_000).default(LimitsSettings().seeds)
 
     private val maxInFlight by option("--max-in-flight", help = "slots of each endpoint")
         .int()
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsMeasurement.kt
@@ -24,7 +24,12 @@
                 "duration" to "${settings.duration.toSeconds()} s",
             ),
             "fixed share: the same limiter without lending",
-            LimitsScenario.entries.flatMap { listOf(row(settings, it, isLending = true), row(settings, it, isLending = false)) },
+            LimitsScenario.entries.flatMap {
+                listOf(
+                    row(settings, it, isLending = true),
+                    row(settings, it, isLending = false),
+                )
+            },
         )
 
     private fun row(
@@ -50,7 +55,8 @@
             "wait p95 ms" to percentile(waits, P95),
             "wait p99 ms" to percentile(waits, P99),
             "peer messages a second and router" to
-                results.sumOf { it.peerMessages }.toDouble() / settings.seeds / settings.routers / settings.duration.toSeconds(),
+                results.sumOf { it.peerMessages }.toDouble() / settings.seeds / settings.routers /
+                settings.duration.toSeconds(),
         )
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
@@ -40,7 +40,8 @@
     private val time = VirtualTimeDispatcher()
     private val scope = CoroutineScope(time + Job())
     private val hub = FakePeerHub()
-    private val endpoints = List(settings.endpoints) { DeclaredEndpoint(EndpointId("e$it"), ZONE, settings.maxInFlight) }
+    private val endpoints =
+        List(settings.endpoints) { DeclaredEndpoint(EndpointId("e$it"), ZONE, settings.maxInFlight) }
     private val inFlight = HashMap<EndpointId, Int>()
     private val nodes = MutableList(settings.routers) { Node(it, InstanceId("r$it"), 1, wasSeatDrained = true) }
     private val result = LimitsRunResult()
@@ -70,7 +71,14 @@
         }
     }
 
-    private fun pickRouter(): Int = if (random.nextDouble() < scenario.skew) random.nextInt(2) else random.nextInt(nodes.size)
+    private fun pickRouter(): Int =
+        if (random.nextDouble() <
+            scenario.skew
+        ) {
+            random.nextInt(2)
+        } else {
+            random.nextInt(nodes.size)
+        }
 
     private suspend fun sendRequest(node: Node) {
         result.requests++
@@ -94,7 +102,11 @@
 
     private suspend fun injectFaults() {
         delay(faultMillis)
-        if (scenario.burst > 0) scope.launch { generateArrivals(capacityRate * scenario.burst, time.nowMillis + BURST_MILLIS) { 0 } }
+        if (scenario.burst >
+            0
+        ) {
+            scope.launch { generateArrivals(capacityRate * scenario.burst, time.nowMillis + BURST_MILLIS) { 0 } }
+        }
         if (scenario.isPartitioned) partition()
         if (scenario.isReplaced) replace(LEAVING)
         if (scenario.isKilled) kill(LEAVING)
@@ -138,7 +150,13 @@
         val self = Incarnation(instance, number)
         val scope = CoroutineScope(time + Job(this@LimitsSimulation.scope.coroutineContext[Job]))
         val limiter =
-            EndpointLimiter(self, ZONE, CountingPeerNetwork(hub.join(self)), time.clock.monotonic, Random(random.nextLong())).also {
+            EndpointLimiter(
+                self,
+                ZONE,
+                CountingPeerNetwork(hub.join(self)),
+                time.clock.monotonic,
+                Random(random.nextLong()),
+            ).also {
                 it.update(listOf(RouteQueueConfig(ROUTE)), seat, wasSeatDrained, settings.seats, endpoints)
             }
         var isServing = true
@@ -173,7 +191,8 @@
             return network.ask(to, topic, message, timeout)
         }
 
-        override fun connectedPeers(): ImmutableSet<InstanceId> = if (isLending) network.connectedPeers() else persistentSetOf()
+        override fun connectedPeers(): ImmutableSet<InstanceId> =
+            if (isLending) network.connectedPeers() else persistentSetOf()
     }
 
     private companion object {
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/ControlledMoves.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/ControlledMoves.kt
@@ -62,7 +62,9 @@
     fun warmUp(observeOldVersion: () -> VersionObservation) {
         for (node in nodes) {
             for (route in 0 until MoveSimulation.ROUTES) {
-                repeat(WARM_UP_REQUESTS) { node.selector.record(node.selector.choose(route(route), RequestId("w$it")), observeOldVersion()) }
+                repeat(WARM_UP_REQUESTS) {
+                    node.selector.record(node.selector.choose(route(route), RequestId("w$it")), observeOldVersion())
+                }
             }
         }
         start()
@@ -71,7 +73,8 @@
     private fun start() {
         runBlocking {
             repeat(MoveSimulation.ROUTES) { route ->
-                val request = MoveRequest(MoveId("m$route"), route(route), OLD, NEW, "ana", clock.instant() + duration, preset)
+                val request =
+                    MoveRequest(MoveId("m$route"), route(route), OLD, NEW, "ana", clock.instant() + duration, preset)
                 checkNotNull(commands.start(request).get())
             }
         }
@@ -85,7 +88,14 @@
                 it.controller.maintain()
             }
             for (record in commands.list().get().orEmpty()) {
-                if (record.phase.isFinal) outcomes[record.route.value.drop(1).toInt()] = record.phase is MovePhase.Completed
+                if (record.phase.isFinal) {
+                    outcomes[
+                        record.route.value
+                            .drop(1)
+                            .toInt(),
+                    ] =
+                        record.phase is MovePhase.Completed
+                }
             }
         }
 
@@ -132,7 +142,12 @@
     }
 
     private fun directory() =
-        Ok(networks.keys.map { ListedInstance(it, ListedInstance.ROUTER_SERVICE, OLD, ZoneId("z"), "::1", 1) }.toImmutableList())
+        Ok(
+            networks.keys
+                .map {
+                    ListedInstance(it, ListedInstance.ROUTER_SERVICE, OLD, ZoneId("z"), "::1", 1)
+                }.toImmutableList(),
+        )
 
     private inner class DirectPeers(
         private val self: Incarnation,
@@ -153,7 +168,8 @@
             message: Q,
             timeout: Duration,
         ): Result<A, PeerError> {
-            val handler = networks[to]?.handlers?.get(topic.name) as PeerHandler<Q, A>? ?: return Err(PeerError.Unreachable(to))
+            val handler =
+                networks[to]?.handlers?.get(topic.name) as PeerHandler<Q, A>? ?: return Err(PeerError.Unreachable(to))
             return Ok(handler.handle(self, message))
         }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/FixedSteps.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/FixedSteps.kt
@@ -25,8 +25,16 @@
         for (route in outcomes.indices) {
             if (outcomes[route] != null) continue
             val failures = latestOutcomes[route].count { !it }
-            val isOverThreshold = latestOutcomes[route].size >= MIN_OUTCOMES && failures > latestOutcomes[route].size * MAX_FAILURE_SHARE
-            outcomes[route] = if (isOverThreshold) false else if (step >= WEIGHTS.size) true else null
+            val isOverThreshold =
+                latestOutcomes[route].size >= MIN_OUTCOMES && failures > latestOutcomes[route].size * MAX_FAILURE_SHARE
+            outcomes[route] =
+                if (isOverThreshold) {
+                    false
+                } else if (step >= WEIGHTS.size) {
+                    true
+                } else {
+                    null
+                }
         }
     }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
@@ -26,7 +26,14 @@
     private val startMillis = clock.millis()
     private val durationMillis = settings.duration.toMillis()
     private val failureShare = if (kind == VersionKind.BAD_AT_ONCE) random.nextDouble(0.15, 1.0) else 0.4
-    private val badFromMillis = if (kind == VersionKind.BAD_LATE) random.nextLong(durationMillis / 10, durationMillis * 2 / 3) else 0
+    private val badFromMillis =
+        if (kind ==
+            VersionKind.BAD_LATE
+        ) {
+            random.nextLong(durationMillis / 10, durationMillis * 2 / 3)
+        } else {
+            0
+        }
     private val slowness = if (kind == VersionKind.SLOW) random.nextDouble(1.6, 3.0) else 1.0
     private val burstOffsetMillis = random.nextLong(BURST_PERIOD_MILLIS)
     private val pendingResponses = PriorityQueue<PendingResponse>(compareBy { it.atMillis })
@@ -64,7 +71,8 @@
     private fun isFinished(strategy: MoveStrategy): Boolean =
         results.indices.all { route -> strategy.hasCompleted(route)?.let { !it || !results[route].isBad } ?: false }
 
-    private fun arrivalGap(): Long = maxOf(1, (-ln(1 - random.nextDouble()) / workload.requestsPerSecond * 1000).toLong())
+    private fun arrivalGap(): Long =
+        maxOf(1, (-ln(1 - random.nextDouble()) / workload.requestsPerSecond * 1000).toLong())
 
     private fun advanceTo(millis: Long) = clock.advance(Duration.ofMillis(millis - elapsedMillis))
 
@@ -84,20 +92,32 @@
         if (isBadNow) results[route].countBadRequest()
         val observation = observe(isBadNow)
         val tokenMillis = observation.betweenTokens?.toMillis() ?: 0
-        val responseMillis = (observation.firstToken?.toMillis() ?: 50) + tokenMillis * random.nextInt(1, workload.tokens * 2)
+        val responseMillis =
+            (observation.firstToken?.toMillis() ?: 50) + tokenMillis * random.nextInt(1, workload.tokens * 2)
         pendingResponses += PendingResponse(elapsedMillis + responseMillis, choice, observation, isBadNow)
     }
 
     private fun isBadNow(route: Int): Boolean =
         when (kind) {
             VersionKind.BAD_LATE -> elapsedMillis >= badFromMillis
-            VersionKind.BAD_UNDER_LOAD -> latestNew[route].size >= 10 && latestNew[route].count { it } > latestNew[route].size * LOAD_THRESHOLD
+            VersionKind.BAD_UNDER_LOAD ->
+                latestNew[route].size >= 10 &&
+                    latestNew[route].count { it } > latestNew[route].size * LOAD_THRESHOLD
             else -> true
         }
 
     private fun observe(isBadNow: Boolean): VersionObservation {
-        val isBurst = kind == VersionKind.GOOD_UNDER_NOISE && (elapsedMillis + burstOffsetMillis) % BURST_PERIOD_MILLIS < BURST_MILLIS
-        val normalFailureShare = if (kind == VersionKind.GOOD_UNDER_NOISE) NOISE_FAILURE_SHARE else workload.failureShare
+        val isBurst =
+            kind == VersionKind.GOOD_UNDER_NOISE &&
+                (elapsedMillis + burstOffsetMillis) % BURST_PERIOD_MILLIS < BURST_MILLIS
+        val normalFailureShare =
+            if (kind ==
+                VersionKind.GOOD_UNDER_NOISE
+            ) {
+                NOISE_FAILURE_SHARE
+            } else {
+                workload.failureShare
+            }
         val share =
             when {
                 isBurst -> BURST_FAILURE_SHARE
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesCommand.kt
@@ -8,7 +8,10 @@
 
 /** Runs [MovesMeasurement]. */
 internal class MovesCommand : MeasureCommand("moves", "Outcomes of moves to good and bad versions.") {
-    private val seeds by option("--seeds", help = "runs for each row").int().restrictTo(1..1_000).default(MovesSettings().seeds)
+    private val seeds by option(
+        "--seeds",
+        help = "runs for each row",
+    ).int().restrictTo(1..1_000).default(MovesSettings().seeds)
 
     override fun run() {
         val report = MovesMeasurement().run(MovesSettings(seeds = seeds))
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesMeasurement.kt
@@ -7,7 +7,9 @@
 class MovesMeasurement {
     /** Runs the simulations in parallel; the same [settings] give the same report. */
     fun run(settings: MovesSettings): MovesReport {
-        val policies = settings.presets.map { Policy.Preset(it) } + if (settings.hasBaseline) listOf(Policy.Baseline) else emptyList()
+        val policies =
+            settings.presets.map { Policy.Preset(it) } +
+                if (settings.hasBaseline) listOf(Policy.Baseline) else emptyList()
         val rows =
             settings.workloads.flatMap { workload ->
                 policies.flatMap { policy -> settings.kinds.map { kind -> row(settings, workload, policy, kind) } }
@@ -28,7 +30,13 @@
                 .mapToObj { seed ->
                     MoveSimulation(workload, kind, settings, seed.toLong()).run { clock, random ->
                         when (policy) {
-                            is Policy.Preset -> ControlledMoves(clock, settings.duration, policy.preset, settings.routers)
+                            is Policy.Preset ->
+                                ControlledMoves(
+                                    clock,
+                                    settings.duration,
+                                    policy.preset,
+                                    settings.routers,
+                                )
                             Policy.Baseline -> FixedSteps(clock, settings.duration, random)
                         }
                     }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesReport.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MovesReport.kt
@@ -20,7 +20,9 @@
     /** Formats the rows as a Markdown table. */
     fun toTable(): String =
         buildString {
-            appendLine("| workload | policy | version | good moved in time | bad taken back | requests to a bad one | after it showed |")
+            appendLine(
+                "| workload | policy | version | good moved in time | bad taken back | requests to a bad one | after it showed |",
+            )
             appendLine("| --- | --- | --- | --- | --- | --- | --- |")
             for (row in rows) {
                 val cells =
@@ -81,14 +83,25 @@
     val p95: Int,
     val max: Int,
 ) {
-    override fun toString(): String = String.format(Locale.ROOT, "mean %.1f, p50 %d, p95 %d, max %d", mean, p50, p95, max)
+    override fun toString(): String =
+        String.format(Locale.ROOT, "mean %.1f, p50 %d, p95 %d, max %d", mean, p50, p95, max)
 
     companion object {
         /** Summarises [values]; null if there are none. */
         fun of(values: List<Int>): Spread? {
             if (values.isEmpty()) return null
             val sorted = values.sorted()
-            return Spread(sorted.average(), sorted[sorted.size / 2], sorted[minOf(sorted.lastIndex, sorted.size * 95 / 100)], sorted.last())
+            return Spread(
+                sorted.average(),
+                sorted[sorted.size / 2],
+                sorted[
+                    minOf(
+                        sorted.lastIndex,
+                        sorted.size * 95 / 100,
+                    ),
+                ],
+                sorted.last(),
+            )
         }
     }
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadCommand.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadCommand.kt
@@ -8,8 +8,13 @@
 import java.time.Duration
 
 /** Runs [OverheadMeasurement]. */
-internal class OverheadCommand : MeasureCommand("overhead", "What a router adds to streamed responses, at increasing load.") {
-    private val seconds by option("--seconds", help = "duration of each row in seconds").int().restrictTo(1..60).default(8)
+internal class OverheadCommand :
+    MeasureCommand("overhead", "What a router adds to streamed responses, at increasing load.") {
+    private val seconds by option(
+        "--seconds",
+        help = "duration of each row in seconds",
+    ).int().restrictTo(1..60).default(8)
 
-    override fun run() = print(OverheadMeasurement().run(OverheadSettings(duration = Duration.ofSeconds(seconds.toLong()))))
+    override fun run() =
+        print(OverheadMeasurement().run(OverheadSettings(duration = Duration.ofSeconds(seconds.toLong()))))
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/OverheadMeasurement.kt
@@ -99,11 +99,25 @@
             "first token p50/p95/p99 ms" to percentiles(load.firstToken),
             "between tokens p50/p95/p99 ms" to percentiles(load.betweenTokens),
             "router cores" to (if (router == null) "-" else load.cores),
-            "router CPU ms per request" to (if (router == null || load.completedPerSecond == 0.0) "-" else load.cores * MILLIS_PER_SECOND / load.completedPerSecond),
+            "router CPU ms per request" to
+                (
+                    if (router == null ||
+                        load.completedPerSecond == 0.0
+                    ) {
+                        "-"
+                    } else {
+                        load.cores * MILLIS_PER_SECOND / load.completedPerSecond
+                    }
+                ),
         )
 
     private fun percentiles(histogram: Histogram): String =
-        listOf(50.0, 95.0, 99.0).joinToString(" / ") { "%.2f".format(Locale.ROOT, histogram.getValueAtPercentile(it) / MICROS_PER_MILLI) }
+        listOf(50.0, 95.0, 99.0).joinToString(" / ") {
+            "%.2f".format(
+                Locale.ROOT,
+                histogram.getValueAtPercentile(it) / MICROS_PER_MILLI,
+            )
+        }
 
     private class LoadResult(
         val firstToken: Histogram,
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/StreamedCall.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/overhead/StreamedCall.kt
@@ -20,6 +20,7 @@
     private val body =
         """{"model":"m","stream":true,"max_tokens":$tokens,"messages":[{"role":"user","content":"Draft a visit plan for Trubarjeva 12."}]}"""
             .encodeToByteArray()
+
     /** Time from the request to the first event. */
     val firstToken = Recorder(MAX_MICROS, DIGITS)
     val betweenTokens = Recorder(MAX_MICROS, DIGITS)
@@ -52,7 +53,8 @@
         }
     }
 
-    private fun Recorder.record(since: TimeMark) = recordValue(since.elapsedNow().inWholeMicroseconds.coerceIn(1, MAX_MICROS))
+    private fun Recorder.record(since: TimeMark) =
+        recordValue(since.elapsedNow().inWholeMicroseconds.coerceIn(1, MAX_MICROS))
 
     private companion object {
         const val OK = 200
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/report/MeasurementReport.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/report/MeasurementReport.kt
@@ -50,6 +50,9 @@
 
         /** Builds a row; the columns have the order of [cells]. Values other than numbers become strings. */
         fun row(vararg cells: Pair<String, Any>): Map<String, JsonPrimitive> =
-            cells.associate { (column, value) -> column to if (value is Number) JsonPrimitive(value) else JsonPrimitive(value.toString()) }
+            cells.associate { (column, value) ->
+                column to
+                    if (value is Number) JsonPrimitive(value) else JsonPrimitive(value.toString())
+            }
     }
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/CborPeerHub.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/CborPeerHub.kt
@@ -60,14 +60,16 @@
             message: Q,
             timeout: Duration,
         ): Result<A, PeerError> {
-            val handler = networks[to]?.handlers?.get(topic.name) as PeerHandler<Q, A>? ?: return Err(PeerError.Unreachable(to))
+            val handler =
+                networks[to]?.handlers?.get(topic.name) as PeerHandler<Q, A>? ?: return Err(PeerError.Unreachable(to))
             val (request, askBytes) = encodeAndDecode(topic.requestSerializer, message)
             val (reply, replyBytes) = encodeAndDecode(topic.replySerializer, handler.handle(self, request))
             synchronized(sizes) { sizes[topic.name] = MessageSizes(askBytes, replyBytes) }
             return Ok(reply)
         }
 
-        override fun connectedPeers(): ImmutableSet<InstanceId> = (reachable ?: (networks.keys - self.instance)).toImmutableSet()
+        override fun connectedPeers(): ImmutableSet<InstanceId> =
+            (reachable ?: (networks.keys - self.instance)).toImmutableSet()
     }
 
     private fun <T : Any> encodeAndDecode(
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/ConfigFixtures.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/ConfigFixtures.kt
@@ -24,7 +24,8 @@
         return config.routes.map { RouteQueueConfig(it.route, it.queue.maxRequests, weights) }
     }
 
-    fun configText(workspaces: Int): String = TypedObject.JSON.encodeToString(FleetConfig.serializer(), config(workspaces))
+    fun configText(workspaces: Int): String =
+        TypedObject.JSON.encodeToString(FleetConfig.serializer(), config(workspaces))
 
     fun config(workspaces: Int) =
         FleetConfig(
@@ -39,7 +40,13 @@
         )
 
     private fun service(name: String) =
-        ServiceConfig(name, ServiceKind.MODEL, true, persistentListOf(ServiceVersion(VersionId("v1"), 8), ServiceVersion(VersionId("v2"), 8)))
+        ServiceConfig(
+            name,
+            ServiceKind.MODEL,
+            true,
+            persistentListOf(ServiceVersion(VersionId("v1"), 8), ServiceVersion(VersionId("v2"), 8)),
+        )
 
-    private fun route(name: String) = RouteConfig(RouteId(name), "/$name", name, VersionId("v1"), objectives = Objectives())
+    private fun route(name: String) =
+        RouteConfig(RouteId(name), "/$name", name, VersionId("v1"), objectives = Objectives())
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/IdleRouterUsage.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/IdleRouterUsage.kt
@@ -23,7 +23,10 @@
                 Thread.sleep(millis)
                 val cpu = fleet.routers.sumOf { it.cpu().toMillis() } - cpuBefore
                 val calls = fleet.platformCalls().mapValues { (kind, count) -> count - (before[kind] ?: 0) }
-                calls.filterKeys { it == "reads" || it == "writes" }.mapValues { it.value * MILLIS_PER_MINUTE / millis / routers } +
+                calls.filterKeys { it == "reads" || it == "writes" }.mapValues {
+                    it.value * MILLIS_PER_MINUTE / millis /
+                        routers
+                } +
                     ("cores" to cpu.toDouble() / millis / routers)
             }
         }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/LedgerFixtures.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/LedgerFixtures.kt
@@ -26,7 +26,11 @@
     ): FakeObjectStore =
         FakeObjectStore().also { store ->
             runBlocking {
-                repeat(count) { BudgetLedgerStore(store).topUp(RouterFixtures.workspace(it), TopUpId("2026-01-01/invoice-$it"), PAID_TOKENS) }
+                repeat(count) {
+                    BudgetLedgerStore(
+                        store,
+                    ).topUp(RouterFixtures.workspace(it), TopUpId("2026-01-01/invoice-$it"), PAID_TOKENS)
+                }
                 repeat(holders) { spend(agent(store, it + 1), count) }
             }
         }
@@ -35,16 +39,30 @@
         store: FakeObjectStore,
         index: Int = 0,
         clock: TestClock = TestClock(),
-    ) = BudgetAgent(RouterFixtures.router(index), store, CborPeerHub().join(RouterFixtures.router(index)), timeSource = clock.monotonic)
+    ) = BudgetAgent(
+        RouterFixtures.router(index),
+        store,
+        CborPeerHub().join(RouterFixtures.router(index)),
+        timeSource = clock.monotonic,
+    )
 
     /** Leaves one settled and one open reservation in each of [count] workspaces. */
     suspend fun spend(
         agent: BudgetAgent,
         count: Int,
     ) = repeat(count) {
-        val settled = agent.reserve(RouterFixtures.workspace(it), RequestId("q$it"), RESERVED_TOKENS, Duration.ZERO).get()
+        val settled =
+            agent
+                .reserve(
+                    RouterFixtures.workspace(it),
+                    RequestId("q$it"),
+                    RESERVED_TOKENS,
+                    Duration.ZERO,
+                ).get()
         agent.settle(checkNotNull(settled), USED_TOKENS)
-        checkNotNull(agent.reserve(RouterFixtures.workspace(it), RequestId("r$it"), RESERVED_TOKENS, Duration.ZERO).get())
+        checkNotNull(
+            agent.reserve(RouterFixtures.workspace(it), RequestId("r$it"), RESERVED_TOKENS, Duration.ZERO).get(),
+        )
     }
 
     /** Reserves one token in the first workspace. */
@@ -54,7 +72,10 @@
     fun ledgerBytes(
         store: FakeObjectStore,
         index: Int,
-    ): Int = runBlocking { checkNotNull(store.get(BudgetLedgerStore.keyOf(RouterFixtures.workspace(index))).get()).value.length }
+    ): Int =
+        runBlocking {
+            checkNotNull(store.get(BudgetLedgerStore.keyOf(RouterFixtures.workspace(index))).get()).value.length
+        }
 
     fun holderCount(
         store: FakeObjectStore,
@@ -62,6 +83,8 @@
     ): Int =
         runBlocking {
             val stored = checkNotNull(store.get(BudgetLedgerStore.keyOf(RouterFixtures.workspace(index))).get())
-            TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), stored.value).holders.size
+            TypedObject.JSON
+                .decodeFromString(BudgetLedger.serializer(), stored.value)
+                .holders.size
         }
 }
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/RouterFixtures.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/RouterFixtures.kt
@@ -70,9 +70,17 @@
 
     private fun requestId(index: Int) = RequestId("0193a5c8-7f3e-7c21-9f0b-" + index.toString().padStart(12, '0'))
 
-    private fun opened(index: Int) = OpenedRecord(workspace(index % 100), requestId(index), router(0), EndpointId("jezik-kr-17"), RESERVED_TOKENS)
-
-    private fun closed(index: Int) = ClosedRecord(workspace(index % 100), requestId(index), router(0), USED_TOKENS, USED_TOKENS * index)
+    private fun opened(index: Int) =
+        OpenedRecord(workspace(index % 100), requestId(index), router(0), EndpointId("jezik-kr-17"), RESERVED_TOKENS)
+
+    private fun closed(index: Int) =
+        ClosedRecord(
+            workspace(index % 100),
+            requestId(index),
+            router(0),
+            USED_TOKENS,
+            USED_TOKENS * index,
+        )
 
     /** A membership that lists [count] other routers and, with [hasHeartbeats], has received a heartbeat of each. */
     fun membership(
@@ -86,7 +94,14 @@
         runBlocking {
             membership.maintain()
             if (hasHeartbeats) {
-                for (index in 1..count) member(index, peers.join(router(index), setOf(router(0).instance)), clock, EMPTY_DIRECTORY).maintain()
+                for (index in 1..count) {
+                    member(
+                        index,
+                        peers.join(router(index), setOf(router(0).instance)),
+                        clock,
+                        EMPTY_DIRECTORY,
+                    ).maintain()
+                }
             }
         }
         peers.clear()
@@ -106,15 +121,21 @@
     private val EMPTY_DIRECTORY = InstanceDirectory { Ok(persistentListOf()) }
 
     private fun listed(index: Int) =
-        ListedInstance(router(index).instance, ListedInstance.ROUTER_SERVICE, VersionId("0.1.0"), ZONES[index % 10], "10.20.30.40", 7_003)
+        ListedInstance(
+            router(index).instance,
+            ListedInstance.ROUTER_SERVICE,
+            VersionId("0.1.0"),
+            ZONES[index % 10],
+            "10.20.30.40",
+            7_003,
+        )
 
     /** The body of the platform's response that lists [count] instances. */
     fun instanceListText(count: Int): String = TypedObject.JSON.encodeToString(LIST, List(count) { listed(it) })
 
     /** A decoded copy of the list, whose strings are not shared with [listed], as in a response of the platform. */
-    private fun decoded(listed: List<ListedInstance>): ImmutableList<ListedInstance> {
-        return TypedObject.JSON.decodeFromString(LIST, TypedObject.JSON.encodeToString(LIST, listed)).toImmutableList()
-    }
+    private fun decoded(listed: List<ListedInstance>): ImmutableList<ListedInstance> =
+        TypedObject.JSON.decodeFromString(LIST, TypedObject.JSON.encodeToString(LIST, listed)).toImmutableList()
 
     fun endpoints(count: Int) = List(count) { DeclaredEndpoint(EndpointId("jezik-kr-$it"), ZONES[it % ZONES.size], 8) }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopesMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slopes/SlopesMeasurement.kt
@@ -49,7 +49,12 @@
         for (holders in listOf(1, 8)) {
             for (items in listOf(4_000, 12_000)) {
                 val store = LedgerFixtures.ledgers(items, holders - 1)
-                val bytes = HeapSlope.bytesPerItem(items) { LedgerFixtures.agent(store).also { agent -> runBlocking { LedgerFixtures.spend(agent, items) } } }
+                val bytes =
+                    HeapSlope.bytesPerItem(items) {
+                        LedgerFixtures.agent(store).also { agent ->
+                            runBlocking { LedgerFixtures.spend(agent, items) }
+                        }
+                    }
                 add("heap of a budget account, $holders holders in its ledger", bytes, "B", items)
             }
         }
@@ -59,7 +64,14 @@
             add("heap of a journal entry (opened and closed, with its total)", copies, "B", items)
         }
         for (items in listOf(330, 1_320)) {
-            add("heap of a listed router that was heard", HeapSlope.bytesPerItem(items) { RouterFixtures.membership(it) }, "B", items)
+            add(
+                "heap of a listed router that was heard",
+                HeapSlope.bytesPerItem(items) {
+                    RouterFixtures.membership(it)
+                },
+                "B",
+                items,
+            )
             add(
                 "heap of a listed router that was not heard",
                 HeapSlope.bytesPerItem(items) { RouterFixtures.membership(it, hasHeartbeats = false) },
@@ -68,11 +80,21 @@
             )
         }
         for (items in listOf(2_000, 8_000)) {
-            add("heap of an endpoint state", HeapSlope.bytesPerItem(items) { RouterFixtures.limiter(RouterFixtures.endpoints(it)) }, "B", items)
+            add(
+                "heap of an endpoint state",
+                HeapSlope.bytesPerItem(items) {
+                    RouterFixtures.limiter(RouterFixtures.endpoints(it))
+                },
+                "B",
+                items,
+            )
         }
         for (items in listOf(5_000, 21_000)) {
             val text = ConfigFixtures.configText(items)
-            val bytes = HeapSlope.bytesPerItem(items) { withIndexes(TypedObject.JSON.decodeFromString(FleetConfig.serializer(), text)) }
+            val bytes =
+                HeapSlope.bytesPerItem(items) {
+                    withIndexes(TypedObject.JSON.decodeFromString(FleetConfig.serializer(), text))
+                }
             add("heap of a workspace of the configuration, with indexes", bytes, "B", items)
         }
     }
@@ -92,7 +114,12 @@
         for (holders in listOf(8, 330)) {
             val store = LedgerFixtures.ledgers(1, holders)
             check(LedgerFixtures.holderCount(store, 0) == holders) { "the ledger does not have $holders holders" }
-            add("ledger object, for each holder", LedgerFixtures.ledgerBytes(store, 0).toDouble() / holders, "B", holders)
+            add(
+                "ledger object, for each holder",
+                LedgerFixtures.ledgerBytes(store, 0).toDouble() / holders,
+                "B",
+                holders,
+            )
         }
     }
 
@@ -106,7 +133,7 @@
         budgetAgentRounds()
         addSlope("round of Membership and its connections, for each listed router", "µs", 100, 330, ROUNDS) { items ->
             val clock = TestClock()
-            val membership = RouterFixtures.membership(items, clock,hasHeartbeats = false)
+            val membership = RouterFixtures.membership(items, clock, hasHeartbeats = false)
             return@addSlope {
                 clock.advance(ONE_SECOND)
                 runBlocking { membership.maintain() }
@@ -114,7 +141,13 @@
             }
         }
         for (seats in listOf(2, 330)) limiterRounds(seats)
-        addSlope("weights made for the limiter (4 a second), for each workspace", "µs", 5_000, 21_000, FEW_ROUNDS) { items ->
+        addSlope(
+            "weights made for the limiter (4 a second), for each workspace",
+            "µs",
+            5_000,
+            21_000,
+            FEW_ROUNDS,
+        ) { items ->
             val config = ConfigFixtures.config(items)
             return@addSlope { ConfigFixtures.routeLimits(config) }
         }
@@ -126,7 +159,13 @@
 
     /** Each endpoint has 8 slots: 2 seats divide them evenly, 330 seats leave a remainder distributed by rank. */
     private fun limiterRounds(seats: Int) =
-        addSlope("round of EndpointLimiter with $seats seats (4 a second), for each endpoint", "µs", 200, 850, FEW_ROUNDS) { items ->
+        addSlope(
+            "round of EndpointLimiter with $seats seats (4 a second), for each endpoint",
+            "µs",
+            200,
+            850,
+            FEW_ROUNDS,
+        ) { items ->
             val endpoints = RouterFixtures.endpoints(items)
             val limiter = RouterFixtures.limiter(endpoints, seats = seats)
             val limits = ConfigFixtures.routeLimits(ConfigFixtures.config(10))
@@ -174,7 +213,13 @@
     ) {
         val fewMicros = createRound(few).let { round -> CpuSlope.microsPerRound(rounds) { round() } }
         val manyMicros = createRound(many).let { round -> CpuSlope.microsPerRound(rounds) { round() } }
-        add(name, CpuSlope.perItem(few, fewMicros, many, manyMicros), unit, many, "$few items ${micros(fewMicros)}, $many items ${micros(manyMicros)}")
+        add(
+            name,
+            CpuSlope.perItem(few, fewMicros, many, manyMicros),
+            unit,
+            many,
+            "$few items ${micros(fewMicros)}, $many items ${micros(manyMicros)}",
+        )
     }
 
     private fun micros(value: Double) = "${value.toLong()} µs"
@@ -182,7 +227,13 @@
     private fun idle() {
         val idle = IdleRouterUsage.perRouterAndMinute(IDLE_ROUTERS, IDLE_MILLIS)
         val note = "$IDLE_ROUTERS router processes for ${IDLE_MILLIS / 1_000} s"
-        add("platform reads of an idle router, waiting watches among them", idle["reads"] ?: 0.0, "a minute", IDLE_ROUTERS, note)
+        add(
+            "platform reads of an idle router, waiting watches among them",
+            idle["reads"] ?: 0.0,
+            "a minute",
+            IDLE_ROUTERS,
+            note,
+        )
         add("platform writes of an idle router", idle["writes"] ?: 0.0, "a minute", IDLE_ROUTERS, note)
         add("processor of an idle router process", idle.getValue("cores"), "cores", IDLE_ROUTERS, note)
     }
@@ -221,7 +272,14 @@
         val store = FakeObjectStore()
         val members = List(2) { RouterFixtures.router(it) }
         val request =
-            MoveRequest(MoveId("2026-12-04-jezik"), RouteId("jezik"), VersionId("jezik-7"), VersionId("jezik-8"), "ana", clock.instant() + TEN_SECONDS.multipliedBy(30))
+            MoveRequest(
+                MoveId("2026-12-04-jezik"),
+                RouteId("jezik"),
+                VersionId("jezik-7"),
+                VersionId("jezik-8"),
+                "ana",
+                clock.instant() + TEN_SECONDS.multipliedBy(30),
+            )
         MoveCommands(store, clock).start(request)
         val controllers = members.map { controller(it, members, peers, store, clock) }
         repeat(MOVE_ROUNDS) {
@@ -242,8 +300,28 @@
         val selector = VersionSelector(store, self, network, clock, clock.monotonic)
         val lease = LeaseClient(store, self, clock.monotonic)
         val listed =
-            members.map { ListedInstance(it.instance, ListedInstance.ROUTER_SERVICE, VersionId("0.1.0"), ZoneId("z"), "::1", 1) }.toImmutableList()
-        val controller = MoveController(store, lease, selector, network, { Ok(listed) }, { _, _ -> Ok(Unit) }, clock, clock.monotonic)
+            members
+                .map {
+                    ListedInstance(
+                        it.instance,
+                        ListedInstance.ROUTER_SERVICE,
+                        VersionId("0.1.0"),
+                        ZoneId("z"),
+                        "::1",
+                        1,
+                    )
+                }.toImmutableList()
+        val controller =
+            MoveController(
+                store,
+                lease,
+                selector,
+                network,
+                { Ok(listed) },
+                { _, _ -> Ok(Unit) },
+                clock,
+                clock.monotonic,
+            )
         return {
             selector.maintain()
             lease.maintain()
@@ -258,7 +336,13 @@
     ) {
         val sizes = checkNotNull(peers.sizes()[topic]) { "no message of topic $topic was sent" }
         val bytes = FrameSize.askBytes(topic, sizes.askBytes) + FrameSize.replyBytes(sizes.replyBytes)
-        add("wire: $description ($topic), question and answer with frames", bytes.toDouble(), "B", 1, "payloads ${sizes.askBytes} and ${sizes.replyBytes} B")
+        add(
+            "wire: $description ($topic), question and answer with frames",
+            bytes.toDouble(),
+            "B",
+            1,
+            "payloads ${sizes.askBytes} and ${sizes.replyBytes} B",
+        )
     }
 
     private fun add(
@@ -268,7 +352,8 @@
         items: Int,
         note: String = "",
     ) {
-        rows += MeasurementReport.row("what" to name, "value" to value, "unit" to unit, "items" to items, "note" to note)
+        rows +=
+            MeasurementReport.row("what" to name, "value" to value, "unit" to unit, "items" to items, "note" to note)
     }
 
     private companion object {
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/SlowCaller.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/SlowCaller.kt
@@ -57,7 +57,8 @@
 
         /** A request for a streamed response of [events] large events. */
         fun largeResponse(events: Int): ByteArray {
-            val body = """{"model":"m","stream":true,"max_tokens":$events,"messages":[{"role":"user","content":"${StreamingEndpoint.LARGE}"}]}"""
+            val body =
+                """{"model":"m","stream":true,"max_tokens":$events,"messages":[{"role":"user","content":"${StreamingEndpoint.LARGE}"}]}"""
             return request("/v1/chat/completions", body)
         }
 
@@ -66,7 +67,9 @@
             path: String,
             bytes: Int,
         ): ByteArray {
-            val body = """{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"${"u".repeat(bytes)}"}]}"""
+            val body = """{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"${"u".repeat(
+                bytes,
+            )}"}]}"""
             return request(path, body)
         }
 
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/SlowReadersMeasurement.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/SlowReadersMeasurement.kt
@@ -18,18 +18,30 @@
         MeasurementReport(
             "slow-readers",
             mapOf(
-                "answer of a slow caller" to "$EVENTS events of ${StreamingEndpoint.EVENT_CHARS} B, not read for ${HOLD_DURATION.inWholeSeconds} s",
+                "answer of a slow caller" to
+                    "$EVENTS events of ${StreamingEndpoint.EVENT_CHARS} B, not read for ${HOLD_DURATION.inWholeSeconds} s",
                 "fast caller" to "$FAST_CALLS answers of $FAST_TOKENS tokens at 10 ms",
                 "bounds" to "64 KiB a stream and direction, 64 MiB a process",
                 "router" to RouterProcess.JAVA_OPTS,
             ),
             "the first row: the fast caller alone",
-            (listOf(0) + counts).map { slowReaders(it) } + slowUploads(counts.max() / UPLOAD_PART) + unreadUploads(counts.max() / UPLOAD_PART),
+            (listOf(0) + counts).map { slowReaders(it) } + slowUploads(counts.max() / UPLOAD_PART) +
+                unreadUploads(counts.max() / UPLOAD_PART),
         )
 
     private fun slowReaders(count: Int): Map<String, JsonPrimitive> =
-        measure("slow callers of streamed answers", count, SlowCaller.largeResponse(EVENTS), { it.write() }) { callers ->
-            if (callers.isEmpty()) "-" else "${callers.take(SAMPLE).count { it.readsToEnd(READ_TIMEOUT) }} of ${minOf(SAMPLE, count)} whole"
+        measure(
+            "slow callers of streamed answers",
+            count,
+            SlowCaller.largeResponse(EVENTS),
+            { it.write() },
+        ) { callers ->
+            if (callers.isEmpty()) {
+                "-"
+            } else {
+                val completeCount = callers.take(SAMPLE).count { it.readsToEnd(READ_TIMEOUT) }
+                "$completeCount of ${minOf(SAMPLE, count)} whole"
+            }
         }
 
     /** Callers that send 1 KB of a 200 KB prompt in each round. */
@@ -117,7 +129,12 @@
         )
 
     private fun spread(histogram: Histogram): String =
-        listOf(histogram.getValueAtPercentile(50.0), histogram.maxValue).joinToString(" / ") { "%.1f".format(Locale.ROOT, it / MICROS_PER_MILLI) }
+        listOf(histogram.getValueAtPercentile(50.0), histogram.maxValue).joinToString(" / ") {
+            "%.1f".format(
+                Locale.ROOT,
+                it / MICROS_PER_MILLI,
+            )
+        }
 
     private companion object {
         const val EVENTS = 4_000
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/StreamingEndpoint.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/slowreaders/StreamingEndpoint.kt
@@ -23,9 +23,17 @@
             val sink = exchange.respondStream(OK, ServerSentEvent.HEADERS)
             repeat(tokens) {
                 if (!isLarge) delay(PACE_MILLIS)
-                sink.write(event("""{"choices":[{"index":0,"delta":{"content":"${if (isLarge) LARGE_TEXT else "t$it "}"}}]}"""))
+                sink.write(
+                    event(
+                        """{"choices":[{"index":0,"delta":{"content":"${if (isLarge) LARGE_TEXT else "t$it "}"}}]}""",
+                    ),
+                )
             }
-            sink.write(event("""{"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":$tokens,"total_tokens":${tokens + 9}}}"""))
+            sink.write(
+                event(
+                    """{"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":$tokens,"total_tokens":${tokens + 9}}}""",
+                ),
+            )
             sink.write(event("[DONE]"))
             sink.finish()
         }
--- a/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/budgets/BudgetSimulationTest.kt
+++ b/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/budgets/BudgetSimulationTest.kt
@@ -48,9 +48,12 @@
             result.peakStrandedTokens shouldBeGreaterThan 0
         }
 
-        test("the router's budget agents run through all faults without overspend and with fewer writes than requests") {
+        test(
+            "the router's budget agents run through all faults without overspend and with fewer writes than requests",
+        ) {
             for (scenario in BudgetScenario.DEFAULTS) {
-                val result = run(scenario) { environment, seed -> EscrowBudgets(environment, BudgetPolicy.exposure, seed) }
+                val result =
+                    run(scenario) { environment, seed -> EscrowBudgets(environment, BudgetPolicy.exposure, seed) }
                 result.overspentTokens shouldBe 0
                 result.platformWrites / result.requests.toDouble() shouldBeLessThan 1.0
             }
--- a/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/fleet/RouterProcessTest.kt
+++ b/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/fleet/RouterProcessTest.kt
@@ -20,6 +20,10 @@
         }
 
         test("heap information of another collector is an error") {
-            shouldThrow<IllegalStateException> { RouterProcess.heapBytes("garbage-first heap   total 262144K, used 1000K") }
+            shouldThrow<IllegalStateException> {
+                RouterProcess.heapBytes(
+                    "garbage-first heap   total 262144K, used 1000K",
+                )
+            }
         }
     })
--- a/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/limits/LimitsSimulationTest.kt
+++ b/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/limits/LimitsSimulationTest.kt
@@ -37,7 +37,9 @@
             seen shouldContainExactly listOf("a@10", "b@20")
         }
 
-        test("the same seed gives the same result, within the limit of in-flight requests, for every scenario and policy") {
+        test(
+            "the same seed gives the same result, within the limit of in-flight requests, for every scenario and policy",
+        ) {
             for (scenario in LimitsScenario.entries) {
                 for (isLending in listOf(true, false)) {
                     val results = List(2) { LimitsSimulation(settings, scenario, 3, isLending).run() }
--- a/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/moves/MovesMeasurementTest.kt
+++ b/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/moves/MovesMeasurementTest.kt
@@ -7,7 +7,9 @@
 class MovesMeasurementTest :
     FunSpec({
         // Guards against a measurement that is not repeatable or whose outcome does not depend on the version.
-        test("the same settings give the same report, most good versions are moved to and most bad ones are taken back") {
+        test(
+            "the same settings give the same report, most good versions are moved to and most bad ones are taken back",
+        ) {
             val settings =
                 MovesSettings(
                     seeds = 10,
--- a/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/slopes/SlopesTest.kt
+++ b/limpetfold-measure/src/test/kotlin/io/limpetfold/measure/slopes/SlopesTest.kt
@@ -9,7 +9,8 @@
 class SlopesTest :
     FunSpec({
         test("the slope is the growth per item without the constant part") {
-            CpuSlope.perItem(few = 100, fewMicros = 150.0, many = 300, manyMicros = 250.0) shouldBe (0.5 plusOrMinus 1e-9)
+            CpuSlope.perItem(few = 100, fewMicros = 150.0, many = 300, manyMicros = 250.0) shouldBe
+                (0.5 plusOrMinus 1e-9)
         }
 
         test("a frame adds a small constant to its payload") {
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
@@ -26,7 +26,8 @@
 
     val isEmpty: Boolean get() = instances.isEmpty()
 
-    fun instancesOf(name: String): ImmutableList<ListedInstance> = instances.filter { it.service == name }.toImmutableList()
+    fun instancesOf(name: String): ImmutableList<ListedInstance> =
+        instances.filter { it.service == name }.toImmutableList()
 
     /** Returns the view after a read of the platform's list; [known] are further instances whose absence is tracked. */
     fun withListing(
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -122,12 +122,14 @@
     }
 
     /** Lengthens [time] in a large fleet, so that the traffic of a router does not grow with its connection count. */
-    private fun scaled(time: java.time.Duration): Duration = time.toKotlinDuration() * if (isFullMesh) 1 else LARGE_FLEET_FACTOR
+    private fun scaled(time: java.time.Duration): Duration =
+        time.toKotlinDuration() * if (isFullMesh) 1 else LARGE_FLEET_FACTOR
 
     /** A large fleet reads the list less often, unless a router that is not listed sent a heartbeat. */
     private fun directoryInterval(): Duration {
         val isStale = synchronized(this) { hasUnlistedPeer || view.isEmpty }
-        return policy.directoryInterval.toKotlinDuration() * if (isFullMesh || isStale) 1 else LARGE_FLEET_DIRECTORY_FACTOR
+        return policy.directoryInterval.toKotlinDuration() *
+            if (isFullMesh || isStale) 1 else LARGE_FLEET_DIRECTORY_FACTOR
     }
 
     private suspend fun readDirectory() {
@@ -161,11 +163,25 @@
         heartbeatSentAt = now()
         val heartbeat = describeSelf()
         val reachable: ImmutableSet<InstanceId> = peers.connectedPeers()
-        val targets = if (isFullMesh) reachable else reachable - heartbeatSendersWithin(scaled(policy.heartbeatInterval))
+        val targets =
+            if (isFullMesh) {
+                reachable
+            } else {
+                reachable -
+                    heartbeatSendersWithin(scaled(policy.heartbeatInterval))
+            }
         coroutineScope {
             targets
                 .map { peer ->
-                    async { peers.ask(peer, HEARTBEAT_TOPIC, heartbeat, policy.heartbeatInterval).onSuccess { applyHeartbeat(it) } }
+                    async {
+                        peers
+                            .ask(
+                                peer,
+                                HEARTBEAT_TOPIC,
+                                heartbeat,
+                                policy.heartbeatInterval,
+                            ).onSuccess { applyHeartbeat(it) }
+                    }
                 }.awaitAll()
         }
     }
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatClient.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/SeatClient.kt
@@ -109,7 +109,14 @@
             seatObject(number).update<Unit>({ it.holder == self }) { record ->
                 when {
                     record?.holder == self -> Change.Keep
-                    isFree(record) -> Change.Write(SeatRecord(self, wasDrained = record == null || isReleasedDrained(record)))
+                    isFree(record) ->
+                        Change.Write(
+                            SeatRecord(
+                                self,
+                                wasDrained =
+                                    record == null || isReleasedDrained(record),
+                            ),
+                        )
                     else -> Change.Refuse(Unit)
                 }
             }
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -54,7 +54,9 @@
             a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe false
         }
 
-        test("an instance missing from the platform's list for long enough has ended, but an outage of the list proves nothing") {
+        test(
+            "an instance missing from the platform's list for long enough has ended, but an outage of the list proves nothing",
+        ) {
             val fleet = Fleet()
             val a = fleet.start("a", 1)
             fleet.start("b", 1)
@@ -99,7 +101,9 @@
             reached shouldHaveSize routers.size
         }
 
-        test("guards against heartbeats in both directions and list reads that grow with the connections of a large fleet") {
+        test(
+            "guards against heartbeats in both directions and list reads that grow with the connections of a large fleet",
+        ) {
             val fleet = Fleet()
             val routers = List(40) { fleet.start("router-$it", 1) }
             fleet.run(routers, Duration.ofSeconds(10))
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatClientTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatClientTest.kt
@@ -27,7 +27,13 @@
             var isFirst = true
             val lossy =
                 shared.withFaults { call ->
-                    if (call is StoreCall.Put && isFirst) StoreFault.RESPONSE_LOST.also { isFirst = false } else StoreFault.NONE
+                    if (call is StoreCall.Put &&
+                        isFirst
+                    ) {
+                        StoreFault.RESPONSE_LOST.also { isFirst = false }
+                    } else {
+                        StoreFault.NONE
+                    }
                 }
             val client = client("router-1", lossy)
             client.maintain(3)
@@ -58,7 +64,8 @@
             val shared = FakeObjectStore()
             var isDown = false
             val clock = TestClock()
-            val client = client("router-1", shared.withFaults { if (isDown) StoreFault.UNAVAILABLE else StoreFault.NONE }, clock)
+            val client =
+                client("router-1", shared.withFaults { if (isDown) StoreFault.UNAVAILABLE else StoreFault.NONE }, clock)
             client.maintain(2)
             val seat = client.seat
             isDown = true
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
@@ -82,15 +82,27 @@
         expected: ByteArray,
     ) {
         checkHello(hello)
-        if (!MessageDigest.isEqual(proof, expected)) throw ProtocolException("the fleet key of the peer does not match; configure the same key on all instances")
+        if (!MessageDigest.isEqual(
+                proof,
+                expected,
+            )
+        ) {
+            throw ProtocolException(
+                "the fleet key of the peer does not match; configure the same key on all instances",
+            )
+        }
     }
 
     private fun checkHello(hello: Hello) {
         val problem =
             when {
-                hello.protocol != PROTOCOL -> "the peer has protocol version ${hello.protocol} instead of $PROTOCOL; run the same version on all instances"
-                hello.nonce.size != NONCE_BYTES -> "the peer sent a nonce with the wrong size of ${hello.nonce.size} bytes"
-                !NAME.matches(hello.incarnation.instance.value) -> "the instance name of the peer does not match ${NAME.pattern}"
+                hello.protocol != PROTOCOL ->
+                    "the peer has protocol version ${hello.protocol} instead of $PROTOCOL; run the same version on all instances"
+                hello.nonce.size != NONCE_BYTES ->
+                    "the peer sent a nonce with the wrong size of ${hello.nonce.size} bytes"
+                !NAME.matches(
+                    hello.incarnation.instance.value,
+                ) -> "the instance name of the peer does not match ${NAME.pattern}"
                 hello.incarnation.instance == self.instance ->
                     "the peer has the name of this instance; give each instance a unique name"
                 else -> return
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
@@ -56,7 +56,11 @@
     private val maxPayloadBytes = policy.maxFrameBytes - ENVELOPE_BYTES
     private val handlers = TopicHandlers(maxPayloadBytes)
     private val handshake = Handshake(self, fleetKey)
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + CoroutineExceptionHandler { _, e -> LOG.error("peer: unexpected exception", e) })
+    private val scope =
+        CoroutineScope(
+            SupervisorJob() + Dispatchers.Default +
+                CoroutineExceptionHandler { _, e -> LOG.error("peer: unexpected exception", e) },
+        )
     private val selector = SelectorManager(Dispatchers.IO)
     private val handshakes = Semaphore(policy.maxHandshakes)
 
@@ -86,7 +90,13 @@
      * Connections that this router dialled are closed if their peer is no longer listed.
      */
     fun setPeers(peers: List<PeerAddress>) {
-        val wanted = peers.filter { it.instance != self.instance }.distinctBy { it.instance }.take(policy.maxConnections).toSet()
+        val wanted =
+            peers
+                .filter {
+                    it.instance != self.instance
+                }.distinctBy { it.instance }
+                .take(policy.maxConnections)
+                .toSet()
         synchronized(lock) {
             (dialers.keys - wanted).forEach { dialers.remove(it)?.cancel() }
             (wanted - dialers.keys).forEach { dialers[it] = scope.launch { keepConnected(it) } }
@@ -232,7 +242,11 @@
         channel: FrameChannel,
     ): PeerConnection {
         val peer = withHandshakeTimeout { handshake.dial(channel) }
-        if (peer.instance != address.instance) throw ProtocolException("the address belongs to ${peer.instance} and not to the expected instance")
+        if (peer.instance !=
+            address.instance
+        ) {
+            throw ProtocolException("the address belongs to ${peer.instance} and not to the expected instance")
+        }
         val isPreferred = DuplicateConnectionResolver.isPreferred(dialer = self.instance, acceptor = peer.instance)
         val connection = PeerConnection(peer, isPreferred, channel, handlers, policy)
         register(connection)?.let { throw ProtocolException(it) }
@@ -251,7 +265,8 @@
             aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
         } ?: throw ProtocolException("no connection within ${policy.connectTimeout.toMillis()} ms")
 
-    private fun channel(socket: Socket) = FrameChannel(socket.openReadChannel(), socket.openWriteChannel(autoFlush = false))
+    private fun channel(socket: Socket) =
+        FrameChannel(socket.openReadChannel(), socket.openWriteChannel(autoFlush = false))
 
     private suspend fun <T : Any> withHandshakeTimeout(step: suspend () -> T): T =
         withTimeoutOrNull(policy.handshakeTimeout.toMillis()) { step() }
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/PeerConnection.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/PeerConnection.kt
@@ -133,7 +133,10 @@
                     bytes = queue.tryReceive().getOrNull()
                 }
                 channel.flush()
-            } ?: throw ProtocolException("the peer did not read the pending bytes within ${policy.writeTimeout.toMillis()} ms")
+            }
+                ?: throw ProtocolException(
+                    "the peer did not read the pending bytes within ${policy.writeTimeout.toMillis()} ms",
+                )
         }
     }
 
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/PeerPolicy.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/PeerPolicy.kt
@@ -32,7 +32,9 @@
     val duplicateAvoidanceDelay: Duration = DUPLICATE_AVOIDANCE_DELAY,
 ) {
     init {
-        require(maxConnections > 0 && maxHandshakes > 0 && maxInFlight > 0) { "maxConnections, maxHandshakes and maxInFlight must be at least 1" }
+        require(maxConnections > 0 && maxHandshakes > 0 && maxInFlight > 0) {
+            "maxConnections, maxHandshakes and maxInFlight must be at least 1"
+        }
         require(maxQueuedBytes >= maxFrameBytes) { "maxQueuedBytes must be at least maxFrameBytes" }
         require(pingInterval < idleTimeout) { "pingInterval must be shorter than idleTimeout" }
     }
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/TopicHandlers.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/TopicHandlers.kt
@@ -38,7 +38,12 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: SerializationException) {
-            LOG.warn("peer: message does not decode peer={} topic={} reason={}", from, ask.topic, e.javaClass.simpleName)
+            LOG.warn(
+                "peer: message does not decode peer={} topic={} reason={}",
+                from,
+                ask.topic,
+                e.javaClass.simpleName,
+            )
             Frame.Rejection(ask.id, "the message does not decode")
         } catch (e: Exception) {
             LOG.error("peer: handler failed peer={} topic={}", from, ask.topic, e)
--- a/limpetfold-peer/src/test/kotlin/io/limpetfold/peer/ktor/KtorPeerNetworkTest.kt
+++ b/limpetfold-peer/src/test/kotlin/io/limpetfold/peer/ktor/KtorPeerNetworkTest.kt
@@ -12,9 +12,9 @@
 import io.limpetfold.core.InstanceId
 import io.limpetfold.peer.PeerError
 import io.limpetfold.peer.PeerTopic
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import java.io.ByteArrayOutputStream
@@ -64,7 +64,19 @@
             b.awaitConnected("a")
 
             val replies =
-                (1..200).map { async { a.network.ask(InstanceId("b"), ECHO, Text("$it"), TIMEOUT).get()?.text } }.awaitAll()
+                (1..200)
+                    .map {
+                        async {
+                            a.network
+                                .ask(
+                                    InstanceId("b"),
+                                    ECHO,
+                                    Text("$it"),
+                                    TIMEOUT,
+                                ).get()
+                                ?.text
+                        }
+                    }.awaitAll()
 
             replies shouldBe (1..200).map { "a@1:$it:b@1" }
             b.echo("a").get()?.text shouldBe "b@1:x:a@1"
@@ -123,7 +135,9 @@
             eventually(10.seconds) { old.network.connectedPeers() shouldBe emptySet() }
         }
 
-        test("guards against an ask without a reply that is reported as not sent, and against a missing handler or an oversized message that is not rejected") {
+        test(
+            "guards against an ask without a reply that is reported as not sent, and against a missing handler or an oversized message that is not rejected",
+        ) {
             val a = router("a")
             val b = router("b")
             a.network.setPeers(listOf(b.address))
@@ -131,11 +145,21 @@
 
             val slow = a.network.ask(InstanceId("b"), SLOW, Text("x"), Duration.ofMillis(50)).getError()
             slow.shouldBeInstanceOf<PeerError.Timeout>()
-            a.network.ask(InstanceId("b"), UNKNOWN, Text("x"), TIMEOUT).getError().shouldBeInstanceOf<PeerError.Rejected>()
+            a.network
+                .ask(
+                    InstanceId("b"),
+                    UNKNOWN,
+                    Text("x"),
+                    TIMEOUT,
+                ).getError()
+                .shouldBeInstanceOf<PeerError.Rejected>()
             val huge = a.network.ask(InstanceId("b"), ECHO, Text("x".repeat(1_100_000)), TIMEOUT).getError()
             huge.shouldBeInstanceOf<PeerError.Rejected>()
             val large = "y".repeat(1_000_000)
-            a.network.ask(InstanceId("b"), ECHO, Text(large), TIMEOUT).get()?.text shouldBe "a@1:$large:b@1"
+            a.network
+                .ask(InstanceId("b"), ECHO, Text(large), TIMEOUT)
+                .get()
+                ?.text shouldBe "a@1:$large:b@1"
         }
 
         test("guards against exceeding the maximum number of asks in flight or of connections") {
@@ -163,10 +187,17 @@
             b.network.connectedPeers() shouldBe setOf(InstanceId("a"))
         }
 
-        test("guards against sockets that send nothing and use up the handshakes, and against an unresponsive peer that stays connected") {
+        test(
+            "guards against sockets that send nothing and use up the handshakes, and against an unresponsive peer that stays connected",
+        ) {
             val short = Duration.ofSeconds(2)
             val policy =
-                PeerPolicy(maxHandshakes = 2, handshakeTimeout = short, idleTimeout = short, pingInterval = Duration.ofMillis(500))
+                PeerPolicy(
+                    maxHandshakes = 2,
+                    handshakeTimeout = short,
+                    idleTimeout = short,
+                    pingInterval = Duration.ofMillis(500),
+                )
             val b = router("b", policy = policy)
             val sockets = List(2) { Socket("127.0.0.1", b.address.port) }
             val a = router("a", policy = policy)
@@ -188,15 +219,26 @@
 
                 val errors =
                     (1..60)
-                        .map { async { b.network.ask(InstanceId("hostile"), ECHO, large, Duration.ofSeconds(1)).getError() } }
-                        .awaitAll()
+                        .map {
+                            async {
+                                b.network
+                                    .ask(
+                                        InstanceId("hostile"),
+                                        ECHO,
+                                        large,
+                                        Duration.ofSeconds(1),
+                                    ).getError()
+                            }
+                        }.awaitAll()
 
                 errors.count { it is PeerError.Unreachable } shouldBeGreaterThan 30
                 errors.count { it == null } shouldBe 0
             }
         }
 
-        test("guards against hostile bytes before the handshake that get a response or close more than their own connection") {
+        test(
+            "guards against hostile bytes before the handshake that get a response or close more than their own connection",
+        ) {
             val a = router("a")
             val b = router("b", policy = LONG_TIMEOUTS)
             a.network.setPeers(listOf(b.address))
@@ -215,7 +257,9 @@
             a.echo("b").get()?.text shouldBe "a@1:x:b@1"
         }
 
-        test("guards against hostile frames of an authenticated peer that stay undetected or close more than their own connection") {
+        test(
+            "guards against hostile frames of an authenticated peer that stay undetected or close more than their own connection",
+        ) {
             val b = router("b", policy = LONG_TIMEOUTS)
             val a = router("a")
             a.network.setPeers(listOf(b.address))
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -54,13 +54,15 @@
         }
     }
 
-    override suspend fun list(prefix: String): Result<ObjectPage, StoreError> = page("prefix=${encode(prefix)}", Duration.ZERO)
+    override suspend fun list(prefix: String): Result<ObjectPage, StoreError> =
+        page("prefix=${encode(prefix)}", Duration.ZERO)
 
     override suspend fun watch(
         prefix: String,
         after: ObjectVersion,
         wait: Duration,
-    ): Result<ObjectPage, StoreError> = page("prefix=${encode(prefix)}&after=$after&waitMillis=${wait.toMillis()}", wait)
+    ): Result<ObjectPage, StoreError> =
+        page("prefix=${encode(prefix)}&after=$after&waitMillis=${wait.toMillis()}", wait)
 
     private suspend fun page(
         query: String,
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/PlatformClient.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/PlatformClient.kt
@@ -33,7 +33,10 @@
         target: String,
         extraWait: Duration = Duration.ZERO,
     ): Result<Response, StoreError> {
-        val response = call(UpstreamRequest("GET", target), extraWait).getOrElse { return Err(StoreError.Unavailable(it.message)) }
+        val response =
+            call(UpstreamRequest("GET", target), extraWait).getOrElse {
+                return Err(StoreError.Unavailable(it.message))
+            }
         return commonError(response)?.let { Err(it) } ?: Ok(response)
     }
 
@@ -41,9 +44,21 @@
     suspend fun write(request: UpstreamRequest): Result<Response, StoreError> {
         val response =
             call(request, Duration.ZERO).getOrElse {
-                return Err(if (it is UpstreamError.NotSent) StoreError.Unavailable(it.message) else StoreError.OutcomeUnknown(it.message))
+                return Err(
+                    if (it is UpstreamError.NotSent) {
+                        StoreError.Unavailable(
+                            it.message,
+                        )
+                    } else {
+                        StoreError.OutcomeUnknown(it.message)
+                    },
+                )
             }
-        if (response.head.status in UNKNOWN_OUTCOME_STATUSES) return Err(StoreError.OutcomeUnknown("status ${response.head.status}"))
+        if (response.head.status in
+            UNKNOWN_OUTCOME_STATUSES
+        ) {
+            return Err(StoreError.OutcomeUnknown("status ${response.head.status}"))
+        }
         return commonError(response)?.let { Err(it) } ?: Ok(response)
     }
 
@@ -57,7 +72,8 @@
         }
 
     private fun retryAfter(headers: Headers): Duration =
-        headers["Retry-After"]?.toDoubleOrNull()?.let { Duration.ofMillis((it * MILLIS_PER_SECOND).toLong()) } ?: DEFAULT_RETRY_AFTER
+        headers["Retry-After"]?.toDoubleOrNull()?.let { Duration.ofMillis((it * MILLIS_PER_SECOND).toLong()) }
+            ?: DEFAULT_RETRY_AFTER
 
     private suspend fun call(
         request: UpstreamRequest,
@@ -66,10 +82,22 @@
         val timeout = settings.callTimeout + extraWait
         val requestWithTimeouts = request.copy(firstByteTimeout = timeout, idleTimeout = timeout)
         return withTimeoutOrNull(timeout.toMillis()) {
-            val response = client.send(settings.address, requestWithTimeouts).getOrElse { return@withTimeoutOrNull Err(it) }
-            response.use { it.readAll(MAX_RESPONSE_BYTES).getOrElse { error -> return@withTimeoutOrNull Err(error) } }
+            val response =
+                client
+                    .send(
+                        settings.address,
+                        requestWithTimeouts,
+                    ).getOrElse { return@withTimeoutOrNull Err(it) }
+            response
+                .use { it.readAll(MAX_RESPONSE_BYTES).getOrElse { error -> return@withTimeoutOrNull Err(error) } }
                 .let { Ok(Response(response.head, it.decodeToString())) }
-        } ?: Err(UpstreamError.OutcomeUnknown(UpstreamError.Reason.FIRST_BYTE_TIMEOUT, "no answer in ${timeout.toMillis()} ms"))
+        }
+            ?: Err(
+                UpstreamError.OutcomeUnknown(
+                    UpstreamError.Reason.FIRST_BYTE_TIMEOUT,
+                    "no answer in ${timeout.toMillis()} ms",
+                ),
+            )
     }
 
     private companion object {
--- a/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
+++ b/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
@@ -42,15 +42,26 @@
 
         test("guards against a status of the platform that is mapped to the wrong result") {
             withPlatform({ exchange ->
-                when (exchange.head.headers["If-Match"] ?: exchange.head.headers["If-None-Match"] ?: exchange.head.path) {
+                val headers = exchange.head.headers
+                when (headers["If-Match"] ?: headers["If-None-Match"] ?: exchange.head.path) {
                     "*" -> exchange.respond(200, Headers.of("ETag" to "\"7\""))
                     "\"7\"" -> exchange.respond(412, Headers.of("ETag" to "\"9\""))
                     "\"8\"" -> exchange.respond(429, Headers.of("Retry-After" to "2"))
                     "\"9\"" -> exchange.respond(503)
                     "\"10\"" -> exchange.respond(502)
-                    "/v1/objects/budget/school" -> exchange.respond(200, Headers.of("ETag" to "\"7\""), "{}".encodeToByteArray())
+                    "/v1/objects/budget/school" ->
+                        exchange.respond(
+                            200,
+                            Headers.of("ETag" to "\"7\""),
+                            "{}".encodeToByteArray(),
+                        )
                     "/v1/objects" ->
-                        exchange.respond(200, body = """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}""".encodeToByteArray())
+                        exchange.respond(
+                            200,
+                            body =
+                                """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}"""
+                                    .encodeToByteArray(),
+                        )
                     "/v1/instances" -> exchange.respond(200, body = "[]".encodeToByteArray())
                     else -> exchange.respond(404)
                 }
@@ -60,7 +71,8 @@
                 store.put(key, "{}", ObjectVersion(8)).getError() shouldBe StoreError.RateLimited(Duration.ofSeconds(2))
                 store.put(key, "{}", ObjectVersion(9)).getError().shouldBeInstanceOf<StoreError.Unavailable>()
                 store.put(key, "{}", ObjectVersion(10)).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
-                store.put(key, "a".repeat(1_000_001), ObjectVersion.NONE).getError() shouldBe StoreError.TooLarge(1_000_001)
+                store.put(key, "a".repeat(1_000_001), ObjectVersion.NONE).getError() shouldBe
+                    StoreError.TooLarge(1_000_001)
                 store.get(key).get()?.version shouldBe ObjectVersion(7)
                 store.get(ObjectKey("none")).get() shouldBe null
                 store.list("a/").get()?.position shouldBe ObjectVersion(5)
@@ -69,10 +81,11 @@
         }
 
         test("a write without a response has an unknown outcome, a read without one fails as unavailable") {
-            val failures = listOf<suspend (HttpExchange) -> Unit>(
-                { awaitCancellation() },
-                { it.respondStream(200, Headers.of("Content-Length" to "5")).abort() },
-            )
+            val failures =
+                listOf<suspend (HttpExchange) -> Unit>(
+                    { awaitCancellation() },
+                    { it.respondStream(200, Headers.of("Content-Length" to "5")).abort() },
+                )
             for (failure in failures) {
                 withPlatform(failure, Duration.ofMillis(300)) { store, _ ->
                     store.put(key, "{}", ObjectVersion.NONE).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/Confirmation.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/Confirmation.kt
@@ -42,11 +42,13 @@
             val expected =
                 (routers.filterValues { !it.isLeaving }.keys + unlisted.map { it.instance })
                     .filterNot { reports[it]?.isDraining == true }
+            val isBehind = { instance: InstanceId -> (reports[instance]?.generation ?: -1) < generation }
             val unconfirmed =
-                expected.filterNot { (reports[it]?.generation ?: -1) >= generation }.sorted().associateWith { instance ->
+                expected.filter(isBehind).sorted().associateWith { instance ->
                     val report = reports[instance]
                     val zone = report?.zone ?: routers[instance]?.zone
-                    val lastReport = report?.let { "generation ${it.generation}, reported ${it.updatedAt}" } ?: "no report"
+                    val lastReport =
+                        report?.let { "generation ${it.generation}, reported ${it.updatedAt}" } ?: "no report"
                     "$lastReport, zone $zone"
                 }
             return Confirmation(expected.toSet() - unconfirmed.keys, unconfirmed)
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/FileCollector.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/FileCollector.kt
@@ -52,7 +52,13 @@
         val found = mutableListOf<Path>()
         directory.visitFileTree {
             onPreVisitDirectory { path, _ ->
-                if (path != directory && path.name.startsWith(".")) FileVisitResult.SKIP_SUBTREE else FileVisitResult.CONTINUE
+                if (path != directory &&
+                    path.name.startsWith(".")
+                ) {
+                    FileVisitResult.SKIP_SUBTREE
+                } else {
+                    FileVisitResult.CONTINUE
+                }
             }
             onVisitFile { path, _ ->
                 if (path.name == FILE_NAME) found.add(path)
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/FileCommand.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/FileCommand.kt
@@ -31,7 +31,10 @@
 
     protected fun fail(problems: List<FileProblem>): Nothing {
         problems.forEach { echo(it.toString(), err = true) }
-        fail(ExitCode.INVALID_INPUT, "${problems.size} ${if (problems.size == 1) "fault" else "faults"}; nothing was published")
+        fail(
+            ExitCode.INVALID_INPUT,
+            "${problems.size} ${if (problems.size == 1) "fault" else "faults"}; nothing was published",
+        )
     }
 
     protected fun fail(
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/MoveCheck.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/MoveCheck.kt
@@ -27,12 +27,16 @@
                     if (active == move.oldVersion) {
                         null
                     } else {
-                        "route ${move.route}: move ${move.id} from ${move.oldVersion} to ${move.newVersion} is running; " +
+                        "route ${move.route}: " +
+                            "move ${move.id} from ${move.oldVersion} to ${move.newVersion} is running; " +
                             "keep activeVersion: ${move.oldVersion} until it has ended"
                     }
-                else ->
-                    "route ${move.route}: move ${move.id}, ended by ${move.changedBy} at ${Instant.ofEpochMilli(move.endedAtMillis)}, " +
-                        "made $effective the effective version; write activeVersion: $effective, or add --replace-moves to send all traffic to $active at once"
+                else -> {
+                    val endedAt = Instant.ofEpochMilli(move.endedAtMillis)
+                    "route ${move.route}: move ${move.id}, ended by ${move.changedBy} at $endedAt, " +
+                        "made $effective the effective version; write activeVersion: $effective, " +
+                        "or add --replace-moves to send all traffic to $active at once"
+                }
             }
         }
 }
