--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/PublishCommand.kt
@@ -26,7 +26,8 @@
         .flag()
         .help("Let activeVersion in the files override the outcome of moves that have ended")
 
-    override fun help(context: Context): String = "Publishes the files and waits until all routers confirm the generation."
+    override fun help(context: Context): String =
+        "Publishes the files and waits until all routers confirm the generation."
 
     override suspend fun run(
         config: FleetConfig,
@@ -41,7 +42,13 @@
         val reader = createConfirmationReader(platform)
         val highestReported = reader.highestReportedGeneration().getOrElse { fail(PublishError.Unavailable(it)) }
         val result =
-            publisher.publish(config, expectedGeneration, settings.effectiveAuthor(), highestReported).getOrElse { fail(it) }
+            publisher
+                .publish(
+                    config,
+                    expectedGeneration,
+                    settings.effectiveAuthor(),
+                    highestReported,
+                ).getOrElse { fail(it) }
         val generation = result.config.generation
         echo(summary(result))
         val confirmation =
@@ -67,7 +74,12 @@
                 fail(ExitCode.PLATFORM_UNAVAILABLE, "not published: the moves can't be read: ${it.message}")
             }
         val ended = moves.filter { it.phaseAt(clock.millis()).isFinal }
-        val problems = MoveCheck.problems(config, if (isReplacingMoves) moves - ended.toSet() else moves, clock.millis())
+        val problems =
+            MoveCheck.problems(
+                config,
+                if (isReplacingMoves) moves - ended.toSet() else moves,
+                clock.millis(),
+            )
         if (problems.isEmpty()) return
         problems.forEach { echo(it, err = true) }
         fail(ExitCode.INVALID_INPUT, "nothing was published")
@@ -75,7 +87,11 @@
 
     private fun summary(result: PublishResult): String {
         val generation = result.config.generation
-        return if (result.isChanged) "published generation $generation" else "generation $generation has this content already"
+        return if (result.isChanged) {
+            "published generation $generation"
+        } else {
+            "generation $generation has this content already"
+        }
     }
 
     private fun failUnconfirmed(
@@ -85,7 +101,8 @@
     ): Nothing {
         confirmation.unconfirmed.forEach { (instance, state) -> echo("not confirmed: $instance ($state)", err = true) }
         val seconds = settings.confirmWithin.toSeconds()
-        val routers = "${confirmation.unconfirmed.size} of ${confirmation.unconfirmed.size + confirmation.confirmed.size} routers"
+        val routers =
+            "${confirmation.unconfirmed.size} of ${confirmation.unconfirmed.size + confirmation.confirmed.size} routers"
         fail(
             ExitCode.NOT_CONFIRMED,
             "generation $generation is published, and $routers have not confirmed it within $seconds s; " +
--- a/limpetfold-publish/src/test/kotlin/io/limpetfold/publish/PublishProgramTest.kt
+++ b/limpetfold-publish/src/test/kotlin/io/limpetfold/publish/PublishProgramTest.kt
@@ -105,12 +105,19 @@
             result.statusCode shouldBe 4
         }
 
-        test("guards against a check of the settings that stops at the first problem, and against an incomplete settings page or help") {
+        test(
+            "guards against a check of the settings that stops at the first problem, and against an incomplete settings page or help",
+        ) {
             val invalid = tempfile().apply { writeText("author: [a]\ncallTimeout: 5\nconfirmWithin: 1h\nwait: 1s") }
             val result = Fleet().run("publish", "--settings", invalid.path, directory.path)
             result.statusCode shouldBe 2
-            listOf("1: author:", "1: platform: is missing", "2: callTimeout:", "3: confirmWithin:", "4: wait: is an unknown key")
-                .forEach { result.stderr shouldContain "${invalid.path}:$it" }
+            listOf(
+                "1: author:",
+                "1: platform: is missing",
+                "2: callTimeout:",
+                "3: confirmWithin:",
+                "4: wait: is an unknown key",
+            ).forEach { result.stderr shouldContain "${invalid.path}:$it" }
             SettingsPage.documentedRows("limpetfold-publish") shouldBe
                 SettingsPage.expectedRows(PublishSettings.serializer(), """{"platform":"a:1"}""")
             Fleet().program().execute(listOf("--version")) shouldBe 0
@@ -128,7 +135,14 @@
         val store = FakeObjectStore()
         private val routers =
             listOf("r1", "r2", "r3").map {
-                ListedInstance(InstanceId(it), ListedInstance.ROUTER_SERVICE, VersionId("1"), ZoneId("z"), "127.0.0.1", 1)
+                ListedInstance(
+                    InstanceId(it),
+                    ListedInstance.ROUTER_SERVICE,
+                    VersionId("1"),
+                    ZoneId("z"),
+                    "127.0.0.1",
+                    1,
+                )
             } + ListedInstance(InstanceId("e1"), "termini", VersionId("1"), ZoneId("z"), "127.0.0.1", 1)
         private val platform = Platform(store.withFaults(faults), InstanceDirectory { Ok(routers.toImmutableList()) })
 
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
@@ -71,7 +71,8 @@
         maxWait: Duration,
     ): Result<ClaimDecision, ClaimError> {
         val key = ClaimKey.of(workspace, route, idempotencyKey)
-        val token = "${self.number.toString(RADIX)}-${attemptCounter.incrementAndGet().toString(RADIX)}-${self.instance}"
+        val attempt = attemptCounter.incrementAndGet()
+        val token = "${self.number.toString(RADIX)}-${attempt.toString(RADIX)}-${self.instance}"
         val claimedMark = timeSource.markNow()
         val claimedAt = clock.instant()
         val acquire = ShardOperation.Acquire(key.hash, token, claimedAt.toEpochMilli(), ::isDisowned)
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/request/RequestJournal.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/request/RequestJournal.kt
@@ -46,8 +46,12 @@
             buffer.store(batch)
             JournalAcknowledgement(batch.opened.size + batch.closed.size)
         }
-        network.registerHandler(JournalTopics.FIND) { _, query -> JournalQueryResponse(buffer.find(query.workspace, query.request)) }
-        network.registerHandler(JournalTopics.SPENT) { _, query -> SpentQueryResponse(buffer.spentTotal(query.holder, query.workspace)) }
+        network.registerHandler(
+            JournalTopics.FIND,
+        ) { _, query -> JournalQueryResponse(buffer.find(query.workspace, query.request)) }
+        network.registerHandler(
+            JournalTopics.SPENT,
+        ) { _, query -> SpentQueryResponse(buffer.spentTotal(query.holder, query.workspace)) }
     }
 
     /** The number of entries that this router keeps, for metrics. */
@@ -98,7 +102,17 @@
         workspace: WorkspaceId,
     ): Long? =
         coroutineScope {
-            val atPeers = network.connectedPeers().map { async { askSpent(it, SpentQuery(holder, workspace)) } }.awaitAll()
+            val atPeers =
+                network
+                    .connectedPeers()
+                    .map {
+                        async {
+                            askSpent(
+                                it,
+                                SpentQuery(holder, workspace),
+                            )
+                        }
+                    }.awaitAll()
             (atPeers + replicatedSpend(holder, workspace)).filterNotNull().maxOrNull()
         }
 
@@ -115,7 +129,11 @@
     ): Result<Long?, PeerError> =
         coroutineScope {
             val query = SpentQuery(holder, workspace)
-            val responses = routers.map { async { network.ask(it, JournalTopics.SPENT, query, policy.acknowledgeTimeout) } }.awaitAll()
+            val responses =
+                routers
+                    .map {
+                        async { network.ask(it, JournalTopics.SPENT, query, policy.acknowledgeTimeout) }
+                    }.awaitAll()
             val failure = responses.firstNotNullOfOrNull { it.getError() }
             val found = responses.mapNotNull { it.get()?.tokens } + listOfNotNull(replicatedSpend(holder, workspace))
             if (failure == null) Ok(found.maxOrNull()) else Err(failure)
@@ -156,7 +174,12 @@
     private fun possibleHolders(
         workspace: WorkspaceId,
         request: RequestId,
-    ): Set<InstanceId> = members().map { it.zone }.distinct().flatMap { copyPeers(it, workspace, request) }.toSet()
+    ): Set<InstanceId> =
+        members()
+            .map { it.zone }
+            .distinct()
+            .flatMap { copyPeers(it, workspace, request) }
+            .toSet()
 
     private suspend fun askEntry(
         peer: InstanceId,
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
@@ -82,7 +82,9 @@
             store.writeCount shouldBeLessThanOrEqual 128
         }
 
-        test("a full shard refuses new keys as not run, stays under 1 MB, and accepts new keys after the retention time") {
+        test(
+            "a full shard refuses new keys as not run, stays under 1 MB, and accepts new keys after the retention time",
+        ) {
             val store = FakeObjectStore()
             val router = registry(store, "a-router-with-a-long-instance-name")
             val candidates = (0 until 500_000).map { ClaimKey.of(WorkspaceId("w"), RouteId("r"), "$it") to "$it" }
@@ -111,7 +113,11 @@
                 bodies = bodies.withAdded(mapOf("h$it" to body), oldestMillis = 0, maxBytes = 750_000)
             }
             bodies.bodies.containsKey("h399") shouldBe true
-            val size = TypedObject.JSON.encodeToString(ClaimBodies.serializer(), bodies).encodeToByteArray().size
+            val size =
+                TypedObject.JSON
+                    .encodeToString(ClaimBodies.serializer(), bodies)
+                    .encodeToByteArray()
+                    .size
             size shouldBeLessThan 1_000_000
         }
     })
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
@@ -42,12 +42,24 @@
             repeat(SEEDS) { seed ->
                 val schedule = Schedule(seed)
                 runBlocking { schedule.run(this) }
-                withClue("seed=$seed schedule=\n${schedule.log.joinToString("\n")}") { schedule.violation() shouldBe null }
+                withClue("seed=$seed schedule=\n${schedule.log.joinToString("\n")}") {
+                    schedule.violation() shouldBe
+                        null
+                }
                 schedule.counts.forEach { (name, count) -> totals.merge(name, count, Int::plus) }
             }
             println("ClaimSchedule: seeds=$SEEDS ${totals.toSortedMap()}")
             // Fails when the schedules rarely reach a path, because then they prove nothing about it.
-            for (name in listOf("forwarded", "tooLate", "unknown", "unfinished", "finished", "released", "killed", "late")) {
+            for (name in listOf(
+                "forwarded",
+                "tooLate",
+                "unknown",
+                "unfinished",
+                "finished",
+                "released",
+                "killed",
+                "late",
+            )) {
                 withClue(name) { (totals[name] ?: 0) shouldBeGreaterThan 100 }
             }
         }
@@ -90,7 +102,12 @@
                             is ClaimDecision.Unfinished -> record("unfinished", "$incarnation $key")
                         }
                     },
-                    failure = { record(if (it is ClaimError.OutcomeUnknown) "unknown" else "refused", "$incarnation $key") },
+                    failure = {
+                        record(
+                            if (it is ClaimError.OutcomeUnknown) "unknown" else "refused",
+                            "$incarnation $key",
+                        )
+                    },
                 )
             }
 
@@ -176,7 +193,10 @@
                 }
                 repeat(random.nextInt(6)) { yield() }
             }
-            routers.forEach { it.scope.coroutineContext.job.cancelAndJoin() }
+            routers.forEach {
+                it.scope.coroutineContext.job
+                    .cancelAndJoin()
+            }
         }
 
         private fun start(
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/request/RequestJournalTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/request/RequestJournalTest.kt
@@ -45,7 +45,14 @@
             }
             fleet.hub.disconnect(holder.instance)
             for (retried in 1..5) {
-                repeat(50) { fleet.journals[retried].find(workspace, RequestId("q$it"))?.closed?.usedTokens shouldBe 10 }
+                repeat(
+                    50,
+                ) {
+                    fleet.journals[retried]
+                        .find(workspace, RequestId("q$it"))
+                        ?.closed
+                        ?.usedTokens shouldBe 10
+                }
             }
             fleet.journals[3].replicatedSpendFromReachable(holder, workspace) shouldBe 500
             fleet.journals[3].find(WorkspaceId("other"), RequestId("q1")) shouldBe null
@@ -70,7 +77,9 @@
             fleet.journals[4].replicatedSpendFromReachable(holder, workspace) shouldBe 70
         }
 
-        test("a router that does not respond makes the replicated spend an error instead of a value that is too small") {
+        test(
+            "a router that does not respond makes the replicated spend an error instead of a value that is too small",
+        ) {
             val fleet = Fleet()
             val holder = fleet.incarnation(0)
             fleet.journals[0].recordClosed(closed(1, holder, 70))
@@ -88,7 +97,10 @@
             val fleet = Fleet(JournalPolicy(maxEntries = 20, maxBytes = 6_000, batchWindow = Duration.ZERO))
             repeat(100) { fleet.journals[0].recordOpened(opened(it, fleet.incarnation(0))) }
             fleet.journals.forEach { it.entryCount shouldBeLessThanOrEqual 14 }
-            fleet.journals[0].find(workspace, RequestId("q99"))?.opened?.reservedTokens shouldBe 100
+            fleet.journals[0]
+                .find(workspace, RequestId("q99"))
+                ?.opened
+                ?.reservedTokens shouldBe 100
             fleet.clock.advance(Duration.ofMinutes(10))
             fleet.journals.forEach { it.maintain() }
             fleet.journals.sumOf { it.entryCount }.toLong() shouldBeLessThanOrEqual 0
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/Evidence.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/Evidence.kt
@@ -21,7 +21,10 @@
 
     /** Adds the logarithms of the factors of one block, one for each alternative. */
     fun add(logFactors: List<Double>) {
-        for (index in started.indices) started[index] = minOf(MAX_VALUE, (started[index] + nextWeight) * exp(logFactors[index]))
+        for (index in started.indices) {
+            started[index] =
+                minOf(MAX_VALUE, (started[index] + nextWeight) * exp(logFactors[index]))
+        }
         unstarted -= nextWeight
         nextWeight = unstarted * HAZARD
     }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
@@ -1,7 +1,6 @@
 package io.limpetfold.rollout
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
@@ -107,8 +106,11 @@
         duration: Duration,
     ): String? =
         when {
-            !ROUTE_PATTERN.matches(request.route.value) -> "route '${request.route}' has characters outside [A-Za-z0-9._@-]; rename it"
-            request.oldVersion == request.newVersion -> "old and new version are both ${request.newVersion}; choose two different versions"
+            !ROUTE_PATTERN.matches(
+                request.route.value,
+            ) -> "route '${request.route}' has characters outside [A-Za-z0-9._@-]; rename it"
+            request.oldVersion == request.newVersion ->
+                "old and new version are both ${request.newVersion}; choose two different versions"
             duration < MovePlan.MIN_DURATION ->
                 "the deadline is less than ${MovePlan.MIN_DURATION.toSeconds()} s away; choose a later deadline"
             else -> null
@@ -132,7 +134,10 @@
             store.list(MoveRecord.PREFIX).map { page ->
                 page.objects.mapNotNull { stored ->
                     try {
-                        Versioned(TypedObject.JSON.decodeFromString(MoveRecord.serializer(), stored.value), stored.version)
+                        Versioned(
+                            TypedObject.JSON.decodeFromString(MoveRecord.serializer(), stored.value),
+                            stored.version,
+                        )
                     } catch (_: SerializationException) {
                         null
                     }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -105,11 +105,19 @@
         val latestReports = reports[record.id].orEmpty()
         val evidence = pooledEvidence.getOrPut(record.id) { PooledEvidence(record.plan) }
         evidence.add(latestReports.mapValues { it.value.guard })
-        val view = MoveView(clock.millis(), latestReports, responders.filterTo(HashSet()) { it in latestReports }, evidence.finding)
+        val view =
+            MoveView(
+                clock.millis(),
+                latestReports,
+                responders.filterTo(HashSet()) { it in latestReports },
+                evidence.finding,
+            )
         return when (val decision = MoveDecider.decide(record, view)) {
             MoveDecision.Keep -> false
             is MoveDecision.Write -> write(record, decision.next)
-            MoveDecision.Complete -> hasAgreement(move, record) && write(record, record.copy(phase = MovePhase.Completed))
+            MoveDecision.Complete ->
+                hasAgreement(move, record) &&
+                    write(record, record.copy(phase = MovePhase.Completed))
         }
     }
 
@@ -122,7 +130,13 @@
         val latestReports = reports[record.id].orEmpty()
         return record.grants.keys.mapNotNull(Incarnation::parse).all { router ->
             val report = latestReports[router]
-            if (router in responders) report?.hasAgreed == true && report.version == move.version else isTerminated(router, responders)
+            if (router in
+                responders
+            ) {
+                report?.hasAgreed == true && report.version == move.version
+            } else {
+                isTerminated(router, responders)
+            }
         }
     }
 
@@ -155,10 +169,14 @@
                 changedAtMillis = if (isPhaseNew) clock.millis() else changed.changedAtMillis,
             )
         val updated =
-            TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).update(isApplied = { it == next }) { current ->
+            TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).update(isApplied = {
+                it == next
+            }) { current ->
                 // The change may be retried after a delay, so limit and lease are checked on each attempt.
-                val isTooLate = isPhaseNew && next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
-                val isAllowed = current == expected && !isTooLate && lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
+                val isTooLate =
+                    isPhaseNew && next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
+                val isAllowed =
+                    current == expected && !isTooLate && lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
                 if (isAllowed) Change.Write(next) else Change.Refuse(Unit)
             }
         return updated.fold(
@@ -186,8 +204,10 @@
                 .orEmpty()
                 .entries
                 .groupBy { it.key.instance }
-                .filterValues { reports -> reports.maxBy { it.key.number }.value.effectivePhase::class == record.phase::class }
-                .keys
+                .filterValues { reports ->
+                    reports.maxBy { it.key.number }.value.effectivePhase::class ==
+                        record.phase::class
+                }.keys
         val expected = listedRouters.orEmpty() + responders.map { it.instance }
         val unconfirmed = (expected - confirmed).sorted()
         if (unconfirmed != record.unconfirmed) write(record, record.copy(unconfirmed = unconfirmed))
@@ -227,7 +247,13 @@
         moves: List<Versioned<MoveRecord>>,
         completing: Set<MoveId>,
     ): Set<Incarnation> {
-        val query = ReportQuery(moves.mapNotNull { move -> move.value?.let { MoveSnapshot(it, move.version) } }, completing)
+        val query =
+            ReportQuery(
+                moves.mapNotNull { move ->
+                    move.value?.let { MoveSnapshot(it, move.version) }
+                },
+                completing,
+            )
         val responses =
             coroutineScope {
                 peers
@@ -246,7 +272,8 @@
     private suspend fun readDirectory() {
         directory.list().fold(
             success = { list ->
-                listedRouters = list.filter { it.service == ListedInstance.ROUTER_SERVICE }.mapTo(HashSet()) { it.instance }
+                listedRouters =
+                    list.filter { it.service == ListedInstance.ROUTER_SERVICE }.mapTo(HashSet()) { it.instance }
             },
             failure = { listener.onError(it) },
         )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -60,7 +60,10 @@
     fun nonResponders(
         record: MoveRecord,
         view: MoveView,
-    ): List<Incarnation> = record.grants.keys.mapNotNull(Incarnation::parse).filter { it !in view.responders }
+    ): List<Incarnation> =
+        record.grants.keys
+            .mapNotNull(Incarnation::parse)
+            .filter { it !in view.responders }
 
     private fun isStepDone(
         record: MoveRecord,
@@ -124,7 +127,11 @@
             record.allottedRequests - record.stepAllottedRequests +
                 maxOf(initialRelease, (record.stepAllottedRequests * releasedShare).toLong())
         var available = released - record.grants.values.sum()
-        val shortfalls = view.responders.sorted().associateWith { shortfall(record, it, view) }.filterValues { it > 0 }
+        val shortfalls =
+            view.responders
+                .sorted()
+                .associateWith { shortfall(record, it, view) }
+                .filterValues { it > 0 }
         if (available <= 0 || shortfalls.isEmpty()) return record
         val scale = minOf(1.0, available / shortfalls.values.sum().toDouble())
         val grants = record.grants.toMutableMap()
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveError.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveError.kt
@@ -14,7 +14,9 @@
         val operator: String,
         val since: Instant,
     ) : MoveError {
-        override val message get() = "move $move, started by $operator at $since, runs on this route; take it back or wait until it ends"
+        override val message
+            get() =
+                "move $move, started by $operator at $since, runs on this route; take it back or wait until it ends"
     }
 
     /** The move has ended; [endedBy] wrote [phase] at [endedAt]. */
@@ -24,7 +26,9 @@
         val endedBy: String,
         val endedAt: Instant,
     ) : MoveError {
-        override val message get() = "$endedBy ended move $move as $phase at $endedAt; start another move to change the version"
+        override val message
+            get() =
+                "$endedBy ended move $move as $phase at $endedAt; start another move to change the version"
     }
 
     /** The route has no move, or its latest move has another id. */
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
@@ -51,7 +51,13 @@
 
     /** Returns the effective phase: a move that is still running at its deadline counts as rolled back. */
     fun phaseAt(nowMillis: Long): MovePhase =
-        if (phase is MovePhase.Running && nowMillis >= deadlineMillis) MovePhase.TakenBack(TakeBackReason.DeadlinePassed) else phase
+        if (phase is MovePhase.Running &&
+            nowMillis >= deadlineMillis
+        ) {
+            MovePhase.TakenBack(TakeBackReason.DeadlinePassed)
+        } else {
+            phase
+        }
 
     /** Returns the version that the ended move made active; null while it runs. */
     fun effectiveVersionAt(nowMillis: Long): VersionId? =
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/PooledEvidence.kt
@@ -28,7 +28,10 @@
             val previous = lastReports.put(router, report)
             if (previous == null) failures.learn(report.earlierFailures)
             addFailures(previous?.failures ?: OutcomeCounts(), report.failures)
-            for (index in sums.indices) sums[index] += report.logEvidence[index] - (previous?.logEvidence?.get(index) ?: 0.0)
+            for (index in sums.indices) {
+                sums[index] +=
+                    report.logEvidence[index] - (previous?.logEvidence?.get(index) ?: 0.0)
+            }
         }
         sums.toList().chunked(SequentialComparison.ALTERNATIVE_COUNT).zip(DURATION_METRICS) { factors, metric ->
             if (factors.any { it != 0.0 }) evidence.getValue(metric).add(factors)
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
@@ -27,7 +27,12 @@
     private var failures = OutcomeCounts()
 
     /** Logarithms of the e-values of the durations: for each duration metric in order, one for each alternative. */
-    private val logEvidence: List<Double> get() = comparisons.filterKeys { it != GuardMetric.FAILURES }.values.flatMap { it.logEvidence }
+    private val logEvidence: List<Double> get() =
+        comparisons
+            .filterKeys {
+                it != GuardMetric.FAILURES
+            }.values
+            .flatMap { it.logEvidence }
 
     /** The outcomes and evidence recorded so far. */
     val report: GuardReport get() = GuardReport(failures, baseline.failures, logEvidence)
@@ -79,6 +84,13 @@
         private const val PRIOR_SLOW_SHARE = 0.1
 
         /** Returns the assumed share of bad outcomes of an old version without recorded outcomes. */
-        fun priorShare(metric: GuardMetric): Double = if (metric == GuardMetric.FAILURES) PRIOR_FAILURE_SHARE else PRIOR_SLOW_SHARE
+        fun priorShare(metric: GuardMetric): Double =
+            if (metric ==
+                GuardMetric.FAILURES
+            ) {
+                PRIOR_FAILURE_SHARE
+            } else {
+                PRIOR_SLOW_SHARE
+            }
     }
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
@@ -60,7 +60,8 @@
     /** For each verdict that is still being distributed, the peers that acknowledged it. */
     private val acknowledgedBy = LinkedHashMap<MoveId, MutableSet<InstanceId>>()
     private var polledAt: TimeMark? = null
-    private val pollInterval: Duration = policy.pollInterval.toKotlinDuration() * (1.0 + MAX_JITTER * fraction("poll", self.key))
+    private val pollInterval: Duration =
+        policy.pollInterval.toKotlinDuration() * (1.0 + MAX_JITTER * fraction("poll", self.key))
 
     init {
         peers.registerHandler(RolloutTopics.VERDICT) { _, verdict ->
@@ -90,7 +91,11 @@
             val record = move.record
             val verdict = verdicts[record.id]
             val phase = record.phaseAt(clock.millis())
-            if (phase.isFinal && configuredAtMillis > record.endedAtMillis) return VersionChoice(route, request, version = null)
+            if (phase.isFinal &&
+                configuredAtMillis > record.endedAtMillis
+            ) {
+                return VersionChoice(route, request, version = null)
+            }
             when (phase) {
                 is MovePhase.Running -> choiceDuringMove(move, request, phase.step, verdict)
                 MovePhase.Completed -> choiceAfterMove(record, request, isNew = verdict == null)
@@ -166,7 +171,15 @@
 
     /** Sends each verdict concurrently to all connected peers that have not acknowledged it, until its move ends. */
     suspend fun sendVerdicts() {
-        val pending = synchronized(lock) { acknowledgedBy.mapNotNull { (move, acked) -> verdicts[move]?.let { it to acked.toSet() } } }
+        val pending =
+            synchronized(lock) {
+                acknowledgedBy.mapNotNull { (move, acked) ->
+                    verdicts[move]?.let {
+                        it to
+                            acked.toSet()
+                    }
+                }
+            }
         coroutineScope {
             pending
                 .flatMap { (verdict, acked) -> (peers.connectedPeers() - acked).map { verdict to it } }
@@ -259,7 +272,14 @@
         val record = move.record
         if (record.id in verdicts || move.hasAgreed || record.phaseAt(clock.millis()).isFinal) return null
         val metric = move.guard.finding ?: return null
-        return Verdict(record.id, record.route, record.newVersion, self.instance, metric, clock.millis()).also(::storeVerdict)
+        return Verdict(
+            record.id,
+            record.route,
+            record.newVersion,
+            self.instance,
+            metric,
+            clock.millis(),
+        ).also(::storeVerdict)
     }
 
     private fun withdraw(
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
@@ -37,7 +37,8 @@
     val hasFinalOutcome: Boolean get() = order.status?.isFinal == true
 
     private var startedAt = firstSeenAt
-    private val plan = MovePlan(MovePreset.AVAILABILITY, emptyList(), policy.errorRate, policy.minOutcomes, policy.guardCount)
+    private val plan =
+        MovePlan(MovePreset.AVAILABILITY, emptyList(), policy.errorRate, policy.minOutcomes, policy.guardCount)
     private val guards = HashMap<RouteId, VersionGuard>()
     private val pooled = HashMap<RouteId, PooledEvidence>()
     private val peerReports = HashMap<Incarnation, TimedMoveReport>()
@@ -85,7 +86,11 @@
     ) {
         peerReports[router] = report
         startedAt = minOf(startedAt, now - Duration.ofMillis(report.elapsedMillis))
-        if (report.isWithdrawn && withdrawalReason == null) withdrawalReason = "router ${router.instance} found the new version worse"
+        if (report.isWithdrawn &&
+            withdrawalReason == null
+        ) {
+            withdrawalReason = "router ${router.instance} found the new version worse"
+        }
     }
 
     /**
@@ -134,7 +139,11 @@
         return when {
             withdrawalReason != null || isOverdue(share) -> MoveStatus.TAKEN_BACK
             share >= policy.completeUntil -> if (hasEnoughOutcomes()) MoveStatus.COMPLETED else MoveStatus.TAKEN_BACK
-            share >= policy.completeFrom && hasEnoughOutcomes() && isOldVersionIdle(runningRouters) -> MoveStatus.COMPLETED
+            share >= policy.completeFrom &&
+                hasEnoughOutcomes() &&
+                isOldVersionIdle(
+                    runningRouters,
+                ) -> MoveStatus.COMPLETED
             share >= 0 && order.status == null -> MoveStatus.ACTIVE
             else -> null
         }
@@ -152,7 +161,8 @@
     /** Returns whether a move without a stored outcome counts as taken back at [share] of its duration. */
     private fun isOverdue(share: Double) = share >= policy.completeUntil + OUTCOME_GRACE_SHARE
 
-    private fun shareAt(now: Duration): Double = (now - startedAt).toMillis().toDouble() / maxOf(1, order.duration.toMillis())
+    private fun shareAt(now: Duration): Double =
+        (now - startedAt).toMillis().toDouble() / maxOf(1, order.duration.toMillis())
 
     private fun withdraw(
         metric: GuardMetric,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionChoice.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionChoice.kt
@@ -16,5 +16,15 @@
     val isWithdrawn: Boolean,
 ) {
     /** Returns the choice with the side of [version], the version whose endpoint actually serves the call. */
-    fun withServedVersion(version: VersionId): TimedVersionChoice = copy(side = if (version == target) MoveSide.NEW else MoveSide.OLD)
+    fun withServedVersion(version: VersionId): TimedVersionChoice =
+        copy(
+            side =
+                if (version ==
+                    target
+                ) {
+                    MoveSide.NEW
+                } else {
+                    MoveSide.OLD
+                },
+        )
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
@@ -49,7 +49,13 @@
     fun choose(service: String): TimedVersionChoice? {
         val move = moves[service] ?: return null
         val isNew = random.nextDouble() < move.weightAt(now())
-        return TimedVersionChoice(service, move.order.target, if (isNew) MoveSide.NEW else MoveSide.OLD, isWithdrawn = move.withdrawalReason != null)
+        return TimedVersionChoice(
+            service,
+            move.order.target,
+            if (isNew) MoveSide.NEW else MoveSide.OLD,
+            isWithdrawn =
+                move.withdrawalReason != null,
+        )
     }
 
     /** Records that the call of [choice] was sent. */
@@ -97,5 +103,9 @@
 
     private fun baseline(route: RouteId) = baselines.getOrPut(route) { RouteBaseline() }
 
-    private fun moveOf(choice: TimedVersionChoice): TimedMove? = moves[choice.service]?.takeIf { it.order.target == choice.target }
+    private fun moveOf(choice: TimedVersionChoice): TimedMove? =
+        moves[choice.service]?.takeIf {
+            it.order.target ==
+                choice.target
+        }
 }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
@@ -24,7 +24,9 @@
             (Schedule.acquisitions > SCHEDULES) shouldBe true
         }
 
-        test("a released lease is acquired at once with a larger fencing token, and an unchanged one only after a full TTL") {
+        test(
+            "a released lease is acquired at once with a larger fencing token, and an unchanged one only after a full TTL",
+        ) {
             val store = FakeObjectStore()
             val time = TestTimeSource()
             val clients = (0..2).map { LeaseClient(store, Incarnation(InstanceId("r$it"), 1), time) }
@@ -78,7 +80,13 @@
                 2 -> advance(random.nextLong(20_000), "pause all")
                 else -> {
                     advance(random.nextLong(1_500), "wait")
-                    runBlocking { nodes.shuffled(random).take(random.nextInt(1, INSTANCES + 1)).forEach { it.act("maintain") { k -> k.maintain() } } }
+                    runBlocking {
+                        nodes
+                            .shuffled(
+                                random,
+                            ).take(random.nextInt(1, INSTANCES + 1))
+                            .forEach { it.act("maintain") { k -> k.maintain() } }
+                    }
                 }
             }
             check()
@@ -99,10 +107,17 @@
             for ((node, fencing) in holders) {
                 val holder = node.incarnation.key
                 if (fencing !in fencingHolders) {
-                    if (fencingHolders.keys.any { it >= fencing }) violation = violation ?: "fencing token decreased to $fencing"
+                    if (fencingHolders.keys.any { it >= fencing }) {
+                        violation =
+                            violation ?: "fencing token decreased to $fencing"
+                    }
                     acquisitions++
                 }
-                if (fencingHolders.getOrPut(fencing) { holder } != holder) violation = violation ?: "two holders had fencing token $fencing"
+                if (fencingHolders.getOrPut(fencing) { holder } !=
+                    holder
+                ) {
+                    violation = violation ?: "two holders had fencing token $fencing"
+                }
             }
         }
 
@@ -116,7 +131,13 @@
                 log += "r$index stalls in $call"
                 repeat(random.nextInt(1, 12)) {
                     advance(random.nextLong(2_500), "stall")
-                    runBlocking { nodes.filter { it.index != index }.forEach { it.act("maintain") { k -> k.maintain() } } }
+                    runBlocking {
+                        nodes.filter { it.index != index }.forEach {
+                            it.act(
+                                "maintain",
+                            ) { k -> k.maintain() }
+                        }
+                    }
                     check()
                 }
                 isStalled = false
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -54,7 +54,13 @@
     private var requestCount = 0
     var violation: String? = null
         private set
-    val outcomes: List<MovePhase> get() = history.map { it.second }.filter { it.phase.isFinal }.distinctBy { it.id }.map { it.phase }
+    val outcomes: List<MovePhase> get() =
+        history
+            .map {
+                it.second
+            }.filter { it.phase.isFinal }
+            .distinctBy { it.id }
+            .map { it.phase }
 
     fun report(): String = "$violation; seed=$seed schedule:\n${log.joinToString("\n")}"
 
@@ -114,7 +120,9 @@
         val preset = MovePreset.entries.random(random)
         val deadline = clock.instant() + Duration.ofSeconds(random.nextLong(75, 130))
         val request = MoveRequest(id, ROUTE, OLD, NEW, operator, deadline, preset)
-        runBlocking { commands.start(request) }.also { log("start $id $preset by $operator: ${if (it.isOk) "ok" else "refused"}") }
+        runBlocking {
+            commands.start(request)
+        }.also { log("start $id $preset by $operator: ${if (it.isOk) "ok" else "refused"}") }
         readHistory()
     }
 
@@ -191,7 +199,11 @@
     }
 
     private fun isSettled(): Boolean =
-        history.last().let { (at, record) -> record.phase.isFinal && record.unconfirmed?.size == 0 && nowMillis - at > SETTLED_MILLIS }
+        history.last().let { (at, record) ->
+            record.phase.isFinal &&
+                record.unconfirmed?.size == 0 &&
+                nowMillis - at > SETTLED_MILLIS
+        }
 
     private fun checkSettled() {
         if (violation != null) return
@@ -241,7 +253,14 @@
             selector = VersionSelector(faultyStore, self, peers, this, clock.monotonic, listener = this)
             controller =
                 MoveController(
-                    faultyStore, lease, selector, peers, { directory() }, { order, _ -> sendOrder(order) }, this, clock.monotonic,
+                    faultyStore,
+                    lease,
+                    selector,
+                    peers,
+                    { directory() },
+                    { order, _ -> sendOrder(order) },
+                    this,
+                    clock.monotonic,
                 )
         }
 
@@ -273,7 +292,17 @@
 
         private fun directory() =
             if (reachesPlatform) {
-                val listed = nodes.map { ListedInstance(InstanceId("r${it.index}"), ListedInstance.ROUTER_SERVICE, OLD, ZoneId("z"), "::1", 1) }
+                val listed =
+                    nodes.map {
+                        ListedInstance(
+                            InstanceId("r${it.index}"),
+                            ListedInstance.ROUTER_SERVICE,
+                            OLD,
+                            ZoneId("z"),
+                            "::1",
+                            1,
+                        )
+                    }
                 Ok(listed.toImmutableList())
             } else {
                 Err(StoreError.Unavailable("fault of the test"))
@@ -312,8 +341,22 @@
             val due = open.filter { it.first <= nowMillis }
             open.removeAll(due)
             for ((_, choice) in due) {
-                val isNewBad = (badNode == null || badNode == index) && nowMillis - START >= badAfterSeconds * 1_000 && random.nextDouble() < newFailureShare
-                selector.record(choice, VersionObservation(if (choice.version == NEW) !isNewBad else random.nextDouble() >= 0.02))
+                val isNewBad =
+                    (badNode == null || badNode == index) &&
+                        nowMillis - START >= badAfterSeconds * 1_000 &&
+                        random.nextDouble() < newFailureShare
+                selector.record(
+                    choice,
+                    VersionObservation(
+                        if (choice.version ==
+                            NEW
+                        ) {
+                            !isNewBad
+                        } else {
+                            random.nextDouble() >= 0.02
+                        },
+                    ),
+                )
             }
             val count = requestsPerTick.toInt() + if (random.nextDouble() < requestsPerTick % 1.0) 1 else 0
             repeat(count) { open += nowMillis + random.nextLong(0, 3_000) to choose() }
@@ -343,7 +386,11 @@
         fun checkPropagation() {
             if (!isRunning || !reachesPlatform) platformReachableSince = nowMillis
             for (other in nodes) {
-                val isReachable = isRunning && other.isRunning && (other.reachesPlatform || other.knowsOutcome()) && isLinked(index, other.index)
+                val isReachable =
+                    isRunning &&
+                        other.isRunning &&
+                        (other.reachesPlatform || other.knowsOutcome()) &&
+                        isLinked(index, other.index)
                 if (!isReachable) peerReachableSince[other.index] = nowMillis
             }
             if (isRunning && violation == null && !isStalled) checkOutcome()
@@ -352,7 +399,8 @@
         private fun checkOutcome() {
             val last = history.last().second
             val endedAt = history.firstOrNull { it.second.id == last.id && it.second.phase.isFinal }?.first ?: return
-            val reachableSince = minOf(platformReachableSince, nodes.filter { it.index != index }.minOf { peerReachableSince[it.index] })
+            val reachableSince =
+                minOf(platformReachableSince, nodes.filter { it.index != index }.minOf { peerReachableSince[it.index] })
             if (nowMillis - maxOf(endedAt, reachableSince) < MovePlan.PROPAGATION_BOUND.toMillis()) return
             val expected = if (last.phase is MovePhase.Completed) NEW else OLD
             val version = selector.choose(ROUTE, RequestId("check")).version ?: OLD
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveSchedulePropertyTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveSchedulePropertyTest.kt
@@ -16,15 +16,26 @@
         // Split into parts, because a single test for all schedules exceeds the timeout of a test on a busy machine.
         val singleSeed = System.getProperty("limpetfold.seed")?.toLong()
         val parts = if (singleSeed == null) (0 until PARTS).toList() else listOf(0L)
-        for (part in parts) test("no schedule of kills, pauses, partitions, outages and racing operators violates an invariant of moves, part $part") {
-            val seeds = if (singleSeed == null) LongStream.range(part * SCHEDULES, (part + 1) * SCHEDULES) else LongStream.of(singleSeed)
-            val fleets = seeds.parallel().mapToObj { seed -> MoveFleet(seed).also { it.run() } }.toList()
-            val failures = fleets.filter { it.violation != null }
-            val outcomes = fleets.flatMap { it.outcomes }.groupingBy { describe(it) }.eachCount()
-            println("moves: ${fleets.size} schedules, ${failures.size} failures, outcomes $outcomes")
-            failures.take(1).map { it.report() }.shouldBeEmpty()
-            // Without completed moves the schedules would not test the invariants of completion.
-            if (singleSeed == null) (outcomes["Completed"] ?: 0) shouldBeGreaterThan (SCHEDULES / 10).toInt()
+        for (part in parts) {
+            test(
+                "no schedule of kills, pauses, partitions, outages and racing operators violates an invariant of moves, part $part",
+            ) {
+                val seeds =
+                    if (singleSeed ==
+                        null
+                    ) {
+                        LongStream.range(part * SCHEDULES, (part + 1) * SCHEDULES)
+                    } else {
+                        LongStream.of(singleSeed)
+                    }
+                val fleets = seeds.parallel().mapToObj { seed -> MoveFleet(seed).also { it.run() } }.toList()
+                val failures = fleets.filter { it.violation != null }
+                val outcomes = fleets.flatMap { it.outcomes }.groupingBy { describe(it) }.eachCount()
+                println("moves: ${fleets.size} schedules, ${failures.size} failures, outcomes $outcomes")
+                failures.take(1).map { it.report() }.shouldBeEmpty()
+                // Without completed moves the schedules would not test the invariants of completion.
+                if (singleSeed == null) (outcomes["Completed"] ?: 0) shouldBeGreaterThan (SCHEDULES / 10).toInt()
+            }
         }
     }) {
     private companion object {
@@ -34,6 +45,12 @@
         const val SCHEDULES = 750L
 
         fun describe(phase: MovePhase): String =
-            if (phase is MovePhase.TakenBack) phase.reason::class.simpleName.orEmpty() else phase::class.simpleName.orEmpty()
+            if (phase is MovePhase.TakenBack) {
+                phase.reason::class.simpleName.orEmpty()
+            } else {
+                phase::class
+                    .simpleName
+                    .orEmpty()
+            }
     }
 }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/SequentialComparisonTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/SequentialComparisonTest.kt
@@ -22,7 +22,18 @@
             repeat(1_000) {
                 val side = if (random.nextDouble() < weight) MoveSide.NEW else MoveSide.OLD
                 if (side == MoveSide.NEW) newCount++
-                comparison.add(side, random.nextDouble() < if (side == MoveSide.NEW) newShare else oldShare)?.let(evidence::add)
+                comparison
+                    .add(
+                        side,
+                        random.nextDouble() <
+                            if (side ==
+                                MoveSide.NEW
+                            ) {
+                                newShare
+                            } else {
+                                oldShare
+                            },
+                    )?.let(evidence::add)
                 if (evidence.log >= ln(1 / errorRate)) return newCount
             }
             return null
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
@@ -30,7 +30,10 @@
             val routers =
                 (0..2).map {
                     val self = Incarnation(InstanceId("r$it"), 1)
-                    val faultyStore = store.withFaults { if (isStoreUnavailable) StoreFault.UNAVAILABLE else StoreFault.NONE }
+                    val faultyStore =
+                        store.withFaults {
+                            if (isStoreUnavailable) StoreFault.UNAVAILABLE else StoreFault.NONE
+                        }
                     VersionSelector(faultyStore, self, hub.join(self), clock, clock.monotonic)
                 }
 
@@ -51,23 +54,31 @@
             ): Int =
                 (1..count).count { n ->
                     val choice = routers[router].choose(route, RequestId("$router-$n-${clock.millis()}"))
-                    routers[router].record(choice, VersionObservation(isSuccess = !(isBad && choice.side == MoveSide.NEW)))
+                    routers[router].record(
+                        choice,
+                        VersionObservation(isSuccess = !(isBad && choice.side == MoveSide.NEW)),
+                    )
                     choice.side == MoveSide.NEW
                 }
         }
 
-        test("a configuration published after the end of a move replaces its outcome, and one published before does not") {
+        test(
+            "a configuration published after the end of a move replaces its outcome, and one published before does not",
+        ) {
             val fleet = Fleet()
             fleet.start()
             val startedAt = fleet.clock.millis()
             fleet.clock.advance(Duration.ofMinutes(6))
 
-            fun choose(publishedAtMillis: Long) = fleet.routers[0].choose(route, RequestId("q"), configuredAtMillis = publishedAtMillis).version
+            fun choose(publishedAtMillis: Long) =
+                fleet.routers[0].choose(route, RequestId("q"), configuredAtMillis = publishedAtMillis).version
             choose(startedAt) shouldBe old
             choose(fleet.clock.millis()) shouldBe null
         }
 
-        test("a partitioned router switches to the old version at the deadline, and to the new one only if no old endpoint is left") {
+        test(
+            "a partitioned router switches to the old version at the deadline, and to the new one only if no old endpoint is left",
+        ) {
             val fleet = Fleet()
             fleet.start()
             fleet.isStoreUnavailable = true
@@ -125,7 +136,9 @@
             fleet.send(0, 500, isBad = true)
             fleet.routers[0].verdict(started.record.id) shouldBe null
             fleet.send(0, 50, isBad = true) shouldBe 0
-            fleet.routers[0].handleReportQuery(ReportQuery(listOf(MoveSnapshot(started.record.copy(weight = 0.6), ObjectVersion(3)))))
+            fleet.routers[0].handleReportQuery(
+                ReportQuery(listOf(MoveSnapshot(started.record.copy(weight = 0.6), ObjectVersion(3)))),
+            )
             fleet.routers[0].verdict(started.record.id)?.metric shouldBe GuardMetric.FAILURES
         }
     })
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
@@ -24,7 +24,12 @@
     private val random = Random(seed)
     private var now = Duration.ofSeconds(100)
     private val routers =
-        List(routerCount) { index -> Incarnation(InstanceId("10.0.0.$index"), 1).let { it to TimedVersionSelector(it, { now }, Random(seed + index)) } }
+        List(routerCount) { index ->
+            Incarnation(InstanceId("10.0.0.$index"), 1).let {
+                it to
+                    TimedVersionSelector(it, { now }, Random(seed + index))
+            }
+        }
     private var order = MoveOrder("app", VersionId("v2"), DURATION, status = null, ObjectVersion(1))
 
     /** Indices of the routers that reach neither the store nor their peers. */
@@ -53,7 +58,8 @@
     }
 
     /** Returns the share of calls that router [index] sends to the new version now. */
-    fun newVersionShare(index: Int): Double = List(100) { routers[index].second.choose("app") }.count { it?.side == MoveSide.NEW } / 100.0
+    fun newVersionShare(index: Int): Double =
+        List(100) { routers[index].second.choose("app") }.count { it?.side == MoveSide.NEW } / 100.0
 
     private fun tick(elapsed: Duration?) {
         now += TICK
@@ -78,7 +84,14 @@
         val route = random.nextInt(2)
         val choice = selector.choose("app")
         val isNew = choice?.side == MoveSide.NEW
-        val isBad = if (isNew && elapsed != null) isNewBad(route, elapsed, random) else random.nextDouble() < OLD_FAILURE_SHARE
+        val isBad =
+            if (isNew &&
+                elapsed != null
+            ) {
+                isNewBad(route, elapsed, random)
+            } else {
+                random.nextDouble() < OLD_FAILURE_SHARE
+            }
         if (elapsed != null) allCalls++
         if (isNew) newCalls++
         if (isNew && newFailures >= 50) callsAfterFiftyFailures++
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedVersionSelectorTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedVersionSelectorTest.kt
@@ -49,9 +49,15 @@
             }
         }
 
-        test("guards against a version that starts to fail at full load and gets calls for more than 5 s after its fiftieth failure") {
+        test(
+            "guards against a version that starts to fail at full load and gets calls for more than 5 s after its fiftieth failure",
+        ) {
             for (seed in seeds) {
-                val fleet = fleet(seed) { _, elapsed, random -> elapsed > Duration.ofSeconds(7) && random.nextDouble() < 0.5 }
+                val fleet =
+                    fleet(seed) { _, elapsed, random ->
+                        elapsed > Duration.ofSeconds(7) &&
+                            random.nextDouble() < 0.5
+                    }
                 fleet.run()
                 withClue("seed $seed") {
                     fleet.status shouldBe MoveStatus.TAKEN_BACK
@@ -61,7 +67,9 @@
             }
         }
 
-        test("guards against a partitioned router that keeps sending to the old version, or to the new one after the deadline") {
+        test(
+            "guards against a partitioned router that keeps sending to the old version, or to the new one after the deadline",
+        ) {
             val fleet = fleet(1) { _, _, _ -> false }
             fleet.run(0.3)
             fleet.partitioned += 3
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -95,17 +95,32 @@
     private val burn = SloBurnCounter(clock)
 
     private val eventLoops = HttpEventLoops()
-    private val buffers = BufferBudget(settings.buffers.process.bytes, settings.buffers.stream.bytes.toInt())
+    private val buffers =
+        BufferBudget(
+            settings.buffers.process.bytes,
+            settings.buffers.stream.bytes
+                .toInt(),
+        )
     private val upstream = UpstreamClient(UpstreamSettings(), eventLoops, buffers)
     private val store = HttpObjectStore(upstream, settings.platformSettings())
     private val directory = HttpInstanceDirectory(upstream, settings.platformSettings())
     private val peers = KtorPeerNetwork(self, FleetKey(settings.peers.key))
 
     private val config: ConfigWatcher = ConfigWatcher(store, peers, monotonic, random)
-    private val membership: Membership = Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { heartbeat() }
+    private val membership: Membership =
+        Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { heartbeat() }
     private val seatClient: SeatClient = SeatClient(self, store, monotonic) { membership.hasEnded(it) }
     private val budget =
-        BudgetAgent(self, store, peers, ::budgetPolicy, monotonic, random, budgetEvents(), predecessorSpendLookup = ::predecessorSpend)
+        BudgetAgent(
+            self,
+            store,
+            peers,
+            ::budgetPolicy,
+            monotonic,
+            random,
+            budgetEvents(),
+            predecessorSpendLookup = ::predecessorSpend,
+        )
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, HttpEndpointProbe(upstream, ::addressOf))
     private val limiterUpdater = LimiterUpdater(config, membership, seatClient, limiter)
@@ -249,13 +264,25 @@
         val endpointSelector = EndpointSelector(versionSelector, membership, limiter, limiterUpdater::refreshSeat)
         val forwarder = Forwarder(endpointSelector, upstream, limiter, versionSelector, monotonic)
         val engineClient = EngineClient(upstream, membership, limiter, versionSelector)
-        val callJournal = CallJournal(self, journal, runs, peers) {
+        val callJournal =
+            CallJournal(self, journal, runs, peers) {
                 membership.hasEnded(it) || RouterProcessProbe(membership).hasEnded(it.instance)
             }
         return CallerRequestHandler(
             { config.current },
             { isRefusingRequests },
-            ModelCallHandler(forwarder, engineClient, budget, PromptEstimator(), versionSelector, callJournal, runs, bodyBuffer, clock, scope),
+            ModelCallHandler(
+                forwarder,
+                engineClient,
+                budget,
+                PromptEstimator(),
+                versionSelector,
+                callJournal,
+                runs,
+                bodyBuffer,
+                clock,
+                scope,
+            ),
             ServiceCallHandler(forwarder, claims, versionSelector),
             CallObserver(metrics, burn, traces),
             clock,
@@ -263,7 +290,8 @@
         )
     }
 
-    private fun operatorsApi() = OperatorsApi(
+    private fun operatorsApi() =
+        OperatorsApi(
             settings.operators.key,
             { readiness },
             ::view,
@@ -334,7 +362,14 @@
                 budget.accounts().map {
                     RouterView.BudgetView(it.workspace.value, it.grantedTokens, it.spentTokens, it.reservedTokens)
                 },
-            moves = versionSelector.moves().map { RouterView.MoveView(it.route.value, it.id.value, it.phase.toString()) },
+            moves =
+                versionSelector.moves().map {
+                    RouterView.MoveView(
+                        it.route.value,
+                        it.id.value,
+                        it.phase.toString(),
+                    )
+                },
             bufferedBytes = buffers.usedBytes,
         )
 
@@ -352,7 +387,9 @@
         )
 
     private fun budgetPolicy(workspace: WorkspaceId): BudgetPolicy {
-        val isAvailability = config.current?.workspaces?.any { it.workspace == workspace && it.budget == TradeoffPreset.AVAILABILITY } ?: false
+        val isAvailability =
+            config.current?.workspaces?.any { it.workspace == workspace && it.budget == TradeoffPreset.AVAILABILITY }
+                ?: false
         return if (isAvailability) BudgetPolicy.availability else BudgetPolicy.exposure
     }
 
@@ -364,9 +401,13 @@
         holder: Incarnation,
         workspace: WorkspaceId,
     ): Long? {
-        val others = (membership.otherListedRouters().map { it.instance } + membership.members().map { it.instance }).toSet()
+        val others =
+            (membership.otherListedRouters().map { it.instance } + membership.members().map { it.instance })
+                .toSet()
         if (others.isEmpty() || !peers.connectedPeers().containsAll(others)) return null
-        return journal.replicatedSpendFromAll(others, holder, workspace).fold({ it ?: PredecessorSpendLookup.WHOLE_GRANT }, { null })
+        return journal.replicatedSpendFromAll(others, holder, workspace).fold({
+            it ?: PredecessorSpendLookup.WHOLE_GRANT
+        }, { null })
     }
 
     private fun budgetEvents() = BudgetListener { metrics.count(RouterMetrics.BUDGET_EVENTS, it.name) }
@@ -402,6 +443,7 @@
         val LIMITS_INTERVAL: Duration = Duration.ofMillis(250)
         const val CLOSE_ATTEMPTS = 5
         val CLOSE_RETRY_DELAY: Duration = Duration.ofMillis(500)
+
         /** The longest wait until the requests of closed connections are billed. */
         val CLOSED_CONNECTIONS_WAIT: Duration = Duration.ofSeconds(5)
         val MAINTENANCE_INTERVAL: Duration = Duration.ofSeconds(1)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/RouterCommand.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/RouterCommand.kt
@@ -20,7 +20,10 @@
 
 /** The command line of the router. */
 internal class RouterCommand : CliktCommand(name = "limpetfold-router") {
-    private val settingsPath by option("--settings", help = "YAML file with the settings of this router").path().required()
+    private val settingsPath by option(
+        "--settings",
+        help = "YAML file with the settings of this router",
+    ).path().required()
     private val isCheckOnly by option("--check", help = "check the settings and exit").flag()
 
     init {
@@ -33,8 +36,9 @@
             "SIGTERM starts a graceful shutdown."
 
     override fun run() {
+        val loader = SettingsLoader(RouterSettings.serializer(), RouterSettingsCheck::problems)
         val settings =
-            SettingsLoader(RouterSettings.serializer(), RouterSettingsCheck::problems).load(settingsPath).getOrElse { problems ->
+            loader.load(settingsPath).getOrElse { problems ->
                 problems.forEach { echo(it.toString(), err = true) }
                 throw ProgramResult(INVALID_SETTINGS)
             }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BufferedResponseWriter.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BufferedResponseWriter.kt
@@ -31,7 +31,11 @@
     ) {
         val reason = if (isTruncated) "length" else finishReason ?: if (meter.isExhausted) "length" else "stop"
         val headers = Headers.of("Content-Type" to "application/json", "X-Request-Id" to call.request.value)
-        call.exchange.respond(OK, headers, ChatResponse.completion(call.request.value, model, content.toString(), reason, meter))
+        call.exchange.respond(
+            OK,
+            headers,
+            ChatResponse.completion(call.request.value, model, content.toString(), reason, meter),
+        )
     }
 
     /** Nothing was sent yet, so the failure can be reported as a refusal. */
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
@@ -36,6 +36,5 @@
     val upstreamRequestId: String get() = "${workspace.workspace}:$request"
 
     /** The time until [deadline]; zero after it. */
-    fun remainingTime(): Duration =
-        Duration.ofMillis((-deadline.elapsedNow()).inWholeMilliseconds.coerceAtLeast(0))
+    fun remainingTime(): Duration = Duration.ofMillis((-deadline.elapsedNow()).inWholeMilliseconds.coerceAtLeast(0))
 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallJournal.kt
@@ -27,7 +27,9 @@
     private val hasEnded: suspend (Incarnation) -> Boolean,
 ) {
     init {
-        peers.registerHandler(TakeoverMessages.TOPIC) { from, message -> runs.handOver(message.workspace, message.request, from) }
+        peers.registerHandler(
+            TakeoverMessages.TOPIC,
+        ) { from, message -> runs.handOver(message.workspace, message.request, from) }
     }
 
     /**
@@ -60,7 +62,9 @@
         run: BillableRun,
     ) {
         val tokens = run.reservation.tokens
-        journal.recordOpened(OpenedRecord(call.workspace.workspace, call.request, self, endpoint, tokens, run.takeovers))
+        journal.recordOpened(
+            OpenedRecord(call.workspace.workspace, call.request, self, endpoint, tokens, run.takeovers),
+        )
     }
 
     /** Replicates the bill of the request to the peers; must be called before the last part of the response is sent. */
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
@@ -44,7 +44,12 @@
         val request = headerValue?.takeIf(REQUEST_ID_PATTERN::matches)?.let(::RequestId)
         val config = config() ?: return Admission.Refused(NO_CONFIGURATION, request)
         if (isDraining()) return Admission.Refused(Refusal.Draining(RETRY_AFTER), request)
-        if (exchange.isProcessBufferFull) return Admission.Refused(Refusal.RouterOverloaded("buffered bytes", RETRY_AFTER), request)
+        if (exchange.isProcessBufferFull) {
+            return Admission.Refused(
+                Refusal.RouterOverloaded("buffered bytes", RETRY_AFTER),
+                request,
+            )
+        }
         val key = bearerKey(exchange)
         val workspace = key?.let(config::workspaceByKey) ?: return Admission.Refused(Refusal.Unauthenticated, request)
         val path = exchange.head.path
@@ -165,7 +170,11 @@
         private val RETRY_AFTER: Duration = Duration.ofSeconds(1)
         private val INVALID_REQUEST_ID =
             Refusal.InvalidRequest("header $REQUEST_HEADER must have 1 to 100 letters, digits, '.', '_' or '-'")
-        private val NO_CONFIGURATION = Refusal.RouterOverloaded("its start: no configuration has arrived yet", RETRY_AFTER)
+        private val NO_CONFIGURATION =
+            Refusal.RouterOverloaded(
+                "its start: no configuration has arrived yet",
+                RETRY_AFTER,
+            )
         private val LOGGER = LoggerFactory.getLogger(CallerRequestHandler::class.java)
     }
 }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointSelector.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointSelector.kt
@@ -42,11 +42,21 @@
         val move = versionSelector.moves().firstOrNull { it.route == call.route.route }
         val oldVersion = move?.oldVersion ?: call.route.activeVersion
         val hasOldEndpoint = usableEndpoints.any { it.version == oldVersion && !it.isLeaving }
-        val choice = versionSelector.choose(call.route.route, call.request, hasOldEndpoint, call.configPublishedAtMillis)
+        val choice =
+            versionSelector.choose(
+                call.route.route,
+                call.request,
+                hasOldEndpoint,
+                call.configPublishedAtMillis,
+            )
         val version = choice.version ?: call.route.activeVersion
         val versionEndpoints = usableEndpoints.filter { it.version == version }
         val untriedEndpoints = versionEndpoints.filter { EndpointId(it.instance.value) !in triedEndpoints }
-        val candidates = untriedEndpoints.ifEmpty { versionEndpoints }.map { EndpointCandidate(EndpointId(it.instance.value), it.zone) }
+        val candidates =
+            untriedEndpoints
+                .ifEmpty {
+                    versionEndpoints
+                }.map { EndpointCandidate(EndpointId(it.instance.value), it.zone) }
         val maxWait = minOf(call.route.queue.maxWait, call.remainingTime())
         return limiter.acquire(call.route.route, call.workspace.workspace, candidates, maxWait).fold(
             success = { permit ->
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -58,7 +58,8 @@
         call: Call,
         endpoint: EndpointId,
     ): ResumedStream? {
-        val listed = membership.endpoints(call.service.name).firstOrNull { it.instance.value == endpoint.value } ?: return null
+        val listed =
+            membership.endpoints(call.service.name).firstOrNull { it.instance.value == endpoint.value } ?: return null
         val candidate = listOf(EndpointCandidate(endpoint, listed.zone))
         val permit =
             limiter
@@ -83,7 +84,9 @@
         attempt: Attempt,
         meter: TokenMeter,
     ): Boolean {
-        val response = upstream.send(attempt.address, request("DELETE", "/v1/streams/${call.upstreamRequestId}", call)).get() ?: return true
+        val response =
+            upstream.send(attempt.address, request("DELETE", "/v1/streams/${call.upstreamRequestId}", call)).get()
+                ?: return true
         val body = response.use { it.readAll(MAX_USAGE_BYTES).getOrElse { return true } }
         usage(body)?.let(meter::accept)
         return response.head.status != NOT_FOUND
@@ -120,7 +123,13 @@
             val usage = content?.get("usage")?.jsonObject
             val promptTokens = usage?.get("prompt_tokens")?.jsonPrimitive?.longOrNull
             val completionTokens = usage?.get("completion_tokens")?.jsonPrimitive?.longOrNull
-            if (promptTokens == null || completionTokens == null) null else ChatEvent.Usage(promptTokens, completionTokens)
+            if (promptTokens == null ||
+                completionTokens == null
+            ) {
+                null
+            } else {
+                ChatEvent.Usage(promptTokens, completionTokens)
+            }
         } catch (_: IllegalArgumentException) {
             null
         }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
@@ -57,7 +57,11 @@
         var state = reserved
         while (true) {
             val attempt =
-                endpointSelector.acquire(call, triedEndpoints).getOrElse { return ForwardResult.NoResponse(refuse(state, it)) }
+                endpointSelector
+                    .acquire(
+                        call,
+                        triedEndpoints,
+                    ).getOrElse { return ForwardResult.NoResponse(refuse(state, it)) }
             val refusal = beforeSend(attempt)
             if (refusal != null) {
                 cancel(attempt)
@@ -65,7 +69,9 @@
             }
             triedEndpoints += attempt.endpoint
             state = RequestLifecycle.next(state, RequestEvent.Send(attempt.endpoint))
-            call.trace.add("sent endpoint=${attempt.endpoint} version=${attempt.version} attempt=${triedEndpoints.size}")
+            call.trace.add(
+                "sent endpoint=${attempt.endpoint} version=${attempt.version} attempt=${triedEndpoints.size}",
+            )
             val outcome = send(call, attempt, buildRequest(attempt))
             if (outcome is SendOutcome.Response) {
                 val responding = RequestLifecycle.next(state, RequestEvent.ResponseStarted)
@@ -75,7 +81,15 @@
             call.trace.add("attempt ended endpoint=${attempt.endpoint} outcome=${outcome.description}")
             val mayRetry = policy.canRetry(state, isIdempotent) && isBodyReusable() && !call.deadline.hasPassedNow()
             if (!mayRetry || !retryBudget(call).tryAcquire()) {
-                val finalRefusal = if (state is RequestState.Reserved) Refusal.EndpointRefused(attempt.endpoint, RETRY_AFTER) else null
+                val finalRefusal =
+                    if (state is RequestState.Reserved) {
+                        Refusal.EndpointRefused(
+                            attempt.endpoint,
+                            RETRY_AFTER,
+                        )
+                    } else {
+                        null
+                    }
                 return ForwardResult.NoResponse(if (finalRefusal == null) state else refuse(state, finalRefusal))
             }
         }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -50,7 +50,11 @@
         if (call.exchange.head.method != "POST") {
             return RefusalWriter.refuse(call, Refusal.InvalidRequest("method must be POST", METHOD_NOT_ALLOWED))
         }
-        return bodyBuffer.read(call.exchange, call.route.maxRequestBytes.bytes.toInt()) { serve(call, it) }
+        return bodyBuffer.read(
+            call.exchange,
+            call.route.maxRequestBytes.bytes
+                .toInt(),
+        ) { serve(call, it) }
             ?: RefusalWriter.refuse(call, Refusal.RouterOverloaded("request bodies held", OVERLOADED_RETRY_AFTER))
     }
 
@@ -120,12 +124,16 @@
         chat: ChatRequest,
         endpoint: EndpointId?,
     ): CallEnd {
-        val resumed = endpoint?.let { engineClient.resumeEarlier(call, it) } ?: return RefusalWriter.refuse(call, Refusal.DuplicateFinished(OK))
+        val resumed =
+            endpoint?.let { engineClient.resumeEarlier(call, it) }
+                ?: return RefusalWriter.refuse(call, Refusal.DuplicateFinished(OK))
         call.trace.add("answer replayed endpoint=$endpoint")
         val meter = TokenMeter(chat.maxTokens.toLong(), estimator.maxPromptTokens(chat.model, chat.promptBytes))
         val result = ForwardResult.Responding.resumed(call, resumed.attempt, resumed.response)
         return try {
-            call.exchange.cancelOnDisconnect { ModelStream(call, result, engineClient, meter, responseWriter(call, chat)).relay { 0 } }
+            call.exchange.cancelOnDisconnect {
+                ModelStream(call, result, engineClient, meter, responseWriter(call, chat)).relay { 0 }
+            }
         } finally {
             resumed.attempt.permit.release(EndpointOutcome.Ignored)
         }
@@ -149,7 +157,10 @@
             }
         return when (result) {
             is ForwardResult.NoResponse ->
-                RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
+                RefusalWriter.refuse(
+                    call,
+                    checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" },
+                )
             is ForwardResult.Responding -> relay(call, run, result)
         }
     }
@@ -259,7 +270,10 @@
                 EndpointOutcome.Responded(firstToken)
             },
         )
-        versionSelector.record(attempt.versionChoice, VersionObservation(!hasFailed, null, firstToken, stream.betweenTokens))
+        versionSelector.record(
+            attempt.versionChoice,
+            VersionObservation(!hasFailed, null, firstToken, stream.betweenTokens),
+        )
     }
 
     /** Cancels the request at the engine after the caller disconnected and bills what was generated until then. */
@@ -284,7 +298,6 @@
 
     private fun maxWait(call: Call): Duration = minOf(MAX_BUDGET_WAIT, call.remainingTime())
 
-
     private fun BudgetRefusal.toRefusal(): Refusal.NotRun =
         when (this) {
             is BudgetRefusal.InsufficientBudget -> Refusal.BudgetExhausted(workspace, retryAfter)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RequestBody.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RequestBody.kt
@@ -49,7 +49,11 @@
             val length = headers["Content-Length"]?.toLongOrNull()
             if (length == null && headers["Transfer-Encoding"] == null) return RequestBody(ByteArray(0), null, null)
             if (length != null && length > maxBytes) throw tooLarge(maxBytes)
-            if (length != null && length <= MAX_HELD_BYTES) return RequestBody(exchange.readBody(MAX_HELD_BYTES), null, null)
+            if (length != null &&
+                length <= MAX_HELD_BYTES
+            ) {
+                return RequestBody(exchange.readBody(MAX_HELD_BYTES), null, null)
+            }
             var passedBytes = 0L
             val bounded =
                 BodySource {
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RequestBodyBuffer.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RequestBodyBuffer.kt
@@ -36,7 +36,10 @@
             while (true) {
                 val chunk = exchange.body.next() ?: break
                 if (body.size() + chunk.size > maxBytes) {
-                    throw RequestBodyException(PAYLOAD_TOO_LARGE, "the body exceeds $maxBytes bytes: send a smaller body")
+                    throw RequestBodyException(
+                        PAYLOAD_TOO_LARGE,
+                        "the body exceeds $maxBytes bytes: send a smaller body",
+                    )
                 }
                 if (held.addAndGet(chunk.size.toLong()) > limitBytes) {
                     held.addAndGet(-chunk.size.toLong())
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RunRegistry.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/RunRegistry.kt
@@ -47,7 +47,11 @@
         val key = Key(call)
         synchronized(this) {
             runs.remove(key, run)
-            if (run.state == BillingState.BILLED || run.state == BillingState.HANDED_OVER) endedRuns[key] = EndedRun(run.state, run.takenBy)
+            if (run.state == BillingState.BILLED ||
+                run.state == BillingState.HANDED_OVER
+            ) {
+                endedRuns[key] = EndedRun(run.state, run.takenBy)
+            }
             if (endedRuns.size > maxEndedRuns) endedRuns.remove(endedRuns.keys.first())
         }
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
@@ -111,21 +111,21 @@
         var hasEnded = false
         val result =
             try {
-                forwarder.forward(
-                    call,
-                    reserved,
-                    isIdempotent = rule.isRepeatable,
-                    isBodyReusable = { body.isReusable },
-                    beforeSend = {
-                        // A retry after proof that the endpoint did not start reuses the claim, which is marked as
-                        // forwarded already.
-                        val mayForward = isForwarded || claim == null || claim.tryMarkForwarded()
-                        isForwarded = isForwarded || mayForward
-                        if (mayForward) null else Refusal.ClaimUnavailable("the claim is too old to be used", null)
-                    },
-                    buildRequest = { upstreamRequest(call, body) },
-                )
-                    .also { hasEnded = true }
+                forwarder
+                    .forward(
+                        call,
+                        reserved,
+                        isIdempotent = rule.isRepeatable,
+                        isBodyReusable = { body.isReusable },
+                        beforeSend = {
+                            // A retry after proof that the endpoint did not start reuses the claim, which is marked as
+                            // forwarded already.
+                            val mayForward = isForwarded || claim == null || claim.tryMarkForwarded()
+                            isForwarded = isForwarded || mayForward
+                            if (mayForward) null else Refusal.ClaimUnavailable("the claim is too old to be used", null)
+                        },
+                        buildRequest = { upstreamRequest(call, body) },
+                    ).also { hasEnded = true }
             } finally {
                 if (!hasEnded && claim != null && !isForwarded) claims.release(claim)
             }
@@ -134,7 +134,10 @@
             is ForwardResult.NoResponse -> {
                 val isProven = result.state is RequestState.Refused
                 if (claim != null && isProven) claims.release(claim, isProvenNotStarted = true)
-                RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" })
+                RefusalWriter.refuse(
+                    call,
+                    checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" },
+                )
             }
         }
     }
@@ -181,7 +184,10 @@
         result.attempt.permit.release(
             if (hasFailed) EndpointOutcome.Failed else EndpointOutcome.Responded(firstByte),
         )
-        versionSelector.record(result.attempt.versionChoice, VersionObservation(isSuccess = !hasFailed, latency = elapsed(call)))
+        versionSelector.record(
+            result.attempt.versionChoice,
+            VersionObservation(isSuccess = !hasFailed, latency = elapsed(call)),
+        )
         if (!hasFailed) forwarder.recordSuccess(call)
         return outcome
     }
@@ -197,7 +203,9 @@
                 return RefusalWriter.refuse(call, checkNotNull(RequestLifecycle.refusal(lost)))
             }
         val sink = call.exchange.respondStream(response.head.status, responseHeaders(call, response))
-        val failure = withTimeoutOrNull(call.remainingTime().toMillis()) { copyBody(first, response, sink) } ?: "the request exceeded the time limit of its route"
+        val failure =
+            withTimeoutOrNull(call.remainingTime().toMillis()) { copyBody(first, response, sink) }
+                ?: "the request exceeded the time limit of its route"
         if (failure.isNotEmpty()) {
             // The connection is cut, so that the caller can't take a truncated response for a complete one.
             sink.abort()
@@ -239,7 +247,11 @@
         val contentType = response.head.headers["Content-Type"] ?: "application/json"
         val recorded = RecordedResponse(response.head.status, contentType, body.decodeToString())
         claims.complete(claim, recorded).onFailure {
-            LOGGER.warn("router: the outcome of a claim was not recorded request={} cause=\"{}\"", call.request, it.message)
+            LOGGER.warn(
+                "router: the outcome of a claim was not recorded request={} cause=\"{}\"",
+                call.request,
+                it.message,
+            )
         }
         call.exchange.respond(response.head.status, responseHeaders(call, response), body)
         return CallEnd.Answered(response.head.status)
@@ -248,8 +260,11 @@
     private fun responseHeaders(
         call: Call,
         response: UpstreamResponse,
-    ): Headers = response.head.headers.withoutHopByHop().without("X-Draining").with(REQUEST_HEADER, call.request.value)
-
+    ): Headers =
+        response.head.headers
+            .withoutHopByHop()
+            .without("X-Draining")
+            .with(REQUEST_HEADER, call.request.value)
 
     private fun elapsed(call: Call): Duration = Duration.ofNanos(call.arrivedAt.elapsedNow().inWholeNanoseconds)
 
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
@@ -32,7 +32,14 @@
         ): TakeoverReply =
             when (state) {
                 BillingState.BILLED -> TakeoverReply(TakeoverOutcome.BILLED)
-                BillingState.HANDED_OVER -> if (takenBy == taker) TakeoverReply(TakeoverOutcome.HANDED_OVER) else TakeoverReply(TakeoverOutcome.TAKEN, takenBy)
+                BillingState.HANDED_OVER ->
+                    if (takenBy ==
+                        taker
+                    ) {
+                        TakeoverReply(TakeoverOutcome.HANDED_OVER)
+                    } else {
+                        TakeoverReply(TakeoverOutcome.TAKEN, takenBy)
+                    }
                 BillingState.OPEN, BillingState.DISCARDED -> TakeoverReply(TakeoverOutcome.UNKNOWN_REQUEST)
             }
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
@@ -63,7 +63,12 @@
                 return Usage(promptTokens, completionTokens ?: return Malformed)
             }
             val delta = choice["delta"] as? JsonObject
-            return Delta(delta?.text("content").orEmpty(), choice.text("finish_reason"), completionTokens, content.text("id"))
+            return Delta(
+                delta?.text("content").orEmpty(),
+                choice.text("finish_reason"),
+                completionTokens,
+                content.text("id"),
+            )
         }
 
         private fun JsonObject.text(name: String): String? = primitive(this[name])?.contentOrNull
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
@@ -57,7 +57,12 @@
                 } catch (_: CharacterCodingException) {
                     return Err("the body is not UTF-8; send JSON in UTF-8")
                 }
-            if (JsonDepth.isExceeded(text)) return Err("the JSON is nested deeper than ${JsonDepth.MAX_LEVELS} levels; flatten it")
+            if (JsonDepth.isExceeded(
+                    text,
+                )
+            ) {
+                return Err("the JSON is nested deeper than ${JsonDepth.MAX_LEVELS} levels; flatten it")
+            }
             val content =
                 try {
                     Json.parseToJsonElement(text) as? JsonObject
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/CallObserver.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/CallObserver.kt
@@ -31,7 +31,12 @@
             is CallEnd.Answered -> {
                 call.trace.add("answered status=${end.status}")
                 val hasFailed = end.status >= FIRST_SERVER_ERROR
-                burn.record(call.route.route, call.workspace.workspace, hasFailed, isSlow(call.route.objectives, end, elapsed))
+                burn.record(
+                    call.route.route,
+                    call.workspace.workspace,
+                    hasFailed,
+                    isSlow(call.route.objectives, end, elapsed),
+                )
             }
             is CallEnd.Refused -> {
                 call.trace.add("refused type=${end.refusal.type} ran=${end.refusal.ran.wireName}")
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterGauges.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterGauges.kt
@@ -24,7 +24,10 @@
         gauge("limpetfold_held_body_bytes", "Bytes of request bodies held whole", heldBodyBytes)
         gauge("limpetfold_config_generation", "Configuration generation in force", generation)
         gauge("limpetfold_members", "Other routers heard", members)
-        gauge("limpetfold_move_controller", "1 while this router holds the move lease") { if (isMoveController()) 1 else 0 }
+        gauge(
+            "limpetfold_move_controller",
+            "1 while this router holds the move lease",
+        ) { if (isMoveController()) 1 else 0 }
         gauge("limpetfold_journal_entries", "Journal copies held for peers", journalEntries)
         gauge("limpetfold_granted_tokens", "Tokens granted to this router, over all workspaces", grantedTokens)
         gauge("limpetfold_spent_tokens", "Tokens spent by this router, over all workspaces", spentTokens)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterMetrics.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/observe/RouterMetrics.kt
@@ -38,7 +38,11 @@
         name: String,
         event: String,
         amount: Double = 1.0,
-    ) = Counter.builder(name).tag("event", event).register(registry).increment(amount)
+    ) = Counter
+        .builder(name)
+        .tag("event", event)
+        .register(registry)
+        .increment(amount)
 
     fun onStarted() {
         runningRequests.incrementAndGet()
@@ -67,8 +71,19 @@
         when (end) {
             is CallEnd.Answered -> {
                 end.firstToken?.let { timer("limpetfold_first_token", "Arrival to first token", route).record(it) }
-                end.betweenTokens?.let { timer("limpetfold_between_tokens", "Mean time between tokens", route).record(it) }
-                Counter.builder("limpetfold_tokens_charged").tag("route", route).register(registry).increment(end.chargedTokens.toDouble())
+                end.betweenTokens?.let {
+                    timer(
+                        "limpetfold_between_tokens",
+                        "Mean time between tokens",
+                        route,
+                    ).record(it)
+                }
+                Counter
+                    .builder(
+                        "limpetfold_tokens_charged",
+                    ).tag("route", route)
+                    .register(registry)
+                    .increment(end.chargedTokens.toDouble())
             }
             is CallEnd.Refused -> onRefused(route, end.refusal)
             is CallEnd.Broken, CallEnd.Cancelled -> Unit
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/HttpEndpointOrderSender.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/HttpEndpointOrderSender.kt
@@ -63,7 +63,13 @@
                 .getOrElse { return "endpoint ${endpoint.instance}: ${it.message}" }
         return response.use {
             val status = it.head.status
-            if (status in SUCCESS || status == CONFLICT) null else "endpoint ${endpoint.instance} responded with status $status"
+            if (status in SUCCESS ||
+                status == CONFLICT
+            ) {
+                null
+            } else {
+                "endpoint ${endpoint.instance} responded with status $status"
+            }
         }
     }
 
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/LimiterUpdater.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/LimiterUpdater.kt
@@ -28,7 +28,13 @@
         val current = config.current ?: return
         val seat = seats.seat
         appliedSeat = seat?.number
-        limiter.update(routeLimits(current), seat?.number, seat?.wasDrained ?: false, current.maxRouters, capacities(current))
+        limiter.update(
+            routeLimits(current),
+            seat?.number,
+            seat?.wasDrained ?: false,
+            current.maxRouters,
+            capacities(current),
+        )
     }
 
     /**
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/Maintenance.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/Maintenance.kt
@@ -47,7 +47,11 @@
     }
 
     /** Adds jitter, so that routers that started together do not call the platform at the same time. */
-    private fun jittered(interval: Duration): Long = (interval.toMillis() * (1 - JITTER + 2 * JITTER * random.nextDouble())).toLong()
+    private fun jittered(interval: Duration): Long =
+        (
+            interval.toMillis() *
+                (1 - JITTER + 2 * JITTER * random.nextDouble())
+        ).toLong()
 
     private companion object {
         const val JITTER = 0.1
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/OperatorsApi.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/OperatorsApi.kt
@@ -34,15 +34,28 @@
             path == "/healthz" -> respondText(exchange, OK, "ok\n")
             path == "/readyz" -> respondReadiness(exchange)
             path == "/metrics" -> respond(exchange, OK, METRICS_TYPE, metrics.registry.scrape())
-            !isAuthorized(exchange) -> respondText(exchange, UNAUTHORIZED, "send Authorization: Bearer with the operators' key\n")
-            path == "/status" -> respond(exchange, OK, JSON_TYPE, JSON.encodeToString(RouterView.serializer(), status()))
+            !isAuthorized(
+                exchange,
+            ) -> respondText(exchange, UNAUTHORIZED, "send Authorization: Bearer with the operators' key\n")
+            path == "/status" ->
+                respond(
+                    exchange,
+                    OK,
+                    JSON_TYPE,
+                    JSON.encodeToString(RouterView.serializer(), status()),
+                )
             path.startsWith(REQUESTS) -> {
                 val found = traces.find(path.removePrefix(REQUESTS))
                 val body = JSON.encodeToString(ListSerializer(RequestTrace.View.serializer()), found)
                 respond(exchange, if (found.isEmpty()) NOT_FOUND else OK, JSON_TYPE, body)
             }
             path.startsWith(SPENT) -> respondSpend(exchange, path.removePrefix(SPENT))
-            else -> respondText(exchange, NOT_FOUND, "use /healthz, /readyz, /metrics, /status, /requests/ID or /spent/WORKSPACE/HOLDER\n")
+            else ->
+                respondText(
+                    exchange,
+                    NOT_FOUND,
+                    "use /healthz, /readyz, /metrics, /status, /requests/ID or /spent/WORKSPACE/HOLDER\n",
+                )
         }
     }
 
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/RouterProcessProbe.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/RouterProcessProbe.kt
@@ -22,7 +22,8 @@
     private val membership: Membership,
 ) {
     suspend fun hasEnded(instance: InstanceId): Boolean {
-        val listed = membership.endpoints(ListedInstance.ROUTER_SERVICE).firstOrNull { it.instance == instance } ?: return false
+        val listed =
+            membership.endpoints(ListedInstance.ROUTER_SERVICE).firstOrNull { it.instance == instance } ?: return false
         return withContext(Dispatchers.IO) {
             try {
                 Socket().use { it.connect(InetSocketAddress(listed.host, listed.port), TIMEOUT_MILLIS) }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/StatusReporter.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/operate/StatusReporter.kt
@@ -53,7 +53,13 @@
         target
             .update<Unit>({ it == status }) { current ->
                 // An older incarnation that resumes after a pause must not overwrite the status of its successor.
-                if (current != null && current.incarnation > status.incarnation) Change.Refuse(Unit) else Change.Write(status)
+                if (current != null &&
+                    current.incarnation > status.incarnation
+                ) {
+                    Change.Refuse(Unit)
+                } else {
+                    Change.Write(status)
+                }
             }.onFailure {
                 if (it is UpdateError.Failed) LOGGER.warn("status: report failed cause=\"{}\"", it.error.message)
                 return
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettingsCheck.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/settings/RouterSettingsCheck.kt
@@ -21,7 +21,13 @@
             }
             val ports = listOf(settings.callers.port, settings.operators.port, settings.peers.port).filter { it != 0 }
             if (ports.distinct().size != ports.size) {
-                add(ConfigProblem("callers.port", "is used twice", "give callers, operators and peers ports of their own"))
+                add(
+                    ConfigProblem(
+                        "callers.port",
+                        "is used twice",
+                        "give callers, operators and peers ports of their own",
+                    ),
+                )
             }
         }
 }
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/GracefulStopProcessTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/GracefulStopProcessTest.kt
@@ -27,7 +27,8 @@
             eventually(60.seconds) {
                 processes.forEach {
                     it.operator("/readyz")?.status shouldBe 200
-                    Regex("\"isDraining\"").findAll(it.operator("/status")?.body.orEmpty()).count() shouldBe TestFleet.ROUTERS - 1
+                    Regex("\"isDraining\"").findAll(it.operator("/status")?.body.orEmpty()).count() shouldBe
+                        TestFleet.ROUTERS - 1
                 }
             }
         }
@@ -50,7 +51,9 @@
             fleet.ledger("w1").settledTokens shouldBe 6 * (300 + PROMPT_TOKENS)
         }
 
-        test("a killed router: a retry through another router gets the complete response, and the request is billed once") {
+        test(
+            "a killed router: a retry through another router gets the complete response, and the request is billed once",
+        ) {
             val caller = RawCaller(processes[0].callers)
             caller.sendChat("w2", 500, "killed")
             caller.readUntil("t20 ")
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/PauseAndStopTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/PauseAndStopTest.kt
@@ -22,7 +22,9 @@
  */
 class PauseAndStopTest :
     FunSpec({
-        test("a router that resumes after its seat was taken over: it sends no new request under its old share of slots") {
+        test(
+            "a router that resumes after its seat was taken over: it sends no new request under its old share of slots",
+        ) {
             TestFleet().use { fleet ->
                 val time = SkippableTimeSource()
                 fleet.start(count = 1, monotonic = time)
@@ -32,19 +34,32 @@
                     val key = "seat/$it"
                     val record = SeatRecord(Incarnation(InstanceId("other-$it"), 1), wasDrained = false)
                     val value = TypedObject.JSON.encodeToString(SeatRecord.serializer(), record)
-                    fleet.platform.objects.put(key, value, fleet.platform.objects.get(key)?.version ?: 0)
+                    fleet.platform.objects.put(
+                        key,
+                        value,
+                        fleet.platform.objects
+                            .get(key)
+                            ?.version ?: 0,
+                    )
                 }
                 time.skip(25.seconds)
                 val caller = fleet.caller(0)
                 caller.sendChat("w1", 1, "woken")
-                eventually(5.seconds) { fleet.routers[0].view().endpoints.sumOf { it.baseSlots } shouldBe 0 }
+                eventually(5.seconds) {
+                    fleet.routers[0]
+                        .view()
+                        .endpoints
+                        .sumOf { it.baseSlots } shouldBe 0
+                }
                 fleet.engineOf("w1:woken") shouldBe -1
                 caller.close()
                 fleet.stopRouters()
             }
         }
 
-        test("requests cut off at the end of the drain time: what was generated is billed once, and a retry is not billed again") {
+        test(
+            "requests cut off at the end of the drain time: what was generated is billed once, and a retry is not billed again",
+        ) {
             TestFleet(StopSettings(Duration.ZERO, Duration.ofSeconds(1))).use { fleet ->
                 fleet.start()
                 fleet.engines.forEach { it.settings = it.settings.copy(tokenMillis = 5.0) }
@@ -53,7 +68,15 @@
                 caller.readUntil("t10 ")
                 fleet.routers.removeAt(0).stop()
                 caller.readRest() shouldNotContain "[DONE]"
-                val generated = fleet.engines[fleet.engineOf("w2:cut")].stats().requests.getValue("w2:cut").generatedTokens
+                val generated =
+                    fleet.engines[
+                        fleet.engineOf(
+                            "w2:cut",
+                        ),
+                    ].stats()
+                        .requests
+                        .getValue("w2:cut")
+                        .generatedTokens
                 generated shouldBeLessThan 2000
                 fleet.ledger("w2").settledTokens shouldBe generated + PROMPT_TOKENS
                 val retry = fleet.caller(0).use { it.chat("w2", 2000, "cut") }
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/RawCaller.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/RawCaller.kt
@@ -33,6 +33,7 @@
 
         /** The generated text of a stream, joined over all its events. */
         val text: String get() = CONTENT.findAll(body).joinToString("") { it.groupValues[1] }
+
         /** Whether the stream ended with its `[DONE]` event. */
         val isDone: Boolean get() = body.trimEnd().endsWith("data: [DONE]")
     }
@@ -56,7 +57,9 @@
         val key = workspace?.let { "Authorization: Bearer key-$it\r\n" }.orEmpty()
         val length = if (body.isEmpty()) "" else "Content-Length: ${body.encodeToByteArray().size}\r\n"
         val extra = headers.joinToString("") { "$it\r\n" }
-        socket.getOutputStream().write("$request HTTP/1.1\r\nHost: router\r\n$key$length$extra\r\n$body".encodeToByteArray())
+        socket.getOutputStream().write(
+            "$request HTTP/1.1\r\nHost: router\r\n$key$length$extra\r\n$body".encodeToByteArray(),
+        )
     }
 
     suspend fun chat(
@@ -74,7 +77,16 @@
         maxTokens: Int,
         id: String? = null,
         isStream: Boolean = true,
-    ) = send("POST /v1/chat/completions", chatBody(maxTokens, isStream), workspace, *listOfNotNull(id?.let { "X-Request-Id: $it" }).toTypedArray())
+    ) = send(
+        "POST /v1/chat/completions",
+        chatBody(maxTokens, isStream),
+        workspace,
+        *listOfNotNull(
+            id?.let {
+                "X-Request-Id: $it"
+            },
+        ).toTypedArray(),
+    )
 
     suspend fun readResponse(): Response = withContext(Dispatchers.IO) { readBody(readHead()) }
 
@@ -90,7 +102,10 @@
      * Reads the rest of a chunked response after [readUntil], including its chunk headers; returns `cut: ...` when it
      * is cut off.
      */
-    suspend fun readRest(): String = withContext(Dispatchers.IO) { runCatching { readUntil("\r\n0\r\n\r\n") }.getOrElse { "cut: $it" } }
+    suspend fun readRest(): String =
+        withContext(Dispatchers.IO) {
+            runCatching { readUntil("\r\n0\r\n\r\n") }.getOrElse { "cut: $it" }
+        }
 
     override fun close() = socket.close()
 
@@ -105,8 +120,17 @@
     private fun readHead(): String = generateSequence { readLine().takeIf { it.isNotEmpty() } }.joinToString("\n")
 
     private fun readBody(head: String): Response {
-        val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt()
-        if (length != null) return input.readNBytes(length).let { Response(head, it.decodeToString(), it.size == length) }
+        val length =
+            Regex("(?i)content-length: (\\d+)")
+                .find(head)
+                ?.groupValues
+                ?.get(1)
+                ?.toInt()
+        if (length !=
+            null
+        ) {
+            return input.readNBytes(length).let { Response(head, it.decodeToString(), it.size == length) }
+        }
         val body = ByteArrayOutputStream()
         val isComplete =
             runCatching {
@@ -131,7 +155,8 @@
         fun chatBody(
             maxTokens: Int,
             isStream: Boolean = true,
-        ) = """{"model":"jezik","stream":$isStream,"max_tokens":$maxTokens,"messages":[{"role":"user","content":"Draft a plan."}]}"""
+        ) =
+            """{"model":"jezik","stream":$isStream,"max_tokens":$maxTokens,"messages":[{"role":"user","content":"Draft a plan."}]}"""
 
         /** The text that the engine stand-in generates for [tokens] tokens. */
         fun expectedText(tokens: Int): String = (1..tokens).joinToString("") { "t$it " }
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/RouterProcess.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/RouterProcess.kt
@@ -39,7 +39,9 @@
     /** Sends a `GET` to the operators' port with its key; returns null when there is no response. */
     suspend fun operator(path: String): RawCaller.Response? =
         runCatching {
-            RawCaller(operators).use { it.call("GET $path", headers = arrayOf("Authorization: Bearer ${TestFleet.OPERATOR_KEY}")) }
+            RawCaller(
+                operators,
+            ).use { it.call("GET $path", headers = arrayOf("Authorization: Bearer ${TestFleet.OPERATOR_KEY}")) }
         }.getOrNull()
 
     override fun close() {
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
@@ -61,7 +61,12 @@
         val loops = HttpEventLoops()
         val engine = EngineStandin(EngineStandinSettings(version = "1", tokenMillis = 1.0))
         val engineServer = StandinServer("127.0.0.1", 0, loops, engine)
-        val platform = PlatformStandin(PlatformStandinSettings(instances = listOf(listedInstance("engine", "jezik", engineServer.address.port))))
+        val platform =
+            PlatformStandin(
+                PlatformStandinSettings(
+                    instances = listOf(listedInstance("engine", "jezik", engineServer.address.port)),
+                ),
+            )
         val platformServer = StandinServer("127.0.0.1", 0, loops, platform)
         val ports = List(2) { ServerSocket(0) }.map { it.use { free -> free.localPort } }
         val router =
@@ -88,8 +93,15 @@
             root.addAppender(logEvents)
             val written = FakeObjectStore()
             ConfigPublisher(written).publish(CONFIG, 0, "ana")
-            listOf("a", "b").forEach { BudgetLedgerStore(written).topUp(WorkspaceId(it), TopUpId("2026-01-01/1"), 10_000) }
-            written.list("").get()?.objects?.forEach { platform.objects.put(it.key.path, it.value, 0) }
+            listOf(
+                "a",
+                "b",
+            ).forEach { BudgetLedgerStore(written).topUp(WorkspaceId(it), TopUpId("2026-01-01/1"), 10_000) }
+            written
+                .list("")
+                .get()
+                ?.objects
+                ?.forEach { platform.objects.put(it.key.path, it.value, 0) }
             router.start()
             while (getFromOperators("/readyz").statusCode() != 200) delay(50)
         }
@@ -100,7 +112,9 @@
             listOf(platformServer, engineServer, engine, loops).forEach { it.close() }
         }
 
-        test("guards against a workspace that reads, resumes or pays for the request of another one with the same identity") {
+        test(
+            "guards against a workspace that reads, resumes or pays for the request of another one with the same identity",
+        ) {
             val own = send(ports[0], "/chat", KEY_A, chat(9), "same")
             val other = send(ports[0], "/chat", KEY_B, chat(5), "same")
 
@@ -113,13 +127,30 @@
                     .jsonObject
                     .getValue("budgets")
                     .jsonArray
-                    .associate { it.jsonObject.getValue("workspace").jsonPrimitive.content to it.jsonObject.getValue("spentTokens") }
-            val used = listOf(own, other).map { Regex("\"total_tokens\":(\\d+)").find(it.body())?.groupValues?.get(1)?.toLong() }
+                    .associate {
+                        it.jsonObject
+                            .getValue("workspace")
+                            .jsonPrimitive.content to
+                            it.jsonObject.getValue("spentTokens")
+                    }
+            val used =
+                listOf(
+                    own,
+                    other,
+                ).map {
+                    Regex("\"total_tokens\":(\\d+)")
+                        .find(it.body())
+                        ?.groupValues
+                        ?.get(1)
+                        ?.toLong()
+                }
             listOf("a", "b").map { spent.getValue(it).jsonPrimitive.long } shouldBe used
             (used[0] == used[1]) shouldBe false
         }
 
-        test("guards against a request that runs without a valid key, or with a key hash of the configuration as its key") {
+        test(
+            "guards against a request that runs without a valid key, or with a key hash of the configuration as its key",
+        ) {
             val started = engine.stats().started
             listOf(null, "", "wrong", Sha256Hex.of(KEY_A), "$KEY_A ,").forEach {
                 send(ports[0], "/chat", it, chat(5)).statusCode() shouldBe 401
@@ -132,7 +163,10 @@
         test("guards against status, traces and spends that are readable without the operators' key") {
             val protectedPaths = listOf("/status", "/requests/same", "/spent/a/router-1@1")
             for (path in protectedPaths) {
-                listOf(null, KEY_A, OPERATORS_KEY.dropLast(1), "").forEach { getFromOperators(path, it).statusCode() shouldBe 401 }
+                listOf(null, KEY_A, OPERATORS_KEY.dropLast(1), "").forEach {
+                    getFromOperators(path, it).statusCode() shouldBe
+                        401
+                }
             }
             protectedPaths.map { getFromOperators(it, OPERATORS_KEY).statusCode() } shouldBe listOf(200, 200, 404)
             listOf("/healthz", "/readyz", "/metrics").forEach { getFromOperators(it).statusCode() shouldBe 200 }
@@ -140,7 +174,11 @@
 
         test("guards against deeply nested JSON that overflows the stack of a router thread") {
             val deep = "[".repeat(100_000)
-            listOf(deep, "{\"model\":\"m\",\"messages\":$deep${"]".repeat(100_000)}}", "{\"a\":".repeat(100_000)).forEach {
+            listOf(
+                deep,
+                "{\"model\":\"m\",\"messages\":$deep${"]".repeat(100_000)}}",
+                "{\"a\":".repeat(100_000),
+            ).forEach {
                 val response = send(ports[0], "/chat", KEY_A, it)
                 response.statusCode() shouldBe 400
                 response.body() shouldContain "nested deeper"
@@ -159,8 +197,12 @@
             logged shouldContain "router: answered"
             val shown = getFromOperators("/requests/traced", OPERATORS_KEY).body()
             shown shouldContain "answered status=200"
-            val everything = logged + shown + getFromOperators("/metrics").body() + getFromOperators("/status", OPERATORS_KEY).body()
-            listOf(KEY_A, KEY_B, Sha256Hex.of(KEY_A), OPERATORS_KEY, FLEET_KEY, BODY).forEach { everything shouldNotContain it }
+            val everything =
+                logged + shown + getFromOperators("/metrics").body() + getFromOperators("/status", OPERATORS_KEY).body()
+            listOf(KEY_A, KEY_B, Sha256Hex.of(KEY_A), OPERATORS_KEY, FLEET_KEY, BODY).forEach {
+                everything shouldNotContain
+                    it
+            }
         }
     }) {
     private companion object {
@@ -174,7 +216,11 @@
                 maxRouters = 1,
                 services =
                     persistentListOf(
-                        ServiceConfig("jezik", ServiceKind.MODEL, versions = persistentListOf(ServiceVersion(VersionId("1"), 8))),
+                        ServiceConfig(
+                            "jezik",
+                            ServiceKind.MODEL,
+                            versions = persistentListOf(ServiceVersion(VersionId("1"), 8)),
+                        ),
                     ),
                 routes = persistentListOf(RouteConfig(RouteId("chat"), "/chat", "jezik", VersionId("1"))),
                 workspaces =
@@ -191,7 +237,8 @@
             port: Int,
         ) = ListedInstance(InstanceId(name), service, VersionId("1"), ZoneId("vic"), "127.0.0.1", port)
 
-        fun chat(maxTokens: Int) = """{"model":"m","max_tokens":$maxTokens,"messages":[{"role":"user","content":"$BODY"}]}"""
+        fun chat(maxTokens: Int) =
+            """{"model":"m","max_tokens":$maxTokens,"messages":[{"role":"user","content":"$BODY"}]}"""
 
         fun send(
             port: Int,
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/SessionGoldenTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/SessionGoldenTest.kt
@@ -38,7 +38,11 @@
                 title: String,
                 response: RawCaller.Response,
             ) {
-                text.append("## $title\n\n${mask(response.head)}\n\n${mask(response.body)}${if (response.isComplete) "" else "\n(cut)"}\n\n")
+                text.append(
+                    "## $title\n\n${mask(
+                        response.head,
+                    )}\n\n${mask(response.body)}${if (response.isComplete) "" else "\n(cut)"}\n\n",
+                )
             }
 
             fun verify(name: String) {
@@ -52,11 +56,32 @@
         test("chat: streamed, not streamed, and more tokens than requested") {
             val session = Session()
             session.callAndRecord("streamed answer", 0, CHAT, RawCaller.chatBody(3), "w0", "X-Request-Id: s-1")
-            session.callAndRecord("whole answer", 1, CHAT, RawCaller.chatBody(3, isStream = false), "w0", "X-Request-Id: s-2")
+            session.callAndRecord(
+                "whole answer",
+                1,
+                CHAT,
+                RawCaller.chatBody(3, isStream = false),
+                "w0",
+                "X-Request-Id: s-2",
+            )
             session.callAndRecord("answer without a chosen identity", 2, CHAT, RawCaller.chatBody(1, isStream = false))
             fleet.engines.forEach { it.settings = it.settings.copy(extraTokens = 4) }
-            session.callAndRecord("streamed answer of an engine that generates more than asked", 0, CHAT, RawCaller.chatBody(2), "w1", "X-Request-Id: s-3")
-            session.callAndRecord("whole answer of an engine that generates more than asked", 1, CHAT, RawCaller.chatBody(2, false), "w1", "X-Request-Id: s-4")
+            session.callAndRecord(
+                "streamed answer of an engine that generates more than asked",
+                0,
+                CHAT,
+                RawCaller.chatBody(2),
+                "w1",
+                "X-Request-Id: s-3",
+            )
+            session.callAndRecord(
+                "whole answer of an engine that generates more than asked",
+                1,
+                CHAT,
+                RawCaller.chatBody(2, false),
+                "w1",
+                "X-Request-Id: s-4",
+            )
             fleet.engines.forEach { it.settings = it.settings.copy(extraTokens = 0) }
             session.text.append("spent by w1: ${fleet.spentTokens("w1")}\n")
             session.verify("chat")
@@ -66,10 +91,39 @@
             val session = Session()
             val key = "Idempotency-Key: van-7"
             session.callAndRecord("booking", 0, BOOK, """{"building":"A"}""", "w0", key, "X-Request-Id: b-1")
-            session.callAndRecord("duplicate through another router", 1, BOOK, """{"building":"A"}""", "w0", key, "X-Request-Id: b-2")
-            session.callAndRecord("same key of another workspace", 2, BOOK, """{"building":"B"}""", "w1", key, "X-Request-Id: b-3")
-            session.callAndRecord("no key where the route requires one", 0, BOOK, """{"building":"A"}""", "w0", "X-Request-Id: b-4")
-            session.callAndRecord("read", 2, "GET /bookings/b1", workspace = "w0", headers = arrayOf("X-Request-Id: b-5"))
+            session.callAndRecord(
+                "duplicate through another router",
+                1,
+                BOOK,
+                """{"building":"A"}""",
+                "w0",
+                key,
+                "X-Request-Id: b-2",
+            )
+            session.callAndRecord(
+                "same key of another workspace",
+                2,
+                BOOK,
+                """{"building":"B"}""",
+                "w1",
+                key,
+                "X-Request-Id: b-3",
+            )
+            session.callAndRecord(
+                "no key where the route requires one",
+                0,
+                BOOK,
+                """{"building":"A"}""",
+                "w0",
+                "X-Request-Id: b-4",
+            )
+            session.callAndRecord(
+                "read",
+                2,
+                "GET /bookings/b1",
+                workspace = "w0",
+                headers = arrayOf("X-Request-Id: b-5"),
+            )
             session.text.append("effects: ${fleet.service.effects().total}\n")
             session.verify("bookings")
         }
@@ -85,11 +139,20 @@
             session.callAndRecord("max_tokens out of range", 2, CHAT, RawCaller.chatBody(0), "w0", "X-Request-Id: r-3")
             session.callAndRecord("body too large", 0, CHAT, "x".repeat(5000), "w0", "X-Request-Id: r-4")
             session.callAndRecord("exhausted budget", 0, CHAT, RawCaller.chatBody(500), "poor", "X-Request-Id: r-5")
-            session.text.append("started by engines for refused requests: ${fleet.engines.sumOf { e -> e.stats().requests.keys.count { ":r-" in it } }}\n")
+            session.text.append(
+                "started by engines for refused requests: ${fleet.engines.sumOf { e ->
+                    e
+                        .stats()
+                        .requests.keys
+                        .count { ":r-" in it }
+                }}\n",
+            )
             session.verify("refusals")
         }
 
-        test("draining: readiness goes off first, responses close their connections, later requests are refused as not run") {
+        test(
+            "draining: readiness goes off first, responses close their connections, later requests are refused as not run",
+        ) {
             val session = Session()
             fleet.engines.forEach { it.settings = it.settings.copy(tokenMillis = 10.0) }
             val router = fleet.routers.removeAt(2)
@@ -101,7 +164,9 @@
                 val stop = async { router.stop() }
                 eventually(5.seconds) { router.view().readiness shouldBe "draining" }
                 RawCaller(addresses.second).use { session.record("readiness", it.call("GET /readyz")) }
-                RawCaller(addresses.first).use { session.record("request before the balancer noticed", it.chat("w0", 1, "d-2", isStream = false)) }
+                RawCaller(addresses.first).use {
+                    session.record("request before the balancer noticed", it.chat("w0", 1, "d-2", isStream = false))
+                }
                 eventually(10.seconds) {
                     val late = RawCaller(addresses.first).use { it.chat("w0", 1, "d-3", isStream = false) }
                     late.status shouldBe 503
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
@@ -64,11 +64,13 @@
     private val loops = HttpEventLoops(4)
     val platform = PlatformStandin()
     private val platformServer = StandinServer(HOST, 0, loops, platform)
-    val engines = List(2) { EngineStandin(EngineStandinSettings(version = ENGINE_VERSION, tokenMillis = 1.0, capacity = 16)) }
+    val engines =
+        List(2) { EngineStandin(EngineStandinSettings(version = ENGINE_VERSION, tokenMillis = 1.0, capacity = 16)) }
     val service = PlainServiceStandin()
 
     /** Method and path of every request that reached an endpoint, by instance. */
     val receivedRequests = ConcurrentLinkedQueue<Pair<String, String>>()
+
     /** While true, the engines leave requests unread until their connection is closed. */
     @Volatile
     var isHoldingRequests = false
@@ -78,7 +80,11 @@
         endpoints.map { (name, handler) ->
             StandinServer(HOST, 0, loops) {
                 receivedRequests += name to "${it.head.method} ${it.head.path}"
-                if (isHoldingRequests && it.head.path.startsWith("/v1/chat/")) it.cancelOnDisconnect { awaitCancellation() }
+                if (isHoldingRequests &&
+                    it.head.path.startsWith("/v1/chat/")
+                ) {
+                    it.cancelOnDisconnect { awaitCancellation() }
+                }
                 handler.handle(it)
             }
         }
@@ -102,8 +108,18 @@
     /** Publishes the instance list with all routers and endpoints. */
     fun publishInstances(isEngineLeaving: Boolean = false) =
         platform.instances.replace(
-            ports.mapIndexed { i, port -> listedInstance("router-$i", ListedInstance.ROUTER_SERVICE, "1", ZONES[i], port) } +
-                engineProxies.mapIndexed { i, proxy -> listedInstance("jezik-$i", "jezik", ENGINE_VERSION, ZONES[i], proxy.address.port, isEngineLeaving) } +
+            ports.mapIndexed {
+                i,
+                port,
+                ->
+                listedInstance("router-$i", ListedInstance.ROUTER_SERVICE, "1", ZONES[i], port)
+            } +
+                engineProxies.mapIndexed {
+                    i,
+                    proxy,
+                    ->
+                    listedInstance("jezik-$i", "jezik", ENGINE_VERSION, ZONES[i], proxy.address.port, isEngineLeaving)
+                } +
                 listedInstance("termini-0", "termini", "termini-31", ZONES[0], serviceProxy.address.port),
         )
 
@@ -126,8 +142,13 @@
     fun startProcess(index: Int): RouterProcess {
         val (callerPort, operatorPort) = freePort() to freePort()
         val file = createTempFile("router-$index", ".yaml")
-        file.writeText(Yaml.default.encodeToString(RouterSettings.serializer(), settings(index, callerPort, operatorPort)))
-        return RouterProcess(file, HostPort(HOST, callerPort), HostPort(HOST, operatorPort)).also { routerProcesses += it }
+        file.writeText(
+            Yaml.default.encodeToString(RouterSettings.serializer(), settings(index, callerPort, operatorPort)),
+        )
+        return RouterProcess(file, HostPort(HOST, callerPort), HostPort(HOST, operatorPort)).also {
+            routerProcesses +=
+                it
+        }
     }
 
     /** Starts routers in this JVM and waits until each has the others as members and a share of all endpoints. */
@@ -140,7 +161,8 @@
             routers.forEach {
                 it.view().readiness shouldBe "ready"
                 it.view().members.size shouldBe count - 1
-                it.view().endpoints.count { endpoint -> endpoint.isInRotation && endpoint.baseSlots > 0 } shouldBe endpoints.size
+                it.view().endpoints.count { endpoint -> endpoint.isInRotation && endpoint.baseSlots > 0 } shouldBe
+                    endpoints.size
             }
         }
         return this
@@ -150,13 +172,28 @@
 
     /** The tokens that all routers have charged to [workspace]. */
     fun spentTokens(workspace: String): Long =
-        routers.sumOf { router -> router.view().budgets.filter { it.workspace == workspace }.sumOf { it.spentTokens } }
+        routers.sumOf { router ->
+            router
+                .view()
+                .budgets
+                .filter { it.workspace == workspace }
+                .sumOf { it.spentTokens }
+        }
 
     fun reservedTokens(workspace: String): Long =
-        routers.sumOf { router -> router.view().budgets.filter { it.workspace == workspace }.sumOf { it.reservedTokens } }
+        routers.sumOf { router ->
+            router
+                .view()
+                .budgets
+                .filter { it.workspace == workspace }
+                .sumOf { it.reservedTokens }
+        }
 
     fun ledger(workspace: String): BudgetLedger =
-        TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), checkNotNull(platform.objects.get("budget/$workspace")).value)
+        TypedObject.JSON.decodeFromString(
+            BudgetLedger.serializer(),
+            checkNotNull(platform.objects.get("budget/$workspace")).value,
+        )
 
     /** The index of the engine that started the request with [identity], or -1. */
     fun engineOf(identity: String): Int = engines.indexOfFirst { identity in it.stats().requests }
@@ -202,8 +239,16 @@
         val WORKSPACES = List(13) { "w$it" } + "poor"
         private val SERVICES =
             persistentListOf(
-                ServiceConfig("jezik", ServiceKind.MODEL, versions = persistentListOf(ServiceVersion(VersionId(ENGINE_VERSION), 60))),
-                ServiceConfig("termini", ServiceKind.PLAIN, versions = persistentListOf(ServiceVersion(VersionId("termini-31"), 300))),
+                ServiceConfig(
+                    "jezik",
+                    ServiceKind.MODEL,
+                    versions = persistentListOf(ServiceVersion(VersionId(ENGINE_VERSION), 60)),
+                ),
+                ServiceConfig(
+                    "termini",
+                    ServiceKind.PLAIN,
+                    versions = persistentListOf(ServiceVersion(VersionId("termini-31"), 300)),
+                ),
             )
         private val ROUTES =
             persistentListOf(
@@ -231,11 +276,18 @@
                     "termini",
                     VersionId("termini-31"),
                     maxRequestBytes = ByteSize(8L shl 20),
-                    calls = persistentListOf(CallRule("POST", "/bookings", isRepeatable = false, isIdempotencyKeyRequired = true)),
+                    calls =
+                        persistentListOf(
+                            CallRule("POST", "/bookings", isRepeatable = false, isIdempotencyKeyRequired = true),
+                        ),
                 ),
             )
 
-        private fun workspaces() = WORKSPACES.map { WorkspaceConfig(WorkspaceId(it), persistentListOf(Sha256Hex.of("key-$it"))) }.toImmutableList()
+        private fun workspaces() =
+            WORKSPACES
+                .map {
+                    WorkspaceConfig(WorkspaceId(it), persistentListOf(Sha256Hex.of("key-$it")))
+                }.toImmutableList()
 
         /**
          * A free port below the ephemeral range, so that no outgoing connection takes it before the router binds it.
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/call/RequestBodyBufferTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/call/RequestBodyBufferTest.kt
@@ -50,7 +50,10 @@
                     yield()
                     if (remainingChunks-- > 0) ByteArray(CHUNK_BYTES) else null
                 }
-            return Proxy.newProxyInstance(HttpExchange::class.java.classLoader, arrayOf(HttpExchange::class.java)) { _, method, _ ->
+            return Proxy.newProxyInstance(
+                HttpExchange::class.java.classLoader,
+                arrayOf(HttpExchange::class.java),
+            ) { _, method, _ ->
                 if (method.name == "getBody") body else null
             } as HttpExchange
         }
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/observe/MetricsPageTest.kt
@@ -30,7 +30,9 @@
         test("guards against a metrics page that differs from the metrics of a router, and against a workspace label") {
             val metrics = RouterMetrics()
             RouterGauges({ 1 }, { 1 }, { 1 }, { 1 }, { 1 }, { true }, { 1 }, { 1 }, { 1 }).register(metrics)
-            listOf(RouterMetrics.BUDGET_EVENTS, RouterMetrics.MEMBER_EVENTS, RouterMetrics.WITHDRAWALS).forEach { metrics.count(it, "a") }
+            listOf(RouterMetrics.BUDGET_EVENTS, RouterMetrics.MEMBER_EVENTS, RouterMetrics.WITHDRAWALS).forEach {
+                metrics.count(it, "a")
+            }
             val ends =
                 listOf(
                     CallEnd.Answered(200, Duration.ofMillis(1), Duration.ofMillis(1), 1),
@@ -43,10 +45,21 @@
 
             val scraped = metrics.registry.scrape()
 
-            val registered = Regex("(?m)^# TYPE (\\S+) (\\S+)$").findAll(scraped).map { it.groupValues[1] to it.groupValues[2] }.toSet()
+            val registered =
+                Regex("(?m)^# TYPE (\\S+) (\\S+)$")
+                    .findAll(scraped)
+                    .map {
+                        it.groupValues[1] to
+                            it.groupValues[2]
+                    }.toSet()
             // The registry adds a gauge of the maximum to each timer.
             val names = registered.map { it.first }.filterNot { it.endsWith("_seconds_max") }
-            val rows = PAGE.substringBefore("## Alerts").lines().filter { it.startsWith("| `") }.map { it.split(" | ") }
+            val rows =
+                PAGE
+                    .substringBefore("## Alerts")
+                    .lines()
+                    .filter { it.startsWith("| `") }
+                    .map { it.split(" | ") }
             val documented = rows.flatMap { row -> NAME.findAll(row[0]).map { it.value to row } }
             documented.map { it.first }.sorted() shouldBe names.sorted()
             for ((name, row) in documented) {
@@ -71,7 +84,11 @@
                 .readText()
 
         fun call(): Call {
-            val exchange = Proxy.newProxyInstance(HttpExchange::class.java.classLoader, arrayOf(HttpExchange::class.java)) { _, _, _ -> null } as HttpExchange
+            val exchange =
+                Proxy.newProxyInstance(
+                    HttpExchange::class.java.classLoader,
+                    arrayOf(HttpExchange::class.java),
+                ) { _, _, _ -> null } as HttpExchange
             val now = TimeSource.Monotonic.markNow()
             val trace = RequestTrace(WorkspaceId("w"), RequestId("r"), RouteId("a"), Instant.EPOCH, now)
             val workspace = WorkspaceConfig(WorkspaceId("w"), persistentListOf())
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/settings/RouterSettingsTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/settings/RouterSettingsTest.kt
@@ -15,7 +15,8 @@
             val minimal =
                 """{"instance":"a","zone":"a","platform":"a:1","callers":{"port":0},
                 "operators":{"port":0,"key":"a"},"peers":{"port":0,"key":"a"}}"""
-            SettingsPage.documentedRows("limpetfold-router") shouldBe SettingsPage.expectedRows(RouterSettings.serializer(), minimal)
+            SettingsPage.documentedRows("limpetfold-router") shouldBe
+                SettingsPage.expectedRows(RouterSettings.serializer(), minimal)
         }
 
         test("guards against settings errors that are reported one at a time, or that contain a key") {
--- a/limpetfold-sample-budget/src/main/kotlin/io/limpetfold/sample/budget/SampleBudget.kt
+++ b/limpetfold-sample-budget/src/main/kotlin/io/limpetfold/sample/budget/SampleBudget.kt
@@ -40,7 +40,13 @@
 
         isPlatformDown = true
         println("the platform is down")
-        request(second, "long-plan", "Draft the plans of all care homes in Siska.", outputTokens = 500, usedTokens = 450)
+        request(
+            second,
+            "long-plan",
+            "Draft the plans of all care homes in Siska.",
+            outputTokens = 500,
+            usedTokens = 450,
+        )
 
         isPlatformDown = false
         println("the platform is back")
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineCore.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineCore.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.launch
 import java.util.ArrayDeque
 import java.util.concurrent.ConcurrentHashMap
-
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -65,7 +64,11 @@
     fun order(order: EngineOrder): Long? =
         synchronized(this) {
             if (settings.checksFencing && order.fencing < stats.fencing) return stats.fencing
-            stats = stats.copy(fencing = maxOf(stats.fencing, order.fencing), orders = (stats.orders + order).takeLast(MAX_ORDERS))
+            stats =
+                stats.copy(
+                    fencing = maxOf(stats.fencing, order.fencing),
+                    orders = (stats.orders + order).takeLast(MAX_ORDERS),
+                )
             null
         }
 
@@ -81,7 +84,13 @@
             startedSinceChange++
             stats = stats.copy(started = stats.started + 1, peakHeld = maxOf(stats.peakHeld, held + 1))
         }
-        updateRequestCounts(stream) { it.copy(started = it.started + 1, promptTokens = it.promptTokens + stream.promptTokens) }
+        updateRequestCounts(stream) {
+            it.copy(
+                started = it.started + 1,
+                promptTokens =
+                    it.promptTokens + stream.promptTokens,
+            )
+        }
         streams[stream.requestId] = stream
         stream.job = scope.launch { generate(stream) }
         return stream
@@ -94,7 +103,10 @@
     ): Boolean {
         val fault = settings.fault
         val isOnRoute = fault.route.isEmpty() || fault.route == route || path.startsWith(fault.route)
-        return fault.kind != EngineFault.Kind.NONE && isOnRoute && hasFaultBegun(fault) && batch.running >= fault.aboveRunning
+        return fault.kind != EngineFault.Kind.NONE &&
+            isOnRoute &&
+            hasFaultBegun(fault) &&
+            batch.running >= fault.aboveRunning
     }
 
     /** Cancels a running stream. */
@@ -115,7 +127,10 @@
     }
 
     private fun hasFaultBegun(fault: EngineFault): Boolean =
-        synchronized(this) { startedSinceChange >= fault.afterRequests && settingsChangedAt.elapsedNow() >= fault.afterSeconds.seconds }
+        synchronized(this) {
+            startedSinceChange >= fault.afterRequests &&
+                settingsChangedAt.elapsedNow() >= fault.afterSeconds.seconds
+        }
 
     private suspend fun generate(stream: EngineStream) {
         try {
@@ -172,15 +187,25 @@
     }
 
     private fun isFailing(stream: EngineStream): Boolean =
-        stream.isFaulty && settings.fault.kind == EngineFault.Kind.FAIL && stream.generatedTokens >= settings.fault.afterTokens
+        stream.isFaulty &&
+            settings.fault.kind == EngineFault.Kind.FAIL &&
+            stream.generatedTokens >= settings.fault.afterTokens
 
     private fun tokenTime(stream: EngineStream): Duration {
         val slowdown = 1 + settings.loadSlowdown * (batch.running - 1) / settings.capacity
-        val factor = if (stream.isFaulty && settings.fault.kind == EngineFault.Kind.SLOW) settings.fault.slowFactor else 1.0
+        val factor =
+            if (stream.isFaulty &&
+                settings.fault.kind == EngineFault.Kind.SLOW
+            ) {
+                settings.fault.slowFactor
+            } else {
+                1.0
+            }
         return (settings.tokenMillis * slowdown * factor).milliseconds
     }
 
-    private fun isAbandoned(stream: EngineStream): Boolean = stream.unreadSince?.let { it.elapsedNow() > settings.abandonMillis.milliseconds } == true
+    private fun isAbandoned(stream: EngineStream): Boolean =
+        stream.unreadSince?.let { it.elapsedNow() > settings.abandonMillis.milliseconds } == true
 
     /**
      * Counts a rejection. Above `collapseRejections` a second the engine fails all running requests: rejecting costs work
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
@@ -61,14 +61,32 @@
                 return exchange.fail(400, "invalid_request", e.message.orEmpty(), "no", NOT_STARTED)
             }
         val requestId = exchange.head.headers["X-Request-Id"] ?: UUID.randomUUID().toString()
-        if (isDraining) return exchange.fail(503, "draining", "the engine is draining", "no", Headers.of(commonHeaders(requestId).entries + NOT_STARTED.entries))
+        if (isDraining) {
+            return exchange.fail(
+                503,
+                "draining",
+                "the engine is draining",
+                "no",
+                Headers.of(
+                    commonHeaders(requestId).entries + NOT_STARTED.entries,
+                ),
+            )
+        }
         val promptBytes = request.messages.sumOf { it.content.encodeToByteArray().size }
         val promptTokens = ceil(promptBytes / settings.bytesPerToken).toInt()
         val priority = exchange.head.headers["X-Priority"]?.toIntOrNull() ?: request.priority
         val stream = EngineStream(requestId, promptTokens, request.maxTokens ?: settings.defaultTokens, priority)
         stream.isFaulty = core.isFaulty(exchange.head.headers["X-Limpetfold-Route"].orEmpty(), exchange.head.path)
         core.start(stream)
-            ?: return exchange.fail(503, "overloaded", "too many requests", "no", Headers.of(commonHeaders(requestId).entries + NOT_STARTED.entries))
+            ?: return exchange.fail(
+                503,
+                "overloaded",
+                "too many requests",
+                "no",
+                Headers.of(
+                    commonHeaders(requestId).entries + NOT_STARTED.entries,
+                ),
+            )
         if (request.stream) sendEvents(exchange, stream, 0) else sendCompletion(exchange, stream)
     }
 
@@ -78,7 +96,11 @@
     ) {
         stream.withReader { exchange.cancelOnDisconnect { stream.awaitEnd() } }
         if (stream.state == EngineStream.State.FINISHED) {
-            exchange.respond(200, Headers.of(JSON_HEADERS.entries + commonHeaders(stream.requestId).entries), EngineJson.completion(stream).encodeToByteArray())
+            exchange.respond(
+                200,
+                Headers.of(JSON_HEADERS.entries + commonHeaders(stream.requestId).entries),
+                EngineJson.completion(stream).encodeToByteArray(),
+            )
         } else {
             exchange.fail(500, "failed", "the request failed", "yes", commonHeaders(stream.requestId))
         }
@@ -95,7 +117,13 @@
             if (event == null && stream.state == EngineStream.State.FAILED) {
                 exchange.fail(500, "failed", "the request failed", "yes", commonHeaders(stream.requestId))
             } else {
-                val sink = exchange.respondStream(200, Headers.of(ServerSentEvent.HEADERS.entries + commonHeaders(stream.requestId).entries))
+                val sink =
+                    exchange.respondStream(
+                        200,
+                        Headers.of(
+                            ServerSentEvent.HEADERS.entries + commonHeaders(stream.requestId).entries,
+                        ),
+                    )
                 while (event != null) {
                     sink.write(ServerSentEvent(event, id = "${++index}").encode())
                     event = stream.event(index)
@@ -113,13 +141,21 @@
         val stream = core.find(requestId) ?: return exchange.fail(404, "not_found", "no such stream", "unknown")
         when (method) {
             "GET" -> {
-                if (stream.state == EngineStream.State.CANCELLED) return exchange.fail(410, "cancelled", "the stream was cancelled", "yes")
+                if (stream.state ==
+                    EngineStream.State.CANCELLED
+                ) {
+                    return exchange.fail(410, "cancelled", "the stream was cancelled", "yes")
+                }
                 core.countResumed()
                 sendEvents(exchange, stream, exchange.head.query("after")?.toIntOrNull() ?: 0)
             }
             "DELETE" -> {
                 core.cancel(stream)
-                exchange.respond(200, Headers.of(JSON_HEADERS.entries + commonHeaders(requestId).entries), EngineJson.state(stream).encodeToByteArray())
+                exchange.respond(
+                    200,
+                    Headers.of(JSON_HEADERS.entries + commonHeaders(requestId).entries),
+                    EngineJson.state(stream).encodeToByteArray(),
+                )
             }
             else -> exchange.fail(405, "method_not_allowed", "use GET or DELETE", "no")
         }
@@ -127,7 +163,10 @@
 
     private suspend fun load(exchange: HttpExchange) {
         val (running, waiting) = core.laggedLoad()
-        exchange.respondJson(LoadReport.serializer(), LoadReport(running, waiting, settings.capacity, settings.loadLagMillis, isDraining))
+        exchange.respondJson(
+            LoadReport.serializer(),
+            LoadReport(running, waiting, settings.capacity, settings.loadLagMillis, isDraining),
+        )
     }
 
     private suspend fun order(exchange: HttpExchange) {
@@ -168,7 +207,9 @@
     private fun commonHeaders(requestId: String): Headers {
         val echo = if (settings.echoesRequestId) listOf("X-Request-Id" to requestId) else emptyList()
         val version = listOf("X-Limpetfold-Version" to settings.version)
-        return Headers.of(echo + version + if (isDraining) listOf("Connection" to "close", "X-Draining" to "true") else emptyList())
+        return Headers.of(
+            echo + version + if (isDraining) listOf("Connection" to "close", "X-Draining" to "true") else emptyList(),
+        )
     }
 
     @Serializable
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandinSettings.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandinSettings.kt
@@ -40,8 +40,12 @@
     val fault: EngineFault = EngineFault(),
 ) {
     init {
-        require(capacity > 0 && rejectAbove >= capacity) { "rejectAbove $rejectAbove is below capacity $capacity: raise it" }
-        require(tokenMillis >= 0 && prefillTokensPerSecond > 0) { "tokenMillis is negative or prefillTokensPerSecond is not above 0: correct the value" }
+        require(
+            capacity > 0 && rejectAbove >= capacity,
+        ) { "rejectAbove $rejectAbove is below capacity $capacity: raise it" }
+        require(tokenMillis >= 0 && prefillTokensPerSecond > 0) {
+            "tokenMillis is negative or prefillTokensPerSecond is not above 0: correct the value"
+        }
         require(bytesPerToken > 0) { "bytesPerToken is not positive: set it above 0" }
     }
 }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/JsonResponses.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/JsonResponses.kt
@@ -35,4 +35,14 @@
 
 /** Responds to a health check: 200, or 503 with the `X-Draining` header. */
 internal suspend fun HttpExchange.respondHealth(isDraining: Boolean) =
-    if (isDraining) fail(503, "draining", "the endpoint is draining", "no", Headers.of("X-Draining" to "true")) else respond(200)
+    if (isDraining) {
+        fail(
+            503,
+            "draining",
+            "the endpoint is draining",
+            "no",
+            Headers.of("X-Draining" to "true"),
+        )
+    } else {
+        respond(200)
+    }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceSettings.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceSettings.kt
@@ -27,7 +27,14 @@
 ) {
     init {
         val shares = listOf(failBeforeShare, refuseShare, failAfterShare, loseAfterShare)
-        require(shares.all { it in 0.0..1.0 } && shares.sum() <= 1.0) { "the shares sum to ${shares.sum()}: lower them to at most 1" }
-        require(delayMillis >= 0 && readBytesPerSecond >= 0) { "delayMillis or readBytesPerSecond is negative: use 0 or more" }
+        require(
+            shares.all {
+                it in 0.0..1.0
+            } &&
+                shares.sum() <= 1.0,
+        ) { "the shares sum to ${shares.sum()}: lower them to at most 1" }
+        require(
+            delayMillis >= 0 && readBytesPerSecond >= 0,
+        ) { "delayMillis or readBytesPerSecond is negative: use 0 or more" }
     }
 }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
@@ -41,7 +41,10 @@
         when {
             call == "POST /bookings" -> book(exchange)
             call == "GET /bookings" -> {
-                val all = synchronized(bookings) { bookings.entries.joinToString(",", "[", "]") { """{"id":"${it.key}","booking":${it.value}}""" } }
+                val all =
+                    synchronized(bookings) {
+                        bookings.entries.joinToString(",", "[", "]") { """{"id":"${it.key}","booking":${it.value}}""" }
+                    }
                 exchange.respond(200, jsonHeaders(exchange), all.encodeToByteArray())
             }
             call.startsWith("GET /bookings/") -> {
@@ -64,12 +67,28 @@
     }
 
     private suspend fun book(exchange: HttpExchange) {
-        if (isDraining) return exchange.fail(503, "draining", "the service is draining", "no", notStartedHeaders(exchange))
+        if (isDraining) {
+            return exchange.fail(
+                503,
+                "draining",
+                "the service is draining",
+                "no",
+                notStartedHeaders(exchange),
+            )
+        }
         val outcome = drawOutcome()
-        if (outcome == Outcome.REFUSE) return exchange.fail(503, "busy", "the service is busy", "no", notStartedHeaders(exchange))
+        if (outcome ==
+            Outcome.REFUSE
+        ) {
+            return exchange.fail(503, "busy", "the service is busy", "no", notStartedHeaders(exchange))
+        }
         val body = readSlowly(exchange)
         delay(settings.delayMillis)
-        if (outcome == Outcome.FAIL_BEFORE) return exchange.fail(500, "failed", "the booking failed", "no", commonHeaders(exchange))
+        if (outcome ==
+            Outcome.FAIL_BEFORE
+        ) {
+            return exchange.fail(500, "failed", "the booking failed", "no", commonHeaders(exchange))
+        }
         val id =
             synchronized(bookings) {
                 exchange.head.headers["Idempotency-Key"]?.let { byKey.merge(it, 1, Int::plus) }
@@ -77,7 +96,14 @@
                 "b${bookings.size + 1}".also { bookings[it] = body.ifBlank { "null" } }
             }
         when (outcome) {
-            Outcome.FAIL_AFTER -> exchange.fail(500, "failed", "the booking failed after its effect", "yes", commonHeaders(exchange))
+            Outcome.FAIL_AFTER ->
+                exchange.fail(
+                    500,
+                    "failed",
+                    "the booking failed after its effect",
+                    "yes",
+                    commonHeaders(exchange),
+                )
             Outcome.LOSE_AFTER -> exchange.respondStream(200, Headers.of("Content-Length" to "1")).abort()
             else -> exchange.respond(201, jsonHeaders(exchange), """{"id":"$id"}""".encodeToByteArray())
         }
@@ -95,7 +121,11 @@
 
     private suspend fun changeSettings(exchange: HttpExchange) {
         try {
-            settings = JSON.decodeFromString(PlainServiceSettings.serializer(), exchange.readBody(MAX_SETTINGS_BYTES).decodeToString())
+            settings =
+                JSON.decodeFromString(
+                    PlainServiceSettings.serializer(),
+                    exchange.readBody(MAX_SETTINGS_BYTES).decodeToString(),
+                )
             exchange.respondJson(Effects.serializer(), effects())
         } catch (e: IllegalArgumentException) {
             exchange.fail(400, "invalid_request", e.message.orEmpty(), "no")
@@ -120,12 +150,22 @@
 
     private fun jsonHeaders(exchange: HttpExchange) = Headers.of(JSON_HEADERS.entries + commonHeaders(exchange).entries)
 
-    private fun notStartedHeaders(exchange: HttpExchange) = commonHeaders(exchange).with("X-Limpetfold-Not-Started", "true")
+    private fun notStartedHeaders(exchange: HttpExchange) =
+        commonHeaders(exchange).with("X-Limpetfold-Not-Started", "true")
 
     private fun commonHeaders(exchange: HttpExchange): Headers {
-        val echo = exchange.head.headers["X-Request-Id"].takeIf { settings.echoesRequestId }?.let { listOf("X-Request-Id" to it) }.orEmpty()
+        val echo =
+            exchange.head.headers["X-Request-Id"]
+                .takeIf { settings.echoesRequestId }
+                ?.let {
+                    listOf(
+                        "X-Request-Id" to it,
+                    )
+                }.orEmpty()
         val version = listOf("X-Limpetfold-Version" to settings.version)
-        return Headers.of(echo + version + if (isDraining) listOf("Connection" to "close", "X-Draining" to "true") else emptyList())
+        return Headers.of(
+            echo + version + if (isDraining) listOf("Connection" to "close", "X-Draining" to "true") else emptyList(),
+        )
     }
 
     /** The bookings that took effect, as `GET /admin/effects` returns them. */
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
@@ -59,7 +59,8 @@
     }
 
     /** The counts of calls and faults by kind, and the number of watches that wait now. */
-    fun stats(): Map<String, Long> = counts.mapValues { it.value.get() }.toSortedMap() + ("waitingWatches" to waitingWatches.get().toLong())
+    fun stats(): Map<String, Long> =
+        counts.mapValues { it.value.get() }.toSortedMap() + ("waitingWatches" to waitingWatches.get().toLong())
 
     private suspend fun serve(
         exchange: HttpExchange,
@@ -69,8 +70,21 @@
         val key = URLDecoder.decode(path.removePrefix("/v1/objects/"), Charsets.UTF_8)
         when {
             path == "/v1/instances" && exchange.head.method == "GET" ->
-                if (isResponseLost) closeWithoutResponse(exchange) else exchange.respondJson(ListSerializer(ListedInstance.serializer()), instances.visible())
-            path == "/v1/objects" && exchange.head.method == "GET" -> if (isResponseLost) closeWithoutResponse(exchange) else list(exchange)
+                if (isResponseLost) {
+                    closeWithoutResponse(
+                        exchange,
+                    )
+                } else {
+                    exchange.respondJson(ListSerializer(ListedInstance.serializer()), instances.visible())
+                }
+            path == "/v1/objects" && exchange.head.method == "GET" ->
+                if (isResponseLost) {
+                    closeWithoutResponse(
+                        exchange,
+                    )
+                } else {
+                    list(exchange)
+                }
             !path.startsWith("/v1/objects/") -> exchange.fail(404, "not_found", "no such path", "no")
             exchange.head.method == "GET" -> if (isResponseLost) closeWithoutResponse(exchange) else read(exchange, key)
             exchange.head.method == "PUT" -> write(exchange, key, isResponseLost)
@@ -92,16 +106,35 @@
         isResponseLost: Boolean,
     ) {
         val value = exchange.readBody(MAX_VALUE_BYTES).decodeToString()
-        val match = exchange.head.headers["If-Match"]?.removeSurrounding("\"")?.toLongOrNull()
+        val match =
+            exchange.head.headers["If-Match"]
+                ?.removeSurrounding("\"")
+                ?.toLongOrNull()
         val mustNotExist = exchange.head.headers["If-None-Match"] == "*"
-        if ((match == null) == !mustNotExist) return exchange.fail(428, "condition_required", "send If-Match or If-None-Match: *", "no")
+        if ((match == null) ==
+            !mustNotExist
+        ) {
+            return exchange.fail(428, "condition_required", "send If-Match or If-None-Match: *", "no")
+        }
         val written = objects.put(key, value, match ?: 0)
         if (isResponseLost) return closeWithoutResponse(exchange)
         when (written) {
-            is PlatformObjects.PutResult.Stored -> exchange.respond(200, JSON_HEADERS.with("ETag", "\"${written.version}\""))
+            is PlatformObjects.PutResult.Stored ->
+                exchange.respond(
+                    200,
+                    JSON_HEADERS.with("ETag", "\"${written.version}\""),
+                )
             is PlatformObjects.PutResult.Conflict -> {
                 count("conflicts")
-                exchange.fail(412, "conflict", "the object has another version", "no", Headers.of("ETag" to "\"${written.current}\""))
+                exchange.fail(
+                    412,
+                    "conflict",
+                    "the object has another version",
+                    "no",
+                    Headers.of(
+                        "ETag" to "\"${written.current}\"",
+                    ),
+                )
             }
         }
     }
@@ -109,7 +142,11 @@
     private suspend fun list(exchange: HttpExchange) {
         val prefix = exchange.head.query("prefix").orEmpty()
         val after = exchange.head.query("after")?.toLongOrNull() ?: 0
-        val waitMillis = exchange.head.query("waitMillis")?.toLongOrNull()?.coerceAtMost(MAX_WAIT_MILLIS) ?: 0
+        val waitMillis =
+            exchange.head
+                .query("waitMillis")
+                ?.toLongOrNull()
+                ?.coerceAtMost(MAX_WAIT_MILLIS) ?: 0
         waitingWatches.incrementAndGet()
         val (found, position) =
             try {
@@ -126,7 +163,10 @@
         try {
             when (path) {
                 "POST /admin/faults" -> faults = JSON.decodeFromString(ListSerializer(FaultSettings.serializer()), body)
-                "POST /admin/instances" -> instances.replace(JSON.decodeFromString(ListSerializer(ListedInstance.serializer()), body))
+                "POST /admin/instances" ->
+                    instances.replace(
+                        JSON.decodeFromString(ListSerializer(ListedInstance.serializer()), body),
+                    )
                 "POST /admin/lag" -> instances.lagMillis = JSON.decodeFromString(Lag.serializer(), body).listLagMillis
                 "GET /admin/stats" -> Unit
                 else -> return exchange.fail(404, "not_found", "no such path", "no")
@@ -143,12 +183,21 @@
         method: String,
         path: String,
     ): FaultSettings? {
-        val fault = faults.lastOrNull { path.startsWith(it.pathPrefix) && (it.method.isEmpty() || it.method == method) } ?: return null
+        val fault =
+            faults.lastOrNull { path.startsWith(it.pathPrefix) && (it.method.isEmpty() || it.method == method) }
+                ?: return null
         return fault.takeIf { synchronized(random) { random.nextDouble() } < it.probability }
     }
 
     /** Closes the connection without a response. */
-    private suspend fun closeWithoutResponse(exchange: HttpExchange) = exchange.respondStream(200, Headers.of("Content-Length" to "1")).abort()
+    private suspend fun closeWithoutResponse(exchange: HttpExchange) =
+        exchange
+            .respondStream(
+                200,
+                Headers.of(
+                    "Content-Length" to "1",
+                ),
+            ).abort()
 
     private fun count(kind: String) {
         counts.computeIfAbsent(kind) { AtomicLong() }.incrementAndGet()
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandinSettings.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandinSettings.kt
@@ -21,7 +21,9 @@
     val faults: List<FaultSettings> = emptyList(),
 ) {
     init {
-        require(writesPerSecond > 0 && readsPerSecond > 0) { "a rate is not positive: set writesPerSecond and readsPerSecond above 0" }
+        require(writesPerSecond > 0 && readsPerSecond > 0) {
+            "a rate is not positive: set writesPerSecond and readsPerSecond above 0"
+        }
         require(listLagMillis >= 0) { "listLagMillis is negative: use 0 or more" }
     }
 }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinCommand.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinCommand.kt
@@ -21,7 +21,10 @@
 ) : CliktCommand(name) {
     private val host by option("--host", help = "IP address to listen on").default("127.0.0.1")
     private val port by option("--port", help = "port to listen on; 0 chooses a free one").int().default(0)
-    private val settingsFile by option("--settings", help = "YAML settings file; see the module's README").file(mustExist = true, canBeDir = false)
+    private val settingsFile by option(
+        "--settings",
+        help = "YAML settings file; see the module's README",
+    ).file(mustExist = true, canBeDir = false)
     private val set by option("--set", help = "YAML mapping of settings, used instead of a file")
 
     init {
@@ -38,7 +41,11 @@
             try {
                 Yaml.default.decodeFromString(serializer, text)
             } catch (e: YamlException) {
-                throw CliktError("$source:${e.line}:${e.column}: ${e.path.toHumanReadableString()}: ${e.message}", e, statusCode = 2)
+                throw CliktError(
+                    "$source:${e.line}:${e.column}: ${e.path.toHumanReadableString()}: ${e.message}",
+                    e,
+                    statusCode = 2,
+                )
             } catch (e: IllegalArgumentException) {
                 throw CliktError("$source: ${e.message}", e, statusCode = 2)
             }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinServer.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/StandinServer.kt
@@ -15,7 +15,12 @@
     handler: HttpHandler,
 ) : AutoCloseable {
     private val server =
-        HttpServer(HttpServerSettings(host, port, maxBodyBytes = MAX_BODY_BYTES, maxConnections = 20_000), loops, BufferBudget(), handler).start()
+        HttpServer(
+            HttpServerSettings(host, port, maxBodyBytes = MAX_BODY_BYTES, maxConnections = 20_000),
+            loops,
+            BufferBudget(),
+            handler,
+        ).start()
 
     /** The address that the server listens on. */
     val address: HostPort get() = server.address
--- a/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakeObjectStore.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakeObjectStore.kt
@@ -36,7 +36,10 @@
     /** Returns a view of the same objects whose calls meet [faults]. */
     fun withFaults(faults: (StoreCall) -> StoreFault): FakeObjectStore = FakeObjectStore(state, faults)
 
-    override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> = read(StoreCall.Get(key)) { it.objects[key] }
+    override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> =
+        read(StoreCall.Get(key)) {
+            it.objects[key]
+        }
 
     override suspend fun list(prefix: String): Result<ObjectPage, StoreError> =
         read(StoreCall.List(prefix)) { it.page(prefix, ObjectVersion.NONE) }
--- a/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/SeededScheduler.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/SeededScheduler.kt
@@ -38,7 +38,11 @@
     /** Runs all tasks of dispatchers that are not paused, moving the clock from timer to timer, until none is left. */
     fun runUntilIdle() {
         while (step() || timers.isNotEmpty()) {
-            if (ready.all { it.dispatcher.isPaused } && timers.isNotEmpty()) advance(maxOf(0, timers.minOf { it.dueMillis } - nowMillis))
+            if (ready.all { it.dispatcher.isPaused } &&
+                timers.isNotEmpty()
+            ) {
+                advance(maxOf(0, timers.minOf { it.dueMillis } - nowMillis))
+            }
         }
     }
 
--- a/limpetfold-testing/src/test/kotlin/io/limpetfold/testing/SeededSchedulerTest.kt
+++ b/limpetfold-testing/src/test/kotlin/io/limpetfold/testing/SeededSchedulerTest.kt
@@ -16,7 +16,9 @@
  */
 class SeededSchedulerTest :
     FunSpec({
-        test("runUntilIdle advances the clock while a paused dispatcher has a task; schedule 12,889 of the budget tests hung here") {
+        test(
+            "runUntilIdle advances the clock while a paused dispatcher has a task; schedule 12,889 of the budget tests hung here",
+        ) {
             val clock = TestClock()
             val scheduler = SeededScheduler(Random(1), clock)
             val paused = scheduler.RouterDispatcher()
@@ -39,7 +41,10 @@
         test("a timeout expires at its deadline and not before") {
             val scheduler = SeededScheduler(Random(1), TestClock())
             var outcome: String? = "running"
-            CoroutineScope(scheduler.RouterDispatcher()).launch { outcome = withTimeoutOrNull(100) { "late".also { delay(1_000) } } }
+            CoroutineScope(scheduler.RouterDispatcher()).launch {
+                outcome =
+                    withTimeoutOrNull(100) { "late".also { delay(1_000) } }
+            }
             while (scheduler.step()) Unit
             scheduler.advance(99)
             while (scheduler.step()) Unit
