gateway: end the attempt when an event of a stream is too large

Cause: an endpoint that sends an event without a line end made ServerSentEventFramer throw at 1 MB, past the relay: the caller got the HTTP server's error in place of a truthful one, and a resumable stream was not tried elsewhere. Change: the framer returns a typed error, and the relay ends the attempt as interrupted. The framer's test checks the returned error in place of the exception, and the bound of the held bytes besides.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/stream/ServerSentEventFramer.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/stream/ServerSentEventFramer.kt
@@ -1,5 +1,8 @@
 package io.limpetfold.stream
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import java.io.ByteArrayOutputStream
 
 /**
@@ -19,14 +22,11 @@
     /** Number of buffered bytes of an event that has not ended yet. */
     val incompleteEventBytes: Int get() = event.size()
 
-    /**
-     * Returns the events that [chunk] completes; throws [IllegalArgumentException] when an event exceeds
-     * `maxEventBytes`.
-     */
-    fun feed(chunk: ByteArray): List<ServerSentEventFrame> {
+    /** Returns the events that [chunk] completes, or an error when an event exceeds `maxEventBytes`. */
+    fun feed(chunk: ByteArray): Result<List<ServerSentEventFrame>, EventTooLarge> {
         val frames = mutableListOf<ServerSentEventFrame>()
         for (byte in chunk) {
-            require(event.size() < maxEventBytes) { "an event exceeds $maxEventBytes bytes" }
+            if (event.size() >= maxEventBytes) return Err(EventTooLarge(maxEventBytes))
             event.write(byte.toInt())
             when (byte) {
                 CARRIAGE_RETURN -> Unit
@@ -37,7 +37,7 @@
                 }
             }
         }
-        return frames
+        return Ok(frames)
     }
 
     private fun endLine(): ServerSentEventFrame? {
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/stream/ServerSentEventFramerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/stream/ServerSentEventFramerTest.kt
@@ -1,6 +1,8 @@
 package io.limpetfold.stream
 
-import io.kotest.assertions.throwables.shouldThrow
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
@@ -17,7 +19,7 @@
                 var from = 0
                 while (from < whole.size) {
                     val to = minOf(whole.size, from + 1 + random.nextInt(40))
-                    frames += framer.feed(whole.copyOfRange(from, to))
+                    frames += framer.feed(whole.copyOfRange(from, to)).getOrThrow { error(it.message) }
                     from = to
                 }
                 frames.map { it.bytes.decodeToString() } shouldBe events
@@ -28,14 +30,14 @@
 
         test("guards against forwarding an event that its endpoint did not finish") {
             val framer = ServerSentEventFramer()
-            framer.feed("id: 1\ndata: a\n\nid: 2\nda".encodeToByteArray()).map { it.id } shouldBe listOf("1")
+            framer.feed("id: 1\ndata: a\n\nid: 2\nda".encodeToByteArray()).get()?.map { it.id } shouldBe listOf("1")
             (framer.incompleteEventBytes > 0) shouldBe true
         }
 
         test("guards against unbounded memory for an event that never ends") {
-            shouldThrow<IllegalArgumentException> {
-                ServerSentEventFramer(maxEventBytes = 100).feed(ByteArray(200) { 'x'.code.toByte() })
-            }
+            val framer = ServerSentEventFramer(maxEventBytes = 100)
+            framer.feed(ByteArray(200) { 'x'.code.toByte() }).getError() shouldBe EventTooLarge(100)
+            framer.incompleteEventBytes shouldBe 100
         }
 
         test("guards against a crash on bytes that are not an event stream") {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -46,7 +46,8 @@
             val bytes = chunk.getOrElse { return interrupted("${it.reason.name.lowercase()}: ${it.message}") }
             if (bytes == null) return complete(exchange, call, response, framer)
             state.onBytesReceived(clock.now())
-            for (frame in framer.feed(bytes)) writeEvent(exchange, call, response, frame)
+            val frames = framer.feed(bytes).getOrElse { return interrupted(it.message) }
+            for (frame in frames) writeEvent(exchange, call, response, frame)
         }
     }
 
