replication: leaders of each zone pass on changes of the store and lend tokens

Cause: above 17 routers every router watched the store, so each registration or change ended a watch at each of them, and each workspace had accounts at 8 to 14 routers. Change: RelayedObjectStore asks a leader of the zone for a watch, from the store's own positions, and goes on at the store when no relay has a state that the store confirmed. Rendezvous hashing of the zone selects four leaders for each group of up to 72 routers. Tokens of a workspace are borrowed from one leader of the zone, and only leaders read ledgers again when another one joins. Refills are three times rarer in a large fleet. Borrowed tokens last 3 s in place of 1 s. MembershipTest checks that the connections of ordinary routers stay at 12 and those of a leader, inbound ones included, at 128; before, every router had at most 12 of its own choice.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
@@ -5,8 +5,8 @@
 /**
  * How many tokens a router borrows, when it returns them, and how it asks lenders.
  *
- * @property horizon the time that borrowed tokens are to last at the borrower's demand. It is short, because the
- * lenders hold the tokens that outlast an outage of the platform.
+ * @property horizon the time that borrowed tokens are to last at the borrower's demand. It covers the loss of a lender
+ * until the next one is asked; the lenders hold the tokens that outlast an outage of the platform.
  * @property demandWindow the time over which the demand rate is averaged.
  * @property idleAfter the time without use after which borrowed tokens are returned.
  * @property evictAfter the time without use after which the state of a workspace without loans is evicted; it must be
@@ -16,7 +16,7 @@
  * @property lendersPerAttempt the number of lenders asked before this router uses its own account.
  */
 data class LoanPolicy(
-    val horizon: Duration = Duration.ofSeconds(1),
+    val horizon: Duration = Duration.ofSeconds(3),
     val demandWindow: Duration = Duration.ofSeconds(8),
     val idleAfter: Duration = Duration.ofSeconds(2),
     val evictAfter: Duration = Duration.ofMinutes(1),
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
@@ -29,17 +29,22 @@
  *
  * @property neighbours the approximate number of routers that each router is connected to and may borrow from; with 0
  * all are connected, and the first two routers lend.
+ * @property zones the number of zones, each of which borrows from one of its first four routers; 0 for none.
  */
 internal class LoanFleet(
     routerCount: Int,
     private val seed: Int = 1,
     private val neighbours: Int = 0,
+    private val zones: Int = 0,
 ) {
     class Router(
         val self: Incarnation,
         val agent: BudgetAgent,
         val borrower: TokenBorrower,
-    )
+        private val selector: LenderSelector,
+    ) {
+        val lenders: List<InstanceId> get() = selector.lendersOf(WORKSPACE)
+    }
 
     private val connections: Set<Pair<InstanceId, InstanceId>> = connect(routerCount)
     val hub =
@@ -135,12 +140,27 @@
                 paidTotalOf = { PaidTotal(PAID, version = 1) },
             )
         TokenLender(agent).register(peers)
-        val lenders = LenderSelector { if (neighbours == 0) firstTwo(self.instance) else ranked(self.instance) }
-        return Router(self, agent, TokenBorrower(self, agent, peers, lenders, timeSource = clock.monotonic))
+        val lenders =
+            LenderSelector {
+                when {
+                    zones > 0 -> ofZone(index)
+                    neighbours == 0 -> firstTwo(self.instance)
+                    else -> ranked(self.instance)
+                }
+            }
+        val borrower = TokenBorrower(self, agent, peers, lenders, timeSource = clock.monotonic)
+        return Router(self, agent, borrower, lenders)
     }
 
     private fun firstTwo(self: InstanceId): List<InstanceId> = if (self in LENDERS) emptyList() else LENDERS
 
+    private fun ofZone(index: Int): List<InstanceId> {
+        val leaders = List(LEADERS) { InstanceId("router-${it * zones + index % zones}") }
+        return RendezvousHash
+            .rank(WORKSPACE.value, leaders) { it.value }
+            .takeWhile { it != InstanceId("router-$index") }
+    }
+
     private fun ranked(self: InstanceId): List<InstanceId> {
         val candidates = connections.filter { it.first == self }.map { it.second } + self
         return RendezvousHash.rank(WORKSPACE.value, candidates) { it.value }.takeWhile { it != self }
@@ -167,6 +187,7 @@
         const val USED_TOKENS = 700L
         val WORKSPACE = WorkspaceId("w")
         val REQUEST = RequestId("r")
+        private const val LEADERS = 4
         val LENDERS = listOf(InstanceId("router-0"), InstanceId("router-1"))
         private val POLICY =
             BudgetPolicy(
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/TokenLoanTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -156,6 +157,27 @@
             }
         }
 
+        test("guards against a budget that lies in parts too small for a call while the platform is unavailable") {
+            // Load pattern: few large calls of a small budget, at routers of all zones, during an outage.
+            val fleet = LoanFleet(routerCount = 96, zones = 6)
+            fleet.routers.forEach { if (it.lenders.isEmpty()) it.borrower.openAccount(LoanFleet.WORKSPACE) }
+            // As when leaders join: each reads the ledger again, and finds the accounts of the others.
+            fleet.routers.forEach { it.agent.requestLedgerSync() }
+            fleet.advance(Duration.ofSeconds(1))
+            val holders = fleet.ledger().holders.values
+            holders.size shouldBe 6
+            val heldTokens = holders.sumOf { it.grantedTokens }
+            val callTokens = heldTokens / 4
+            holders.maxOf { it.grantedTokens } shouldBeLessThan callTokens
+            fleet.storeFault = StoreFault.UNAVAILABLE
+            repeat(3) { number ->
+                fleet.advance(Duration.ofSeconds(1))
+                withClue("call $number") {
+                    fleet.call(fleet.routers[90 + number], callTokens, callTokens).get().shouldNotBeNull()
+                }
+            }
+        }
+
         test("guards against a router that refuses all calls when its lenders are unreachable") {
             val fleet = LoanFleet(routerCount = 20)
             fleet.call(fleet.routers.last()).get().shouldNotBeNull()
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -33,8 +33,9 @@
 import io.limpetfold.gateway.operate.Readiness
 import io.limpetfold.gateway.operate.ReadinessAndMetricsHandler
 import io.limpetfold.gateway.operate.ReloadableSettings
-import io.limpetfold.gateway.operate.RendezvousLenderSelector
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
+import io.limpetfold.gateway.operate.ZoneLenderSelector
+import io.limpetfold.gateway.operate.ZoneRelaySelector
 import io.limpetfold.gateway.state.EndpointDirectoryUpdater
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
@@ -54,6 +55,7 @@
 import io.limpetfold.membership.MembershipListener
 import io.limpetfold.peer.ktor.FleetKey
 import io.limpetfold.peer.ktor.KtorPeerNetwork
+import io.limpetfold.replication.RelayedObjectStore
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
@@ -113,8 +115,16 @@
         Membership(self.instance, instances, peers, TimeSource.Monotonic, FleetPolicies.MEMBERSHIP, memberEvents()) {
             heartbeat()
         }
-    private val lenderSelector = RendezvousLenderSelector(self.instance, membership)
+    private val lenderSelector = ZoneLenderSelector(self.instance, settings.zone, membership)
     private val policies = FleetPolicies(settings.budget, membership, lenderSelector)
+    private val watchedStore =
+        RelayedObjectStore(
+            store,
+            peers,
+            ZoneRelaySelector(self.instance, settings.zone, membership, peers),
+            loops.dispatcher,
+            listener = { prefix, relay -> log.info("watch.source", "prefix" to prefix, "relay" to (relay ?: "store")) },
+        )
     private val registration = FleetRegistration(settings, instances, membership, peers, random, log)
     private val sync = PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher)
     private val budgetObserver = BudgetObserver(log, metrics)
@@ -156,6 +166,7 @@
         sync.register()
         moveCoordinator.register()
         lender.register(peers)
+        watchedStore.register()
         registerGauges()
         readinessServer.start()
         callerServer.start()
@@ -217,25 +228,14 @@
     }
 
     private fun startFeeds() {
+        val configPrefix = settings.configKey.path.substringBeforeLast('/') + "/"
+        scope.launch { ObjectFeed(watchedStore, configPrefix, routing, policies::changeFeed, random).run() }
         scope.launch {
-            ObjectFeed(
-                store,
-                settings.configKey.path.substringBeforeLast('/') + "/",
-                routing,
-                policies::configFeed,
-                random,
-            ).run()
+            ObjectFeed(watchedStore, settings.endpointPrefix, directoryUpdater, policies::changeFeed, random).run()
         }
         scope.launch {
-            ObjectFeed(
-                store,
-                settings.endpointPrefix,
-                directoryUpdater,
-                policies::endpointFeed,
-                random,
-            ).run()
+            ObjectFeed(watchedStore, settings.movePrefix, moveCoordinator, policies::moveFeed, random).run()
         }
-        scope.launch { ObjectFeed(store, settings.movePrefix, moveCoordinator, policies::moveFeed, random).run() }
         scope.launch {
             while (readiness == Readiness.STARTING &&
                 (routing.current == null || !directory.isInitialized)
@@ -256,7 +256,13 @@
         work.every(DEFAULT_INTERVAL, "peer sync") { sync.maintain(membership.members()) }
         work.every(SHORT_INTERVAL, "moves") { moveCoordinator.maintain(membership.members()) }
         val accountWarmer =
-            BudgetAccountWarmer(tokens, { registration.isRouterCountKnown }, { routing.current }, random)
+            BudgetAccountWarmer(
+                tokens,
+                lenderSelector::hasLender,
+                { registration.isRouterCountKnown },
+                { routing.current },
+                random,
+            )
         work.every(SHORT_INTERVAL, "accounts") { accountWarmer.maintain() }
         work.every(DEFAULT_INTERVAL, "budget") { budget.maintain() }
         work.every(LOAN_INTERVAL, "loans") { tokens.maintain() }
@@ -280,8 +286,9 @@
 
     private fun memberEvents() =
         object : MembershipListener {
+            // In a large fleet only leaders hold accounts and exchange tokens with other holders.
             override fun memberJoined(member: Member) {
-                hasNewMembers = true
+                if (membership.isFullMesh || membership.isLeader(member.instance)) hasNewMembers = true
             }
         }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/BudgetAccountWarmer.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/BudgetAccountWarmer.kt
@@ -1,18 +1,21 @@
 package io.limpetfold.gateway.operate
 
 import io.limpetfold.budget.loan.TokenBorrower
+import io.limpetfold.core.WorkspaceId
 import io.limpetfold.routing.RoutingTable
 import kotlinx.coroutines.delay
 import java.time.Duration
 import kotlin.random.Random
 
 /**
- * Opens the accounts of all prepaid workspaces, on this router or at a lender, before the first call needs them.
+ * Opens the accounts of all prepaid workspaces that this router holds, before the first call needs them. Those of which
+ * it borrows tokens are opened by the lender.
  *
  * With more than [MAX_WORKSPACES] prepaid workspaces, each account is opened by the first call instead.
  */
 internal class BudgetAccountWarmer(
     private val tokens: TokenBorrower,
+    private val hasLender: (WorkspaceId) -> Boolean,
     private val isRouterCountKnown: () -> Boolean,
     private val table: () -> RoutingTable?,
     private val random: Random,
@@ -31,9 +34,11 @@
         val prepaid = table()?.workspaces?.filter { it.prepaidTokens != null }.orEmpty()
         if (prepaid.size > MAX_WORKSPACES) return
         for (workspace in prepaid.filter { it.workspace.value !in opened }.shuffled(random)) {
-            if (!tokens.openAccount(workspace.workspace)) return
+            if (!hasLender(workspace.workspace)) {
+                if (!tokens.openAccount(workspace.workspace)) return
+                delay(random.nextLong(MAX_PAUSE.toMillis()))
+            }
             opened += workspace.workspace.value
-            delay(random.nextLong(MAX_PAUSE.toMillis()))
         }
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -11,7 +11,7 @@
 internal class FleetPolicies(
     private val budget: BudgetPolicy,
     private val membership: Membership,
-    private val lenderSelector: RendezvousLenderSelector,
+    private val lenderSelector: ZoneLenderSelector,
 ) {
     /**
      * Scales the fractions of the budget policy so that the total held by all routers does not depend on the number of
@@ -22,12 +22,17 @@
         return budget.copy(
             minAccountFraction = INITIAL_HELD_FRACTION / holderCount,
             grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
+            refillInterval = budget.refillInterval.multipliedBy(if (membership.isFullMesh) 1 else LARGE_FLEET_FACTOR),
         )
     }
 
-    fun configFeed(): FeedPolicy = if (membership.isFullMesh) SMALL_FLEET_FEED else LARGE_FLEET_CONFIG_FEED
-
-    fun endpointFeed(): FeedPolicy = if (membership.isFullMesh) SMALL_FLEET_FEED else LARGE_FLEET_ENDPOINT_FEED
+    /** The feeds of the configuration and of the endpoints. */
+    fun changeFeed(): FeedPolicy =
+        when {
+            !membership.isListKnown -> STARTING_FEED
+            membership.isFullMesh -> SMALL_FLEET_FEED
+            else -> LARGE_FLEET_FEED
+        }
 
     fun moveFeed(): FeedPolicy = MOVE_FEED
 
@@ -35,18 +40,23 @@
         /** Fraction of a budget that all routers together hold before any of them has received a call for it. */
         private const val INITIAL_HELD_FRACTION = 0.3
         private const val MIN_GRANT_FRACTION = 0.05
+
+        /** Factor for the interval of refills: lenders of all zones write to the same ledgers. */
+        private const val LARGE_FLEET_FACTOR = 3L
         private val SMALL_FLEET_FEED = FeedPolicy()
 
         /**
-         * Heartbeats report every two seconds whether a peer has a newer configuration, so a change that a stalled
-         * watch misses is noticed before the watch times out.
+         * While a fleet starts, its endpoints register one after the other; with a pause, a watch returns several of
+         * them.
          */
-        private val LARGE_FLEET_CONFIG_FEED =
-            FeedPolicy(watchWait = Duration.ofSeconds(6), pauseAfterChange = Duration.ofMillis(400))
+        private val STARTING_FEED = FeedPolicy(pauseAfterChange = Duration.ofMillis(300))
 
-        /** Many routers share the store's rate limit, and a change may take up to 3 s to become active. */
-        private val LARGE_FLEET_ENDPOINT_FEED =
-            FeedPolicy(watchWait = Duration.ofSeconds(3), pauseAfterChange = Duration.ofMillis(400))
+        /**
+         * A router whose relay stops responding is behind for one wait and a margin, which must be well within the
+         * shortest time in which a change has to be in force. Relays keep the calls to the store few.
+         */
+        private val LARGE_FLEET_FEED =
+            FeedPolicy(watchWait = Duration.ofSeconds(1), pauseAfterChange = Duration.ofMillis(250))
 
         /**
          * Orders arrive a few times a day and routers exchange verdicts directly, so a longer watch saves calls to the
@@ -65,9 +75,14 @@
                 directoryInterval = Duration.ofSeconds(5),
             )
 
-        /** Heartbeats every one or two seconds keep connections alive, so pings are sent only when heartbeats stop. */
+        /**
+         * Heartbeats every one or two seconds keep connections alive, so pings are sent only when heartbeats stop. The
+         * first routers of a zone have a connection to every other one of it.
+         */
         val PEERS =
             PeerPolicy(
+                maxConnections = 128,
+                maxHandshakes = 64,
                 connectTimeout = Duration.ofMillis(700),
                 handshakeTimeout = Duration.ofSeconds(1),
                 writeTimeout = Duration.ofSeconds(2),
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelector.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelector.kt
@@ -4,48 +4,34 @@
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.WorkspaceId
+import io.limpetfold.core.ZoneId
 import io.limpetfold.membership.Membership
 
 /**
- * Selects lenders by rendezvous hash among the neighbours, which are the routers that this one is connected to.
+ * Selects lenders among the leaders of the own zone by rendezvous hash of the workspace.
  *
- * Each router borrows from the highest-ranked of its neighbours for a workspace, so that only a few routers of a large
- * fleet have entries in the workspace's ledger. In a full mesh each router keeps its own accounts, which remain usable
- * when any other router fails.
+ * All routers of a zone borrow tokens of a workspace from the same leader, so a ledger has one entry for each zone, and a
+ * small budget does not lie in parts that are too small for a call. In a full mesh each router keeps its own accounts,
+ * which remain usable when any other router fails.
  */
-internal class RendezvousLenderSelector(
+internal class ZoneLenderSelector(
     private val self: InstanceId,
+    private val zone: ZoneId,
     private val membership: Membership,
 ) : LenderSelector {
     /** Estimated number of routers that hold an account of one workspace. */
-    val holderCount: Int
-        get() {
-            val routerCount = membership.routerCount
-            return if (membership.isFullMesh) {
-                routerCount
-            } else {
-                maxOf(
-                    MIN_HOLDERS,
-                    HOLDERS_PER_CONNECTED_GROUP * routerCount / CONNECTED_ROUTERS,
-                )
-            }
-        }
+    val holderCount: Int get() = if (membership.isFullMesh) membership.routerCount else membership.groupCount
 
     override fun lendersOf(workspace: WorkspaceId): List<InstanceId> {
-        if (membership.isFullMesh) return emptyList()
-        val candidates = membership.members().filter { !it.isDraining }.map { it.instance } + self
-        return RendezvousHash.rank(workspace.value, candidates) { it.value }.takeWhile { it != self }
+        val reachable = membership.members().filter { !it.isDraining }.mapTo(HashSet()) { it.instance }
+        return rankedLendersOf(workspace).filter { it in reachable }
     }
 
-    private companion object {
-        /** Routers that each router is connected to: twelve that it selected and about twelve that selected it. */
-        const val CONNECTED_ROUTERS = 24
+    /** Whether another router lends tokens of [workspace] to this one, reachable or not. */
+    fun hasLender(workspace: WorkspaceId): Boolean = rankedLendersOf(workspace).isNotEmpty()
 
-        /**
-         * Account holders for each group of [CONNECTED_ROUTERS] routers; more than one, because the neighbours of
-         * different routers overlap only in part.
-         */
-        const val HOLDERS_PER_CONNECTED_GROUP = 3
-        const val MIN_HOLDERS = 4
+    private fun rankedLendersOf(workspace: WorkspaceId): List<InstanceId> {
+        if (membership.isFullMesh) return emptyList()
+        return RendezvousHash.rank(workspace.value, membership.leaders(zone)) { it.value }.takeWhile { it != self }
     }
 }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelectorTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelectorTest.kt
@@ -24,7 +24,7 @@
  * Load pattern: every router of a large fleet receives calls of every workspace, and is connected to only a part of the
  * fleet.
  */
-class RendezvousLenderSelectorTest :
+class ZoneLenderSelectorTest :
     FunSpec({
         test(
             "guards against ledgers with an entry of every router, and against a router that lends for all workspaces",
@@ -74,7 +74,7 @@
         val self: InstanceId,
         val membership: Membership,
     ) {
-        val lenders = RendezvousLenderSelector(self, membership)
+        val lenders = ZoneLenderSelector(self, ZONE, membership)
 
         fun lenderOf(workspace: WorkspaceId): InstanceId = lenders.lendersOf(workspace).firstOrNull() ?: self
     }
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.onSuccess
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.core.ZoneId
 import io.limpetfold.peer.InstanceDirectory
 import io.limpetfold.peer.ListedInstance
 import io.limpetfold.peer.PeerNetwork
@@ -47,6 +48,9 @@
     private val heartbeatReceivedAt = HashMap<InstanceId, Duration>()
     private var seeds: ImmutableList<ListedInstance> = persistentListOf()
 
+    /** The last result of [leaders], which costs a hash for each router of the zone. */
+    private var leaders: Leaders? = null
+
     init {
         peers.registerHandler(HEARTBEAT_TOPIC) { _, heartbeat ->
             applyHeartbeat(heartbeat)
@@ -76,10 +80,35 @@
     fun connectionTargets(): ImmutableList<ListedInstance> =
         synchronized(this) {
             val routers = routers()
-            val selected = PeerSelection.select(self, routers.map { it.instance }, policy)
+            val selected = PeerSelection.select(self, routers, policy)
             routers.filter { it.instance in selected }.toImmutableList()
         }
 
+    /**
+     * The routers of this router's [zone] that pass on changes to it and lend tokens to it, perhaps including itself, in
+     * an order on which the routers of the zone agree; reachable or not.
+     */
+    fun leaders(zone: ZoneId): ImmutableList<InstanceId> =
+        synchronized(this) {
+            val routers = routers()
+            val known = leaders
+            if (known != null && known.routers === routers && known.zone == zone) return known.leaders
+            Leaders(routers, zone, PeerSelection.leadersOf(self, zone, routers)).also { leaders = it }.leaders
+        }
+
+    /** Whether [router] is a leader of any zone. */
+    fun isLeader(router: InstanceId): Boolean = synchronized(this) { router in PeerSelection.allLeaders(routers()) }
+
+    /** The number of groups of routers in the fleet, each of which has leaders of its own. */
+    val groupCount: Int
+        get() =
+            synchronized(this) {
+                routers().groupBy { it.zone }.values.sumOf { PeerSelection.groupCount(it.size) }
+            }
+
+    /** Whether the list of routers has been read, from the platform or from a peer. */
+    val isListKnown: Boolean get() = synchronized(this) { !view.isEmpty }
+
     /**
      * Whether [incarnation] is known to have ended: either a newer incarnation of its instance sent a heartbeat, or the
      * instance has been missing from the platform's list for [MembershipPolicy.endedAfterAbsence], counted from the
@@ -228,6 +257,12 @@
 
     private fun now(): Duration = start.elapsedNow()
 
+    private class Leaders(
+        val routers: List<ListedInstance>,
+        val zone: ZoneId,
+        val leaders: ImmutableList<InstanceId>,
+    )
+
     private companion object {
         /** Factor for the heartbeat interval and the heartbeat timeout of a fleet that is not a full mesh. */
         const val LARGE_FLEET_FACTOR = 2
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainAll
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
@@ -87,11 +88,33 @@
             joining.otherListedRouters().map { it.instance.value } shouldContainExactly listOf("a")
         }
 
-        test("in a large fleet the connections of a router are bounded and the fleet stays connected") {
+        test(
+            "in a large fleet the connections of a router are bounded, the fleet stays connected and zones reach their relay",
+        ) {
             val routers = (1..330).map { InstanceId("router-$it") }
-            val edges = routers.associateWith { PeerSelection.select(it, routers, MembershipPolicy()) }
-
-            edges.values.maxOf { it.size } shouldBe MembershipPolicy().maxConnections
+            val listed = routers.mapIndexed { index, router -> listedRouter(router, ZoneId("z${index % 10}")) }
+            val edges = routers.associateWith { PeerSelection.select(it, listed, MembershipPolicy()) }
+
+            val leadersByZone =
+                listed.groupBy { it.zone }.mapValues { (zone, ofZone) ->
+                    ofZone.flatMap { PeerSelection.leadersOf(it.instance, zone, listed) }.toSet()
+                }
+            val leaders = leadersByZone.values.flatten()
+            for ((zone, ofZone) in listed.groupBy { it.zone }) {
+                for (router in ofZone.map { it.instance }) {
+                    val own = PeerSelection.leadersOf(router, zone, listed) - router
+                    edges.getValue(router) shouldContainAll own
+                }
+            }
+            leaders.forEach { edges.getValue(it) shouldContainAll leaders - it }
+            edges.filterKeys { it !in leaders }.values.maxOf { it.size } shouldBe MembershipPolicy().maxConnections
+            leaders shouldHaveSize 10 * 4
+            val inbound =
+                edges.values
+                    .flatten()
+                    .groupingBy { it }
+                    .eachCount()
+            leaders.maxOf { inbound.getValue(it) + edges.getValue(it).size } shouldBeLessThanOrEqual 128
             val reached = mutableSetOf(routers.first())
             var frontier = reached.toSet()
             while (frontier.isNotEmpty()) {
@@ -167,3 +190,8 @@
         }
     }
 }
+
+private fun listedRouter(
+    instance: InstanceId,
+    zone: ZoneId,
+) = ListedInstance(instance, ListedInstance.ROUTER_SERVICE, VersionId("1"), zone, instance.value, 1)
--- /dev/null
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
@@ -0,0 +1,141 @@
+package io.limpetfold.replication
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.limpetfold.core.InstanceId
+import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.store.ObjectPage
+import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.withContext
+import java.time.Duration
+import kotlin.time.TimeSource
+import kotlin.time.toJavaDuration
+
+/**
+ * A store whose watches are answered by other routers where possible, so that few routers of a large fleet watch the
+ * store itself.
+ *
+ * Positions are those of the store, so a watch continues at the store from the same position when no relay has a
+ * current state. All other calls go to the store. All calls must be made on [dispatcher].
+ *
+ * @param dispatcher the single thread of the router's decisions, on which requests of peers are handled too.
+ */
+class RelayedObjectStore(
+    private val store: ObjectStore,
+    private val peers: PeerNetwork,
+    private val relaySelector: RelaySelector,
+    private val dispatcher: CoroutineDispatcher,
+    private val policy: RelayPolicy = RelayPolicy(),
+    private val listener: WatchSourceListener = WatchSourceListener.NONE,
+    timeSource: TimeSource = TimeSource.Monotonic,
+) : ObjectStore by store {
+    private val start = timeSource.markNow()
+    private val replicas = HashMap<String, ObjectReplica>()
+    private val suspendedUntil = HashMap<InstanceId, Duration>()
+
+    /** Registers the handler of watches that peers send; call it before the network starts. */
+    fun register() =
+        peers.registerHandler(RELAY_TOPIC) { _, request -> withContext(dispatcher) { handleRequest(request) } }
+
+    override suspend fun list(prefix: String): Result<ObjectPage, StoreError> {
+        val replica = replicaOf(prefix)
+        return store
+            .list(prefix)
+            .onSuccess { replica.onListed(it, now() + policy.freshnessMargin) }
+            .onFailure { replica.onStoreFailed() }
+    }
+
+    override suspend fun watch(
+        prefix: String,
+        after: ObjectVersion,
+        wait: Duration,
+    ): Result<ObjectPage, StoreError> {
+        val replica = replicaOf(prefix)
+        if (!isServing(replica)) watchRelays(prefix, after, wait, replica)?.let { return Ok(it) }
+        return store
+            .watch(prefix, after, wait)
+            .onSuccess {
+                replica.onChanged(after, it, now() + wait + policy.freshnessMargin)
+                onSource(prefix, replica, relay = null)
+            }.onFailure { replica.onStoreFailed() }
+    }
+
+    /** Whether a peer relies on this router, which then watches the store even if it could ask a relay. */
+    private fun isServing(replica: ObjectReplica): Boolean =
+        replica.askedAt.let { it != null && now() - it < policy.servingTime }
+
+    /**
+     * Asks relays in turn; null when none of them has a current state.
+     *
+     * All of them together get the time of one watch, so that a second relay that stopped too does not delay a change
+     * further.
+     */
+    private suspend fun watchRelays(
+        prefix: String,
+        after: ObjectVersion,
+        wait: Duration,
+        replica: ObjectReplica,
+    ): ObjectPage? {
+        val end = now() + wait
+        for (relay in availableRelays()) {
+            val remaining = end - now()
+            if (remaining <= Duration.ZERO) return null
+            val request = RelayRequest(prefix, after, remaining.toMillis())
+            val reply = peers.ask(relay, RELAY_TOPIC, request, remaining + policy.responseMargin).get()
+            when (reply?.outcome) {
+                RelayOutcome.CHANGES -> {
+                    val page = reply.toPage()
+                    replica.onChanged(after, page, currentUntil = null)
+                    onSource(prefix, replica, relay)
+                    return page
+                }
+                RelayOutcome.HISTORY_EXPIRED -> return null
+                RelayOutcome.NOT_CURRENT, null -> suspend(relay)
+            }
+        }
+        return null
+    }
+
+    private fun availableRelays(): List<InstanceId> =
+        relaySelector
+            .relays()
+            .filter { relay -> suspendedUntil[relay].let { it == null || it <= now() } }
+            .take(policy.relaysPerWatch)
+
+    private fun onSource(
+        prefix: String,
+        replica: ObjectReplica,
+        relay: InstanceId?,
+    ) {
+        if (replica.relay == relay) return
+        replica.relay = relay
+        listener.onSourceChanged(prefix, relay)
+    }
+
+    private fun suspend(relay: InstanceId) {
+        suspendedUntil.values.removeIf { it <= now() }
+        suspendedUntil[relay] = now() + policy.suspension
+    }
+
+    private suspend fun handleRequest(request: RelayRequest): RelayReply {
+        val replica = replicas[request.prefix] ?: return RelayReply(RelayOutcome.NOT_CURRENT)
+        replica.askedAt = now()
+        val maxWait = Duration.ofMillis(request.waitMillis.coerceIn(0, MAX_WAIT_MILLIS))
+        return replica.awaitChanges(request.after, maxWait, ::now)
+    }
+
+    private fun replicaOf(prefix: String) = replicas.getOrPut(prefix) { ObjectReplica() }
+
+    private fun now(): Duration = start.elapsedNow().toJavaDuration()
+
+    private companion object {
+        /** A longer wait of a peer would hold an ask of its connection for too long. */
+        const val MAX_WAIT_MILLIS = 15_000L
+    }
+}
