--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -45,7 +45,7 @@
      */
     suspend fun synchronise(
         slot: AccountSlot,
-        grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
+        grantSize: (account: LocalAccount, balance: LedgerBalance) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
             slot.policy = policyOf(slot.workspace)
@@ -72,7 +72,7 @@
                                 .update(
                                     slot.holder,
                                     snapshot.update(),
-                                ) { grantSize(snapshot, it, ledger.unspentTokens) }
+                                ) { grantSize(snapshot, ledger.balance(it)) }
                                 .fold(
                                     success = { if (it === stored) Change.Keep else Change.Write(it) },
                                     failure = { Change.Refuse(it) },
@@ -108,7 +108,7 @@
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
-            maxHeldTokens = policy.maxHeldTokens(after, ledger.freeTokens, ledger.unspentTokens)
+            maxHeldTokens = policy.maxHeldTokens(after, ledger.balance())
             minHeldTokens = (maxOf(0, ledger.freeTokens) * policy.minAccountFraction).toLong()
         }
         listener.onEvent(
