--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -39,8 +39,8 @@
 
     private suspend fun maintain(slot: AccountSlot) {
         val outcome =
-            ledgerSync.synchronise(slot) { account, balance ->
-                if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, balance) else 0
+            ledgerSync.synchronise(slot) { account, free, unspent ->
+                if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, free, unspent) else 0
             }
         // During an outage of the platform, idle tokens stay in the account, where peers can request them.
         if (outcome !is RefillFailure.Insufficient && outcome !is RefillFailure.UnknownWorkspace) return
@@ -48,7 +48,7 @@
         if (evict(slot)) {
             closeEvicted(slot)
         } else if (returnIdle(slot)) {
-            ledgerSync.synchronise(slot) { _, _ -> 0 }
+            ledgerSync.synchronise(slot) { _, _, _ -> 0 }
         }
     }
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -30,8 +30,6 @@
  * @property paidVersion the version of the configuration that [paidTokens] was taken from; 0 when it is the sum of
  * top-ups.
  * @property endCount the number of holders that were ended by a reclaim.
- * @property writtenOffTokens tokens that count as spent because their holder ended without a report, including those
- * that it did spend.
  */
 @Serializable
 data class BudgetLedger(
@@ -46,7 +44,6 @@
     val topUpsForgottenThrough: String = "",
     val endCount: Long = 0,
     val paidVersion: Long = 0,
-    val writtenOffTokens: Long = 0,
 ) {
     /** Tokens paid and neither settled nor granted. */
     val freeTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
@@ -56,13 +53,6 @@
         paidTokens - settledTokens -
             holders.values.sumOf { it.reportedSpentTokens.coerceAtMost(it.grantedTokens) }
 
-    /** The balance with [freeTokens], which may differ from the ledger's while an update is applied. */
-    fun balance(freeTokens: Long = this.freeTokens): LedgerBalance {
-        val unspent = maxOf(0, unspentTokens)
-        val writtenOffFraction = writtenOffTokens.toDouble() / maxOf(1, writtenOffTokens + unspent)
-        return LedgerBalance(freeTokens, unspent, writtenOffFraction)
-    }
-
     /** Adds [tokens] to the paid total; idempotent by [id]. */
     fun topUp(
         id: TopUpId,
@@ -172,7 +162,6 @@
         return Ok(
             copy(
                 settledTokens = settledTokens + spentTokens,
-                writtenOffTokens = writtenOffTokens + if (isWrittenOff) spentTokens - entry.reportedSpentTokens else 0,
                 holders = holders.put(holder.key, ended),
                 endCount = endCount + 1,
             ).normalised(),
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -21,8 +21,6 @@
  * @property maxHeldFraction the largest fraction of the unspent tokens that all accounts together hold, unless one
  * reservation needs more. Held tokens are lost when all routers lose power, so the accounts hold less as the budget
  * runs out.
- * @property lossSensitivity how much [maxHeldFraction] shrinks with [LedgerBalance.writtenOffFraction]. Without it, each loss of all routers takes the same part of what the losses before it left.
- * @property minHeldFraction the fraction below which losses do not reduce [maxHeldFraction].
  * @property refillBelow the fraction of its target below which maintenance refills an account; 0 disables these
  * refills.
  * @property refillInterval the minimum time between two refills, or returns, of one account by maintenance.
@@ -48,8 +46,6 @@
     val waitsWhenInsufficient: Boolean = true,
     val minAccountFraction: Double = 0.0,
     val maxHeldFraction: Double = 1.0,
-    val lossSensitivity: Double = 0.0,
-    val minHeldFraction: Double = 0.0,
     val refillBelow: Double = 0.0,
     val refillInterval: Duration = Duration.ofSeconds(1),
     val maxExcessRatio: Double = Double.POSITIVE_INFINITY,
@@ -64,9 +60,6 @@
             "retryDelay must be positive and not above maxRetryDelay"
         }
         require(peersPerAttempt >= 0) { "peersPerAttempt must not be negative" }
-        require(lossSensitivity >= 0 && minHeldFraction in 0.0..maxHeldFraction) {
-            "lossSensitivity must not be negative and minHeldFraction must be in [0, maxHeldFraction]"
-        }
         require(minAccountFraction in 0.0..1.0 && maxHeldFraction > 0 && maxHeldFraction <= 1) {
             "minAccountFraction must be in [0, 1] and maxHeldFraction in (0, 1]"
         }
@@ -76,39 +69,35 @@
     }
 
     /**
-     * The tokens to request for [account] from a ledger with [balance]; 0 when the free tokens do not cover
-     * [neededTokens].
+     * The tokens to request from the ledger for [account], given the [freeTokens] of the ledger and its
+     * [unspentTokens], free ones included; 0 when the free tokens do not cover [neededTokens].
      */
     fun grantSize(
         account: LocalAccount,
         neededTokens: Long,
-        balance: LedgerBalance,
+        freeTokens: Long,
+        unspentTokens: Long = Long.MAX_VALUE,
     ): Long {
-        val freeTokens = balance.freeTokens
         val shortTokens = maxOf(0, neededTokens - account.availableTokens)
         if (shortTokens > freeTokens) return 0
         val demandedTokens = maxOf(horizonTokens(account), (freeTokens * minAccountFraction).toLong())
-        val heldTokens = minOf(demandedTokens, maxHeldTokens(account, balance))
+        val heldTokens = minOf(demandedTokens, maxHeldTokens(account, freeTokens, unspentTokens))
         val wantedTokens = heldTokens - account.availableTokens
         val cappedTokens = minOf(wantedTokens, (freeTokens * grantFraction).toLong())
         return maxOf(shortTokens, cappedTokens)
     }
 
-    /** The maximum number of tokens that [account] should hold, so that all accounts hold at most [heldFraction]. */
+    /** The maximum number of tokens that [account] should hold, so that [maxHeldFraction] is kept. */
     fun maxHeldTokens(
         account: LocalAccount,
-        balance: LedgerBalance,
+        freeTokens: Long,
+        unspentTokens: Long,
     ): Long {
-        val heldFraction = heldFraction(balance.writtenOffFraction)
-        if (heldFraction >= 1) return Long.MAX_VALUE
-        val keptTokens = (balance.unspentTokens * (1 - heldFraction)).toLong()
-        return account.availableTokens + maxOf(0, balance.freeTokens - keptTokens)
+        if (maxHeldFraction >= 1) return Long.MAX_VALUE
+        val keptTokens = (unspentTokens * (1 - maxHeldFraction)).toLong()
+        return account.availableTokens + maxOf(0, freeTokens - keptTokens)
     }
 
-    /** The largest fraction of the unspent tokens to hold at [writtenOffFraction]. */
-    fun heldFraction(writtenOffFraction: Double): Double =
-        maxOf(minHeldFraction, maxHeldFraction * (1 - lossSensitivity * writtenOffFraction))
-
     /** The unreserved tokens that [account] needs for the [horizon] at its last recorded demand rate. */
     fun horizonTokens(account: LocalAccount): Long = account.demand.tokensFor(horizon)
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -45,7 +45,7 @@
      */
     suspend fun synchronise(
         slot: AccountSlot,
-        grantSize: (account: LocalAccount, balance: LedgerBalance) -> Long,
+        grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
             slot.policy = policyOf(slot.workspace)
@@ -72,7 +72,7 @@
                                 .update(
                                     slot.holder,
                                     snapshot.update(),
-                                ) { grantSize(snapshot, ledger.balance(it)) }
+                                ) { grantSize(snapshot, it, ledger.unspentTokens) }
                                 .fold(
                                     success = { if (it === stored) Change.Keep else Change.Write(it) },
                                     failure = { Change.Refuse(it) },
@@ -108,7 +108,7 @@
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
-            maxHeldTokens = policy.maxHeldTokens(after, ledger.balance())
+            maxHeldTokens = policy.maxHeldTokens(after, ledger.freeTokens, ledger.unspentTokens)
             minHeldTokens = (maxOf(0, ledger.freeTokens) * policy.minAccountFraction).toLong()
         }
         listener.onEvent(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -7,8 +7,7 @@
 object GatewayDefaults {
     /**
      * Grants last longer than an outage of the store. Each grant takes only a small fraction of the free tokens, so
-     * that every router can still use the last tokens of a budget. After five losses of all routers at the least
-     * favourable moments a quarter of what the first one found is still left.
+     * that every router can still use the last tokens of a budget.
      */
     val BUDGET: BudgetPolicy =
         BudgetPolicy(
@@ -23,8 +22,6 @@
             idleAfter = Duration.ofSeconds(30),
             waitsWhenInsufficient = false,
             maxHeldFraction = 0.6,
-            lossSensitivity = 2.0,
-            minHeldFraction = 0.06,
             refillBelow = 0.55,
             refillInterval = Duration.ofSeconds(1),
             maxExcessRatio = 0.5,
