gateway: fewer store calls and messages of an idle large fleet

At the start the list of routers holds few of them, so each router took the fleet for a small one and watched without a pause; it read its own entry before it created it; a ledger that needed no write was read twice; the list was read each 20 s; and each router exchanged heartbeats with 24 others. Change: the pause of a starting fleet holds until the router count is known; the entry is created without a read; maintenance accepts a stale ledger where it writes nothing; the list is read each 40 s, or at once when an unlisted router is heard; an ordinary router connects to its two ring neighbours and its leaders.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -39,7 +39,7 @@
 
     private suspend fun maintain(slot: AccountSlot) {
         val outcome =
-            ledgerSync.synchronise(slot) { account, free, unspent ->
+            ledgerSync.synchronise(slot, isStaleResultAllowed = true) { account, free, unspent ->
                 if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, free, unspent) else 0
             }
         // During an outage of the platform, idle tokens stay in the account, where peers can request them.
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -42,9 +42,12 @@
      *
      * Returns [RefillFailure.Insufficient] with the free tokens also after a success; the caller compares the available
      * tokens of the account with its need.
+     *
+     * @param isStaleResultAllowed whether a ledger of some seconds ago will do where nothing is written.
      */
     suspend fun synchronise(
         slot: AccountSlot,
+        isStaleResultAllowed: Boolean = false,
         grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
@@ -61,7 +64,7 @@
                     ledger(slot).update<LedgerRefusal>({
                         (it.holders[slot.holder.key]?.sequence ?: 0) >
                             snapshot.sequence
-                    }, isStaleReadAllowed = true) { stored ->
+                    }, isStaleReadAllowed = true, isStaleResultAllowed) { stored ->
                         val ledger = withPaidTotal(slot.workspace, stored)
                         if (ledger == null) {
                             Change.Refuse(LedgerRefusal.UnknownWorkspace)
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
@@ -28,10 +28,12 @@
      *
      * @param isStaleReadAllowed whether the first attempt may use the cheaper [ObjectStore.getStale]; if [change] then
      * writes nothing, it runs again on the latest value.
+     * @param isStaleResultAllowed whether the value of such a read is good enough where [change] keeps it.
      */
     suspend fun <E> update(
         isApplied: (T) -> Boolean,
         isStaleReadAllowed: Boolean = false,
+        isStaleResultAllowed: Boolean = false,
         change: (T?) -> Change<T, E>,
     ): Result<Versioned<T>, UpdateError<E>> {
         var isOutcomeUnknown = false
@@ -43,7 +45,8 @@
             val current = stored.andThen(::decode).getOrElse { return failed(it, isOutcomeUnknown) }
             if (isOutcomeUnknown && current.value?.let(isApplied) == true) return Ok(current)
             val result = change(current.value)
-            if (result !is Change.Write && isStale) {
+            val isStaleResultGood = result is Change.Write || (isStaleResultAllowed && result is Change.Keep)
+            if (isStale && !isStaleResultGood) {
                 isStale = false
                 return@repeat
             }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -116,7 +116,8 @@
             heartbeat()
         }
     private val lenderSelector = ZoneLenderSelector(self.instance, settings.zone, membership)
-    private val policies = FleetPolicies(settings.budget, membership, lenderSelector)
+    private val policies: FleetPolicies =
+        FleetPolicies(settings.budget, membership, lenderSelector) { registration.isRouterCountKnown }
     private val watchedStore =
         RelayedObjectStore(
             store,
@@ -125,7 +126,8 @@
             loops.dispatcher,
             listener = { prefix, relay -> log.info("watch.source", "prefix" to prefix, "relay" to (relay ?: "store")) },
         )
-    private val registration = FleetRegistration(settings, instances, membership, peers, random, log)
+    private val registration: FleetRegistration =
+        FleetRegistration(settings, instances, membership, peers, random, log)
     private val sync = PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher)
     private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -12,6 +12,7 @@
     private val budget: BudgetPolicy,
     private val membership: Membership,
     private val lenderSelector: ZoneLenderSelector,
+    private val isRouterCountKnown: () -> Boolean,
 ) {
     /**
      * Scales the fractions of the budget policy so that the total held by all routers does not depend on the number of
@@ -29,7 +30,7 @@
     /** The feeds of the configuration and of the endpoints. */
     fun changeFeed(): FeedPolicy =
         when {
-            !membership.isListKnown -> STARTING_FEED
+            !isRouterCountKnown() -> STARTING_FEED
             membership.isFullMesh -> SMALL_FLEET_FEED
             else -> LARGE_FLEET_FEED
         }
@@ -41,15 +42,18 @@
         private const val INITIAL_HELD_FRACTION = 0.3
         private const val MIN_GRANT_FRACTION = 0.05
 
+        /** Two neighbours and the leaders of the zone, which are connected to all other leaders. */
+        private const val LARGE_FLEET_CONNECTIONS = 6
+
         /** Factor for the interval of refills: lenders of all zones write to the same ledgers. */
         private const val LARGE_FLEET_FACTOR = 3L
         private val SMALL_FLEET_FEED = FeedPolicy()
 
         /**
-         * While a fleet starts, its endpoints register one after the other; with a pause, a watch returns several of
-         * them.
+         * While a fleet starts, its endpoints register one after the other, and the routers that share the watches are
+         * not known yet; with a pause, a watch returns several changes.
          */
-        private val STARTING_FEED = FeedPolicy(pauseAfterChange = Duration.ofMillis(300))
+        private val STARTING_FEED = FeedPolicy(pauseAfterChange = Duration.ofMillis(800))
 
         /**
          * A router whose relay stops responding is behind for one wait and a margin, which must be well within the
@@ -73,6 +77,7 @@
                 heartbeatInterval = Duration.ofSeconds(1),
                 heartbeatTimeout = Duration.ofSeconds(4),
                 directoryInterval = Duration.ofSeconds(5),
+                maxConnections = LARGE_FLEET_CONNECTIONS,
             )
 
         /**
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
@@ -1,7 +1,9 @@
 package io.limpetfold.gateway.operate
 
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onSuccess
 import io.limpetfold.core.InstanceId
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.peer.InstanceDirectory
@@ -9,6 +11,7 @@
 import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectKey
 import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.StoredObject
 import io.limpetfold.store.TypedObject
@@ -26,10 +29,16 @@
     override suspend fun list(): Result<ImmutableList<ListedInstance>, StoreError> =
         store.list(PREFIX).map { page -> page.objects.mapNotNull(::decode).toImmutableList() }
 
-    /** Writes the entry of [self] unless the stored entry already equals it. */
-    suspend fun register(self: ListedInstance): Result<Versioned<ListedInstance>, UpdateError<Nothing>> =
-        TypedObject(store, keyOf(self.instance), ListedInstance.serializer())
+    /**
+     * Writes the entry of [self] unless the stored entry already equals it. In a fleet that starts there is no entry yet,
+     * so it is created without a read.
+     */
+    suspend fun register(self: ListedInstance): Result<Versioned<ListedInstance>, UpdateError<Nothing>> {
+        val value = TypedObject.JSON.encodeToString(ListedInstance.serializer(), self)
+        store.put(keyOf(self.instance), value, ObjectVersion.NONE).onSuccess { return Ok(Versioned(self, it)) }
+        return TypedObject(store, keyOf(self.instance), ListedInstance.serializer())
             .update(isApplied = { it == self }) { if (it == self) Change.Keep else Change.Write(self) }
+    }
 
     private fun decode(stored: StoredObject): ListedInstance? =
         try {
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -106,9 +106,6 @@
                 routers().groupBy { it.zone }.values.sumOf { PeerSelection.groupCount(it.size) }
             }
 
-    /** Whether the list of routers has been read, from the platform or from a peer. */
-    val isListKnown: Boolean get() = synchronized(this) { !view.isEmpty }
-
     /**
      * Whether [incarnation] is known to have ended: either a newer incarnation of its instance sent a heartbeat, or the
      * instance has been missing from the platform's list for [MembershipPolicy.endedAfterAbsence], counted from the
@@ -271,7 +268,7 @@
          * Factor for the interval of list reads in a fleet that is not a full mesh. A heartbeat of a router that is not
          * listed yet makes the next read come early, so regular reads can be rarer.
          */
-        const val LARGE_FLEET_DIRECTORY_FACTOR = 4
+        const val LARGE_FLEET_DIRECTORY_FACTOR = 8
         val LOGGER = LoggerFactory.getLogger(Membership::class.java)
     }
 }
