--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -48,6 +48,9 @@
     private val heartbeatReceivedAt = HashMap<InstanceId, Duration>()
     private var seeds: ImmutableList<ListedInstance> = persistentListOf()
 
+    /** The last result of [connectionTargets], which costs a hash for each router of the fleet. */
+    private var targets: Targets? = null
+
     /** The last result of [leaders], which costs a hash for each router of the zone. */
     private var leaders: Leaders? = null
 
@@ -80,8 +83,12 @@
     fun connectionTargets(): ImmutableList<ListedInstance> =
         synchronized(this) {
             val routers = routers()
+            val known = targets
+            if (known != null && known.routers === routers) return known.targets
             val selected = PeerSelection.select(self, routers, policy)
-            routers.filter { it.instance in selected }.toImmutableList()
+            val targets = routers.filter { it.instance in selected }.toImmutableList()
+            this.targets = Targets(routers, targets)
+            targets
         }
 
     /**
@@ -254,6 +261,11 @@
 
     private fun now(): Duration = start.elapsedNow()
 
+    private class Targets(
+        val routers: List<ListedInstance>,
+        val targets: ImmutableList<ListedInstance>,
+    )
+
     private class Leaders(
         val routers: List<ListedInstance>,
         val zone: ZoneId,
