--- a/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlFleet.kt
+++ b/limpetfold-ctl/src/test/kotlin/io/limpetfold/ctl/CtlFleet.kt
@@ -33,11 +33,11 @@
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.TypedObject
 import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FreePorts
 import io.limpetfold.testing.TestClock
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.KSerializer
-import java.net.ServerSocket
 import java.nio.file.Files
 import kotlin.io.path.deleteExisting
 import kotlin.io.path.writeText
@@ -104,7 +104,7 @@
 
     /** Adds the address of a router where nothing listens. */
     fun addUnreachableRouter() {
-        routers += HostPort("127.0.0.1", ServerSocket(0).use { it.localPort })
+        routers += HostPort("127.0.0.1", FreePorts.next())
     }
 
     suspend fun <T> write(
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/fleet/RouterFleet.kt
@@ -30,9 +30,9 @@
 import io.limpetfold.standins.PlatformStandin
 import io.limpetfold.standins.PlatformStandinSettings
 import io.limpetfold.standins.StandinServer
+import io.limpetfold.testing.FreePorts
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.runBlocking
-import java.net.ServerSocket
 import java.nio.file.Path
 import kotlin.io.path.createTempDirectory
 import kotlin.io.path.writeText
@@ -58,7 +58,7 @@
         )
     private val directory: Path = createTempDirectory("limpetfold-measure")
     private val eventLoops = HttpEventLoops(EVENT_LOOPS)
-    private val ports = freePorts(routers * PORTS_PER_ROUTER)
+    private val ports = FreePorts.list(routers * PORTS_PER_ROUTER)
     private val endpoints =
         listOfNotNull("model" to engine, service?.let { "plain" to it }).map { (name, handler) ->
             name to StandinServer("127.0.0.1", 0, eventLoops, handler)
@@ -196,10 +196,5 @@
         private val READY_TIMEOUT = 40.seconds
         private val WORKSPACE = WorkspaceId("measure")
         private val VERSION = VersionId("v1")
-
-        private fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0) }
-            return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
-        }
     }
 }
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/SecurityTest.kt
@@ -38,6 +38,7 @@
 import io.limpetfold.standins.PlatformStandinSettings
 import io.limpetfold.standins.StandinServer
 import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FreePorts
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
@@ -46,7 +47,6 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import org.slf4j.LoggerFactory
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -68,7 +68,7 @@
                 ),
             )
         val platformServer = StandinServer("127.0.0.1", 0, loops, platform)
-        val ports = List(2) { ServerSocket(0) }.map { it.use { free -> free.localPort } }
+        val ports = FreePorts.list(2)
         val router =
             Router(
                 RouterSettings(
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/TestFleet.kt
@@ -40,17 +40,15 @@
 import io.limpetfold.standins.PlatformStandin
 import io.limpetfold.standins.StandinServer
 import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FreePorts
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.awaitCancellation
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.time.Duration
 import java.time.Instant
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.io.path.createTempFile
 import kotlin.io.path.writeText
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -92,7 +90,7 @@
     val engineProxies = proxies.take(engines.size)
     val serviceProxy = proxies.last()
 
-    private val ports = List(ROUTERS) { freePort() }
+    private val ports = FreePorts.list(ROUTERS)
     val routers = mutableListOf<Router>()
     private val routerProcesses = mutableListOf<RouterProcess>()
 
@@ -140,7 +138,7 @@
 
     /** Starts a router as a separate process. */
     fun startProcess(index: Int): RouterProcess {
-        val (callerPort, operatorPort) = freePort() to freePort()
+        val (callerPort, operatorPort) = FreePorts.list(2)
         val file = createTempFile("router-$index", ".yaml")
         file.writeText(
             Yaml.default.encodeToString(RouterSettings.serializer(), settings(index, callerPort, operatorPort)),
@@ -288,15 +286,5 @@
                 .map {
                     WorkspaceConfig(WorkspaceId(it), persistentListOf(Sha256Hex.of("key-$it")))
                 }.toImmutableList()
-
-        /**
-         * A free port below the ephemeral range, so that no outgoing connection takes it before the router binds it.
-         */
-        fun freePort(): Int {
-            while (true) {
-                val port = Random.nextInt(12_000, 32_000)
-                if (runCatching { ServerSocket(port, 1, InetAddress.getByName(HOST)).close() }.isSuccess) return port
-            }
-        }
     }
 }
