membership, gateway: name the leaders of a group and of a zone apart

Change: groupLeaders and zoneLeaders in place of two functions called leaders; the factor of refills says so in its name; comments wrapped. Behaviour as before.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -23,7 +23,10 @@
         return budget.copy(
             minAccountFraction = INITIAL_HELD_FRACTION / holderCount,
             grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
-            refillInterval = budget.refillInterval.multipliedBy(if (membership.isFullMesh) 1 else LARGE_FLEET_FACTOR),
+            refillInterval =
+                budget.refillInterval.multipliedBy(
+                    if (membership.isFullMesh) 1 else LARGE_FLEET_REFILL_FACTOR,
+                ),
         )
     }
 
@@ -46,7 +49,7 @@
         private const val LARGE_FLEET_CONNECTIONS = 6
 
         /** Factor for the interval of refills: lenders of all zones write to the same ledgers. */
-        private const val LARGE_FLEET_FACTOR = 3L
+        private const val LARGE_FLEET_REFILL_FACTOR = 3L
         private val SMALL_FLEET_FEED = FeedPolicy()
 
         /**
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
@@ -30,8 +30,8 @@
         store.list(PREFIX).map { page -> page.objects.mapNotNull(::decode).toImmutableList() }
 
     /**
-     * Writes the entry of [self] unless the stored entry already equals it. In a fleet that starts there is no entry yet,
-     * so it is created without a read.
+     * Writes the entry of [self] unless the stored entry already equals it. In a fleet that starts there is no entry
+     * yet, so it is created without a read.
      */
     suspend fun register(self: ListedInstance): Result<Versioned<ListedInstance>, UpdateError<Nothing>> {
         val value = TypedObject.JSON.encodeToString(ListedInstance.serializer(), self)
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -49,10 +49,10 @@
     private var seeds: ImmutableList<ListedInstance> = persistentListOf()
 
     /** The last result of [connectionTargets], which costs a hash for each router of the fleet. */
-    private var targets: Targets? = null
+    private var targets: KnownTargets? = null
 
     /** The last result of [leaders], which costs a hash for each router of the zone. */
-    private var leaders: Leaders? = null
+    private var leaders: KnownLeaders? = null
 
     init {
         peers.registerHandler(HEARTBEAT_TOPIC) { _, heartbeat ->
@@ -87,20 +87,20 @@
             if (known != null && known.routers === routers) return known.targets
             val selected = PeerSelection.select(self, routers, policy)
             val targets = routers.filter { it.instance in selected }.toImmutableList()
-            this.targets = Targets(routers, targets)
+            this.targets = KnownTargets(routers, targets)
             targets
         }
 
     /**
-     * The routers of this router's [zone] that pass on changes to it and lend tokens to it, perhaps including itself, in
-     * an order on which the routers of the zone agree; reachable or not.
+     * The leaders of this router's group in its [zone], perhaps including itself, in an order on which the group
+     * agrees; reachable or not. They pass on changes of the store and lend tokens.
      */
     fun leaders(zone: ZoneId): ImmutableList<InstanceId> =
         synchronized(this) {
             val routers = routers()
             val known = leaders
             if (known != null && known.routers === routers && known.zone == zone) return known.leaders
-            Leaders(routers, zone, PeerSelection.leadersOf(self, zone, routers)).also { leaders = it }.leaders
+            KnownLeaders(routers, zone, PeerSelection.groupLeaders(self, zone, routers)).also { leaders = it }.leaders
         }
 
     /** Whether [router] is a leader of any zone. */
@@ -261,12 +261,12 @@
 
     private fun now(): Duration = start.elapsedNow()
 
-    private class Targets(
+    private class KnownTargets(
         val routers: List<ListedInstance>,
         val targets: ImmutableList<ListedInstance>,
     )
 
-    private class Leaders(
+    private class KnownLeaders(
         val routers: List<ListedInstance>,
         val zone: ZoneId,
         val leaders: ImmutableList<InstanceId>,
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
@@ -13,10 +13,10 @@
 /**
  * Chooses the peers that a router opens connections to.
  *
- * Up to [MembershipPolicy.fullMeshLimit] these are all other routers. Above it, each router connects to the leaders of
- * its group, which is its zone or a part of it, which pass on changes and lend tokens, and the leaders of all zones connect to each other. The two successors on
- * a ring ordered by instance keep the fleet connected, and rendezvous hashing selects the remaining peers, which keeps
- * the number of hops between two routers small.
+ * Up to [MembershipPolicy.fullMeshLimit] these are all other routers. Above it, the routers of a zone form one or more
+ * groups. Each router connects to the leaders of its group, which pass on changes and lend tokens, and the leaders of
+ * all groups connect to each other. The two successors on a ring ordered by instance keep the fleet connected, and
+ * rendezvous hashing selects the remaining peers, which keeps the number of hops between two routers small.
  */
 internal object PeerSelection {
     private const val RING_NEIGHBOURS = 2
@@ -41,20 +41,20 @@
         val successors = (others.filter { it > self } + others.filter { it < self }).take(RING_NEIGHBOURS)
         val ranked = RendezvousHash.rank(self.value, others) { it.value }
         val zone = routers.firstOrNull { it.instance == self }?.zone
-        val ownLeaders = zone?.let { leadersOf(self, it, routers) }.orEmpty() - self
+        val ownLeaders = zone?.let { groupLeaders(self, it, routers) }.orEmpty() - self
         val selected = (successors + ownLeaders + ranked).distinct().take(policy.maxConnections)
         val leaders = allLeaders(routers)
         val otherLeaders = if (self in leaders) leaders else emptySet()
         return (selected + otherLeaders - self).toImmutableSet()
     }
 
-    /** The leaders of [zone] that [self], a router of the zone, relies on, in an order on which its group agrees. */
-    fun leadersOf(
+    /** The leaders of the group of [self], a router of [zone], in an order on which the group agrees. */
+    fun groupLeaders(
         self: InstanceId,
         zone: ZoneId,
         routers: Collection<ListedInstance>,
     ): ImmutableList<InstanceId> {
-        val groups = leaders(zone, routers).chunked(LEADERS_PER_GROUP)
+        val groups = zoneLeaders(zone, routers).chunked(LEADERS_PER_GROUP)
         if (groups.isEmpty()) return persistentListOf()
         val own = groups.firstOrNull { self in it }
         val index = RendezvousHash.score(zone.value, self.value).mod(groups.size)
@@ -69,9 +69,9 @@
 
     /** The leaders of all zones. */
     fun allLeaders(routers: Collection<ListedInstance>): Set<InstanceId> =
-        routers.map { it.zone }.distinct().flatMapTo(HashSet()) { leaders(it, routers) }
+        routers.map { it.zone }.distinct().flatMapTo(HashSet()) { zoneLeaders(it, routers) }
 
-    private fun leaders(
+    private fun zoneLeaders(
         zone: ZoneId,
         routers: Collection<ListedInstance>,
     ): List<InstanceId> {
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -97,12 +97,12 @@
 
             val leadersByZone =
                 listed.groupBy { it.zone }.mapValues { (zone, ofZone) ->
-                    ofZone.flatMap { PeerSelection.leadersOf(it.instance, zone, listed) }.toSet()
+                    ofZone.flatMap { PeerSelection.groupLeaders(it.instance, zone, listed) }.toSet()
                 }
             val leaders = leadersByZone.values.flatten()
             for ((zone, ofZone) in listed.groupBy { it.zone }) {
                 for (router in ofZone.map { it.instance }) {
-                    val own = PeerSelection.leadersOf(router, zone, listed) - router
+                    val own = PeerSelection.groupLeaders(router, zone, listed) - router
                     edges.getValue(router) shouldContainAll own
                 }
             }
