--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -85,7 +85,7 @@
 
         /**
          * Heartbeats every one or two seconds keep connections alive, so pings are sent only when heartbeats stop. The
-         * first routers of a zone have a connection to every other one of it.
+         * leaders of a group have a connection to every other router of it and to the leaders of all groups.
          */
         val PEERS =
             PeerPolicy(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelector.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ZoneLenderSelector.kt
@@ -11,8 +11,8 @@
  * Selects lenders among the leaders of the own zone by rendezvous hash of the workspace.
  *
  * All routers of a group borrow tokens of a workspace from the same leader, so a ledger has one entry for each group,
- * and a small budget does not lie in parts that are too small for a call. In a full mesh each router keeps its own accounts,
- * which remain usable when any other router fails.
+ * and a small budget does not lie in parts that are too small for a call. In a full mesh each router keeps its own
+ * accounts, which remain usable when any other router fails.
  */
 internal class ZoneLenderSelector(
     private val self: InstanceId,
