budget: show what routers hold and what was written off

Change: the ledger counts the tokens that were written off; budget.granted, budget.refused and the new budget.predecessor_closed carry paid, free, held and writtenOff; a gauge shows what a router holds. No decision uses it yet.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -15,6 +15,7 @@
     private val ledgerSync: LedgerSync,
     private val refills: AccountRefill,
     private val predecessorSpendLookup: PredecessorSpendLookup,
+    private val listener: BudgetListener,
     private val nowMillis: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
@@ -99,10 +100,12 @@
             BudgetLedgerStore(store).reclaim(slot.workspace, holder, spentTokens).fold(
                 success = {
                     log.info(
-                        "budget: closed the ledger entry of an earlier process workspace={} holder={}",
+                        "budget: closed the ledger entry of an earlier process workspace={} holder={} writtenOffTokens={}",
                         slot.workspace,
                         holder,
+                        it.writtenOffTokens,
                     )
+                    listener.onEvent(BudgetEvent.PredecessorClosed(slot.workspace, holder, it.balance))
                 },
                 failure = { if (it is UpdateError.Failed) ledgerSync.recordUnavailable(slot, it.error.message) },
             )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -61,7 +61,8 @@
     private val ledgerSync = LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis)
     private val transfers = PeerTransfers(self, peers, random, listener) { slots[it] }
     private val refills = AccountRefill(ledgerSync, transfers, ::nowMillis)
-    private val maintenance = AccountMaintenance(slots, store, ledgerSync, refills, predecessorSpendLookup, ::nowMillis)
+    private val maintenance =
+        AccountMaintenance(slots, store, ledgerSync, refills, predecessorSpendLookup, listener, ::nowMillis)
 
     init {
         require(maxWorkspacesPerRound > 0) { "maxWorkspacesPerRound must be positive" }
@@ -344,7 +345,13 @@
         if (isClosed) return BudgetRefusal.RouterClosed(slot.workspace, retryAfter)
         return when (failure) {
             is RefillFailure.Insufficient ->
-                BudgetRefusal.InsufficientBudget(slot.workspace, tokens, failure.freeTokens, retryAfter)
+                BudgetRefusal.InsufficientBudget(
+                    slot.workspace,
+                    tokens,
+                    failure.freeTokens,
+                    retryAfter,
+                    failure.balance,
+                )
             is RefillFailure.Unavailable ->
                 BudgetRefusal.PlatformUnavailable(
                     slot.workspace,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.budget
 
+import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.WorkspaceId
 
@@ -18,17 +19,15 @@
                 is Borrowed -> "borrowed"
                 is Lent -> "lent"
                 is LoanWrittenOff -> "loan_written_off"
+                is PredecessorClosed -> "predecessor_closed"
                 is Refused -> "refused"
             }
 
-    /**
-     * The ledger was read, and written if something had changed; [acquiredTokens] were credited and [freeTokens] remain
-     * free.
-     */
+    /** The ledger was read, and written if something had changed; [acquiredTokens] were credited and left [balance]. */
     data class Synchronised(
         override val workspace: WorkspaceId,
         val acquiredTokens: Long,
-        val freeTokens: Long,
+        val balance: LedgerBalance,
     ) : BudgetEvent
 
     /** A call to the platform failed with the error [message]. */
@@ -74,6 +73,13 @@
         val tokens: Long,
     ) : BudgetEvent
 
+    /** This router closed the entry of [holder], an earlier process of the instance, which left [balance]. */
+    data class PredecessorClosed(
+        override val workspace: WorkspaceId,
+        val holder: Incarnation,
+        val balance: LedgerBalance,
+    ) : BudgetEvent
+
     /** A reservation was refused. */
     data class Refused(
         val refusal: BudgetRefusal,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -30,6 +30,8 @@
  * @property paidVersion the version of the configuration that [paidTokens] was taken from; 0 when it is the sum of
  * top-ups.
  * @property endCount the number of holders that were ended by a reclaim.
+ * @property writtenOffTokens the part of [settledTokens] that was granted to holders that ended without a report, so
+ * that nobody knows how much of it they spent.
  */
 @Serializable
 data class BudgetLedger(
@@ -44,6 +46,7 @@
     val topUpsForgottenThrough: String = "",
     val endCount: Long = 0,
     val paidVersion: Long = 0,
+    val writtenOffTokens: Long = 0,
 ) {
     /** Tokens paid and neither settled nor granted. */
     val freeTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
@@ -53,6 +56,9 @@
         paidTokens - settledTokens -
             holders.values.sumOf { it.reportedSpentTokens.coerceAtMost(it.grantedTokens) }
 
+    /** The tokens by their state. */
+    val balance: LedgerBalance get() = LedgerBalance(paidTokens, freeTokens, unspentTokens, writtenOffTokens)
+
     /** Adds [tokens] to the paid total; idempotent by [id]. */
     fun topUp(
         id: TopUpId,
@@ -162,6 +168,7 @@
         return Ok(
             copy(
                 settledTokens = settledTokens + spentTokens,
+                writtenOffTokens = writtenOffTokens + if (isWrittenOff) spentTokens - entry.reportedSpentTokens else 0,
                 holders = holders.put(holder.key, ended),
                 endCount = endCount + 1,
             ).normalised(),
@@ -209,11 +216,14 @@
         val moved =
             copy(transfers = transfers.put(name, totalTokens))
                 .withEntryChanged(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
-        if (holders[receiver]?.isWrittenOff == true) return moved.copy(settledTokens = settledTokens + differenceTokens)
+        if (holders[receiver]?.isWrittenOff == true) return moved.writtenOff(differenceTokens)
         return moved
             .withEntryChanged(receiver) { it.copy(grantedTokens = it.grantedTokens + differenceTokens) }
     }
 
+    private fun writtenOff(tokens: Long): BudgetLedger =
+        copy(settledTokens = settledTokens + tokens, writtenOffTokens = writtenOffTokens + tokens)
+
     private fun withEntryChanged(
         key: String,
         change: (HolderEntry) -> HolderEntry,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetRefusal.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetRefusal.kt
@@ -14,12 +14,17 @@
     /** The time after which a retry can have another outcome. */
     val retryAfter: Duration
 
-    /** The ledger and the reachable peers have too few free tokens for the request. */
+    /**
+     * The ledger and the reachable peers have too few free tokens for the request.
+     *
+     * @property balance the ledger as last seen; null when only a lender has seen it.
+     */
     data class InsufficientBudget(
         override val workspace: WorkspaceId,
         val neededTokens: Long,
         val freeTokens: Long,
         override val retryAfter: Duration,
+        val balance: LedgerBalance? = null,
     ) : BudgetRefusal {
         override val message
             get() =
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerBalance.kt
@@ -0,0 +1,19 @@
+package io.limpetfold.budget
+
+/**
+ * The tokens of a ledger by their state, for the size of grants and for operators.
+ *
+ * @property paidTokens tokens paid in total.
+ * @property freeTokens tokens paid and neither settled nor granted.
+ * @property unspentTokens tokens paid and not reported as spent, free ones included.
+ * @property writtenOffTokens tokens that count as spent because their holder ended without a report.
+ */
+data class LedgerBalance(
+    val paidTokens: Long,
+    val freeTokens: Long,
+    val unspentTokens: Long,
+    val writtenOffTokens: Long,
+) {
+    /** The tokens granted to open holders and not reported as spent. */
+    val heldTokens: Long get() = unspentTokens - freeTokens
+}
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -115,9 +115,9 @@
             minHeldTokens = (maxOf(0, ledger.freeTokens) * policy.minAccountFraction).toLong()
         }
         listener.onEvent(
-            BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.freeTokens),
+            BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.balance),
         )
-        return RefillFailure.Insufficient(0, ledger.freeTokens)
+        return RefillFailure.Insufficient(0, ledger.balance)
     }
 
     private fun predecessorsIn(ledger: BudgetLedger): ImmutableList<Incarnation> =
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/RefillFailure.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/RefillFailure.kt
@@ -5,8 +5,10 @@
     /** The platform responded and had too few free tokens. */
     data class Insufficient(
         val neededTokens: Long,
-        val freeTokens: Long,
-    ) : RefillFailure
+        val balance: LedgerBalance,
+    ) : RefillFailure {
+        val freeTokens: Long get() = balance.freeTokens
+    }
 
     /** The platform failed the call or did not respond in time, or no call was made during the backoff. */
     data class Unavailable(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -226,6 +226,9 @@
             "limpetfold_routers_heard",
             "Other routers heard a moment ago",
         ) { membership.members().size.toDouble() }
+        metrics.gauge("limpetfold_budget_held_tokens", "Tokens held and neither spent nor reserved") {
+            budget.accounts().sumOf { it.availableTokens }.toDouble()
+        }
         metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -2,6 +2,8 @@
 
 import io.limpetfold.budget.BudgetEvent
 import io.limpetfold.budget.BudgetListener
+import io.limpetfold.budget.BudgetRefusal
+import io.limpetfold.budget.LedgerBalance
 import io.limpetfold.core.InstanceId
 
 /** Counts and logs the events of the budget agent. */
@@ -18,9 +20,16 @@
                         "budget.granted",
                         "workspace" to event.workspace,
                         "tokens" to event.acquiredTokens,
-                        "free" to event.freeTokens,
+                        *fieldsOf(event.balance),
                     )
                 }
+            is BudgetEvent.PredecessorClosed ->
+                log.warn(
+                    "budget.predecessor_closed",
+                    "workspace" to event.workspace,
+                    "holder" to event.holder,
+                    *fieldsOf(event.balance),
+                )
             is BudgetEvent.PlatformFailed ->
                 log.warn(
                     "budget.store_failed",
@@ -43,10 +52,23 @@
                     "budget.refused",
                     "workspace" to event.workspace,
                     "reason" to event.refusal.message,
+                    *fieldsOf((event.refusal as? BudgetRefusal.InsufficientBudget)?.balance),
                 )
         }
     }
 
+    private fun fieldsOf(balance: LedgerBalance?): Array<Pair<String, Any?>> =
+        if (balance == null) {
+            emptyArray()
+        } else {
+            arrayOf(
+                "paid" to balance.paidTokens,
+                "free" to balance.freeTokens,
+                "held" to balance.heldTokens,
+                "writtenOff" to balance.writtenOffTokens,
+            )
+        }
+
     private fun logTransfer(
         message: String,
         event: BudgetEvent,
