--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -14,20 +14,11 @@
     private val lenderSelector: ZoneLenderSelector,
     private val isRouterCountKnown: () -> Boolean,
 ) {
-    /**
-     * Scales the fractions of the budget policy so that the total held by all routers does not depend on the number of
-     * account holders.
-     */
+    /** The budget policy for the current number of account holders. */
     fun budget(): BudgetPolicy {
-        val holderCount = lenderSelector.holderCount
-        return budget.copy(
-            minAccountFraction = INITIAL_HELD_FRACTION / holderCount,
-            grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
-            refillInterval =
-                budget.refillInterval.multipliedBy(
-                    if (membership.isFullMesh) 1 else LARGE_FLEET_REFILL_FACTOR,
-                ),
-        )
+        val scaled = budget.scaledTo(lenderSelector.holderCount)
+        if (membership.isFullMesh) return scaled
+        return scaled.copy(refillInterval = scaled.refillInterval.multipliedBy(LARGE_FLEET_REFILL_FACTOR))
     }
 
     /** The feeds of the configuration and of the endpoints. */
@@ -71,6 +62,13 @@
          */
         private val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10), backoffMax = Duration.ofSeconds(4))
 
+        /** Scales the fractions so that the total held by all routers does not depend on the number of account holders. */
+        fun BudgetPolicy.scaledTo(holderCount: Int): BudgetPolicy =
+            copy(
+                minAccountFraction = INITIAL_HELD_FRACTION / holderCount,
+                grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
+            )
+
         /**
          * A member is unreachable after four missed heartbeats; the instance list is read less often, because each read
          * has a price.
