budget: hold less of a budget, in shares by demand

Cause: what an ended router held counts as spent whole, because nothing tells how much it had used. All routers together held up to 0.6 of the unspent tokens. Class: a bound on a loss that repeats was chosen for one occurrence. Ruled out: tokens held in parts too small (held is near 0), and tokens free but not asked for (free is near 0). Change: all routers together hold at most 0.2 of the unspent tokens, and share it by the demand that each reports in the ledger. Why it works: a loss takes at most a fifth of what is unspent, so three leave half of what the first found; a short budget holds little, a long one is still bounded by 13 s of demand. BudgetSpreadTest checks the shares. What it costs: routers cut off from the store and their peers run out sooner.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -40,8 +40,8 @@
 
     private suspend fun maintain(slot: AccountSlot) {
         val outcome =
-            ledgerSync.synchronise(slot, isStaleResultAllowed = true) { account, free, unspent ->
-                if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, free, unspent) else 0
+            ledgerSync.synchronise(slot, isStaleResultAllowed = true) { account, balance ->
+                if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, balance) else 0
             }
         // During an outage of the platform, idle tokens stay in the account, where peers can request them.
         if (outcome !is RefillFailure.Insufficient && outcome !is RefillFailure.UnknownWorkspace) return
@@ -49,7 +49,7 @@
         if (evict(slot)) {
             closeEvicted(slot)
         } else if (returnIdle(slot)) {
-            ledgerSync.synchronise(slot) { _, _, _ -> 0 }
+            ledgerSync.synchronise(slot) { _, _ -> 0 }
         }
     }
 
@@ -105,7 +105,9 @@
                         holder,
                         it.writtenOffTokens,
                     )
-                    listener.onEvent(BudgetEvent.PredecessorClosed(slot.workspace, holder, it.balance))
+                    listener.onEvent(
+                        BudgetEvent.PredecessorClosed(slot.workspace, holder, it.balanceFor(slot.holder.key)),
+                    )
                 },
                 failure = { if (it is UpdateError.Failed) ledgerSync.recordUnavailable(slot, it.error.message) },
             )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
@@ -91,7 +91,7 @@
             knownFailure
                 ?: ledgerSync.synchronise(
                     slot,
-                ) { account, free, unspent -> grantFor(slot, tokens, account, free, unspent) }
+                ) { account, balance -> grantFor(slot, tokens, account, balance) }
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
         // Concurrent callers may have reserved the grant already. The budget is not insufficient then.
@@ -111,11 +111,10 @@
         slot: AccountSlot,
         tokens: Long,
         account: LocalAccount,
-        freeTokens: Long,
-        unspentTokens: Long,
+        balance: LedgerBalance,
     ): Long {
         val allTokens = slot.locked { maxOf(tokens, waitingTokens) }
-        val grant = slot.policy.grantSize(account, allTokens, freeTokens, unspentTokens)
-        return if (grant > 0) grant else slot.policy.grantSize(account, tokens, freeTokens, unspentTokens)
+        val grant = slot.policy.grantSize(account, allTokens, balance)
+        return if (grant > 0) grant else slot.policy.grantSize(account, tokens, balance)
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -118,7 +118,7 @@
         val slot = enter(workspace) ?: return false
         return try {
             if (slot.locked { account.sequence } > 0) return true
-            ledgerSync.synchronise(slot) { account, free, unspent -> refills.grantFor(slot, 0, account, free, unspent) }
+            ledgerSync.synchronise(slot) { account, balance -> refills.grantFor(slot, 0, account, balance) }
             slot.locked { account.sequence } > 0
         } finally {
             slot.leave(nowMillis())
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -56,8 +56,17 @@
         paidTokens - settledTokens -
             holders.values.sumOf { it.reportedSpentTokens.coerceAtMost(it.grantedTokens) }
 
-    /** The tokens by their state. */
-    val balance: LedgerBalance get() = LedgerBalance(paidTokens, freeTokens, unspentTokens, writtenOffTokens)
+    /** The tokens by their state, as seen by the holder with [holderKey]. */
+    fun balanceFor(holderKey: String): LedgerBalance {
+        val others = holders.filter { (key, entry) -> key != holderKey && !entry.isEnded }.values
+        return LedgerBalance(
+            paidTokens,
+            freeTokens,
+            unspentTokens,
+            writtenOffTokens,
+            others.sumOf { it.demandTokensPerSecond },
+        )
+    }
 
     /** Adds [tokens] to the paid total; idempotent by [id]. */
     fun topUp(
@@ -91,7 +100,7 @@
     fun update(
         holder: Incarnation,
         update: HolderUpdate,
-        grantSize: (freeTokens: Long) -> Long = { 0 },
+        grantSize: (LedgerBalance) -> Long = { 0 },
     ): Result<BudgetLedger, LedgerRefusal> {
         val key = holder.key
         val present = holders[key]
@@ -103,18 +112,21 @@
         if (present != null && present.sequence != update.knownSequence) return Ok(this)
         if (present == null && holders.size >= MAX_HOLDERS) return Err(LedgerRefusal.TooManyHolders)
         val entry = present ?: HolderEntry(confirmedEnds = endCount)
-        val recorded = copy(holders = holders.put(key, entry)).recorded(key, update)
-        val grant = grantSize(recorded.freeTokens).coerceIn(0, maxOf(0, recorded.freeTokens))
+        val reported =
+            copy(holders = holders.put(key, entry)).recorded(key, update).withEntryChanged(key) {
+                it.copy(reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens))
+            }
+        val grant = grantSize(reported.balanceFor(key)).coerceIn(0, maxOf(0, reported.freeTokens))
         val next =
-            recorded.withEntryChanged(key) {
-                it.copy(
-                    grantedTokens = it.grantedTokens + grant,
-                    acquiredTokens = it.acquiredTokens + grant,
-                    reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens),
-                )
+            reported.withEntryChanged(key) {
+                it.copy(grantedTokens = it.grantedTokens + grant, acquiredTokens = it.acquiredTokens + grant)
             }
         if (present != null && next == this) return Ok(this)
-        return Ok(next.withEntryChanged(key) { it.copy(sequence = it.sequence + 1) })
+        return Ok(
+            next.withEntryChanged(key) {
+                it.copy(sequence = it.sequence + 1, demandTokensPerSecond = update.demandTokensPerSecond)
+            },
+        )
     }
 
     /** Closes the entry of [holder] at its own request: its spend is settled and the remainder becomes free. */
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -69,33 +69,49 @@
     }
 
     /**
-     * The tokens to request from the ledger for [account], given the [freeTokens] of the ledger and its
-     * [unspentTokens], free ones included; 0 when the free tokens do not cover [neededTokens].
+     * The tokens to request for [account] from a ledger with [balance]; 0 when the free tokens do not cover
+     * [neededTokens].
      */
     fun grantSize(
         account: LocalAccount,
         neededTokens: Long,
-        freeTokens: Long,
-        unspentTokens: Long = Long.MAX_VALUE,
+        balance: LedgerBalance,
     ): Long {
+        val freeTokens = balance.freeTokens
         val shortTokens = maxOf(0, neededTokens - account.availableTokens)
         if (shortTokens > freeTokens) return 0
         val demandedTokens = maxOf(horizonTokens(account), (freeTokens * minAccountFraction).toLong())
-        val heldTokens = minOf(demandedTokens, maxHeldTokens(account, freeTokens, unspentTokens))
+        val heldTokens = minOf(demandedTokens, maxHeldTokens(account, balance))
         val wantedTokens = heldTokens - account.availableTokens
         val cappedTokens = minOf(wantedTokens, (freeTokens * grantFraction).toLong())
         return maxOf(shortTokens, cappedTokens)
     }
 
-    /** The maximum number of tokens that [account] should hold, so that [maxHeldFraction] is kept. */
+    /**
+     * The maximum number of tokens that [account] should hold, so that [maxHeldFraction] is kept.
+     *
+     * The accounts share the fraction in proportion to their demand. Without shares, the accounts that refill first
+     * would leave nothing to the others, which would then need a grant for each request.
+     */
     fun maxHeldTokens(
         account: LocalAccount,
-        freeTokens: Long,
-        unspentTokens: Long,
+        balance: LedgerBalance,
     ): Long {
         if (maxHeldFraction >= 1) return Long.MAX_VALUE
-        val keptTokens = (unspentTokens * (1 - maxHeldFraction)).toLong()
-        return account.availableTokens + maxOf(0, freeTokens - keptTokens)
+        val keptTokens = (balance.unspentTokens * (1 - maxHeldFraction)).toLong()
+        val ungrantedTokens = maxOf(0, balance.freeTokens - keptTokens)
+        val minTokens = (balance.freeTokens * minAccountFraction).toLong()
+        return minOf(account.availableTokens + ungrantedTokens, maxOf(minTokens, shareTokens(account, balance)))
+    }
+
+    private fun shareTokens(
+        account: LocalAccount,
+        balance: LedgerBalance,
+    ): Long {
+        val ownDemand = account.demand.tokensPerSecond
+        if (ownDemand <= 0) return 0
+        val share = ownDemand / (ownDemand + balance.otherDemandTokensPerSecond)
+        return (balance.unspentTokens * maxHeldFraction * share).toLong()
     }
 
     /** The unreserved tokens that [account] needs for the [horizon] at its last recorded demand rate. */
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
@@ -14,6 +14,8 @@
  * holders.
  * @property endNumber position among the ended holders, or 0 while the holder is open.
  * @property returnedTokens cumulative tokens that the holder returned to the free ones.
+ * @property demandTokensPerSecond the demand of the holder's callers at its last write, by which the holders share
+ * what they may hold.
  * @property isWrittenOff the holder was reclaimed without a copy of its spend, so transfers to it recorded later count
  * as spent.
  */
@@ -27,6 +29,7 @@
     val endNumber: Long = 0,
     val isWrittenOff: Boolean = false,
     val returnedTokens: Long = 0,
+    val demandTokensPerSecond: Double = 0.0,
 ) {
     /** Whether the holder has ended and its remainder is not freed until its peers have confirmed their transfers. */
     val isEnded: Boolean get() = endNumber > 0
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
@@ -14,6 +14,8 @@
  * @property sentTokens cumulative tokens sent to each peer, by holder key.
  * @property returnedTokens cumulative tokens returned to the free ones.
  * @property confirmedEnds the highest end number up to which the holder accepts no more transfers from ended holders.
+ * @property demandTokensPerSecond the demand of the holder's callers; recorded with other changes, and no reason to
+ * write by itself.
  * @property closedPeers closed peers with which the holder exchanges no more tokens, so that their totals can be
  * dropped.
  */
@@ -25,4 +27,5 @@
     val returnedTokens: Long = 0,
     val confirmedEnds: Long = 0,
     val closedPeers: PersistentSet<String> = persistentSetOf(),
+    val demandTokensPerSecond: Double = 0.0,
 )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerBalance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerBalance.kt
@@ -7,12 +7,14 @@
  * @property freeTokens tokens paid and neither settled nor granted.
  * @property unspentTokens tokens paid and not reported as spent, free ones included.
  * @property writtenOffTokens tokens that count as spent because their holder ended without a report.
+ * @property otherDemandTokensPerSecond the demand of the other open holders, as they last reported it.
  */
 data class LedgerBalance(
     val paidTokens: Long,
     val freeTokens: Long,
     val unspentTokens: Long,
     val writtenOffTokens: Long,
+    val otherDemandTokensPerSecond: Double,
 ) {
     /** The tokens granted to open holders and not reported as spent. */
     val heldTokens: Long get() = unspentTokens - freeTokens
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -48,7 +48,7 @@
     suspend fun synchronise(
         slot: AccountSlot,
         isStaleResultAllowed: Boolean = false,
-        grantSize: (account: LocalAccount, freeTokens: Long, unspentTokens: Long) -> Long,
+        grantSize: (account: LocalAccount, balance: LedgerBalance) -> Long,
     ): RefillFailure? =
         slot.platformAccess.withLock {
             slot.policy = policyOf(slot.workspace)
@@ -75,7 +75,7 @@
                                 .update(
                                     slot.holder,
                                     snapshot.update(),
-                                ) { grantSize(snapshot, it, ledger.unspentTokens) }
+                                ) { grantSize(snapshot, it) }
                                 .fold(
                                     success = { if (it === stored) Change.Keep else Change.Write(it) },
                                     failure = { Change.Refuse(it) },
@@ -108,16 +108,17 @@
         val after = slot.change { it.observe(ledger, seen.version) }
         if (after.state == AccountState.ENDED) logEnded(slot)
         val predecessors = predecessorsIn(ledger)
+        val balance = ledger.balanceFor(slot.holder.key)
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
-            maxHeldTokens = policy.maxHeldTokens(after, ledger.freeTokens, ledger.unspentTokens)
+            maxHeldTokens = policy.maxHeldTokens(after, balance)
             minHeldTokens = (maxOf(0, ledger.freeTokens) * policy.minAccountFraction).toLong()
         }
         listener.onEvent(
-            BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, ledger.balance),
+            BudgetEvent.Synchronised(slot.workspace, after.acquiredTokens - before.acquiredTokens, balance),
         )
-        return RefillFailure.Insufficient(0, ledger.balance)
+        return RefillFailure.Insufficient(0, balance)
     }
 
     private fun predecessorsIn(ledger: BudgetLedger): ImmutableList<Incarnation> =
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -199,6 +199,7 @@
             returnedTokens = returnedTokens,
             confirmedEnds = seenEndCount,
             closedPeers = closedPeers,
+            demandTokensPerSecond = demand.tokensPerSecond,
         )
 
     /** Marks [update] as being written, so that its effect is recognised when the ledger has the next sequence. */
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
@@ -125,7 +125,7 @@
         ) {
             val ended = registered(100, A, B).reclaim(A, PredecessorSpendLookup.WHOLE_GRANT).get().shouldNotBeNull()
             ended.settledTokens shouldBe 50
-            ended.balance.writtenOffTokens shouldBe 50
+            ended.balanceFor(B.key).writtenOffTokens shouldBe 50
 
             val sent = persistentMapOf(A.key to 15L)
             val confirmed =
@@ -136,7 +136,7 @@
                     ).get()
                     .shouldNotBeNull()
             confirmed.settledTokens shouldBe 65
-            confirmed.balance.writtenOffTokens shouldBe 65
+            confirmed.balanceFor(B.key).writtenOffTokens shouldBe 65
             confirmed.freeTokens shouldBe 0
             confirmed.holders.keys shouldBe setOf(B.key)
         }
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSpreadTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSpreadTest.kt
@@ -54,6 +54,18 @@
             fleet.agents.sumOf { it.held() } shouldBeLessThan (fleet.free() + fleet.agents.sumOf { it.held() }) / 2
         }
 
+        test("guards against routers that refill first and leave no tokens to others with the same demand") {
+            val fleet = Fleet(routerCount = 8)
+            fleet.openAccounts()
+            repeat(10) {
+                fleet.agents.forEach { agent -> repeat(5) { fleet.call(agent).shouldNotBeNull() } }
+                fleet.round()
+            }
+            val heldTokens = fleet.agents.map { it.held() }
+            heldTokens.sum() shouldBeLessThan (fleet.free() + heldTokens.sum()) / 2
+            heldTokens.min() shouldBeGreaterThan heldTokens.sum() / 8 / 2
+        }
+
         test("guards against a policy with a fraction or ratio out of range") {
             listOf<() -> BudgetPolicy>(
                 { POLICY.copy(maxHeldFraction = 0.0) },
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -21,7 +21,7 @@
             peerTimeout = Duration.ofMillis(80),
             idleAfter = Duration.ofSeconds(30),
             waitsWhenInsufficient = false,
-            maxHeldFraction = 0.6,
+            maxHeldFraction = 0.2,
             refillBelow = 0.55,
             refillInterval = Duration.ofSeconds(1),
             maxExcessRatio = 0.5,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -32,8 +32,11 @@
     fun moveFeed(): FeedPolicy = MOVE_FEED
 
     companion object {
-        /** Fraction of a budget that all routers together hold before any of them has received a call for it. */
-        private const val INITIAL_HELD_FRACTION = 0.3
+        /**
+         * Part of what all routers together may hold that they take before any of them has received a call, in equal
+         * shares; the rest goes to those that receive the calls.
+         */
+        private const val INITIAL_HELD_SHARE = 0.5
         private const val MIN_GRANT_FRACTION = 0.05
 
         /** Two neighbours and the leaders of the zone, which are connected to all other leaders. */
@@ -65,7 +68,7 @@
         /** Scales the fractions so that the total held by all routers does not depend on the number of account holders. */
         fun BudgetPolicy.scaledTo(holderCount: Int): BudgetPolicy =
             copy(
-                minAccountFraction = INITIAL_HELD_FRACTION / holderCount,
+                minAccountFraction = maxHeldFraction * INITIAL_HELD_SHARE / holderCount,
                 grantFraction = maxOf(MIN_GRANT_FRACTION, 1.0 / holderCount),
             )
 
