dispatch, gateway: quarantine prompt parts on which endpoints crash

Cause: a crash counted against the endpoint alone. Nothing tied it to what the call contained, so the next call with the part went to the next endpoint. Class: a failure that the request causes is charged to the one who runs it, so that moving on to another one spreads it. Change: PromptPartQuarantine (no I/O) counts, for each shared part of a prompt, crashes at different times at different endpoints; answered calls clear their parts. After three crashes calls with the part are refused at once with 503 and no Retry-After; after two they are not retried. Routers exchange their evidence within 250 ms; one that has just started asks the others. It ends after ten minutes, then one crash is enough to start it again for twice as long. A stream without a length that ends before its first event counts as lost, not as answered. Why it works: the crashed calls have one part in common that no answered call has; a first part or a session that sound calls share is cleared by their answers. Crashes within 150 ms count once, so a loss of power marks nothing.

--- /dev/null
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
@@ -0,0 +1,221 @@
+package io.limpetfold.quarantine
+
+import io.limpetfold.core.EndpointId
+import io.limpetfold.dispatch.PromptDemand
+import java.time.Duration
+
+/**
+ * Finds shared prompt parts on which endpoints crash, so that calls that contain them are refused instead of crashing one
+ * endpoint after the other. Not safe for concurrent use.
+ *
+ * A crash is evidence against each shared part of the calls that the endpoint ran. An answered call clears its parts, so
+ * what remains is the part that the crashed calls have in common. Routers exchange [report]s, because each of them sees
+ * few of the crashes. The last part of a prompt belongs to one request alone and is never evidence.
+ *
+ * All times are monotonic times of this process.
+ */
+class PromptPartQuarantine(
+    private val policy: QuarantinePolicy = QuarantinePolicy(),
+    private val listener: QuarantineListener = QuarantineListener.NONE,
+) {
+    private val history = CrashHistory(policy)
+    private val answered = AnsweredParts(policy)
+    private val quarantines = LinkedHashMap<String, Quarantine>()
+
+    /** Increases with each change of the [report] that other routers should hear of. */
+    var revision: Long = 0
+        private set
+
+    /** The part of [prompt] for which a call is refused at [now], or null. */
+    fun quarantinedPartOf(
+        prompt: PromptDemand,
+        now: Duration,
+    ): String? {
+        if (quarantines.isEmpty()) return null
+        return sharedPartsOf(prompt).find { isQuarantined(it, now) }
+    }
+
+    /** Whether calls with [prompt] are refused at [now]. */
+    fun blocks(
+        prompt: PromptDemand,
+        now: Duration,
+    ): Boolean = quarantinedPartOf(prompt, now) != null
+
+    /** Whether a retry of a call with [prompt] would risk a further crash by the same part. */
+    fun isSuspect(
+        prompt: PromptDemand,
+        now: Duration,
+    ): Boolean {
+        val crashes = history.select { parts -> !isExplained(parts) }
+        return sharedPartsOf(prompt).any { part ->
+            !answered.contains(part, now) && evidenceOf(part, crashes).count >= policy.minSuspectCrashes
+        }
+    }
+
+    /** The parts in quarantine at [now]. */
+    fun quarantinedParts(now: Duration): List<String> = quarantines.keys.filter { isQuarantined(it, now) }
+
+    /** Records that the connection to [endpoint] ended while it ran a call with [prompt]. */
+    fun onConnectionLost(
+        endpoint: EndpointId,
+        prompt: PromptDemand,
+        now: Duration,
+    ) {
+        val parts = sharedPartsOf(prompt)
+        if (parts.all { answered.contains(it, now) }) return
+        if (history.add(endpoint, now, listOf(parts))) onEvidence(now)
+    }
+
+    /** Records that a call with [prompt] was answered in full. */
+    fun onAnswered(
+        prompt: PromptDemand,
+        now: Duration,
+    ) = sharedPartsOf(prompt).forEach { clear(it, now) }
+
+    /** What this router knows at [now], for other routers. */
+    fun report(now: Duration): QuarantineReport {
+        removeExpired(now)
+        val crashes = history.select { prompt -> prompt.any { !answered.contains(it, now) } }
+        val quarantined = quarantines.filterKeys { isQuarantined(it, now) }
+        val parts = history.parts + quarantined.keys
+        return QuarantineReport(
+            crashes.map { CrashReport(it.endpoint, (now - it.at).toMillis(), it.prompts) },
+            quarantined.map { (part, it) ->
+                QuarantinedPartReport(part, (it.until - now).toMillis(), it.duration.toMillis())
+            },
+            parts.filterTo(mutableSetOf()) { answered.contains(it, now) },
+        )
+    }
+
+    /** Adds what another router knows. */
+    fun merge(
+        report: QuarantineReport,
+        now: Duration,
+    ) {
+        report.answeredParts.forEach { clear(it, now) }
+        val added = report.crashes.count { history.add(it.endpoint, now - Duration.ofMillis(it.ageMillis), it.prompts) }
+        for (reported in report.quarantined) {
+            val duration = Duration.ofMillis(reported.durationMillis)
+            val until = now + minOf(Duration.ofMillis(reported.remainingMillis), duration)
+            val isKnown = answered.contains(reported.part, now) || isQuarantined(reported.part, now)
+            if (!isKnown && quarantines.size < policy.maxQuarantinedParts) {
+                quarantine(reported.part, until, minOf(duration, policy.maxQuarantine), crashes = 0)
+            }
+        }
+        if (added > 0) onEvidence(now)
+    }
+
+    private fun onEvidence(now: Duration) {
+        revision++
+        removeExpired(now)
+        while (quarantines.size < policy.maxQuarantinedParts) {
+            val crashes = history.select { prompt -> !isExplained(prompt) }
+            val candidate = candidates(crashes, now).maxWithOrNull(MOST_SPECIFIC) ?: return
+            val duration = nextDuration(candidate.part)
+            quarantine(candidate.part, now + duration, duration, candidate.count)
+        }
+    }
+
+    /** The parts with enough evidence in [crashes] that are contained in no answered call. */
+    private fun candidates(
+        crashes: List<CrashHistory.Crash>,
+        now: Duration,
+    ): List<Evidence> =
+        crashes
+            .flatMap { it.prompts }
+            .flatten()
+            .toSet()
+            .filter { !answered.contains(it, now) }
+            .map { evidenceOf(it, crashes) }
+            .filter { isSufficient(it) }
+
+    private fun isSufficient(evidence: Evidence): Boolean {
+        val earlier = quarantines[evidence.part]
+        if (earlier != null) return evidence.lastAt > earlier.until
+        return evidence.count >= policy.minCrashes && evidence.endpoints >= policy.minEndpoints
+    }
+
+    private fun evidenceOf(
+        part: String,
+        crashes: List<CrashHistory.Crash>,
+    ): Evidence {
+        val own = crashes.filter { crash -> crash.prompts.any { part in it } }.sortedBy { it.at }
+        val times = own.map { it.at }
+        val pauses = times.zipWithNext().count { (earlier, later) -> later - earlier >= policy.simultaneous }
+        return Evidence(
+            part,
+            count = if (own.isEmpty()) 0 else pauses + 1,
+            endpoints = own.distinctBy { it.endpoint }.size,
+            lastAt = times.lastOrNull() ?: Duration.ZERO,
+            position = own.flatMap { it.prompts }.maxOfOrNull { it.indexOf(part) } ?: -1,
+        )
+    }
+
+    /** Whether [prompt] contains a part that is in quarantine, so that it is no evidence against its other parts. */
+    private fun isExplained(prompt: List<String>): Boolean =
+        prompt.any { part -> quarantines[part]?.isExpired == false }
+
+    private fun isQuarantined(
+        part: String,
+        now: Duration,
+    ): Boolean = quarantines[part]?.let { now < it.until } ?: false
+
+    private fun nextDuration(part: String): Duration =
+        quarantines[part]?.let { minOf(it.duration.multipliedBy(2), policy.maxQuarantine) } ?: policy.firstQuarantine
+
+    private fun quarantine(
+        part: String,
+        until: Duration,
+        duration: Duration,
+        crashes: Int,
+    ) {
+        quarantines.remove(part)
+        quarantines[part] = Quarantine(until, duration)
+        revision++
+        listener.onQuarantined(part, crashes)
+    }
+
+    private fun clear(
+        part: String,
+        now: Duration,
+    ) {
+        val isNews = !answered.contains(part, now) && part in history.parts
+        answered.add(part, now)
+        if (isNews) revision++
+        if (quarantines.remove(part) == null) return
+        revision++
+        listener.onReleased(part)
+    }
+
+    private fun removeExpired(now: Duration) {
+        history.removeBefore(now - policy.crashWindow)
+        quarantines.values.forEach { it.isExpired = now >= it.until }
+        quarantines.values.removeIf { now >= it.until + it.duration }
+    }
+
+    private fun sharedPartsOf(prompt: PromptDemand): List<String> = prompt.parts.dropLast(1).map { it.id }
+
+    private class Quarantine(
+        val until: Duration,
+        val duration: Duration,
+    ) {
+        var isExpired = false
+    }
+
+    /** The crashes that speak against [part]; [position] is its place in the prompts. */
+    private class Evidence(
+        val part: String,
+        val count: Int,
+        val endpoints: Int,
+        val lastAt: Duration,
+        val position: Int,
+    )
+
+    private companion object {
+        /**
+         * Of parts with equal evidence the later one is taken, since fewer calls contain it. If it is the wrong one, the
+         * crashes go on and the earlier one follows.
+         */
+        val MOST_SPECIFIC: Comparator<Evidence> = compareBy<Evidence> { it.count }.thenBy { it.position }
+    }
+}
--- /dev/null
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
@@ -0,0 +1,42 @@
+package io.limpetfold.quarantine
+
+import io.limpetfold.core.EndpointId
+import kotlinx.serialization.Serializable
+
+/**
+ * What one router knows of crashes and of the parts that may have caused them. Times are ages, because routers have no
+ * common clock.
+ *
+ * @property answeredParts parts of crashed calls that other calls, which were answered, contain too.
+ */
+@Serializable
+data class QuarantineReport(
+    val crashes: List<CrashReport> = emptyList(),
+    val quarantined: List<QuarantinedPartReport> = emptyList(),
+    val answeredParts: Set<String> = emptySet(),
+)
+
+/**
+ * The end of [endpoint] while it ran calls.
+ *
+ * @property prompts the shared parts of the prompts of these calls, in order.
+ */
+@Serializable
+data class CrashReport(
+    val endpoint: EndpointId,
+    val ageMillis: Long,
+    val prompts: Set<List<String>>,
+)
+
+/**
+ * A part in quarantine.
+ *
+ * @property remainingMillis time until calls that contain the part are sent again.
+ * @property durationMillis the whole duration of this quarantine.
+ */
+@Serializable
+data class QuarantinedPartReport(
+    val part: String,
+    val remainingMillis: Long,
+    val durationMillis: Long,
+)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import io.limpetfold.gateway.observe.CallObserver
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.gateway.observe.GatewayMetrics
+import io.limpetfold.gateway.observe.QuarantineObserver
 import io.limpetfold.gateway.operate.BudgetAccountWarmer
 import io.limpetfold.gateway.operate.FleetPolicies
 import io.limpetfold.gateway.operate.FleetRegistration
@@ -39,6 +40,7 @@
 import io.limpetfold.gateway.state.EndpointDirectoryUpdater
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
+import io.limpetfold.gateway.state.QuarantineSync
 import io.limpetfold.gateway.state.RoutingTableReplica
 import io.limpetfold.gateway.state.TimedMoveCoordinator
 import io.limpetfold.http.BufferBudget
@@ -55,6 +57,7 @@
 import io.limpetfold.membership.MembershipListener
 import io.limpetfold.peer.ktor.FleetKey
 import io.limpetfold.peer.ktor.KtorPeerNetwork
+import io.limpetfold.quarantine.PromptPartQuarantine
 import io.limpetfold.replication.RelayedObjectStore
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.routing.RoutingTable
@@ -148,6 +151,8 @@
     private val moveCoordinator = TimedMoveCoordinator(versionSelector, moveCodec, store, peers, loops.dispatcher, log)
     private val reloadableSettings = ReloadableSettings(settings, readSettings, log)
     private val shutdown = GracefulShutdown({ reloadableSettings.current.shutdown }, monotonic)
+    private val quarantine = PromptPartQuarantine(listener = QuarantineObserver(log))
+    private val quarantineSync = QuarantineSync(quarantine, peers, monotonic, loops.dispatcher)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callerServer = server(settings.callerListenAddress, callHandler())
     private val readinessAndMetricsHandler = ReadinessAndMetricsHandler({ readiness }, metrics)
@@ -168,6 +173,7 @@
         sync.register()
         moveCoordinator.register()
         lender.register(peers)
+        quarantineSync.register()
         watchedStore.register()
         registerGauges()
         readinessServer.start()
@@ -229,6 +235,9 @@
         metrics.gauge("limpetfold_budget_held_tokens", "Tokens held and neither spent nor reserved") {
             budget.accounts().sumOf { it.availableTokens }.toDouble()
         }
+        metrics.gauge("limpetfold_quarantined_prompt_parts", "Prompt parts whose calls are refused") {
+            quarantine.quarantinedParts(monotonic.now()).size.toDouble()
+        }
         metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
     }
 
@@ -260,6 +269,7 @@
         }
         work.every(DEFAULT_INTERVAL, "peer sync") { sync.maintain(membership.members()) }
         work.every(SHORT_INTERVAL, "moves") { moveCoordinator.maintain(membership.members()) }
+        work.every(SHORT_INTERVAL, "quarantine") { quarantineSync.maintain(membership.members()) }
         val accountWarmer =
             BudgetAccountWarmer(
                 tokens,
@@ -324,11 +334,12 @@
     private fun callHandler(): CallHandler {
         val sender = EndpointSender(client, codec, monotonic, settings.calls)
         val dispatcher =
-            CallDispatcher(picker, sender, monotonic, settings.calls, {
+            CallDispatcher(picker, sender, quarantine, monotonic, settings.calls, {
                 reloadableSettings.current.retryBudget
             }, versionSelector) { membership.routerCount }
         return CallHandler(
             CallAdmission(codec, { routing.current }, random, shutdown),
+            quarantine,
             TokenBudget(tokens),
             dispatcher,
             RefusalWriter(settings.calls, random),
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.dispatch.VersionPreference
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.http.HttpExchange
+import io.limpetfold.quarantine.PromptPartQuarantine
 import io.limpetfold.rollout.MoveSide
 import io.limpetfold.rollout.VersionObservation
 import io.limpetfold.rollout.timed.TimedVersionChoice
@@ -25,6 +26,7 @@
 internal class CallDispatcher(
     private val picker: EndpointPicker,
     private val sender: EndpointSender,
+    private val quarantine: PromptPartQuarantine,
     private val clock: MonotonicClock,
     private val policy: CallPolicy,
     private val retryBudgetPolicy: () -> FleetRetryBudgetPolicy,
@@ -53,6 +55,7 @@
             call.move = versionSelector.choose(call.service)
             while (true) {
                 if (call.deadline - clock.now() < policy.minAttemptTime) return tooLate()
+                if (isQuarantined()) return quarantined()
                 val request =
                     PickRequest(
                         call.service,
@@ -63,6 +66,7 @@
                 val state = picker.pick(request, clock.now()) ?: return noEndpoint()
                 val result = attempt(state)
                 call.attemptOutcomes += outcomeText(result)
+                recordEvidence(state, result)
                 when (result) {
                     is SendResult.Delivered -> return CallEnd.Completed(result.status)
                     is SendResult.NotSent -> if (++connectFailures > policy.maxConnectFailures) return noEndpoint()
@@ -103,9 +107,29 @@
 
         private fun mayRetry(): Boolean =
             sentCount < call.route.maxAttempts &&
+                !isSuspect() &&
                 call.deadline - clock.now() >= policy.minAttemptTime &&
                 retryBudget.tryAcquire(routerCount(), clock.now())
 
+        /** What [result] shows about the parts of the prompt. */
+        private fun recordEvidence(
+            state: EndpointState,
+            result: SendResult,
+        ) {
+            val prompt = call.headers.prompt ?: return
+            when {
+                result.isConnectionLost -> quarantine.onConnectionLost(state.endpoint.id, prompt, clock.now())
+                outcomeOf(result) == CallOutcome.SUCCEEDED -> quarantine.onAnswered(prompt, clock.now())
+            }
+        }
+
+        private fun isQuarantined(): Boolean = call.headers.prompt?.let { quarantine.blocks(it, clock.now()) } ?: false
+
+        private fun isSuspect(): Boolean = call.headers.prompt?.let { quarantine.isSuspect(it, clock.now()) } ?: false
+
+        private fun quarantined(): CallEnd =
+            if (call.mayHaveRun) unknownOutcome() else CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
+
         private fun canResume() = call.route.isResumable && relay.lastEventId != null
 
         private fun notRun(): CallEnd =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.http.CallerDisconnectedException
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.HttpHandler
+import io.limpetfold.quarantine.PromptPartQuarantine
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -20,6 +21,7 @@
  */
 internal class CallHandler(
     private val admission: CallAdmission,
+    private val quarantine: PromptPartQuarantine,
     private val budget: TokenBudget,
     private val dispatcher: CallDispatcher,
     private val refusals: RefusalWriter,
@@ -53,6 +55,7 @@
         call: AdmittedCall,
     ): CallEnd {
         call.body = exchange.readBody(policy.maxBodyBytes)
+        if (isQuarantined(call)) return CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
         val maxWait = minOf(policy.maxBudgetWait, (call.deadline - clock.now()).dividedBy(2))
         val reservation =
             budget.reserve(call, if (maxWait.isNegative) Duration.ZERO else maxWait).fold(
@@ -66,6 +69,9 @@
         }
     }
 
+    private fun isQuarantined(call: AdmittedCall): Boolean =
+        call.headers.prompt?.let { quarantine.blocks(it, clock.now()) } ?: false
+
     private suspend fun forward(
         exchange: HttpExchange,
         call: AdmittedCall,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -43,7 +43,7 @@
         call.mayHaveRun = true
         val response =
             client.send(HostPort(endpoint.host, endpoint.port), request).getOrElse { error ->
-                if (error !is UpstreamError.NotSent) return SendResult.Unknown(describe(error))
+                if (error !is UpstreamError.NotSent) return SendResult.Unknown(describe(error), error.isConnectionLost)
                 call.mayHaveRun = mayHaveRunBefore
                 return SendResult.NotSent(describe(error))
             }
@@ -94,7 +94,7 @@
     ): SendResult {
         val buffered = ByteArrayOutputStream()
         while (buffered.size() <= policy.maxBufferedResponseBytes) {
-            val chunk = response.next().getOrElse { return SendResult.Unknown(describe(it)) }
+            val chunk = response.next().getOrElse { return SendResult.Unknown(describe(it), it.isConnectionLost) }
             if (chunk == null) {
                 onResponseStarted(call)
                 exchange.respond(response.head.status, response.head.headers.withoutHopByHop(), buffered.toByteArray())
@@ -128,7 +128,7 @@
             val chunk =
                 response.next().getOrElse {
                     sink.abort()
-                    return SendResult.Interrupted(describe(it))
+                    return SendResult.Interrupted(describe(it), it.isConnectionLost)
                 }
             if (chunk == null) break
             sink.write(chunk)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
@@ -22,6 +22,12 @@
     NO_ENDPOINT(503, "no_endpoint", "no endpoint of the service is in use", "retry later"),
     ENDPOINTS_UNREACHABLE(503, "endpoints_unreachable", "no endpoint of the service could be reached", "retry later"),
     ENDPOINT_FULL(503, "endpoint_full", "the endpoint refused the call without running it", "retry later"),
+    PROMPT_PART_QUARANTINED(
+        503,
+        "prompt_part_quarantined",
+        "endpoints crashed on requests with a part of this prompt",
+        "send a prompt without this part, or report it to the operators",
+    ),
     TOO_LATE(503, "too_late", "too little time was left to run the call", "retry with a longer deadline"),
     STOPPING(503, "stopping", "this router is stopping", "retry through another router"),
     OUTCOME_UNKNOWN(
@@ -41,5 +47,5 @@
     ;
 
     /** Whether a later retry may succeed, so that a `Retry-After` header is sent. */
-    val isTransient: Boolean get() = status == 503 || status == 429
+    val isTransient: Boolean get() = (status == 503 || status == 429) && this != PROMPT_PART_QUARANTINED
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
@@ -2,6 +2,9 @@
 
 /** Outcome of sending a call to one endpoint. */
 internal sealed interface SendResult {
+    /** Whether the endpoint's end of the connection closed while it ran the call. */
+    val isConnectionLost: Boolean get() = false
+
     /** The complete response was written to the caller. */
     data class Delivered(
         val status: Int,
@@ -20,6 +23,7 @@
     /** The call may have run, and nothing was written to the caller. */
     data class Unknown(
         val reason: String,
+        override val isConnectionLost: Boolean = false,
     ) : SendResult
 
     /**
@@ -28,5 +32,6 @@
      */
     data class Interrupted(
         val reason: String,
+        override val isConnectionLost: Boolean = false,
     ) : SendResult
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -44,7 +44,10 @@
             val chunk =
                 nextChunk(call, state, response)
                     ?: return interrupted("no byte for ${policy.stallTimeout.toMillis()} ms")
-            val bytes = chunk.getOrElse { return interrupted("${it.reason.name.lowercase()}: ${it.message}") }
+            val bytes =
+                chunk.getOrElse {
+                    return interrupted("${it.reason.name.lowercase()}: ${it.message}", it.isConnectionLost)
+                }
             if (bytes == null) return complete(exchange, call, response, framer)
             state.onBytesReceived(clock.now())
             val frames = framer.feed(bytes).getOrElse { return interrupted(it.message) }
@@ -78,7 +81,14 @@
         response: UpstreamResponse,
         framer: ServerSentEventFramer,
     ): SendResult {
-        if (framer.incompleteEventBytes > 0) return interrupted("the stream ended inside an event")
+        if (framer.incompleteEventBytes >
+            0
+        ) {
+            return interrupted("the stream ended inside an event", response.head.isCloseDelimited)
+        }
+        if (response.head.isCloseDelimited && call.deliveredEvents == 0) {
+            return interrupted("the connection closed before the first event", isConnectionLost = true)
+        }
         val openSink = sink ?: startResponse(exchange, call, response)
         openSink.finish()
         return SendResult.Delivered(response.head.status)
@@ -113,8 +123,15 @@
         return exchange.respondStream(response.head.status, response.head.headers.withoutHopByHop()).also { sink = it }
     }
 
-    private fun interrupted(reason: String): SendResult =
-        if (hasStarted) SendResult.Interrupted(reason) else SendResult.Unknown(reason)
+    private fun interrupted(
+        reason: String,
+        isConnectionLost: Boolean = false,
+    ): SendResult =
+        if (hasStarted) {
+            SendResult.Interrupted(reason, isConnectionLost)
+        } else {
+            SendResult.Unknown(reason, isConnectionLost)
+        }
 
     private companion object {
         val STALL_CHECK_INTERVAL: Duration = Duration.ofMillis(100)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -3,6 +3,7 @@
 import io.limpetfold.core.Incarnation
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.peer.PeerTopic
+import io.limpetfold.quarantine.QuarantineReport
 import io.limpetfold.rollout.timed.TimedMoveReport
 import kotlinx.serialization.Serializable
 
@@ -38,6 +39,8 @@
     val reports: List<TimedMoveReport>,
 )
 
+internal val QUARANTINE_TOPIC =
+    PeerTopic("gateway.quarantine", QuarantineReport.serializer(), QuarantineReport.serializer())
 internal val MOVES_TOPIC = PeerTopic("gateway.moves", MoveReports.serializer(), MoveReports.serializer())
 internal val ROUTING_TOPIC = PeerTopic("gateway.routing", RoutingRequest.serializer(), RoutingReply.serializer())
 internal val ENDPOINTS_TOPIC =
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseHead.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseHead.kt
@@ -4,4 +4,8 @@
 data class ResponseHead(
     val status: Int,
     val headers: Headers,
-)
+) {
+    /** Whether only the end of the connection ends the body, so that a body that was cut off can look complete. */
+    val isCloseDelimited: Boolean
+        get() = headers["Content-Length"] == null && headers["Transfer-Encoding"] == null
+}
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamError.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamError.kt
@@ -5,6 +5,9 @@
     val reason: Reason
     val message: String
 
+    /** Whether the endpoint closed or reset the connection while it ran the request. */
+    val isConnectionLost: Boolean get() = reason == Reason.CONNECTION_CLOSED
+
     enum class Reason {
         REFUSED,
         CONNECT_TIMEOUT,
