--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -115,13 +115,9 @@
     fun excessTokens(nowMillis: Long): Long {
         if (account.state != AccountState.OPEN || account.sequence == 0L) return 0
         val excessTokens = account.availableTokens - targetTokens(nowMillis)
-        return if (excessTokens >
-            policy.maxExcessRatio * maxOf(targetTokens(nowMillis), (freeTokensSeen * MIN_RETURN_FRACTION).toLong())
-        ) {
-            excessTokens
-        } else {
-            0
-        }
+        val worthwhileTokens = (freeTokensSeen * MIN_RETURN_FRACTION).toLong()
+        val threshold = policy.maxExcessRatio * maxOf(targetTokens(nowMillis), worthwhileTokens)
+        return if (excessTokens > threshold) excessTokens else 0
     }
 
     /** The tokens that the account should hold at [nowMillis], computed from the ledger as last seen. */
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -280,9 +280,7 @@
             val reservedTokens = maxOf(tokens, minOf(maxTokens, spareTokens))
             val after = change { it.reserve(reservedTokens) ?: it }
             if (after === before) return null
-            if (reservedTokens >
-                tokens
-            ) {
+            if (reservedTokens > tokens) {
                 change { it.withDemand(reservedTokens - tokens, nowMillis(), policy.demandWindow.toMillis()) }
             }
             Reservation(workspace, request, holder, before.nextReservation, reservedTokens)
@@ -311,9 +309,7 @@
             if (failure == null && immediateRetries++ < MAX_IMMEDIATE_RETRIES) continue
             if (remainingMillis <= 0) return refused(refusal(slot, tokens, failure))
             val waitMillis = minOf(remainingMillis, maxOf(1, slot.locked { retryAtMillis } - nowMillis()))
-            if (withTimeoutOrNull(waitMillis) { slot.changes.first { it != seenChanges } } ==
-                null
-            ) {
+            if (withTimeoutOrNull(waitMillis) { slot.changes.first { it != seenChanges } } == null) {
                 remainingMillis -= waitMillis
             }
         }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -225,9 +225,7 @@
         sender: String,
         totalTokens: Long,
     ): LocalAccount =
-        if (totalTokens <=
-            (receivedTokens[sender] ?: 0)
-        ) {
+        if (totalTokens <= (receivedTokens[sender] ?: 0)) {
             this
         } else {
             copy(receivedTokens = receivedTokens.put(sender, totalTokens))
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/PeerTransfers.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/PeerTransfers.kt
@@ -21,29 +21,15 @@
         tokens: Long,
         maxWaitMillis: Long,
     ) {
-        val timeout =
-            if (maxWaitMillis >
-                0
-            ) {
-                minOf(slot.policy.peerTimeout, Duration.ofMillis(maxWaitMillis))
-            } else {
-                slot.policy.peerTimeout
-            }
+        val peerTimeout = slot.policy.peerTimeout
+        val timeout = if (maxWaitMillis > 0) minOf(peerTimeout, Duration.ofMillis(maxWaitMillis)) else peerTimeout
         val candidates = peersByUnspentTokens(slot)
-        candidates
-            .take(
-                if (maxWaitMillis >
-                    0
-                ) {
-                    candidates.size
-                } else {
-                    slot.policy.peersPerAttempt
-                },
-            ).forEachIndexed { index, peer ->
-                if (slot.locked { account.availableTokens } >= tokens) return
-                val receivedTokens = requestFrom(slot, peer, tokens, timeout)
-                if (receivedTokens == 0L && index + 1 >= slot.policy.peersPerAttempt) return
-            }
+        val maxPeers = if (maxWaitMillis > 0) candidates.size else slot.policy.peersPerAttempt
+        candidates.take(maxPeers).forEachIndexed { index, peer ->
+            if (slot.locked { account.availableTokens } >= tokens) return
+            val receivedTokens = requestFrom(slot, peer, tokens, timeout)
+            if (receivedTokens == 0L && index + 1 >= slot.policy.peersPerAttempt) return
+        }
     }
 
     /** The reachable holders in descending order of unspent tokens, with ties in random order. */
@@ -80,9 +66,7 @@
                     ).withPeerTokens(peer.key, reply.availableTokens)
             }
         val receivedTokens = (after.receivedTokens[peer.key] ?: 0) - seenTokens
-        if (receivedTokens >
-            0
-        ) {
+        if (receivedTokens > 0) {
             listener.onEvent(BudgetEvent.TransferReceived(slot.workspace, peer.instance, receivedTokens))
         }
         return receivedTokens
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/PromptEstimator.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/PromptEstimator.kt
@@ -50,9 +50,7 @@
             windowSamples: Int,
         ): RatioWindow {
             val min = minOf(currentMin, ratio)
-            return if (count + 1 <
-                windowSamples
-            ) {
+            return if (count + 1 < windowSamples) {
                 copy(currentMin = min, count = count + 1)
             } else {
                 RatioWindow(previousMin = min)
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -139,9 +139,7 @@
         val waitPerLender = maxWait.dividedBy(policy.lendersPerAttempt.toLong())
         for (lender in candidates) {
             var reply = borrowFrom(slot, lender, neededTokens, maxTokens, waitPerLender)
-            if (reply?.outcome ==
-                LoanOutcome.UNKNOWN_LOAN
-            ) {
+            if (reply?.outcome == LoanOutcome.UNKNOWN_LOAN) {
                 reply = borrowFrom(slot, lender, neededTokens, maxTokens, waitPerLender)
             }
             when (reply?.outcome) {
@@ -213,9 +211,7 @@
         val reply = peers.ask(loan.lender, LOAN_TOPIC, request, policy.responseTimeout + maxWait).get() ?: return null
         val reportedTokens = loan.spentTokens + loan.returnedTokens
         slot.change(loan.number) {
-            if (reply.outcome ==
-                LoanOutcome.UNKNOWN_LOAN
-            ) {
+            if (reply.outcome == LoanOutcome.UNKNOWN_LOAN) {
                 it.copy(isEnded = true)
             } else {
                 it.withReply(reply.lentTokens, reportedTokens)
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenLender.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenLender.kt
@@ -29,9 +29,7 @@
     /** Registers the handler of loan requests; call it before the network starts. */
     fun register(peers: PeerNetwork) =
         peers.registerHandler(LOAN_TOPIC) { from, request ->
-            if (from ==
-                request.borrower
-            ) {
+            if (from == request.borrower) {
                 handleRequest(request)
             } else {
                 LoanReply(LoanOutcome.UNKNOWN_LOAN)
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
@@ -87,9 +87,7 @@
     private fun decode(stored: StoredObject?): Result<Versioned<T>, StoreError> =
         try {
             Ok(
-                if (stored ==
-                    null
-                ) {
+                if (stored == null) {
                     Versioned(null, ObjectVersion.NONE)
                 } else {
                     Versioned(JSON.decodeFromString(serializer, stored.value), stored.version)
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/WatchMoveCommand.kt
@@ -18,9 +18,7 @@
             val record =
                 session.moves().read(RouteId(route)).orExit() ?: fail(ExitCode.NOT_FOUND, "route $route has no move")
             val line = MoveLine.of(record, session.clock.instant())
-            if (line !=
-                printed
-            ) {
+            if (line != printed) {
                 printProgress("${session.clock.instant()} ${line.phase}, not confirmed: ${line.unconfirmed ?: "-"}")
             }
             printed = line
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -114,9 +114,7 @@
         val headers = response.head.headers
         val length = headers["Content-Length"]
         val forwarded =
-            if (length ==
-                null
-            ) {
+            if (length == null) {
                 headers.withoutHopByHop()
             } else {
                 headers.withoutHopByHop().with("Content-Length", length)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -81,9 +81,7 @@
         response: UpstreamResponse,
         framer: ServerSentEventFramer,
     ): SendResult {
-        if (framer.incompleteEventBytes >
-            0
-        ) {
+        if (framer.incompleteEventBytes > 0) {
             return interrupted("the stream ended inside an event", response.head.isCloseDelimited)
         }
         if (response.head.isCloseDelimited && call.deliveredEvents == 0) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/GatewayMetrics.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/GatewayMetrics.kt
@@ -35,9 +35,7 @@
         attempts: Int,
     ) {
         timer("limpetfold_call_duration", "Whole call", route).record(elapsed)
-        if (firstByte !=
-            null
-        ) {
+        if (firstByte != null) {
             timer("limpetfold_call_first_byte", "Arrival to the first byte of the answer", route).record(firstByte)
         }
         count("limpetfold_calls", "outcome", outcome)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReadinessAndMetricsHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/ReadinessAndMetricsHandler.kt
@@ -16,9 +16,7 @@
         }
         val state = readiness()
         exchange.respond(
-            if (state ==
-                Readiness.READY
-            ) {
+            if (state == Readiness.READY) {
                 OK
             } else {
                 UNAVAILABLE
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -235,9 +235,7 @@
         when (val body = request.body) {
             is UpstreamBody.Bytes -> headers.set("Content-Length", body.bytes.size)
             is UpstreamBody.Stream ->
-                if (body.lengthBytes ==
-                    null
-                ) {
+                if (body.lengthBytes == null) {
                     HttpUtil.setTransferEncodingChunked(message, true)
                 } else {
                     headers.set("Content-Length", body.lengthBytes)
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -70,9 +70,7 @@
         val collected = ByteArrayOutputStream()
         while (true) {
             val piece = body.next() ?: return collected.toByteArray()
-            if (collected.size() + piece.size >
-                maxBytes
-            ) {
+            if (collected.size() + piece.size > maxBytes) {
                 throw RequestBodyException(
                     HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(),
                     "the body exceeds $maxBytes bytes: send a smaller body",
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerSentEventReader.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerSentEventReader.kt
@@ -31,9 +31,7 @@
             if (byte == LINE_FEED || byte == CARRIAGE_RETURN) {
                 endLine()?.let(events::add)
             } else {
-                if (++eventBytes >
-                    maxEventBytes
-                ) {
+                if (++eventBytes > maxEventBytes) {
                     throw IOException("an event exceeds $maxEventBytes bytes: send smaller events")
                 }
                 line.write(byte.toInt())
--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/EndpointLimiter.kt
@@ -367,9 +367,7 @@
         if (preferred.isEmpty()) return null
         val first = random.nextInt(preferred.size)
         val second =
-            if (preferred.size ==
-                1
-            ) {
+            if (preferred.size == 1) {
                 first
             } else {
                 (first + 1 + random.nextInt(preferred.size - 1)) % preferred.size
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/budgets/BudgetSimulation.kt
@@ -21,9 +21,7 @@
     private val strategy = createStrategy(environment, seed)
     private val weights =
         DoubleArray(settings.workspaces) {
-            if (it <
-                LARGE_COUNT
-            ) {
+            if (it < LARGE_COUNT) {
                 LARGE_SHARE / LARGE_COUNT
             } else {
                 smallShare()
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/limits/LimitsSimulation.kt
@@ -72,9 +72,7 @@
     }
 
     private fun pickRouter(): Int =
-        if (random.nextDouble() <
-            scenario.skew
-        ) {
+        if (random.nextDouble() < scenario.skew) {
             random.nextInt(2)
         } else {
             random.nextInt(nodes.size)
@@ -102,9 +100,7 @@
 
     private suspend fun injectFaults() {
         delay(faultMillis)
-        if (scenario.burst >
-            0
-        ) {
+        if (scenario.burst > 0) {
             scope.launch { generateArrivals(capacityRate * scenario.burst, time.nowMillis + BURST_MILLIS) { 0 } }
         }
         if (scenario.isPartitioned) partition()
--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/moves/MoveSimulation.kt
@@ -27,9 +27,7 @@
     private val durationMillis = settings.duration.toMillis()
     private val failureShare = if (kind == VersionKind.BAD_AT_ONCE) random.nextDouble(0.15, 1.0) else 0.4
     private val badFromMillis =
-        if (kind ==
-            VersionKind.BAD_LATE
-        ) {
+        if (kind == VersionKind.BAD_LATE) {
             random.nextLong(durationMillis / 10, durationMillis * 2 / 3)
         } else {
             0
@@ -111,9 +109,7 @@
             kind == VersionKind.GOOD_UNDER_NOISE &&
                 (elapsedMillis + burstOffsetMillis) % BURST_PERIOD_MILLIS < BURST_MILLIS
         val normalFailureShare =
-            if (kind ==
-                VersionKind.GOOD_UNDER_NOISE
-            ) {
+            if (kind == VersionKind.GOOD_UNDER_NOISE) {
                 NOISE_FAILURE_SHARE
             } else {
                 workload.failureShare
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
@@ -242,9 +242,7 @@
         channel: FrameChannel,
     ): PeerConnection {
         val peer = withHandshakeTimeout { handshake.dial(channel) }
-        if (peer.instance !=
-            address.instance
-        ) {
+        if (peer.instance != address.instance) {
             throw ProtocolException("the address belongs to ${peer.instance} and not to the expected instance")
         }
         val isPreferred = DuplicateConnectionResolver.isPreferred(dialer = self.instance, acceptor = peer.instance)
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionGuard.kt
@@ -85,9 +85,7 @@
 
         /** Returns the assumed share of bad outcomes of an old version without recorded outcomes. */
         fun priorShare(metric: GuardMetric): Double =
-            if (metric ==
-                GuardMetric.FAILURES
-            ) {
+            if (metric == GuardMetric.FAILURES) {
                 PRIOR_FAILURE_SHARE
             } else {
                 PRIOR_SLOW_SHARE
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionChoice.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionChoice.kt
@@ -19,9 +19,7 @@
     fun withServedVersion(version: VersionId): TimedVersionChoice =
         copy(
             side =
-                if (version ==
-                    target
-                ) {
+                if (version == target) {
                     MoveSide.NEW
                 } else {
                     MoveSide.OLD
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/TakeoverMessages.kt
@@ -33,9 +33,7 @@
             when (state) {
                 BillingState.BILLED -> TakeoverReply(TakeoverOutcome.BILLED)
                 BillingState.HANDED_OVER ->
-                    if (takenBy ==
-                        taker
-                    ) {
+                    if (takenBy == taker) {
                         TakeoverReply(TakeoverOutcome.HANDED_OVER)
                     } else {
                         TakeoverReply(TakeoverOutcome.TAKEN, takenBy)
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/EngineStandin.kt
@@ -141,9 +141,7 @@
         val stream = core.find(requestId) ?: return exchange.fail(404, "not_found", "no such stream", "unknown")
         when (method) {
             "GET" -> {
-                if (stream.state ==
-                    EngineStream.State.CANCELLED
-                ) {
+                if (stream.state == EngineStream.State.CANCELLED) {
                     return exchange.fail(410, "cancelled", "the stream was cancelled", "yes")
                 }
                 core.countResumed()
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlainServiceStandin.kt
@@ -77,16 +77,12 @@
             )
         }
         val outcome = drawOutcome()
-        if (outcome ==
-            Outcome.REFUSE
-        ) {
+        if (outcome == Outcome.REFUSE) {
             return exchange.fail(503, "busy", "the service is busy", "no", notStartedHeaders(exchange))
         }
         val body = readSlowly(exchange)
         delay(settings.delayMillis)
-        if (outcome ==
-            Outcome.FAIL_BEFORE
-        ) {
+        if (outcome == Outcome.FAIL_BEFORE) {
             return exchange.fail(500, "failed", "the booking failed", "no", commonHeaders(exchange))
         }
         val id =
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
@@ -111,9 +111,7 @@
                 ?.removeSurrounding("\"")
                 ?.toLongOrNull()
         val mustNotExist = exchange.head.headers["If-None-Match"] == "*"
-        if ((match == null) ==
-            !mustNotExist
-        ) {
+        if ((match == null) == !mustNotExist) {
             return exchange.fail(428, "condition_required", "send If-Match or If-None-Match: *", "no")
         }
         val written = objects.put(key, value, match ?: 0)
--- a/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakePeerHub.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakePeerHub.kt
@@ -64,9 +64,7 @@
                 target.handlers[topic.name] as PeerHandler<Q, A>?
                     ?: return Err(PeerError.Rejected(to, "no handler for ${topic.name}"))
             val reply = handler.handle(self, copyBySerializer(topic.requestSerializer, message))
-            return if (messageFault ==
-                PeerFault.REPLY_LOST
-            ) {
+            return if (messageFault == PeerFault.REPLY_LOST) {
                 Err(PeerError.Timeout(to, timeout))
             } else {
                 Ok(copyBySerializer(topic.replySerializer, reply))
