--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -34,6 +34,8 @@
     private companion object {
         val GAUGES =
             listOf(
+                "limpetfold_budget_held_tokens",
+                "limpetfold_quarantined_prompt_parts",
                 "limpetfold_calls_running",
                 "limpetfold_buffered_bytes",
                 "limpetfold_config_version",
