dispatch, gateway, budget: mend what a first reader of the change stumbles on

Logic that stood twice (the check of a call's prompt), state that could be derived (an expired quarantine), a second log line for one closed ledger entry, a set built for each answered call, names of two windows, a comment of the default grants that was no longer true, and names in a test.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -105,9 +105,7 @@
                         holder,
                         it.writtenOffTokens,
                     )
-                    listener.onEvent(
-                        BudgetEvent.PredecessorClosed(slot.workspace, holder, it.balanceFor(slot.holder.key)),
-                    )
+                    listener.onEvent(BudgetEvent.PredecessorClosed(slot.workspace, holder))
                 },
                 failure = { if (it is UpdateError.Failed) ledgerSync.recordUnavailable(slot, it.error.message) },
             )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -73,11 +73,10 @@
         val tokens: Long,
     ) : BudgetEvent
 
-    /** This router closed the entry of [holder], an earlier process of the instance, which left [balance]. */
+    /** This router closed the entry of [holder], an earlier process of the instance. */
     data class PredecessorClosed(
         override val workspace: WorkspaceId,
         val holder: Incarnation,
-        val balance: LedgerBalance,
     ) : BudgetEvent
 
     /** A reservation was refused. */
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
@@ -12,13 +12,16 @@
     /** All parts of the prompts in the history. */
     val parts: Set<String> get() = crashes.flatMapTo(mutableSetOf()) { it.prompts.flatten() }
 
+    /** Whether a prompt in the history contains [part]. */
+    operator fun contains(part: String): Boolean = crashes.any { crash -> crash.prompts.any { part in it } }
+
     /** Adds [prompts] to the crash of [endpoint] at about [at]; returns whether anything was new. */
     fun add(
         endpoint: EndpointId,
         at: Duration,
         prompts: Collection<List<String>>,
     ): Boolean {
-        val known = crashes.find { it.endpoint == endpoint && (it.at - at).abs() < policy.sameCrash }
+        val known = crashes.find { it.endpoint == endpoint && (it.at - at).abs() < policy.sameCrashWindow }
         if (known != null) return known.prompts.addAll(prompts.take(MAX_PROMPTS - known.prompts.size))
         if (crashes.size >= policy.maxCrashes) crashes.remove(crashes.minBy { it.at })
         crashes += Crash(endpoint, at, prompts.take(MAX_PROMPTS).toMutableSet())
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
@@ -35,18 +35,19 @@
         return sharedPartsOf(prompt).find { isQuarantined(it, now) }
     }
 
-    /** Whether calls with [prompt] are refused at [now]. */
+    /** Whether calls with [prompt] are refused at [now]; false for a call without a prompt. */
     fun blocks(
-        prompt: PromptDemand,
+        prompt: PromptDemand?,
         now: Duration,
-    ): Boolean = quarantinedPartOf(prompt, now) != null
+    ): Boolean = prompt != null && quarantinedPartOf(prompt, now) != null
 
     /** Whether a retry of a call with [prompt] would risk a further crash by the same part. */
     fun isSuspect(
-        prompt: PromptDemand,
+        prompt: PromptDemand?,
         now: Duration,
     ): Boolean {
-        val crashes = history.select { parts -> !isExplained(parts) }
+        if (prompt == null) return false
+        val crashes = history.select { parts -> !isExplained(parts, now) }
         return sharedPartsOf(prompt).any { part ->
             !answered.contains(part, now) && evidenceOf(part, crashes).count >= policy.minSuspectCrashes
         }
@@ -109,7 +110,7 @@
         revision++
         removeExpired(now)
         while (quarantines.size < policy.maxQuarantinedParts) {
-            val crashes = history.select { prompt -> !isExplained(prompt) }
+            val crashes = history.select { prompt -> !isExplained(prompt, now) }
             val candidate = candidates(crashes, now).maxWithOrNull(MOST_SPECIFIC) ?: return
             val duration = nextDuration(candidate.part)
             quarantine(candidate.part, now + duration, duration, candidate.count)
@@ -141,7 +142,7 @@
     ): Evidence {
         val own = crashes.filter { crash -> crash.prompts.any { part in it } }.sortedBy { it.at }
         val times = own.map { it.at }
-        val pauses = times.zipWithNext().count { (earlier, later) -> later - earlier >= policy.simultaneous }
+        val pauses = times.zipWithNext().count { (earlier, later) -> later - earlier >= policy.simultaneousWindow }
         return Evidence(
             part,
             count = if (own.isEmpty()) 0 else pauses + 1,
@@ -152,8 +153,10 @@
     }
 
     /** Whether [prompt] contains a part that is in quarantine, so that it is no evidence against its other parts. */
-    private fun isExplained(prompt: List<String>): Boolean =
-        prompt.any { part -> quarantines[part]?.isExpired == false }
+    private fun isExplained(
+        prompt: List<String>,
+        now: Duration,
+    ): Boolean = prompt.any { isQuarantined(it, now) }
 
     private fun isQuarantined(
         part: String,
@@ -179,9 +182,9 @@
         part: String,
         now: Duration,
     ) {
-        val isNews = !answered.contains(part, now) && part in history.parts
+        val clearsEvidence = !answered.contains(part, now) && part in history
         answered.add(part, now)
-        if (isNews) revision++
+        if (clearsEvidence) revision++
         if (quarantines.remove(part) == null) return
         revision++
         listener.onReleased(part)
@@ -189,7 +192,6 @@
 
     private fun removeExpired(now: Duration) {
         history.removeBefore(now - policy.crashWindow)
-        quarantines.values.forEach { it.isExpired = now >= it.until }
         quarantines.values.removeIf { now >= it.until + it.duration }
     }
 
@@ -198,9 +200,7 @@
     private class Quarantine(
         val until: Duration,
         val duration: Duration,
-    ) {
-        var isExpired = false
-    }
+    )
 
     /** The crashes that speak against [part]; [position] is its place in the prompts. */
     private class Evidence(
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantinePolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantinePolicy.kt
@@ -8,8 +8,8 @@
  * @property minCrashes crashes at different times after which a part is quarantined.
  * @property minEndpoints endpoints among them, so that one endpoint that keeps failing marks no part.
  * @property minSuspectCrashes crashes after which calls that contain the part are not retried.
- * @property simultaneous crashes that are closer together have one cause, such as a loss of power, and count once.
- * @property sameCrash reports of one endpoint that are closer together are reports of one crash.
+ * @property simultaneousWindow crashes that are closer together have one cause, such as a loss of power, and count once.
+ * @property sameCrashWindow reports of one endpoint that are closer together are reports of one crash.
  * @property crashWindow how long a crash counts.
  * @property answeredWindow how long a part counts as harmless after a call that contains it was answered.
  * @property firstQuarantine how long a part is quarantined at first. Afterwards calls that contain it are sent again, and
@@ -22,8 +22,8 @@
     val minCrashes: Int = 3,
     val minEndpoints: Int = 2,
     val minSuspectCrashes: Int = 2,
-    val simultaneous: Duration = SIMULTANEOUS,
-    val sameCrash: Duration = Duration.ofSeconds(2),
+    val simultaneousWindow: Duration = SIMULTANEOUS_WINDOW,
+    val sameCrashWindow: Duration = Duration.ofSeconds(2),
     val crashWindow: Duration = Duration.ofMinutes(5),
     val answeredWindow: Duration = Duration.ofMinutes(5),
     val firstQuarantine: Duration = Duration.ofMinutes(10),
@@ -39,6 +39,6 @@
     }
 
     private companion object {
-        val SIMULTANEOUS: Duration = Duration.ofMillis(150)
+        val SIMULTANEOUS_WINDOW: Duration = Duration.ofMillis(150)
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -6,7 +6,8 @@
 /** Default policies, for a small fleet whose store may be unavailable for up to ten seconds at a time. */
 object GatewayDefaults {
     /**
-     * Grants last longer than an outage of the store. Each grant takes only a small fraction of the free tokens, so
+     * Grants outlast an outage of the store, but all routers hold at most a fifth of what is unspent, because what they
+     * hold is lost when all of them lose power. Each grant takes only a small fraction of the free tokens, so
      * that every router can still use the last tokens of a budget.
      */
     val BUDGET: BudgetPolicy =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -55,7 +55,7 @@
             call.move = versionSelector.choose(call.service)
             while (true) {
                 if (call.deadline - clock.now() < policy.minAttemptTime) return tooLate()
-                if (isQuarantined()) return quarantined()
+                if (quarantine.blocks(call.headers.prompt, clock.now())) return quarantined()
                 val request =
                     PickRequest(
                         call.service,
@@ -107,8 +107,8 @@
 
         private fun mayRetry(): Boolean =
             sentCount < call.route.maxAttempts &&
-                !isSuspect() &&
                 call.deadline - clock.now() >= policy.minAttemptTime &&
+                !quarantine.isSuspect(call.headers.prompt, clock.now()) &&
                 retryBudget.tryAcquire(routerCount(), clock.now())
 
         /** What [result] shows about the parts of the prompt. */
@@ -123,10 +123,6 @@
             }
         }
 
-        private fun isQuarantined(): Boolean = call.headers.prompt?.let { quarantine.blocks(it, clock.now()) } ?: false
-
-        private fun isSuspect(): Boolean = call.headers.prompt?.let { quarantine.isSuspect(it, clock.now()) } ?: false
-
         private fun quarantined(): CallEnd =
             if (call.mayHaveRun) unknownOutcome() else CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -55,7 +55,13 @@
         call: AdmittedCall,
     ): CallEnd {
         call.body = exchange.readBody(policy.maxBodyBytes)
-        if (isQuarantined(call)) return CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
+        if (quarantine.blocks(
+                call.headers.prompt,
+                clock.now(),
+            )
+        ) {
+            return CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
+        }
         val maxWait = minOf(policy.maxBudgetWait, (call.deadline - clock.now()).dividedBy(2))
         val reservation =
             budget.reserve(call, if (maxWait.isNegative) Duration.ZERO else maxWait).fold(
@@ -69,9 +75,6 @@
         }
     }
 
-    private fun isQuarantined(call: AdmittedCall): Boolean =
-        call.headers.prompt?.let { quarantine.blocks(it, clock.now()) } ?: false
-
     private suspend fun forward(
         exchange: HttpExchange,
         call: AdmittedCall,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -23,13 +23,8 @@
                         *fieldsOf(event.balance),
                     )
                 }
-            is BudgetEvent.PredecessorClosed ->
-                log.warn(
-                    "budget.predecessor_closed",
-                    "workspace" to event.workspace,
-                    "holder" to event.holder,
-                    *fieldsOf(event.balance),
-                )
+            // The agent logs the closed entry itself.
+            is BudgetEvent.PredecessorClosed -> Unit
             is BudgetEvent.PlatformFailed ->
                 log.warn(
                     "budget.store_failed",
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PowerLossRecoveryTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/PowerLossRecoveryTest.kt
@@ -35,8 +35,8 @@
             for (seed in 1..SEEDS) {
                 val day = Day(Random(seed))
                 day.play()
-                withClue("seed $seed: ${day.servedCalls} of ${day.owedCalls} calls served") {
-                    day.servedCalls.toDouble() shouldBeGreaterThanOrEqual day.owedCalls / 4.0
+                withClue("seed $seed: ${day.servedCalls} of ${day.coveredCalls} calls served") {
+                    day.servedCalls.toDouble() shouldBeGreaterThanOrEqual day.coveredCalls / 4.0
                 }
             }
         }
@@ -49,11 +49,11 @@
 private const val DAY_SECONDS = 52
 private const val RECOVER_SECONDS = 12
 
-/** A call that needs more than this fraction of what is paid, with all earlier ones, is not owed an answer. */
-private const val OWED_FRACTION = 0.97
+/** A call counts as covered if it and all earlier ones fit into this fraction of what is paid. */
+private const val COVERED_FRACTION = 0.97
 
 /** Time that routers without power are away, and that they need to start. */
-private const val DARK_SECONDS = 2
+private const val DOWN_SECONDS = 2
 private const val START_SECONDS = 1
 
 private class Day(
@@ -78,25 +78,25 @@
     private val killSeconds = List(random.nextInt(4)) { random.nextInt(DAY_SECONDS) }
     private val cuts = List(random.nextInt(3)) { Cut() }
     private var second = 0
-    private var lightSecond = 0
+    private var restartSecond = 0
     private var requests = 0
     private var starts = 0L
     private val agents = MutableList(ROUTERS) { start(it) }
 
-    /** Calls that are owed an answer from [RECOVER_SECONDS] after the last loss on. */
-    var owedCalls = 0
+    /** Calls that the budgets cover from [RECOVER_SECONDS] after the last loss on. */
+    var coveredCalls = 0
         private set
 
-    /** Those of the [owedCalls] that were served. */
+    /** Those of the [coveredCalls] that were served. */
     var servedCalls = 0
         private set
 
     suspend fun play() {
         openAccounts()
         while (second < DAY_SECONDS) {
-            if (second in lossSeconds) lightSecond = second + DARK_SECONDS + START_SECONDS
-            if (second == lightSecond && second > 0) loseAll()
-            if (second >= lightSecond) playSecond()
+            if (second in lossSeconds) restartSecond = second + DOWN_SECONDS + START_SECONDS
+            if (second == restartSecond && second > 0) restartAll()
+            if (second >= restartSecond) playSecond()
             clock.advance(Duration.ofSeconds(1))
             second++
         }
@@ -108,7 +108,7 @@
         agents.forEach { it.maintain() }
     }
 
-    private suspend fun loseAll() {
+    private suspend fun restartAll() {
         agents.indices.forEach { agents[it] = start(it) }
         openAccounts()
     }
@@ -119,9 +119,9 @@
         val workspace = workspaces.random(random)
         val agent = agents[workspace.router()]
         val tokens = (workspace.meanTokens * (0.3 + 1.4 * random.nextDouble())).toLong()
-        val isOwed = tokens <= workspace.paidTokens * OWED_FRACTION - workspace.usedTokens
-        val isCounted = isOwed && second >= lastLossSecond + DARK_SECONDS + RECOVER_SECONDS
-        if (isCounted) owedCalls++
+        val isCovered = tokens <= workspace.paidTokens * COVERED_FRACTION - workspace.usedTokens
+        val isCounted = isCovered && second >= lastLossSecond + DOWN_SECONDS + RECOVER_SECONDS
+        if (isCounted) coveredCalls++
         val reserved = agent.reserve(workspace.id, RequestId("r-${requests++}"), tokens, Duration.ZERO).get() ?: return
         workspace.usedTokens += agent.settle(reserved, tokens).chargedTokens
         if (isCounted) servedCalls++
