--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSpreadTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSpreadTest.kt
@@ -54,15 +54,12 @@
             fleet.agents.sumOf { it.held() } shouldBeLessThan (fleet.free() + fleet.agents.sumOf { it.held() }) / 2
         }
 
-        test("guards against routers that refill first and leave no tokens to others with the same demand") {
-            val fleet = Fleet(routerCount = 8)
-            fleet.openAccounts()
-            repeat(10) {
-                fleet.agents.forEach { agent -> repeat(5) { fleet.call(agent).shouldNotBeNull() } }
-                fleet.round()
-            }
+        test("guards against routers whose calls began first and that leave no tokens to others with the same demand") {
+            val fleet = Fleet(routerCount = 8, POLICY.copy(maxHeldFraction = 0.2))
+            repeat(5) { fleet.roundOf(fleet.agents.take(4)) }
+            repeat(8) { fleet.roundOf(fleet.agents) }
             val heldTokens = fleet.agents.map { it.held() }
-            heldTokens.sum() shouldBeLessThan (fleet.free() + heldTokens.sum()) / 2
+            heldTokens.sum() shouldBeLessThan (fleet.free() + heldTokens.sum()) / 4
             heldTokens.min() shouldBeGreaterThan heldTokens.sum() / 8 / 2
         }
 
@@ -77,6 +74,7 @@
     }) {
     private class Fleet(
         var routerCount: Int,
+        private val policy: BudgetPolicy = POLICY,
     ) {
         private val clock = TestClock()
         private val hub = FakePeerHub()
@@ -94,6 +92,12 @@
             agents.forEach { it.maintain() }
         }
 
+        /** Runs five calls at each of [busy], then one second later the maintenance of all. */
+        suspend fun roundOf(busy: List<BudgetAgent>) {
+            busy.forEach { agent -> repeat(5) { call(agent).shouldNotBeNull() } }
+            round()
+        }
+
         suspend fun call(agent: BudgetAgent): Settlement? =
             agent.reserve(WORKSPACE, RequestId("r-${requests++}"), CALL_TOKENS, Duration.ZERO).get()?.let {
                 agent.settle(it, CALL_TOKENS)
@@ -109,7 +113,7 @@
         private fun agent(name: String): BudgetAgent {
             val self = Incarnation(InstanceId(name), 1)
             val policyOf = { _: WorkspaceId ->
-                POLICY.copy(
+                policy.copy(
                     minAccountFraction = 0.15 / routerCount,
                     grantFraction =
                         1.0 / routerCount,
