gateway: routers without evidence of crashes exchange nothing

Found on reading: each router sent one empty report to each member at its start, which grows with the square of a full mesh, and had a timer of its own. Routers with evidence send it to those that they have not reached, so the others need not ask. Test: QuarantineSyncTest counts no message among eight routers (before, it allowed the first ones).

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
@@ -9,6 +9,8 @@
 ) {
     private val crashes = ArrayDeque<Crash>()
 
+    val isEmpty: Boolean get() = crashes.isEmpty()
+
     /** All parts of the prompts in the history. */
     val parts: Set<String> get() = crashes.flatMapTo(mutableSetOf()) { it.prompts.flatten() }
 
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
@@ -26,6 +26,9 @@
     var revision: Long = 0
         private set
 
+    /** Whether there is anything to tell other routers. */
+    val hasEvidence: Boolean get() = !history.isEmpty || quarantines.isNotEmpty()
+
     /** The part of [prompt] for which a call is refused at [now], or null. */
     fun quarantinedPartOf(
         prompt: PromptDemand,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -268,8 +268,10 @@
             registration.connect()
         }
         work.every(DEFAULT_INTERVAL, "peer sync") { sync.maintain(membership.members()) }
-        work.every(SHORT_INTERVAL, "moves") { moveCoordinator.maintain(membership.members()) }
-        work.every(SHORT_INTERVAL, "quarantine") { quarantineSync.maintain(membership.members()) }
+        work.every(SHORT_INTERVAL, "quarantine and moves") {
+            quarantineSync.maintain(membership.members())
+            moveCoordinator.maintain(membership.members())
+        }
         val accountWarmer =
             BudgetAccountWarmer(
                 tokens,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineSync.kt
@@ -16,8 +16,9 @@
 /**
  * Exchanges the reports of the [quarantine] between routers.
  *
- * A router with news sends its report to all members, which respond with theirs. A router that has not heard a member yet
- * sends its report to it, so that a router that has just started, or was cut off, learns what the others know.
+ * A router with news sends its report to all members, which respond with theirs. It also sends it to members that it has
+ * not reached yet, so that a router that has just started, or was cut off, learns what the others know. A router without
+ * evidence sends nothing.
  */
 internal class QuarantineSync(
     private val quarantine: PromptPartQuarantine,
@@ -40,6 +41,7 @@
 
     /** Sends the report to all [members] if it has changed, else to those that it has not reached. */
     suspend fun maintain(members: List<Member>) {
+        if (!quarantine.hasEvidence) return
         val instances = members.mapTo(mutableSetOf()) { it.instance }
         val revision = quarantine.revision
         if (revision != sentRevision) reached = emptySet()
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineSyncTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineSyncTest.kt
@@ -56,11 +56,9 @@
 
         test("guards against messages while nothing is known") {
             val fleet = Fleet()
-            repeat(2) { fleet.router("r$it") }
-            fleet.maintain()
-            val before = fleet.hub.askCount(QUARANTINE_TOPIC)
+            repeat(8) { fleet.router("r$it") }
             repeat(10) { fleet.maintain() }
-            fleet.hub.askCount(QUARANTINE_TOPIC) shouldBe before
+            fleet.hub.askCount(QUARANTINE_TOPIC) shouldBe 0
         }
     })
 
