dispatch: reports tell the age of an answer

Found on reading: a report named the parts that were answered without saying when, and the receiver took them as answered now. Routers that kept exchanging reports renewed that for each other, so a part that was answered once could never be quarantined while crashes were reported. Change: reports carry the age of the last answer, and an older answer never replaces a later one. Test: PromptPartQuarantineTest, two routers that exchange reports for 90 s after one answer; failed before (neither blocks the part), passes now. CrashingPartTest, QuarantineSyncTest and PathTest pass.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
@@ -74,7 +74,7 @@
     fun onAnswered(
         prompt: PromptDemand,
         now: Duration,
-    ) = sharedPartsOf(prompt).forEach { clear(it, now) }
+    ) = sharedPartsOf(prompt).forEach { clear(it, answeredAt = now, now) }
 
     /** What this router knows at [now], for other routers. */
     fun report(now: Duration): QuarantineReport {
@@ -87,7 +87,7 @@
             quarantined.map { (part, it) ->
                 QuarantinedPartReport(part, (it.until - now).toMillis(), it.duration.toMillis())
             },
-            parts.filterTo(mutableSetOf()) { answered.contains(it, now) },
+            parts.mapNotNull { part -> answered.ageOf(part, now)?.let { part to it.toMillis() } }.toMap(),
         )
     }
 
@@ -96,7 +96,7 @@
         report: QuarantineReport,
         now: Duration,
     ) {
-        report.answeredParts.forEach { clear(it, now) }
+        report.answerAgeMillis.forEach { (part, ageMillis) -> clear(part, now - Duration.ofMillis(ageMillis), now) }
         val added = report.crashes.count { history.add(it.endpoint, now - Duration.ofMillis(it.ageMillis), it.prompts) }
         for (reported in report.quarantined) {
             val duration = Duration.ofMillis(reported.durationMillis)
@@ -183,11 +183,13 @@
 
     private fun clear(
         part: String,
+        answeredAt: Duration,
         now: Duration,
     ) {
-        val clearsEvidence = !answered.contains(part, now) && part in history
-        answered.add(part, now)
-        if (clearsEvidence) revision++
+        val wasAnswered = answered.contains(part, now)
+        answered.add(part, answeredAt)
+        if (!answered.contains(part, now)) return
+        if (!wasAnswered && part in history) revision++
         if (quarantines.remove(part) == null) return
         revision++
         listener.onReleased(part)
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
@@ -7,13 +7,14 @@
  * What one router knows of crashes and of the parts that may have caused them. Times are ages, because routers have no
  * common clock.
  *
- * @property answeredParts parts of crashed calls that other calls, which were answered, contain too.
+ * @property answerAgeMillis for each part of a crashed call that calls which were answered contain too, the age of the
+ * last answer.
  */
 @Serializable
 data class QuarantineReport(
     val crashes: List<CrashReport> = emptyList(),
     val quarantined: List<QuarantinedPartReport> = emptyList(),
-    val answeredParts: Set<String> = emptySet(),
+    val answerAgeMillis: Map<String, Long> = emptyMap(),
 )
 
 /**
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/quarantine/PromptPartQuarantineTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/quarantine/PromptPartQuarantineTest.kt
@@ -90,6 +90,19 @@
             blaming.quarantinedParts(at(4)).shouldBeEmpty()
         }
 
+        test("guards against an answer that routers keep telling each other and that hides later crashes by its part") {
+            val policy = QuarantinePolicy(answeredWindow = Duration.ofSeconds(60))
+            val routers = List(2) { PromptPartQuarantine(policy) }
+            val call = prompt("changed", "own")
+            routers.first().onAnswered(call, at(0))
+            for (second in 1..90 step 5) {
+                routers.last().onConnectionLost(endpoint(second), call, at(second))
+                routers.first().merge(routers.last().report(at(second)), at(second))
+                routers.last().merge(routers.first().report(at(second)), at(second))
+            }
+            routers.map { it.blocks(call, at(90)) } shouldBe listOf(true, true)
+        }
+
         test("guards against a quarantine without an end, and against three new crashes after its end") {
             val policy = QuarantinePolicy(firstQuarantine = Duration.ofSeconds(30))
             val quarantine = PromptPartQuarantine(policy)
