--- /dev/null
+++ b/review/standins/Replica.java
@@ -0,0 +1,52 @@
+import java.io.IOException;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** A stand-in of a replica: it answers after a fixed time, and runs only requests that are meant for it. */
+final class Replica implements AutoCloseable {
+    /** One request that began to run, without its body, at a time of {@link System#nanoTime}. */
+    record Run(long atNanos, Http.Message request) {}
+
+    final String id;
+    final String version;
+    final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+    volatile double failureShare;
+    volatile long workMillis = 10;
+    final Http.Server server;
+
+    Replica(String host, String id, String version) throws IOException {
+        this.id = id;
+        this.version = version;
+        server = new Http.Server(host, 0, (connection, request) -> handle(request));
+    }
+
+    /** Returns the entry that the replica writes about itself. */
+    Map<String, Object> entry(String service, String state) {
+        return Json.of(
+            "service", service, "address", server.address(), "zone", "z1", "version", version, "capacitySlots", 64L,
+            "state", state, "coldMs", 0L, "callSeq", 0L);
+    }
+
+    private Http.Message handle(Http.Message request) throws InterruptedException {
+        String attempt = request.get("Attempt-Id");
+        if (request.start[1].equals("/health")) return Http.response(200, "").header("Replica-Id", id);
+        String expected = request.get("Expect-Instance");
+        if (expected != null && !expected.equals(id)) return echo(Http.response(421, "").header("Replica-Id", id), attempt);
+        if (attempt == null) return Http.response(400, "").header("Not-Executed", "1");
+        request.body = new byte[0];
+        runs.add(new Run(System.nanoTime(), request));
+        Thread.sleep(workMillis);
+        boolean isFailure = Math.random() < failureShare;
+        return echo(Http.response(isFailure ? 500 : 200, "answer of " + id), attempt).header("Response-Seal", "seal." + id + "." + attempt);
+    }
+
+    private static Http.Message echo(Http.Message response, String attempt) {
+        return attempt == null ? response : response.header("Attempt-Id", attempt);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
