--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -47,10 +47,6 @@
             process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
         }
 
-        void signal(String name) throws Exception {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        }
-
         boolean isReady() {
             try (Http.Client client = new Http.Client(ip + ":" + READY_PORT, 500)) {
                 return client.call(new Http.Message("GET", "/readiness", "HTTP/1.1").header("Host", ip)).status() == 200;
@@ -75,7 +71,6 @@
     private final Path directory = Files.createTempDirectory("limpetfold-review");
     private final String storeAddress;
     private final String network;
-    private int nextHost = 1;
     final List<Router> routers = new ArrayList<>();
 
     /** @param network the first three bytes of the loopback addresses of the routers, with a dot at the end. */
@@ -103,14 +98,10 @@
         }
     }
 
-    Router add() {
-        Router router = new Router(network + nextHost++);
-        routers.add(router);
-        return router;
-    }
-
+    /** Starts {@code count} routers at the same time, and waits until all are ready. */
     void start(int count) throws Exception {
-        for (int i = 0; i < count; i++) add().start();
+        for (int i = 1; i <= count; i++) routers.add(new Router(network + i));
+        for (Router router : routers) router.start();
         for (Router router : routers) router.awaitReady(30_000);
     }
 
--- a/review/standins/RollOutCase.java
+++ b/review/standins/RollOutCase.java
@@ -38,49 +38,22 @@
     }
 
     /** Orders the roll-out to `v2`, whose replicas start a moment later and fail {@code failureShare} of their requests. */
-    List<Replica> order(double failureShare) throws Exception {
+    void order(double failureShare) throws Exception {
         orderedAt = System.nanoTime();
-        return order("v2", failureShare);
-    }
-
-    /** Orders a roll-out to {@code version}, whose replicas start a moment later. */
-    List<Replica> order(String version, double failureShare) throws Exception {
-        store.put("rollouts", SERVICE, Json.of("service", SERVICE, "target", version, "durationS", DURATION_SECONDS));
-        log("ordered: " + SERVICE + " to " + version + " in " + DURATION_SECONDS + " s");
+        store.put("rollouts", SERVICE, Json.of("service", SERVICE, "target", "v2", "durationS", DURATION_SECONDS));
+        log("ordered: " + SERVICE + " to v2 in " + DURATION_SECONDS + " s");
         Thread.sleep(START_MILLIS);
-        List<Replica> added = new ArrayList<>();
-        for (int i = 0; i < REPLICAS; i++) added.add(addReplica(version + "-" + i, version, failureShare));
-        log("the replicas of " + version + " are listed, and fail " + failureShare + " of their requests");
-        return added;
-    }
-
-    /** Changes the state of a replica in the store. */
-    void report(Replica replica, String state) {
-        store.put("servers", replica.id, replica.entry(SERVICE, state));
-    }
-
-    /** Waits until the system has reported {@code state}; returns the seconds since the order. */
-    double awaitStatus(String state) throws Exception {
-        while (true) {
-            Object status = store.status("rollouts", SERVICE);
-            double seconds = (System.nanoTime() - orderedAt) / 1e9;
-            if (status != null && state.equals(Json.object(status).get("state"))) return seconds;
-            if (seconds > DURATION_SECONDS) throw new NotRun("the roll-out isn't " + state + " at its deadline");
-            Thread.sleep(20);
-        }
-    }
-
-    void sleepUntil(double secondsAfterOrder) throws InterruptedException {
-        Thread.sleep(Math.max(0, (orderedAt + (long) (secondsAfterOrder * 1e9) - System.nanoTime()) / 1_000_000));
+        for (int i = 0; i < REPLICAS; i++) addReplica("v2-" + i, "v2", failureShare);
+        log("the replicas of v2 are listed, and fail " + failureShare + " of their requests");
     }
 
     /** Waits for the deadline; returns whether the bad version got more requests than the rule allows. */
     boolean isExposedTooFar() throws InterruptedException {
-        sleepUntil(DURATION_SECONDS);
+        long deadline = orderedAt + DURATION_SECONDS * 1_000_000_000L;
+        Thread.sleep(Math.max(0, (deadline - System.nanoTime()) / 1_000_000));
         log("deadline; status in the store: " + Json.write(store.status("rollouts", SERVICE)));
         isTrafficOn = false;
         Thread.sleep(500);
-        long deadline = orderedAt + DURATION_SECONDS * 1_000_000_000L;
         int[] oldRuns = new int[(int) DURATION_SECONDS];
         int[] newRuns = new int[(int) DURATION_SECONDS];
         for (Replica replica : replicas) {
@@ -106,12 +79,11 @@
         return exposed > limit;
     }
 
-    private Replica addReplica(String id, String version, double failureShare) throws IOException {
+    private void addReplica(String id, String version, double failureShare) throws IOException {
         Replica replica = new Replica(network + "250", id, version);
         replica.failureShare = failureShare;
         replicas.add(replica);
         store.put("servers", id, replica.entry(SERVICE, "ready"));
-        return replica;
     }
 
     private void sendRequests(Fleet.Router router) {
