gateway: follow orders within the contact time after silent connections

Cause: a watch of the orders waited for 10 s, and its connection to the store had stopped responding without being closed. It was noticed after 11.2 s. The watches of configuration and endpoints took up to 3.25 s against a contact time of 3.0 s.

Ruled out: a slow comparison of versions (the version got 4 calls in the second in which the order was read, and none later); a second silent connection from the pool (one timeout was enough here, but it could be met: idle connections to the store were kept for 30 s).

Change: the wait of all watches and the margin for their responses are shares of the deployment's contact time, and the feed repeats a watch whose response is overdue. Orders are watched like everything else. A watch that asked relays first gives the store only what is left of its wait.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -120,7 +120,12 @@
         }
     private val lenderSelector = ZoneLenderSelector(self.instance, settings.zone, membership)
     private val policies: FleetPolicies =
-        FleetPolicies(settings.budget, membership, lenderSelector) { registration.isRouterCountKnown }
+        FleetPolicies(
+            settings.budget,
+            settings.contactTime,
+            membership,
+            lenderSelector,
+        ) { registration.isRouterCountKnown }
     private val watchedStore =
         RelayedObjectStore(
             store,
@@ -248,7 +253,7 @@
             ObjectFeed(watchedStore, settings.endpointPrefix, directoryUpdater, policies::changeFeed, random).run()
         }
         scope.launch {
-            ObjectFeed(watchedStore, settings.movePrefix, moveCoordinator, policies::moveFeed, random).run()
+            ObjectFeed(watchedStore, settings.movePrefix, moveCoordinator, policies::changeFeed, random).run()
         }
         scope.launch {
             while (readiness == Readiness.STARTING &&
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.store.ObjectKey
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
+import java.time.Duration
 
 /**
  * Settings of a [Gateway].
@@ -22,6 +23,7 @@
  * @property peerListenAddress address for other routers; the port is the same on all instances.
  * @property seedHosts addresses of other routers, used until the instance list has been read; may be stale.
  * @property fleetSecret shared secret with which routers authenticate each other.
+ * @property contactTime time after a failure of a connection within which a router must follow the store again.
  * @property configKey key of the object that holds the configuration.
  * @property endpointPrefix key prefix of the objects that list endpoints.
  * @property movePrefix key prefix of the objects that order moves between versions.
@@ -42,5 +44,10 @@
     val budget: BudgetPolicy = GatewayDefaults.BUDGET,
     val picker: PickerPolicy = PickerPolicy(),
     val calls: CallPolicy = CallPolicy(),
+    val contactTime: Duration = DEFAULT_CONTACT_TIME,
     val shutdown: ShutdownPolicy = ShutdownPolicy(),
-)
+) {
+    private companion object {
+        val DEFAULT_CONTACT_TIME: Duration = Duration.ofSeconds(3)
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetPolicies.kt
@@ -10,6 +10,7 @@
 /** Budget, feed, membership and peer policies; the budget and feed policies depend on the current size of the fleet. */
 internal class FleetPolicies(
     private val budget: BudgetPolicy,
+    private val contactTime: Duration,
     private val membership: Membership,
     private val lenderSelector: ZoneLenderSelector,
     private val isRouterCountKnown: () -> Boolean,
@@ -21,16 +22,14 @@
         return scaled.copy(refillInterval = scaled.refillInterval.multipliedBy(LARGE_FLEET_REFILL_FACTOR))
     }
 
-    /** The feeds of the configuration and of the endpoints. */
+    /** The feeds of the configuration, of the endpoints and of the orders to move services. */
     fun changeFeed(): FeedPolicy =
         when {
-            !isRouterCountKnown() -> STARTING_FEED
-            membership.isFullMesh -> SMALL_FLEET_FEED
-            else -> LARGE_FLEET_FEED
+            !isRouterCountKnown() -> feedPolicy(contactTime, STARTING_PAUSE)
+            membership.isFullMesh -> feedPolicy(contactTime, Duration.ZERO)
+            else -> largeFleetFeedPolicy(contactTime)
         }
 
-    fun moveFeed(): FeedPolicy = MOVE_FEED
-
     companion object {
         /**
          * Part of what all routers together may hold that they take before any of them has received a call, in equal
@@ -44,26 +43,40 @@
 
         /** Factor for the interval of refills: lenders of all zones write to the same ledgers. */
         private const val LARGE_FLEET_REFILL_FACTOR = 3L
-        private val SMALL_FLEET_FEED = FeedPolicy()
 
         /**
          * While a fleet starts, its endpoints register one after the other, and the routers that share the watches are
          * not known yet; with a pause, a watch returns several changes.
          */
-        private val STARTING_FEED = FeedPolicy(pauseAfterChange = Duration.ofMillis(800))
+        private val STARTING_PAUSE: Duration = Duration.ofMillis(800)
+        private val LARGE_FLEET_PAUSE: Duration = Duration.ofMillis(250)
 
-        /**
-         * A router whose relay stops responding is behind for one wait and a margin, which must be well within the
-         * shortest time in which a change has to be in force. Relays keep the calls to the store few.
-         */
-        private val LARGE_FLEET_FEED =
-            FeedPolicy(watchWait = Duration.ofSeconds(1), pauseAfterChange = Duration.ofMillis(250))
+        /** Parts of the contact time; what they leave is for the repeated watch, a connection and its response. */
+        private const val WAIT_SHARE = 0.6
+        private const val MARGIN_SHARE = 0.25
+
+        /** A watch of a large fleet may ask a relay that stopped responding before it asks the store. */
+        private const val LARGE_FLEET_WAIT_SHARE = 0.33
 
         /**
-         * Orders arrive a few times a day and routers exchange verdicts directly, so a longer watch saves calls to the
-         * store.
+         * A feed that follows a change within [contactTime], even if its connection stopped responding when the last
+         * watch began.
          */
-        private val MOVE_FEED = FeedPolicy(watchWait = Duration.ofSeconds(10), backoffMax = Duration.ofSeconds(4))
+        internal fun feedPolicy(
+            contactTime: Duration,
+            pauseAfterChange: Duration,
+        ) = FeedPolicy(
+            watchWait = maxOf(contactTime.share(WAIT_SHARE) - pauseAfterChange, MIN_WATCH_WAIT),
+            responseMargin = contactTime.share(MARGIN_SHARE),
+            pauseAfterChange = pauseAfterChange,
+        )
+
+        internal fun largeFleetFeedPolicy(contactTime: Duration): FeedPolicy =
+            feedPolicy(contactTime, LARGE_FLEET_PAUSE).copy(watchWait = contactTime.share(LARGE_FLEET_WAIT_SHARE))
+
+        private val MIN_WATCH_WAIT: Duration = Duration.ofMillis(200)
+
+        private fun Duration.share(share: Double): Duration = Duration.ofMillis((toMillis() * share).toLong())
 
         /** Scales the fractions so that the total held by all routers does not depend on the number of account holders. */
         fun BudgetPolicy.scaledTo(holderCount: Int): BudgetPolicy =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
@@ -1,10 +1,14 @@
 package io.limpetfold.gateway.state
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 
 /**
@@ -46,7 +50,7 @@
 
     private suspend fun watch(from: ObjectVersion): StoreError? {
         val policy = currentPolicy()
-        return store.watch(prefix, from, policy.watchWait).fold(
+        return respondedWatch(from, policy).fold(
             success = { page ->
                 position = maxOf(from, page.position)
                 listener.onChanged(page)
@@ -58,6 +62,16 @@
         )
     }
 
+    /** Cancels a watch whose response is overdue, which closes its connection. */
+    private suspend fun respondedWatch(
+        from: ObjectVersion,
+        policy: FeedPolicy,
+    ): Result<ObjectPage, StoreError> {
+        val timeout = policy.watchWait + policy.responseMargin
+        return withTimeoutOrNull(timeout.toMillis()) { store.watch(prefix, from, policy.watchWait) }
+            ?: Err(StoreError.Unavailable("no response to a watch in ${timeout.toMillis()} ms"))
+    }
+
     private suspend fun onError(error: StoreError) {
         if (error is StoreError.HistoryExpired) {
             position = null
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
 import java.time.Duration
 
 class ObjectFeedTest :
@@ -70,6 +71,28 @@
             recorded.failures shouldBe 3
         }
 
+        test("guards against changes that stay unseen because a watch gets no response") {
+            val responses = listOf<(String) -> Result<ObjectPage, StoreError>>({ Ok(page(5)) })
+            val recorded = RecordingListener()
+            val policy =
+                FeedPolicy(
+                    watchWait = Duration.ofMillis(4),
+                    responseMargin = Duration.ofMillis(4),
+                    backoffMin = Duration.ofMillis(4),
+                )
+            coroutineScope {
+                val feed =
+                    launch {
+                        ObjectFeed(ScriptedStore(responses, recorded), "rollouts/", recorded, { policy }).run()
+                    }
+                withTimeout(10_000) {
+                    while (recorded.calls.size < 3) delay(1)
+                }
+                feed.cancel()
+            }
+            recorded.calls.take(3) shouldBe listOf("list", "watch 5", "watch 5")
+        }
+
         test("guards against a busy event loop when the store returns watches without waiting") {
             val responses = Array<(String) -> Result<ObjectPage, StoreError>>(10_000) { { Ok(page(1)) } }
             val recorded = RecordingListener()
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
@@ -57,9 +57,12 @@
         wait: Duration,
     ): Result<ObjectPage, StoreError> {
         val replica = replicaOf(prefix)
-        if (!isServing(replica)) watchRelays(prefix, after, wait, replica)?.let { return Ok(it) }
+        val end = now() + wait
+        if (!isServing(replica)) watchRelays(prefix, after, end, replica)?.let { return Ok(it) }
+        // What the relays took of the wait counts, so that the watch ends in time when a relay stopped responding.
+        val remaining = maxOf(end - now(), Duration.ZERO)
         return store
-            .watch(prefix, after, wait)
+            .watch(prefix, after, remaining)
             .onSuccess {
                 replica.onChanged(after, it, now() + wait + policy.freshnessMargin)
                 onSource(prefix, replica, relay = null)
@@ -73,16 +76,15 @@
     /**
      * Asks relays in turn; null when none of them has a current state.
      *
-     * All of them together get the time of one watch, so that a second relay that stopped too does not delay a change
+     * All of them together have until [end], so that a second relay that stopped too does not delay a change
      * further.
      */
     private suspend fun watchRelays(
         prefix: String,
         after: ObjectVersion,
-        wait: Duration,
+        end: Duration,
         replica: ObjectReplica,
     ): ObjectPage? {
-        val end = now() + wait
         for (relay in availableRelays()) {
             val remaining = end - now()
             if (remaining <= Duration.ZERO) return null
