gateway: a stream stays with a silent endpoint until another can take it

Cause: a resumable stream left an endpoint after 700 ms without a byte, whether or not another endpoint, attempt or retry was left. All streams of an endpoint stall at once and the retry budget is small, so most had no place to go and their connections were closed.

Ruled out: a piece lost when a wait ends as it arrives (a cancelled read loses none, and both run on one thread); a change of the configuration that ends admitted calls (they keep their table).

Change: a stalled stream acquires its next attempt before it leaves, and waits on while it gets none. After the first event it waits for 1.5 s.

Why it works: an attempt is given up only when the next one is certain to be allowed; silence alone never ends an answer.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -50,20 +50,14 @@
         private val triedEndpoints = mutableSetOf<EndpointId>()
         private var sentCount = 0
         private var connectFailures = 0
+        private var hasAcquiredRetry = false
 
         suspend fun run(): CallEnd {
             call.move = versionSelector.choose(call.service)
             while (true) {
                 if (call.deadline - clock.now() < policy.minAttemptTime) return tooLate()
                 if (quarantine.blocks(call.headers.prompt, clock.now())) return quarantined()
-                val request =
-                    PickRequest(
-                        call.service,
-                        call.headers.prompt?.affinityKey,
-                        triedEndpoints,
-                        call.move?.let(::preferenceOf),
-                    )
-                val state = picker.pick(request, clock.now()) ?: return noEndpoint()
+                val state = pickUntried() ?: return noEndpoint()
                 val result = attempt(state)
                 call.attemptOutcomes += outcomeText(result)
                 recordEvidence(state, result)
@@ -77,6 +71,12 @@
             }
         }
 
+        private fun pickUntried(): EndpointState? {
+            val affinityKey = call.headers.prompt?.affinityKey
+            val versions = call.move?.let(::preferenceOf)
+            return picker.pick(PickRequest(call.service, affinityKey, triedEndpoints, versions), clock.now())
+        }
+
         private suspend fun attempt(state: EndpointState): SendResult {
             triedEndpoints += state.endpoint.id
             call.attempts += "${state.endpoint.id}(load=${state.inFlight})"
@@ -86,7 +86,7 @@
             versionSelector.onCallStarted(move)
             var outcome = CallOutcome.UNKNOWN
             try {
-                val result = sender.send(exchange, call, state, relay, mayRetryFailure())
+                val result = sender.send(exchange, call, state, relay, mayRetryFailure(), ::mayLeave)
                 outcome = outcomeOf(result)
                 if (result !is SendResult.NotSent) {
                     if (sentCount == 0) retryBudget.onFirstAttempt(clock.now())
@@ -105,8 +105,26 @@
          */
         private fun mayRetryFailure() = call.route.kind == CallKind.IDEMPOTENT && sentCount + 1 < call.route.maxAttempts
 
-        private fun mayRetry(): Boolean =
-            sentCount < call.route.maxAttempts &&
+        private fun mayRetry(): Boolean {
+            if (!hasAcquiredRetry) return acquireRetry(sentCount)
+            hasAcquiredRetry = false
+            return true
+        }
+
+        /**
+         * Whether the stream of the running attempt may leave its silent endpoint. Acquires the retry, so that a stream
+         * never leaves an endpoint that may go on without being sent to another one.
+         */
+        private fun mayLeave(): Boolean {
+            if (relay.hasStarted && !canResume()) return false
+            val other = pickUntried() ?: return false
+            if (other.ejectedUntil > clock.now()) return false
+            hasAcquiredRetry = acquireRetry(sentCount + 1)
+            return hasAcquiredRetry
+        }
+
+        private fun acquireRetry(attempts: Int): Boolean =
+            attempts < call.route.maxAttempts &&
                 call.deadline - clock.now() >= policy.minAttemptTime &&
                 !quarantine.isSuspect(call.headers.prompt, clock.now()) &&
                 retryBudget.tryAcquire(routerCount(), clock.now())
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -12,8 +12,10 @@
  * @property maxBudgetWait maximum wait for tokens of a budget.
  * @property minAttemptTime minimum remaining time for which a call is still sent to an endpoint.
  * @property maxConnectFailures number of unreachable endpoints that are tolerated before a call is refused.
+ * @property firstEventTimeout a resumable stream without an event yet, whose endpoint sent no byte on any connection for
+ * this long, is sent to another endpoint if one can take it.
  * @property stallTimeout a resumable stream whose endpoint sent no byte on any connection for this long is resumed at
- * another endpoint.
+ * another endpoint if one can take it. Endpoints without a fault may be silent for about a second.
  * @property retryAfterMin minimum `Retry-After` of a refusal that is transient or specific to this router.
  * @property retryAfterMax maximum `Retry-After`; the values are spread between both limits so that callers do not all
  * retry at once.
@@ -24,6 +26,7 @@
     val maxBudgetWait: Duration = MAX_BUDGET_WAIT,
     val minAttemptTime: Duration = Duration.ofMillis(20),
     val maxConnectFailures: Int = 4,
+    val firstEventTimeout: Duration = FIRST_EVENT_TIMEOUT,
     val stallTimeout: Duration = STALL_TIMEOUT,
     val retryAfterMin: Duration = Duration.ofMillis(60),
     val retryAfterMax: Duration = RETRY_AFTER_MAX,
@@ -32,7 +35,10 @@
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
         val MAX_BUDGET_WAIT: Duration = Duration.ofMillis(600)
-        val STALL_TIMEOUT: Duration = Duration.ofMillis(700)
+        val FIRST_EVENT_TIMEOUT: Duration = Duration.ofMillis(700)
+
+        /** Leaves half a second to resume a stream before the most impatient callers give it up. */
+        val STALL_TIMEOUT: Duration = Duration.ofMillis(1_500)
         val RETRY_AFTER_MAX: Duration = Duration.ofMillis(250)
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -27,7 +27,7 @@
 ) {
     /**
      * Sends [call] to the endpoint of [state]; [relay] knows which events of a stream the caller already received from
-     * earlier attempts.
+     * earlier attempts. A stream whose endpoint is silent leaves it once [mayLeave] is true.
      */
     suspend fun send(
         exchange: HttpExchange,
@@ -35,6 +35,7 @@
         state: EndpointState,
         relay: StreamRelay,
         mayRetryFailure: Boolean,
+        mayLeave: () -> Boolean,
     ): SendResult {
         val endpoint = state.endpoint
         val request = upstreamRequest(call, state, relay)
@@ -53,7 +54,7 @@
                 call.mayHaveRun = mayHaveRunBefore
                 notRun(it)
             } else {
-                deliver(exchange, call, state, relay, it, mayRetryFailure)
+                deliver(exchange, call, state, relay, it, mayRetryFailure, mayLeave)
             }
         }
     }
@@ -65,10 +66,11 @@
         relay: StreamRelay,
         response: UpstreamResponse,
         mayRetryFailure: Boolean,
+        mayLeave: () -> Boolean,
     ): SendResult {
         val status = response.head.status
         if (status in SUCCESSES && !codec.isSigned(response.head)) return unsignedSuccess(relay)
-        if (isEventStream(response.head)) return relay.forward(exchange, call, state, response)
+        if (isEventStream(response.head)) return relay.forward(exchange, call, state, response, mayLeave)
         if (relay.hasStarted) return SendResult.Interrupted("status $status instead of the rest of the stream")
         if (mayRetryFailure && status >= SERVER_ERROR) {
             response.readAll(policy.maxBufferedResponseBytes)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -1,10 +1,12 @@
 package io.limpetfold.gateway.call
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.dispatch.EndpointState
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.ResponseSink
+import io.limpetfold.http.UpstreamError
 import io.limpetfold.http.UpstreamResponse
 import io.limpetfold.stream.ServerSentEventFrame
 import io.limpetfold.stream.ServerSentEventFramer
@@ -32,18 +34,23 @@
     /** Whether the response to the caller was started. */
     val hasStarted: Boolean get() = sink != null
 
-    /** Forwards [response] until it ends, is interrupted or stalls. */
+    /**
+     * Forwards [response] until it ends, is interrupted or stalls.
+     *
+     * A stalled stream goes on waiting for its endpoint until [mayLeave] is true: silence alone never ends a stream.
+     */
     suspend fun forward(
         exchange: HttpExchange,
         call: AdmittedCall,
         state: EndpointState,
         response: UpstreamResponse,
+        mayLeave: () -> Boolean,
     ): SendResult {
         val framer = ServerSentEventFramer()
         while (true) {
             val chunk =
-                nextChunk(call, state, response)
-                    ?: return interrupted("no byte for ${policy.stallTimeout.toMillis()} ms")
+                nextChunk(call, state, response, mayLeave)
+                    ?: return interrupted("no byte for ${silenceLimit.toMillis()} ms")
             val bytes =
                 chunk.getOrElse {
                     return interrupted("${it.reason.name.lowercase()}: ${it.message}", it.isConnectionLost)
@@ -60,19 +67,24 @@
         sink?.abort()
     }
 
-    /** Returns null if a resumable stream stalled and its endpoint sent no byte on any other connection either. */
+    private val silenceLimit: Duration get() = if (hasStarted) policy.stallTimeout else policy.firstEventTimeout
+
+    /**
+     * Returns null if a resumable stream stalled, its endpoint sent no byte on any other connection either, and the
+     * stream may leave it.
+     */
     private suspend fun nextChunk(
         call: AdmittedCall,
         state: EndpointState,
         response: UpstreamResponse,
-    ) = if (!call.route.isResumable) {
-        response.next()
-    } else {
-        var result = withTimeoutOrNull(policy.stallTimeout.toMillis()) { response.next() }
-        while (result == null && clock.now() - state.lastByteAt < policy.stallTimeout) {
+        mayLeave: () -> Boolean,
+    ): Result<ByteArray?, UpstreamError>? {
+        if (!call.route.isResumable) return response.next()
+        var result = withTimeoutOrNull(silenceLimit.toMillis()) { response.next() }
+        while (result == null && (clock.now() - state.lastByteAt < silenceLimit || !mayLeave())) {
             result = withTimeoutOrNull(STALL_CHECK_INTERVAL.toMillis()) { response.next() }
         }
-        result
+        return result
     }
 
     private suspend fun complete(
