platform: one odd entry no longer stops the list of endpoints

Cause: the value of an object was written as text again, recursively, which overflowed the stack; the error ended the feed.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
@@ -7,6 +7,7 @@
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
@@ -29,7 +30,7 @@
     suspend fun run() {
         while (true) {
             val from = position
-            val error = if (from == null) list() else watch(from)
+            val error = survivingListener { if (from == null) list() else watch(from) }
             if (error == null) {
                 failures = 0
             } else {
@@ -38,6 +39,16 @@
         }
     }
 
+    /** Runs [step]; an exception of the listener is reported to it as a failed call and does not end the feed. */
+    private suspend fun survivingListener(step: suspend () -> StoreError?): StoreError? =
+        try {
+            step()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            StoreError.Rejected("the objects under $prefix could not be applied: $e")
+        }
+
     private suspend fun list(): StoreError? =
         store.list(prefix).fold(
             success = { page ->
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -71,6 +71,19 @@
             recorded.failures shouldBe 3
         }
 
+        test("guards against a feed that ends because its listener fails on one page") {
+            val recorded = RecordingListener(failingAt = ObjectVersion(6))
+            val store = ScriptedStore(listOf({ Ok(page(5)) }, { Ok(page(6)) }, { Ok(page(7)) }), recorded)
+            coroutineScope {
+                val policy = FeedPolicy(backoffMin = Duration.ofMillis(4))
+                val feed = launch { ObjectFeed(store, "servers/", recorded, { policy }).run() }
+                withTimeout(10_000) { store.awaitEnd() }
+                feed.cancel()
+            }
+            recorded.calls shouldBe listOf("list", "watch 5", "watch 6", "watch 7")
+            recorded.failures shouldBe 1
+        }
+
         test("guards against changes that stay unseen because a watch gets no response") {
             val responses = listOf<(String) -> Result<ObjectPage, StoreError>>({ Ok(page(5)) })
             val recorded = RecordingListener()
@@ -130,13 +143,15 @@
             recorded.calls.size shouldBeLessThanOrEqual 6
         }
     }) {
-    private class RecordingListener : FeedListener {
+    private class RecordingListener(
+        private val failingAt: ObjectVersion? = null,
+    ) : FeedListener {
         val calls = mutableListOf<String>()
         var failures = 0
 
         override fun onListed(page: ObjectPage) = Unit
 
-        override fun onChanged(page: ObjectPage) = Unit
+        override fun onChanged(page: ObjectPage) = check(page.position != failingAt) { "the page can't be applied" }
 
         override fun onFailed(error: StoreError) {
             failures++
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -8,13 +8,13 @@
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamRequest
 import io.limpetfold.http.UpstreamResponse
+import io.limpetfold.json.JsonDepth
 import io.limpetfold.limits.EndpointCandidate
 import io.limpetfold.limits.EndpointLimiter
 import io.limpetfold.limits.EndpointOutcome
 import io.limpetfold.membership.Membership
 import io.limpetfold.rollout.VersionSelector
 import io.limpetfold.router.chat.ChatEvent
-import io.limpetfold.router.chat.JsonDepth
 import io.limpetfold.router.chat.TokenMeter
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatEvent.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.router.chat
 
+import io.limpetfold.json.JsonDepth
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/chat/ChatRequest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.limpetfold.json.JsonDepth
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
