--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -215,6 +215,8 @@
         shutdown.stopAccepting()
         // Waits for a call that was accepted just before; from here on calls are only refused, which takes little time.
         callerServer.awaitIdle(shutdown.timeLeft)
+        shutdown.endDrain()
+        callerServer.awaitIdle(FINAL_RESPONSE_TIMEOUT)
         withTimeoutOrNull(LOAN_RETURN_TIMEOUT.toMillis()) { tokens.close() }
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
         callerServer.awaitIdle(FINAL_RESPONSE_TIMEOUT)
@@ -354,6 +356,7 @@
             monotonic,
             settings.calls,
             CallObserver(log, metrics),
+            shutdown,
         )
     }
 
@@ -381,7 +384,7 @@
         const val MAX_WORKSPACES_PER_ROUND = 24
         const val MAX_LOGGED_WORKSPACES = 32
 
-        /** Time to finish writing refusals that are still in progress once the tokens have been returned. */
+        /** Time to write the last answers of calls that are ended or refused. */
         val FINAL_RESPONSE_TIMEOUT: Duration = Duration.ofMillis(100)
 
         /** Lenders respond within a few milliseconds; tokens that are not returned in time count as spent. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -5,6 +5,7 @@
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.gateway.observe.CallObserver
+import io.limpetfold.gateway.operate.GracefulShutdown
 import io.limpetfold.http.CallerDisconnectedException
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.HttpHandler
@@ -17,7 +18,7 @@
 
 /**
  * Handles calls: checks a call, reserves its tokens and forwards it; cancels the work as soon as the caller
- * disconnects.
+ * disconnects, and when the router has to stop.
  */
 internal class CallHandler(
     private val admission: CallAdmission,
@@ -29,6 +30,7 @@
     private val clock: MonotonicClock,
     private val policy: CallPolicy,
     private val observer: CallObserver,
+    private val shutdown: GracefulShutdown,
 ) : HttpHandler {
     override suspend fun handle(exchange: HttpExchange) {
         val arrivedAt = clock.now()
@@ -41,7 +43,7 @@
             }
         var end: CallEnd = CallEnd.CallerDisconnected
         try {
-            end = runUntilCallerDisconnects(exchange) { serve(exchange, call) } ?: CallEnd.CallerDisconnected
+            end = runUntilCancelled(exchange, call) { serve(exchange, call) }
             if (end is CallEnd.Refused) writeRefusal(exchange, call, end.reason)
         } catch (_: CallerDisconnectedException) {
             end = CallEnd.CallerDisconnected
@@ -85,10 +87,21 @@
     }
 
     private fun timedOut(call: AdmittedCall): CallEnd =
+        unfinished(call, "the deadline passed", RefusalReason.TOO_LATE, RefusalReason.TIMED_OUT)
+
+    private fun stopped(call: AdmittedCall): CallEnd =
+        unfinished(call, "the router stopped", RefusalReason.STOPPING, RefusalReason.OUTCOME_UNKNOWN)
+
+    private fun unfinished(
+        call: AdmittedCall,
+        reason: String,
+        notRun: RefusalReason,
+        mayHaveRun: RefusalReason,
+    ): CallEnd =
         when {
-            call.isResponseStarted -> CallEnd.Truncated("the deadline passed")
-            call.mayHaveRun -> CallEnd.Refused(RefusalReason.TIMED_OUT)
-            else -> CallEnd.Refused(RefusalReason.TOO_LATE)
+            call.isResponseStarted -> CallEnd.Truncated(reason)
+            call.mayHaveRun -> CallEnd.Refused(mayHaveRun)
+            else -> CallEnd.Refused(notRun)
         }
 
     private suspend fun writeRefusal(
@@ -98,25 +111,29 @@
     ) = refusals.write(exchange, reason, codec.requestIdHeader to call.request.value, call.deadline - clock.now())
 
     /**
-     * Returns the result of [work], or null if the caller disconnected; that cancels [work], including its connection
-     * to an endpoint.
+     * Returns the result of [work]. Cancels it, including its connection to an endpoint, when the caller disconnects or
+     * the router ends its drain; the caller then still gets an answer.
      */
-    private suspend fun <T : Any> runUntilCallerDisconnects(
+    private suspend fun runUntilCancelled(
         exchange: HttpExchange,
-        work: suspend () -> T,
-    ): T? {
-        var result: T? = null
+        call: AdmittedCall,
+        work: suspend () -> CallEnd,
+    ): CallEnd {
+        var result: CallEnd? = null
+        var isStopped = false
         coroutineScope {
             val job = launch { result = work() }
             val disconnectHandle =
-                exchange.onCallerDisconnected {
-                    job.cancel(
-                        CancellationException("the caller disconnected"),
-                    )
+                exchange.onCallerDisconnected { job.cancel(CancellationException("the caller disconnected")) }
+            val drainHandle =
+                shutdown.onDrainEnded {
+                    isStopped = true
+                    job.cancel(CancellationException("the router stopped"))
                 }
             job.join()
             disconnectHandle.dispose()
+            drainHandle.dispose()
         }
-        return result
+        return result ?: if (isStopped) stopped(call) else CallEnd.CallerDisconnected
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/GracefulShutdown.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/GracefulShutdown.kt
@@ -1,6 +1,8 @@
 package io.limpetfold.gateway.operate
 
 import io.limpetfold.gateway.MonotonicClock
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.Job
 import java.time.Duration
 
 /** State of the graceful shutdown of a router; decides which calls are still accepted. */
@@ -16,8 +18,9 @@
 
     @Volatile
     private var isClosing = false
+    private val drainEnd = Job()
 
-    /** Monotonic time at which calls that are still running are aborted; null before [start]. */
+    /** Monotonic time at which calls that are still running are ended; null before [start]. */
     private val drainDeadline: Duration? get() = startedAt?.let { it + policy.gracePeriod - policy.closeReserve }
 
     /** Time left for running calls; zero before [start] and after the drain deadline. */
@@ -34,9 +37,17 @@
         isClosing = true
     }
 
+    /** Ends the drain: calls that are still running get their last answer now. */
+    fun endDrain() {
+        drainEnd.complete()
+    }
+
+    /** Calls [action] when the drain ends. */
+    fun onDrainEnded(action: () -> Unit): DisposableHandle = drainEnd.invokeOnCompletion { action() }
+
     /**
      * Whether a call with [callDeadline] is accepted. After the balancer wait, a call that may outlast the shutdown is
-     * refused, as it would be aborted.
+     * refused, as it would not end in time.
      */
     fun acceptsCall(callDeadline: Duration): Boolean {
         val started = startedAt ?: return true
