http: close the connection of a handler that ends by an Error

Cause: only exceptions were caught.

Change: an Error is logged after the connection has been closed.

Measured: the new case of GracefulDrainTest hung on the code before (its run was ended by hand after ten minutes; the test now limits its wait to 10 s) and passes. OutOfMemoryError under load is not tested here.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
@@ -152,6 +152,10 @@
         } catch (e: Exception) {
             LOGGER.error("http: handler failed method={} path={}", exchange.head.method, exchange.head.path, e)
             fail(exchange, INTERNAL_ERROR, "internal_error", "the request failed", "report this fault")
+        } catch (e: Error) {
+            // Closes the connection first: memory may be too short for a response or a log line.
+            exchange.close()
+            LOGGER.error("http: handler failed method={} path={}", exchange.head.method, exchange.head.path, e)
         }
         exchange.closeIfUnfinished()
     }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/GracefulDrainTest.kt
@@ -48,6 +48,16 @@
             slow.readToEnd() shouldContain "done"
         }
 
+        test("guards against a caller that waits for ever for a handler that ended by an Error") {
+            val server = start { throw StackOverflowError() }
+            val socket = Socket(server.address.host, server.address.port).apply { soTimeout = 10_000 }
+            val caller = RawConnection(socket)
+            caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            caller.readToEnd() shouldBe ""
+            server.awaitIdle(Duration.ofSeconds(5)) shouldBe true
+            server.close()
+        }
+
         test(
             "guards against idle connections that stay open during a drain, and against aborting a running request when they are closed",
         ) {
