gateway: obey endpoints that say in a response that they leave or pause

Cause: nothing read these header fields of responses.

Calls, retries and resumed streams go elsewhere; while all endpoints of a service are paused, a call is refused at once with the shortest time left. Calls of the old version don't go to the new one because the old endpoints are paused. A mark outlives a lapsed entry. A response of another endpoint at a reused address counts for the one that it names.

Weighed: telling peers. A planned stop is in the store as well, a pause is meant for one router, and a message would cost more than the calls that it saves.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -28,13 +28,40 @@
         request: PickRequest,
         now: Duration,
     ): EndpointState? {
-        val usable = directory.usable(request.service, now).filter { it.id !in request.excluded }
-        val candidates = inRotation(ofVersion(usable, request.versions).map(::stateOf), now)
+        val untried = usable(request.service, now).filter { it.endpoint.id !in request.excluded }
+        val candidates = inRotation(ofVersion(untried, request.versions, now), now)
         if (candidates.isEmpty()) return null
         val key = request.affinityKey ?: return leastLoaded(candidates)
         return byAffinity(key, candidates)
     }
 
+    /**
+     * When the first endpoint of [service] ends its pause, if all endpoints that may be used asked for one; null if one
+     * takes calls now or none may be used.
+     */
+    fun resumesAt(
+        service: String,
+        now: Duration,
+    ): Duration? = usable(service, now).minOfOrNull { it.pausedUntil }?.takeIf { it > now }
+
+    /** Excludes the endpoint of [state], which said that it is leaving, for as long as this incarnation is known. */
+    fun onLeaving(
+        state: EndpointState,
+        now: Duration,
+    ) = state.onLeaving(now)
+
+    /** Excludes the endpoint of [state] up to [until]; a later end of an earlier pause stays in effect. */
+    fun pause(
+        state: EndpointState,
+        until: Duration,
+    ) = state.pause(until)
+
+    /** Returns the state of the endpoint [id]; null if it is not in the directory. */
+    fun state(
+        id: EndpointId,
+        now: Duration,
+    ): EndpointState? = directory.all(now).firstOrNull { it.id == id }?.let(::stateOf)
+
     /** Counts a call as in flight at [state], until [onCallEnded]. */
     fun onCallStarted(state: EndpointState) = state.onCallStarted()
 
@@ -54,19 +81,45 @@
         }
     }
 
-    /** Evicts the state of endpoints that are no longer in the directory. */
+    /**
+     * Evicts the state of endpoints that are no longer in the directory. That of a leaving endpoint, or of one that asked
+     * for a pause, is kept for a while, because its entry may be back after an outage of the store.
+     */
     fun evictRemoved(now: Duration) {
         val known = directory.all(now).mapTo(HashSet()) { it.id }
-        states.keys.removeIf { it !in known }
+        states.values.removeIf { it.endpoint.id !in known && !isNoticeRetained(it, now) }
     }
 
+    private fun isNoticeRetained(
+        state: EndpointState,
+        now: Duration,
+    ): Boolean {
+        val leavingSince = state.leavingSince
+        return state.pausedUntil > now || (leavingSince != null && now - leavingSince < policy.leavingRetention)
+    }
+
+    /** The endpoints of [service] that are in the directory and have not said that they are leaving. */
+    private fun usable(
+        service: String,
+        now: Duration,
+    ): List<EndpointState> = directory.usable(service, now).map(::stateOf).filter { it.leavingSince == null }
+
+    /**
+     * Returns the endpoints that may take the call now. Calls of the old version wait for the end of a pause of its
+     * endpoints, because they would expose the new version to more calls than planned.
+     */
     private fun ofVersion(
-        usable: List<Endpoint>,
+        usable: List<EndpointState>,
         versions: VersionPreference?,
-    ): List<Endpoint> {
-        if (versions == null) return usable
-        val (preferred, others) = usable.partition { (it.version == versions.target) == versions.isTargetPreferred }
-        return if (preferred.isEmpty() && versions.isFallbackAllowed) others else preferred
+        now: Duration,
+    ): List<EndpointState> {
+        val available = usable.filter { it.pausedUntil <= now }
+        if (versions == null) return available
+        val isPreferred = { state: EndpointState ->
+            (state.endpoint.version == versions.target) == versions.isTargetPreferred
+        }
+        val isEmpty = if (versions.isTargetPreferred) available.none(isPreferred) else usable.none(isPreferred)
+        return if (isEmpty && versions.isFallbackAllowed) available else available.filter(isPreferred)
     }
 
     /**
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
@@ -28,8 +28,24 @@
     var lastByteAt: Duration = Duration.ZERO
         private set
 
+    /** When the endpoint first said that it is leaving; null while it has not. */
+    var leavingSince: Duration? = null
+        private set
+
+    /** Until when the endpoint gets no calls at all, because it asked for that. */
+    var pausedUntil: Duration = Duration.ZERO
+        private set
+
     private var consecutiveFailures = 0
 
+    internal fun onLeaving(now: Duration) {
+        if (leavingSince == null) leavingSince = now
+    }
+
+    internal fun pause(until: Duration) {
+        pausedUntil = maxOf(pausedUntil, until)
+    }
+
     internal fun onCallStarted() {
         inFlight++
     }
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.ZoneId
 import io.limpetfold.directory.Endpoint
@@ -55,6 +56,51 @@
             states.distinct().size shouldBeGreaterThan 2
         }
 
+        test("guards against calls to an endpoint that announced its leaving, until another incarnation has its id") {
+            val directory = directory(2)
+            val picker = picker(directory)
+            val leaving = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
+            picker.onLeaving(leaving, NOW)
+            val others = (1..20).map { picker.pick(PickRequest("s", "session-$it"), NOW)?.endpoint?.id }
+            others.toSet() shouldBe setOf(EndpointId("i-1"), EndpointId("i-2")) - leaving.endpoint.id
+            // The entry is missing for a while, as during an outage of the store, and its state is evicted meanwhile.
+            directory.applyChanges(emptyList(), listOf(leaving.endpoint.id), 2, NOW)
+            picker.evictRemoved(NOW)
+            directory.applyChanges(listOf(leaving.endpoint), emptyList(), 3, NOW)
+            picker.pick(PickRequest("s", null, setOf(others.first()!!)), NOW) shouldBe null
+            directory.applyChanges(listOf(leaving.endpoint.copy(startedAtMillis = 2)), emptyList(), 4, NOW)
+            picker.pick(PickRequest("s", null, setOf(others.first()!!)), NOW).shouldNotBeNull()
+        }
+
+        test("guards against calls to an endpoint that asked for a pause, and calls that are refused after it") {
+            val picker = picker(directory(2))
+            val first = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
+            picker.pause(first, NOW + Duration.ofSeconds(3))
+            val second = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
+            second.endpoint.id shouldNotBe first.endpoint.id
+            picker.resumesAt("s", NOW) shouldBe null
+            picker.pause(second, NOW + Duration.ofSeconds(2))
+            // An earlier end does not shorten a pause.
+            picker.pause(first, NOW + Duration.ofSeconds(1))
+            picker.pick(PickRequest("s", null), NOW) shouldBe null
+            picker.resumesAt("s", NOW) shouldBe NOW + Duration.ofSeconds(2)
+            picker.pick(PickRequest("s", null), NOW + Duration.ofSeconds(2))?.endpoint?.id shouldBe second.endpoint.id
+        }
+
+        test(
+            "guards against a move that sends its calls to the new version because the old endpoints asked for a pause",
+        ) {
+            val directory = directory(2)
+            val new = directory.all(NOW).first().copy(id = EndpointId("new"), version = "v2")
+            directory.applyChanges(listOf(new), emptyList(), 2, NOW)
+            val picker = picker(directory)
+            val toOld = PickRequest("s", null, versions = VersionPreference("v2", isTargetPreferred = false, true))
+            repeat(2) { picker.pause(picker.pick(toOld, NOW).shouldNotBeNull(), NOW + Duration.ofSeconds(1)) }
+            picker.pick(toOld, NOW) shouldBe null
+            val toNew = PickRequest("s", null, versions = VersionPreference("v2", isTargetPreferred = true, true))
+            picker.pick(toNew, NOW)?.endpoint?.version shouldBe "v2"
+        }
+
         test(
             "guards against calls to an unreachable endpoint, and against refusing calls when all endpoints are ejected",
         ) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import io.limpetfold.gateway.call.CallAdmission
 import io.limpetfold.gateway.call.CallDispatcher
 import io.limpetfold.gateway.call.CallHandler
+import io.limpetfold.gateway.call.EndpointNotices
 import io.limpetfold.gateway.call.EndpointSender
 import io.limpetfold.gateway.call.RefusalWriter
 import io.limpetfold.gateway.call.TokenBudget
@@ -24,6 +25,7 @@
 import io.limpetfold.gateway.observe.BudgetObserver
 import io.limpetfold.gateway.observe.CallObserver
 import io.limpetfold.gateway.observe.DecisionLog
+import io.limpetfold.gateway.observe.EndpointNoticeObserver
 import io.limpetfold.gateway.observe.GatewayMetrics
 import io.limpetfold.gateway.observe.QuarantineObserver
 import io.limpetfold.gateway.operate.BudgetAccountWarmer
@@ -341,7 +343,8 @@
     }
 
     private fun callHandler(): CallHandler {
-        val sender = EndpointSender(client, codec, monotonic, settings.calls)
+        val notices = EndpointNotices(picker, codec, monotonic, EndpointNoticeObserver(log, metrics))
+        val sender = EndpointSender(client, codec, monotonic, settings.calls, notices)
         val dispatcher =
             CallDispatcher(picker, sender, quarantine, monotonic, settings.calls, {
                 reloadableSettings.current.retryBudget
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -147,15 +147,21 @@
         private fun canResume() = call.route.isResumable && relay.lastEventId != null
 
         private fun notRun(): CallEnd =
-            if (call.mayHaveRun) unknownOutcome() else CallEnd.Refused(RefusalReason.ENDPOINT_FULL)
+            if (call.mayHaveRun) unknownOutcome() else paused() ?: CallEnd.Refused(RefusalReason.ENDPOINT_FULL)
 
         private fun noEndpoint(): CallEnd =
             when {
                 call.mayHaveRun -> unknownOutcome()
                 connectFailures > 0 -> CallEnd.Refused(RefusalReason.ENDPOINTS_UNREACHABLE)
-                else -> CallEnd.Refused(RefusalReason.NO_ENDPOINT)
+                else -> paused() ?: CallEnd.Refused(RefusalReason.NO_ENDPOINT)
             }
 
+        /** The refusal of a call while all endpoints of its service want no calls; null if one of them takes calls. */
+        private fun paused(): CallEnd? {
+            val resumesAt = picker.resumesAt(call.service, clock.now()) ?: return null
+            return CallEnd.Refused(RefusalReason.ENDPOINTS_PAUSED, retryAfter = resumesAt - clock.now())
+        }
+
         private fun tooLate(): CallEnd =
             if (call.mayHaveRun) unknownOutcome() else CallEnd.Refused(RefusalReason.TOO_LATE)
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallEnd.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallEnd.kt
@@ -1,5 +1,7 @@
 package io.limpetfold.gateway.call
 
+import java.time.Duration
+
 /** How a call ended for its caller. */
 internal sealed interface CallEnd {
     /** The endpoint's response was forwarded completely. */
@@ -7,9 +9,10 @@
         val status: Int,
     ) : CallEnd
 
-    /** This router refused the call itself. */
+    /** This router refused the call itself; [retryAfter] is when a retry can succeed, or null if it is not known. */
     data class Refused(
         val reason: RefusalReason,
+        val retryAfter: Duration? = null,
     ) : CallEnd
 
     /** The response was started and could not be completed. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -44,7 +44,7 @@
         var end: CallEnd = CallEnd.CallerDisconnected
         try {
             end = runUntilCancelled(exchange, call) { serve(exchange, call) }
-            if (end is CallEnd.Refused) writeRefusal(exchange, call, end.reason)
+            if (end is CallEnd.Refused) writeRefusal(exchange, call, end)
         } catch (_: CallerDisconnectedException) {
             end = CallEnd.CallerDisconnected
         } finally {
@@ -107,8 +107,11 @@
     private suspend fun writeRefusal(
         exchange: HttpExchange,
         call: AdmittedCall,
-        reason: RefusalReason,
-    ) = refusals.write(exchange, reason, codec.requestIdHeader to call.request.value, call.deadline - clock.now())
+        refusal: CallEnd.Refused,
+    ) {
+        val requestIdHeader = codec.requestIdHeader to call.request.value
+        refusals.write(exchange, refusal.reason, requestIdHeader, call.deadline - clock.now(), refusal.retryAfter)
+    }
 
     /**
      * Returns the result of [work]. Cancels it, including its connection to an endpoint, when the caller disconnects or
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -24,6 +24,7 @@
     private val codec: CallCodec,
     private val clock: MonotonicClock,
     private val policy: CallPolicy,
+    private val notices: EndpointNotices,
 ) {
     /**
      * Sends [call] to the endpoint of [state]; [relay] knows which events of a stream the caller already received from
@@ -49,6 +50,7 @@
                 return SendResult.NotSent(describe(error))
             }
         state.onBytesReceived(clock.now())
+        notices.onResponse(state, response.head)
         return response.use {
             if (codec.isNotRun(it.head)) {
                 call.mayHaveRun = mayHaveRunBefore
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
@@ -21,6 +21,12 @@
     BUDGET_SHORT(429, "budget_short", "this router can't reserve the tokens now", "retry later"),
     NO_ENDPOINT(503, "no_endpoint", "no endpoint of the service is in use", "retry later"),
     ENDPOINTS_UNREACHABLE(503, "endpoints_unreachable", "no endpoint of the service could be reached", "retry later"),
+    ENDPOINTS_PAUSED(
+        503,
+        "endpoints_paused",
+        "all endpoints of the service asked for a pause",
+        "retry after the pause",
+    ),
     ENDPOINT_FULL(503, "endpoint_full", "the endpoint refused the call without running it", "retry later"),
     PROMPT_PART_QUARANTINED(
         503,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalWriter.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalWriter.kt
@@ -15,18 +15,19 @@
     private val random: Random,
 ) {
     /**
-     * Responds to [exchange] with [reason]; [requestIdHeader] is echoed, and [remaining], the time until the deadline
-     * of the call, limits `Retry-After`.
+     * Responds to [exchange] with [reason]; [requestIdHeader] is echoed. `Retry-After` is [retryAfter] if it is known;
+     * otherwise [remaining], the time until the deadline of the call, limits it.
      */
     suspend fun write(
         exchange: HttpExchange,
         reason: RefusalReason,
         requestIdHeader: Pair<String, String>?,
         remaining: Duration?,
+        retryAfter: Duration? = null,
     ) {
         var headers: Headers = ErrorBody.HEADERS
         if (requestIdHeader != null) headers = headers.with(requestIdHeader.first, requestIdHeader.second)
-        if (reason.isTransient) headers = headers.with("Retry-After", retryAfterSeconds(remaining))
+        if (reason.isTransient) headers = headers.with("Retry-After", retryAfterSeconds(remaining, retryAfter))
         val body = ErrorBody.encode(reason.type, reason.message, reason.remedy, reason.ran, requestIdHeader?.second)
         exchange.respond(reason.status, headers, body)
     }
@@ -40,13 +41,19 @@
         }
     }
 
-    private fun retryAfterSeconds(remaining: Duration?): String {
+    private fun retryAfterSeconds(
+        remaining: Duration?,
+        known: Duration?,
+    ): String {
+        if (known != null) return seconds(known.toMillis())
         val spread = policy.retryAfterMax.toMillis() - policy.retryAfterMin.toMillis()
         val millis = policy.retryAfterMin.toMillis() + random.nextLong(spread + 1)
         val maxMillis = remaining?.let { (it.toMillis() / REMAINING_TIME_DIVISOR).coerceAtLeast(1) } ?: millis
-        return String.format(Locale.ROOT, "%.3f", minOf(millis, maxMillis) / MILLIS_PER_SECOND)
+        return seconds(minOf(millis, maxMillis))
     }
 
+    private fun seconds(millis: Long): String = String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)
+
     private companion object {
         const val MAX_DRAINED_BYTES = 256 * 1024
         const val MILLIS_PER_SECOND = 1000.0
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.gateway.codec
 
+import io.limpetfold.core.EndpointId
 import io.limpetfold.http.Headers
 import io.limpetfold.http.RequestHead
 import io.limpetfold.http.ResponseHead
@@ -26,4 +27,13 @@
 
     /** Whether an endpoint's response proves that it did not run the call. */
     fun isNotRun(head: ResponseHead): Boolean
+
+    /** Whether the endpoint that sent a response says that it is leaving. */
+    fun isLeaving(head: ResponseHead): Boolean
+
+    /** The endpoint that sent a response to a call to [intended]; null if it was another one that is not named. */
+    fun responder(
+        head: ResponseHead,
+        intended: EndpointId,
+    ): EndpointId?
 }
--- /dev/null
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/EndpointNoticeObserver.kt
@@ -0,0 +1,65 @@
+package io.limpetfold.gateway.observe
+
+import io.limpetfold.core.EndpointId
+import io.limpetfold.directory.Endpoint
+import java.time.Duration
+
+/** Logs and counts what endpoints say about themselves in their responses. */
+internal class EndpointNoticeObserver(
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+) {
+    /** Endpoints whose `Retry-After` was logged as out of range; each is logged once, since it may send many. */
+    private val reported = LinkedHashSet<EndpointId>()
+
+    /** [endpoint] said that it is leaving. */
+    fun onLeaving(endpoint: Endpoint) {
+        metrics.countEvent(METRIC, "leaving")
+        log.info("endpoint.leaving", "endpoint" to endpoint.id, "startedAtMillis" to endpoint.startedAtMillis)
+    }
+
+    /** [endpoint] gets no calls for [pause]. */
+    fun onPaused(
+        endpoint: Endpoint,
+        pause: Duration,
+    ) {
+        metrics.countEvent(METRIC, "paused")
+        log.info("endpoint.paused", "endpoint" to endpoint.id, "pauseMillis" to pause.toMillis())
+    }
+
+    /** [endpoint] asked for a pause of [value], which is longer than [limit]. */
+    fun onRetryAfterLimited(
+        endpoint: Endpoint,
+        value: String,
+        limit: Duration,
+    ) {
+        metrics.countEvent(METRIC, "retry_after_limited")
+        report(endpoint, value, "a pause may last ${limit.toSeconds()} s at most")
+    }
+
+    /** [endpoint] asked for a pause of [value], which is not a number of seconds. */
+    fun onRetryAfterIgnored(
+        endpoint: Endpoint,
+        value: String,
+    ) {
+        metrics.countEvent(METRIC, "retry_after_ignored")
+        report(endpoint, value, "not a number of seconds; the endpoint gets no pause")
+    }
+
+    private fun report(
+        endpoint: Endpoint,
+        value: String,
+        reason: String,
+    ) {
+        if (reported.size >= MAX_REPORTED) reported.remove(reported.first())
+        if (!reported.add(endpoint.id)) return
+        val shown = value.take(MAX_VALUE_CHARS)
+        log.warn("endpoint.retry_after_invalid", "endpoint" to endpoint.id, "value" to shown, "reason" to reason)
+    }
+
+    private companion object {
+        const val METRIC = "limpetfold_endpoint_notices"
+        const val MAX_REPORTED = 1_000
+        const val MAX_VALUE_CHARS = 40
+    }
+}
