platform: a Connection field can't take off fields of the system

Cause: the hop-by-hop fields were removed after the router had added its own, and with them those that the caller's Connection field named.

Change: the caller's hop-by-hop fields go before ours are added. Fields that are meant for the other end stay even if a Connection field names them, on the way to the endpoint and back.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -346,7 +346,7 @@
         val notices = EndpointNotices(picker, codec, monotonic, EndpointNoticeObserver(log, metrics))
         val sender = EndpointSender(client, codec, monotonic, settings.calls, notices)
         val dispatcher =
-            CallDispatcher(picker, sender, quarantine, monotonic, settings.calls, {
+            CallDispatcher(picker, sender, quarantine, codec, monotonic, settings.calls, {
                 reloadableSettings.current.retryBudget
             }, versionSelector) { membership.routerCount }
         return CallHandler(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -10,6 +10,7 @@
 import io.limpetfold.dispatch.PickRequest
 import io.limpetfold.dispatch.VersionPreference
 import io.limpetfold.gateway.MonotonicClock
+import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.quarantine.PromptPartQuarantine
 import io.limpetfold.rollout.MoveSide
@@ -27,6 +28,7 @@
     private val picker: EndpointPicker,
     private val sender: EndpointSender,
     private val quarantine: PromptPartQuarantine,
+    private val codec: CallCodec,
     private val clock: MonotonicClock,
     private val policy: CallPolicy,
     private val retryBudgetPolicy: () -> FleetRetryBudgetPolicy,
@@ -46,7 +48,7 @@
         private val call: AdmittedCall,
     ) {
         private val retryBudget = retryBudgets.getOrPut(call.service) { FleetRetryBudget(retryBudgetPolicy) }
-        private val relay = StreamRelay(clock, policy)
+        private val relay = StreamRelay(clock, codec, policy)
         private val triedEndpoints = mutableSetOf<EndpointId>()
         private var sentCount = 0
         private var connectFailures = 0
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -101,7 +101,7 @@
             val chunk = response.next().getOrElse { return SendResult.Unknown(describe(it), it.isConnectionLost) }
             if (chunk == null) {
                 onResponseStarted(call)
-                exchange.respond(response.head.status, response.head.headers.withoutHopByHop(), buffered.toByteArray())
+                exchange.respond(response.head.status, codec.callerHeaders(response.head), buffered.toByteArray())
                 return SendResult.Delivered(response.head.status)
             }
             buffered.write(chunk)
@@ -115,14 +115,9 @@
         response: UpstreamResponse,
         buffered: ByteArray,
     ): SendResult {
-        val headers = response.head.headers
-        val length = headers["Content-Length"]
-        val forwarded =
-            if (length == null) {
-                headers.withoutHopByHop()
-            } else {
-                headers.withoutHopByHop().with("Content-Length", length)
-            }
+        val headers = codec.callerHeaders(response.head)
+        val length = response.head.headers["Content-Length"]
+        val forwarded = if (length == null) headers else headers.with("Content-Length", length)
         onResponseStarted(call)
         val sink = exchange.respondStream(response.head.status, forwarded)
         sink.write(buffered)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.dispatch.EndpointState
 import io.limpetfold.gateway.MonotonicClock
+import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.ResponseSink
 import io.limpetfold.http.UpstreamError
@@ -23,6 +24,7 @@
  */
 internal class StreamRelay(
     private val clock: MonotonicClock,
+    private val codec: CallCodec,
     private val policy: CallPolicy,
 ) {
     private var sink: ResponseSink? = null
@@ -130,7 +132,7 @@
     ): ResponseSink {
         call.isResponseStarted = true
         call.firstByteAt = clock.now()
-        return exchange.respondStream(response.head.status, response.head.headers.withoutHopByHop()).also { sink = it }
+        return exchange.respondStream(response.head.status, codec.callerHeaders(response.head)).also { sink = it }
     }
 
     private fun interrupted(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
@@ -15,13 +15,16 @@
 
     /**
      * Returns the header fields to send to an endpoint; fields that only a router may set are removed from the
-     * caller's.
+     * caller's, and so are the fields of the caller's connection before the router adds its own.
      */
     fun upstreamHeaders(
         head: RequestHead,
         call: ForwardedCallHeaders,
     ): Headers
 
+    /** Returns the header fields of an endpoint's response to send to the caller. */
+    fun callerHeaders(head: ResponseHead): Headers
+
     /** Whether a response carries the endpoint's signature; a success without it is treated as an unknown outcome. */
     fun isSigned(head: ResponseHead): Boolean
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/Headers.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/Headers.kt
@@ -25,10 +25,14 @@
 
     /**
      * Returns the fields that may be forwarded: all but the hop-by-hop fields, which include those named in
-     * `Connection`.
+     * `Connection` except [endToEnd]. By that field the sender must not take off a field that is meant for the other end.
      */
-    fun withoutHopByHop(): Headers {
-        val named = all("Connection").flatMap { it.split(',') }.map { it.trim() }
+    fun withoutHopByHop(endToEnd: Collection<String> = emptyList()): Headers {
+        val named =
+            all("Connection")
+                .flatMap { it.split(',') }
+                .map { it.trim() }
+                .filter { name -> endToEnd.none { it.equals(name, ignoreCase = true) } }
         return without(*HOP_BY_HOP, *named.toTypedArray())
     }
 
