gateway: bound the memory of all request bodies together

Cause: each body was read whole before the call could be refused, in up to three copies, and nothing bounded the sum.

Change: bodies are reserved in a budget of a quarter of the heap before they are read, by their length or chunk by chunk. A call that finds no room waits in order for a third of its time while its connection is not read, then gets 503 and Retry-After. A body of known length is held in one array.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -12,6 +12,8 @@
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
 import io.limpetfold.dispatch.EndpointPicker
+import io.limpetfold.gateway.call.BodyBudget
+import io.limpetfold.gateway.call.BodyReader
 import io.limpetfold.gateway.call.CallAdmission
 import io.limpetfold.gateway.call.CallDispatcher
 import io.limpetfold.gateway.call.CallHandler
@@ -160,6 +162,7 @@
     private val shutdown = GracefulShutdown({ reloadableSettings.current.shutdown }, monotonic)
     private val quarantine = PromptPartQuarantine(listener = QuarantineObserver(log))
     private val quarantineSync = QuarantineSync(quarantine, peers, monotonic, loops.dispatcher)
+    private val bodyBudget = BodyBudget(settings.calls.maxBodiesBytes)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callerServer = server(settings.callerListenAddress, callHandler())
     private val readinessAndMetricsHandler = ReadinessAndMetricsHandler({ readiness }, metrics)
@@ -247,6 +250,10 @@
         metrics.gauge("limpetfold_quarantined_prompt_parts", "Prompt parts whose calls are refused") {
             quarantine.quarantinedParts(monotonic.now()).size.toDouble()
         }
+        metrics.gauge(
+            "limpetfold_request_body_bytes",
+            "Reserved for request bodies",
+        ) { bodyBudget.usedBytes.toDouble() }
         metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
     }
 
@@ -351,6 +358,7 @@
             }, versionSelector) { membership.routerCount }
         return CallHandler(
             CallAdmission(codec, { routing.current }, random, shutdown),
+            BodyReader(bodyBudget, settings.calls.maxBodyBytes),
             quarantine,
             TokenBudget(tokens),
             dispatcher,
--- /dev/null
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/BodyReader.kt
@@ -0,0 +1,102 @@
+package io.limpetfold.gateway.call
+
+import io.limpetfold.http.HttpExchange
+import io.limpetfold.http.RequestBodyException
+import java.time.Duration
+
+/** Reads request bodies into memory within a [BodyBudget]. */
+internal class BodyReader(
+    private val budget: BodyBudget,
+    private val maxBodyBytes: Int,
+) {
+    /** A request body, whose memory is reserved until [close]. */
+    inner class Body internal constructor(
+        val bytes: ByteArray,
+        private val reservedBytes: Long,
+    ) : AutoCloseable {
+        override fun close() = budget.release(reservedBytes)
+    }
+
+    /** Reads the body of [exchange]; returns null if there is no room for it within [maxWait]. */
+    suspend fun read(
+        exchange: HttpExchange,
+        maxWait: Duration,
+    ): Body? {
+        val lengthBytes = exchange.head.headers["Content-Length"]?.toLongOrNull()
+        return if (lengthBytes == null) readChunks(exchange, maxWait) else readLength(exchange, lengthBytes, maxWait)
+    }
+
+    /** Reserves the whole body before its first byte is read, and holds it in one array. */
+    private suspend fun readLength(
+        exchange: HttpExchange,
+        lengthBytes: Long,
+        maxWait: Duration,
+    ): Body? {
+        if (lengthBytes > maxBodyBytes) throw tooLarge()
+        if (!budget.reserve(lengthBytes, maxWait)) return null
+        return releasedOnFailure({ lengthBytes }) {
+            val bytes = ByteArray(lengthBytes.toInt())
+            var filledBytes = 0
+            while (true) {
+                val piece = exchange.body.next() ?: break
+                piece.copyInto(bytes, filledBytes)
+                filledBytes += piece.size
+            }
+            Body(bytes, lengthBytes)
+        }
+    }
+
+    /** Reserves twice the size of each chunk, because the chunks and the whole body are held at the same time. */
+    private suspend fun readChunks(
+        exchange: HttpExchange,
+        maxWait: Duration,
+    ): Body? {
+        val pieces = mutableListOf<ByteArray>()
+        var sizeBytes = 0L
+        val body =
+            releasedOnFailure({ sizeBytes * 2 }) {
+                while (true) {
+                    val piece = exchange.body.next() ?: break
+                    if (sizeBytes + piece.size > maxBodyBytes) throw tooLarge()
+                    if (!budget.reserve(piece.size * 2L, maxWait)) return@releasedOnFailure null
+                    pieces += piece
+                    sizeBytes += piece.size
+                }
+                Body(joined(pieces, sizeBytes.toInt()), sizeBytes)
+            }
+        budget.release(if (body == null) sizeBytes * 2 else sizeBytes)
+        return body
+    }
+
+    private fun joined(
+        pieces: List<ByteArray>,
+        sizeBytes: Int,
+    ): ByteArray {
+        val bytes = ByteArray(sizeBytes)
+        var filledBytes = 0
+        for (piece in pieces) {
+            piece.copyInto(bytes, filledBytes)
+            filledBytes += piece.size
+        }
+        return bytes
+    }
+
+    private inline fun <T> releasedOnFailure(
+        reservedBytes: () -> Long,
+        read: () -> T,
+    ): T {
+        var isRead = false
+        try {
+            return read().also { isRead = true }
+        } finally {
+            if (!isRead) budget.release(reservedBytes())
+        }
+    }
+
+    private fun tooLarge() =
+        RequestBodyException(PAYLOAD_TOO_LARGE, "the body exceeds $maxBodyBytes bytes: send a smaller body")
+
+    private companion object {
+        const val PAYLOAD_TOO_LARGE = 413
+    }
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -22,6 +22,7 @@
  */
 internal class CallHandler(
     private val admission: CallAdmission,
+    private val bodies: BodyReader,
     private val quarantine: PromptPartQuarantine,
     private val budget: TokenBudget,
     private val dispatcher: CallDispatcher,
@@ -56,7 +57,18 @@
         exchange: HttpExchange,
         call: AdmittedCall,
     ): CallEnd {
-        call.body = exchange.readBody(policy.maxBodyBytes)
+        val maxWait = maxOf(Duration.ZERO, (call.deadline - clock.now()).dividedBy(BODY_WAIT_DIVISOR))
+        val body = bodies.read(exchange, maxWait) ?: return CallEnd.Refused(RefusalReason.BODIES_TOO_LARGE)
+        return body.use {
+            call.body = it.bytes
+            serveRead(exchange, call)
+        }
+    }
+
+    private suspend fun serveRead(
+        exchange: HttpExchange,
+        call: AdmittedCall,
+    ): CallEnd {
         if (quarantine.blocks(
                 call.headers.prompt,
                 clock.now(),
@@ -139,4 +151,9 @@
         }
         return result ?: if (isStopped) stopped(call) else CallEnd.CallerDisconnected
     }
+
+    private companion object {
+        /** Part of the remaining time that a call waits for memory; the rest is for reading its body and for the call. */
+        const val BODY_WAIT_DIVISOR = 3L
+    }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -7,6 +7,7 @@
  *
  * @property maxBodyBytes maximum size of a request body, which is buffered completely so that it can be sent to another
  * endpoint.
+ * @property maxBodiesBytes maximum size of the request bodies of all calls together.
  * @property maxBufferedResponseBytes a response up to this size is buffered completely before its first byte goes to
  * the caller, so that the call can still be retried if the response is interrupted.
  * @property maxBudgetWait maximum wait for tokens of a budget.
@@ -22,6 +23,7 @@
  */
 data class CallPolicy(
     val maxBodyBytes: Int = MAX_BODY_BYTES,
+    val maxBodiesBytes: Long = Runtime.getRuntime().maxMemory() / BODIES_HEAP_DIVISOR,
     val maxBufferedResponseBytes: Int = MAX_BUFFERED_RESPONSE_BYTES,
     val maxBudgetWait: Duration = MAX_BUDGET_WAIT,
     val minAttemptTime: Duration = Duration.ofMillis(20),
@@ -32,6 +34,8 @@
     val retryAfterMax: Duration = RETRY_AFTER_MAX,
 ) {
     private companion object {
+        /** A body is held once on the heap and once while it is written, next to what the router needs itself. */
+        const val BODIES_HEAP_DIVISOR = 4L
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
         val MAX_BUDGET_WAIT: Duration = Duration.ofMillis(600)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
@@ -35,6 +35,12 @@
         "endpoints crashed on requests with a part of this prompt",
         "send a prompt without this part, or report it to the operators",
     ),
+    BODIES_TOO_LARGE(
+        503,
+        "bodies_too_large",
+        "the bodies of running calls take up this router's memory",
+        "retry later",
+    ),
     TOO_LATE(503, "too_late", "too little time was left to run the call", "retry with a longer deadline"),
     STOPPING(503, "stopping", "this router is stopping", "retry through another router"),
     OUTCOME_UNKNOWN(
