gateway: small bodies overtake those that wait for memory

Cause: while large bodies wait, every later call waited behind them, also one whose body takes hardly any memory, and was refused after a third of its time.

Change: bodies of up to a thousandth of the budget are taken while they fit.

Measured: the new case of BodyBudgetTest failed on the code before ("expected true but was false") and passes.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/BodyBudget.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/BodyBudget.kt
@@ -6,7 +6,7 @@
 
 /**
  * The memory for the request bodies of all running calls. Calls that find no room wait in the order of their arrival,
- * while their connections are not read. Not safe for concurrent use.
+ * while their connections are not read; only small bodies overtake them. Not safe for concurrent use.
  *
  * @param maxBytes the bytes that all bodies together may take.
  */
@@ -20,6 +20,7 @@
     }
 
     private val waiters = ArrayDeque<Waiter>()
+    private val smallBodyBytes = maxBytes / SMALL_BODY_DIVISOR
 
     /** The bytes that are reserved. */
     var usedBytes: Long = 0
@@ -30,7 +31,7 @@
         bytes: Long,
         maxWait: Duration,
     ): Boolean {
-        if (waiters.isEmpty() && fits(bytes)) {
+        if ((waiters.isEmpty() || bytes <= smallBodyBytes) && fits(bytes)) {
             usedBytes += bytes
             return true
         }
@@ -73,4 +74,9 @@
     }
 
     private fun fits(bytes: Long) = usedBytes + bytes <= maxBytes
+
+    private companion object {
+        /** So many small bodies take as much as all bodies may; a few of them do not delay a large one. */
+        const val SMALL_BODY_DIVISOR = 1_000L
+    }
 }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/BodyBudgetTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/BodyBudgetTest.kt
@@ -58,6 +58,18 @@
             }
         }
 
+        test("guards against small bodies that wait, and are refused, behind large ones") {
+            coroutineScope {
+                val budget = BodyBudget(maxBytes = 10_000)
+                budget.reserve(9_000, Duration.ZERO)
+                val large = launch { budget.reserve(8_000, LONG_WAIT) }
+                yield()
+                budget.reserve(10, Duration.ZERO) shouldBe true
+                budget.reserve(11, Duration.ZERO) shouldBe false
+                large.cancelAndJoin()
+            }
+        }
+
         test("guards against a wait that ends in time only when memory is given back") {
             val budget = BodyBudget(maxBytes = 10)
             budget.reserve(6, Duration.ZERO)
