--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/EndpointNoticeObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/EndpointNoticeObserver.kt
@@ -14,7 +14,7 @@
 
     /** [endpoint] said that it is leaving. */
     fun onLeaving(endpoint: Endpoint) {
-        metrics.countEvent(METRIC, "leaving")
+        metrics.countEvent(EVENTS_METRIC, "leaving")
         log.info("endpoint.leaving", "endpoint" to endpoint.id, "startedAtMillis" to endpoint.startedAtMillis)
     }
 
@@ -23,7 +23,7 @@
         endpoint: Endpoint,
         pause: Duration,
     ) {
-        metrics.countEvent(METRIC, "paused")
+        metrics.countEvent(EVENTS_METRIC, "paused")
         log.info("endpoint.paused", "endpoint" to endpoint.id, "pauseMillis" to pause.toMillis())
     }
 
@@ -33,7 +33,7 @@
         value: String,
         limit: Duration,
     ) {
-        metrics.countEvent(METRIC, "retry_after_limited")
+        metrics.countEvent(EVENTS_METRIC, "retry_after_limited")
         report(endpoint, value, "a pause may last ${limit.toSeconds()} s at most")
     }
 
@@ -42,7 +42,7 @@
         endpoint: Endpoint,
         value: String,
     ) {
-        metrics.countEvent(METRIC, "retry_after_ignored")
+        metrics.countEvent(EVENTS_METRIC, "retry_after_ignored")
         report(endpoint, value, "not a number of seconds; the endpoint gets no pause")
     }
 
@@ -57,9 +57,9 @@
         log.warn("endpoint.retry_after_invalid", "endpoint" to endpoint.id, "value" to shown, "reason" to reason)
     }
 
-    private companion object {
-        const val METRIC = "limpetfold_endpoint_notices"
-        const val MAX_REPORTED = 1_000
-        const val MAX_VALUE_CHARS = 40
+    companion object {
+        const val EVENTS_METRIC = "limpetfold_endpoint_notices"
+        private const val MAX_REPORTED = 1_000
+        private const val MAX_VALUE_CHARS = 40
     }
 }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -16,6 +16,7 @@
             metrics.recordCallEnded("route", "answered", Duration.ofMillis(5), Duration.ofMillis(2), attempts = 2)
             metrics.recordCallRefused("no_route")
             metrics.countEvent(BudgetObserver.EVENTS_METRIC, "refused")
+            metrics.countEvent(EndpointNoticeObserver.EVENTS_METRIC, "leaving")
             GAUGES.forEach { metrics.gauge(it, "A gauge") { 1.0 } }
             val scraped = metrics.scrape()
 
@@ -38,6 +39,7 @@
                 "limpetfold_quarantined_prompt_parts",
                 "limpetfold_calls_running",
                 "limpetfold_buffered_bytes",
+                "limpetfold_request_body_bytes",
                 "limpetfold_config_version",
                 "limpetfold_routers_heard",
             )
