--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -12,6 +12,7 @@
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.http.HttpExchange
+import io.limpetfold.http.UpstreamResponse
 import io.limpetfold.quarantine.PromptPartQuarantine
 import io.limpetfold.rollout.MoveSide
 import io.limpetfold.rollout.VersionObservation
@@ -52,84 +53,158 @@
         private val triedEndpoints = mutableSetOf<EndpointId>()
         private var sentCount = 0
         private var connectFailures = 0
-        private var hasAcquiredRetry = false
 
-        suspend fun run(): CallEnd {
-            call.move = versionSelector.choose(call.service)
+        /** The attempt that has taken the stream of the running one over; it runs next. */
+        private var successor: Attempt? = null
+
+        suspend fun run(): CallEnd =
+            try {
+                call.move = versionSelector.choose(call.service)
+                attemptUntilEnd()
+            } finally {
+                // A call that is cancelled can leave an accepted attempt behind.
+                takeSuccessor()?.discard()
+            }
+
+        private suspend fun attemptUntilEnd(): CallEnd {
             while (true) {
-                if (call.deadline - clock.now() < policy.minAttemptTime) return tooLate()
-                if (quarantine.blocks(call.headers.prompt, clock.now())) return quarantined()
-                val state = pickUntried() ?: return noEndpoint()
-                val result = attempt(state)
-                call.attemptOutcomes += outcomeText(result)
-                recordEvidence(state, result)
-                when (result) {
+                val attempt =
+                    takeSuccessor() ?: run {
+                        if (call.deadline - clock.now() < policy.minAttemptTime) return tooLate()
+                        if (quarantine.blocks(call.headers.prompt, clock.now())) return quarantined()
+                        Attempt(pickUntried() ?: return noEndpoint())
+                    }
+                when (val result = attempt.run()) {
                     is SendResult.Delivered -> return CallEnd.Completed(result.status)
                     is SendResult.NotSent -> if (++connectFailures > policy.maxConnectFailures) return noEndpoint()
-                    is SendResult.NotRun -> if (!mayRetry()) return notRun()
-                    is SendResult.Unknown -> if (!call.route.isRetryable || !mayRetry()) return unknownOutcome()
-                    is SendResult.Interrupted -> if (!canResume() || !mayRetry()) return truncated(result.reason)
+                    is SendResult.NotRun -> if (!acquireRetry()) return notRun()
+                    is SendResult.Unknown -> if (!call.route.isRetryable || !acquireRetry()) return unknownOutcome()
+                    is SendResult.Interrupted -> if (!canResume() || !acquireRetry()) return truncated(result.reason)
+                    is SendResult.HandedOver -> Unit
                 }
             }
         }
 
+        private fun takeSuccessor(): Attempt? = successor.also { successor = null }
+
         private fun pickUntried(): EndpointState? {
             val affinityKey = call.headers.prompt?.affinityKey
             val versions = call.move?.let(::preferenceOf)
             return picker.pick(PickRequest(call.service, affinityKey, triedEndpoints, versions), clock.now())
         }
 
-        private suspend fun attempt(state: EndpointState): SendResult {
-            triedEndpoints += state.endpoint.id
-            call.attempts += "${state.endpoint.id}(load=${state.inFlight})"
-            val move = call.move?.withServedVersion(VersionId(state.endpoint.version))
-            val sentAt = clock.now()
-            picker.onCallStarted(state)
-            versionSelector.onCallStarted(move)
-            var outcome = CallOutcome.UNKNOWN
-            try {
-                val result = sender.send(exchange, call, state, relay, mayRetryFailure(), ::mayLeave)
-                outcome = outcomeOf(result)
-                if (result !is SendResult.NotSent) {
-                    if (sentCount == 0) retryBudget.onFirstAttempt(clock.now())
-                    sentCount++
+        /** One endpoint that the call is sent to; what it does is recorded once, at its end. */
+        private inner class Attempt(
+            val state: EndpointState,
+        ) {
+            private val move = call.move?.withServedVersion(VersionId(state.endpoint.version))
+            private val sentAt = clock.now()
+            private var response: UpstreamResponse? = null
+
+            init {
+                triedEndpoints += state.endpoint.id
+                call.attempts += "${state.endpoint.id}(load=${state.inFlight})"
+                picker.onCallStarted(state)
+                versionSelector.onCallStarted(move)
+            }
+
+            /** Sends the call unless [offerStream] did, and forwards the response. */
+            suspend fun run(): SendResult {
+                var result: SendResult? = null
+                try {
+                    result = (if (response == null) open() else null) ?: deliver()
+                    return result
+                } finally {
+                    end(result)
                 }
-                return result
-            } finally {
+            }
+
+            /** Sends the call and waits for the head of its response; returns whether the endpoint goes on with the stream. */
+            suspend fun offerStream(): Boolean {
+                var isAccepted = false
+                var result: SendResult? = null
+                try {
+                    result = open() ?: response?.takeUnless(sender::isStream)?.let {
+                        SendResult.Unknown("status ${it.head.status} instead of a stream")
+                    }
+                    isAccepted = result == null
+                    return isAccepted
+                } finally {
+                    if (!isAccepted) discard(result)
+                }
+            }
+
+            /** Ends an attempt that does not run, because of [result] or because it is no longer needed. */
+            fun discard(result: SendResult? = null) {
+                response?.close()
+                end(result)
+            }
+
+            /** Returns what ended the attempt, or null if its response has begun. */
+            private suspend fun open(): SendResult? {
+                var opened: EndpointSender.Opened? = null
+                try {
+                    opened = sender.open(call, state, relay)
+                    response = (opened as? EndpointSender.Opened.Responding)?.response
+                    return (opened as? EndpointSender.Opened.Ended)?.result
+                } finally {
+                    if ((opened as? EndpointSender.Opened.Ended)?.result !is SendResult.NotSent) onSent()
+                }
+            }
+
+            private fun onSent() {
+                if (sentCount == 0) retryBudget.onFirstAttempt(clock.now())
+                sentCount++
+            }
+
+            private suspend fun deliver(): SendResult =
+                checkNotNull(response).use {
+                    sender.deliver(exchange, call, state, relay, it, mayRetryFailure(), Handover())
+                }
+
+            private fun end(result: SendResult?) {
+                val outcome = result?.let(::outcomeOf) ?: CallOutcome.UNKNOWN
                 picker.onCallEnded(state, outcome, clock.now())
                 versionSelector.onCallEnded(move, call.route.route, observationOf(outcome, call, sentAt))
+                if (result == null) return
+                call.attemptOutcomes += outcomeText(result)
+                recordEvidence(state, result)
             }
         }
 
-        /**
-         * Whether a server error may be retried instead of being forwarded: an idempotent call that has another attempt
-         * left.
-         */
-        private fun mayRetryFailure() = call.route.kind == CallKind.IDEMPOTENT && sentCount + 1 < call.route.maxAttempts
+        /** Offers the stream of the running attempt to an endpoint that the call has not been sent to. */
+        private inner class Handover : StreamHandover {
+            override val isPossible: Boolean
+                get() = (!relay.hasStarted || canResume()) && hasAttemptLeft() && otherEndpoint() != null
+
+            override suspend fun offer(): Boolean {
+                val other = otherEndpoint() ?: return false
+                if (!acquireRetry()) return false
+                val attempt = Attempt(other)
+                val isAccepted = attempt.offerStream()
+                if (isAccepted) successor = attempt
+                return isAccepted
+            }
+
+            override fun withdraw() {
+                takeSuccessor()?.discard()
+            }
 
-        private fun mayRetry(): Boolean {
-            if (!hasAcquiredRetry) return acquireRetry(sentCount)
-            hasAcquiredRetry = false
-            return true
+            private fun otherEndpoint() = pickUntried()?.takeIf { it.ejectedUntil <= clock.now() }
         }
 
         /**
-         * Whether the stream of the running attempt may leave its silent endpoint. Acquires the retry, so that a stream
-         * never leaves an endpoint that may go on without being sent to another one.
+         * Whether a server error may be retried instead of being forwarded: an idempotent call that has another attempt
+         * left.
          */
-        private fun mayLeave(): Boolean {
-            if (relay.hasStarted && !canResume()) return false
-            val other = pickUntried() ?: return false
-            if (other.ejectedUntil > clock.now()) return false
-            hasAcquiredRetry = acquireRetry(sentCount + 1)
-            return hasAcquiredRetry
-        }
+        private fun mayRetryFailure() = call.route.kind == CallKind.IDEMPOTENT && sentCount < call.route.maxAttempts
 
-        private fun acquireRetry(attempts: Int): Boolean =
-            attempts < call.route.maxAttempts &&
+        private fun hasAttemptLeft() =
+            sentCount < call.route.maxAttempts &&
                 call.deadline - clock.now() >= policy.minAttemptTime &&
-                !quarantine.isSuspect(call.headers.prompt, clock.now()) &&
-                retryBudget.tryAcquire(routerCount(), clock.now())
+                !quarantine.isSuspect(call.headers.prompt, clock.now())
+
+        private fun acquireRetry() = hasAttemptLeft() && retryBudget.tryAcquire(routerCount(), clock.now())
 
         /** What [result] shows about the parts of the prompt. */
         private fun recordEvidence(
@@ -210,7 +285,8 @@
         when (result) {
             is SendResult.Delivered -> if (result.status >= SERVER_ERROR) CallOutcome.FAILED else CallOutcome.SUCCEEDED
             is SendResult.NotRun -> CallOutcome.REJECTED
-            is SendResult.NotSent, is SendResult.Unknown, is SendResult.Interrupted -> CallOutcome.UNREACHABLE
+            is SendResult.NotSent, is SendResult.Unknown, is SendResult.Interrupted, is SendResult.HandedOver ->
+                CallOutcome.UNREACHABLE
         }
 
     private fun outcomeText(result: SendResult): String =
@@ -220,6 +296,7 @@
             is SendResult.NotRun -> "not run ${result.status}"
             is SendResult.Unknown -> "unknown: ${result.reason}"
             is SendResult.Interrupted -> "interrupted: ${result.reason}"
+            is SendResult.HandedOver -> "handed over: ${result.reason}"
         }
 
     private companion object {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -26,18 +26,28 @@
     private val policy: CallPolicy,
     private val notices: EndpointNotices,
 ) {
+    /** What an endpoint did with a call that was sent to it. */
+    sealed interface Opened {
+        /** The endpoint's response has begun; pass it to [deliver] or close it. */
+        class Responding(
+            val response: UpstreamResponse,
+        ) : Opened
+
+        /** The attempt has ended without a response to deliver. */
+        class Ended(
+            val result: SendResult,
+        ) : Opened
+    }
+
     /**
-     * Sends [call] to the endpoint of [state]; [relay] knows which events of a stream the caller already received from
-     * earlier attempts. A stream whose endpoint is silent leaves it once [mayLeave] is true.
+     * Sends [call] to the endpoint of [state] and waits for the head of its response; [relay] knows which events of a
+     * stream the caller already received from earlier attempts.
      */
-    suspend fun send(
-        exchange: HttpExchange,
+    suspend fun open(
         call: AdmittedCall,
         state: EndpointState,
         relay: StreamRelay,
-        mayRetryFailure: Boolean,
-        mayLeave: () -> Boolean,
-    ): SendResult {
+    ): Opened {
         val endpoint = state.endpoint
         val request = upstreamRequest(call, state, relay)
         val mayHaveRunBefore = call.mayHaveRun
@@ -45,34 +55,32 @@
         call.mayHaveRun = true
         val response =
             client.send(HostPort(endpoint.host, endpoint.port), request).getOrElse { error ->
-                if (error !is UpstreamError.NotSent) return SendResult.Unknown(describe(error), error.isConnectionLost)
-                call.mayHaveRun = mayHaveRunBefore
-                return SendResult.NotSent(describe(error))
+                if (error is UpstreamError.NotSent) call.mayHaveRun = mayHaveRunBefore
+                return Opened.Ended(failed(error))
             }
         state.onBytesReceived(clock.now())
         notices.onResponse(state, response.head)
-        return response.use {
-            if (codec.isNotRun(it.head)) {
-                call.mayHaveRun = mayHaveRunBefore
-                notRun(it)
-            } else {
-                deliver(exchange, call, state, relay, it, mayRetryFailure, mayLeave)
-            }
-        }
+        if (!codec.isNotRun(response.head)) return Opened.Responding(response)
+        call.mayHaveRun = mayHaveRunBefore
+        return Opened.Ended(response.use { notRun(it) })
     }
 
-    private suspend fun deliver(
+    /** Whether [response] goes on with a stream, and not an error or something else. */
+    fun isStream(response: UpstreamResponse): Boolean = isEventStream(response.head) && codec.isSigned(response.head)
+
+    /** Forwards [response] to the caller. A stream whose endpoint is silent can leave it by [handover]. */
+    suspend fun deliver(
         exchange: HttpExchange,
         call: AdmittedCall,
         state: EndpointState,
         relay: StreamRelay,
         response: UpstreamResponse,
         mayRetryFailure: Boolean,
-        mayLeave: () -> Boolean,
+        handover: StreamHandover,
     ): SendResult {
         val status = response.head.status
         if (status in SUCCESSES && !codec.isSigned(response.head)) return unsignedSuccess(relay)
-        if (isEventStream(response.head)) return relay.forward(exchange, call, state, response, mayLeave)
+        if (isEventStream(response.head)) return relay.forward(exchange, call, state, response, handover)
         if (relay.hasStarted) return SendResult.Interrupted("status $status instead of the rest of the stream")
         if (mayRetryFailure && status >= SERVER_ERROR) {
             response.readAll(policy.maxBufferedResponseBytes)
@@ -81,6 +89,13 @@
         return forwardBuffered(exchange, call, response)
     }
 
+    private fun failed(error: UpstreamError): SendResult =
+        if (error is UpstreamError.NotSent) {
+            SendResult.NotSent(describe(error))
+        } else {
+            SendResult.Unknown(describe(error), error.isConnectionLost)
+        }
+
     /** A success status without a signature is not the endpoint's response to this call. */
     private fun unsignedSuccess(relay: StreamRelay): SendResult {
         val reason = "a success without a signature"
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
@@ -26,6 +26,11 @@
         override val isConnectionLost: Boolean = false,
     ) : SendResult
 
+    /** The endpoint was silent, and another one has taken the stream over. */
+    data class HandedOver(
+        val reason: String,
+    ) : SendResult
+
     /**
      * The response was interrupted after a part of it was written to the caller; a resumable stream may be resumed at
      * another endpoint.
--- /dev/null
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
@@ -0,0 +1,13 @@
+package io.limpetfold.gateway.call
+
+/** Offers a stream whose endpoint is silent to another endpoint, while its own may still go on. */
+internal interface StreamHandover {
+    /** Whether another endpoint can be asked to take the stream over. */
+    val isPossible: Boolean
+
+    /** Asks another endpoint to go on with the stream; returns whether it has begun to. */
+    suspend fun offer(): Boolean
+
+    /** Ends an accepted [offer], because the own endpoint went on first. */
+    fun withdraw()
+}
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -11,6 +11,10 @@
 import io.limpetfold.http.UpstreamResponse
 import io.limpetfold.stream.ServerSentEventFrame
 import io.limpetfold.stream.ServerSentEventFramer
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.time.Duration
@@ -37,22 +41,25 @@
     val hasStarted: Boolean get() = sink != null
 
     /**
-     * Forwards [response] until it ends, is interrupted or stalls.
+     * Forwards [response] until it ends, is interrupted or is handed over.
      *
-     * A stalled stream goes on waiting for its endpoint until [mayLeave] is true: silence alone never ends a stream.
+     * A stream whose endpoint is silent goes on waiting for it until another one has taken the stream over by
+     * [handover]: silence alone never ends a stream.
      */
     suspend fun forward(
         exchange: HttpExchange,
         call: AdmittedCall,
         state: EndpointState,
         response: UpstreamResponse,
-        mayLeave: () -> Boolean,
+        handover: StreamHandover,
     ): SendResult {
         val framer = ServerSentEventFramer()
         while (true) {
             val chunk =
-                nextChunk(call, state, response, mayLeave)
-                    ?: return interrupted("no byte for ${silenceLimit.toMillis()} ms")
+                when (val progress = nextProgress(call, state, response, handover)) {
+                    is Progress.Received -> progress.chunk
+                    is Progress.Left -> return left(progress)
+                }
             val bytes =
                 chunk.getOrElse {
                     return interrupted("${it.reason.name.lowercase()}: ${it.message}", it.isConnectionLost)
@@ -71,24 +78,67 @@
 
     private val silenceLimit: Duration get() = if (hasStarted) policy.stallTimeout else policy.firstEventTimeout
 
-    /**
-     * Returns null if a resumable stream stalled, its endpoint sent no byte on any other connection either, and the
-     * stream may leave it.
-     */
-    private suspend fun nextChunk(
+    /** What a stream did next. */
+    private sealed interface Progress {
+        /** The next piece of the response, its end or its failure. */
+        class Received(
+            val chunk: Result<ByteArray?, UpstreamError>,
+        ) : Progress
+
+        /** The stream has left its silent endpoint. */
+        class Left(
+            val isHandedOver: Boolean,
+        ) : Progress
+    }
+
+    private fun left(progress: Progress.Left): SendResult {
+        val reason = "no byte for ${silenceLimit.toMillis()} ms"
+        return if (progress.isHandedOver) SendResult.HandedOver(reason) else interrupted(reason)
+    }
+
+    private suspend fun nextProgress(
         call: AdmittedCall,
         state: EndpointState,
         response: UpstreamResponse,
-        mayLeave: () -> Boolean,
-    ): Result<ByteArray?, UpstreamError>? {
-        if (!call.route.isResumable) return response.next()
-        var result = withTimeoutOrNull(silenceLimit.toMillis()) { response.next() }
-        while (result == null && (clock.now() - state.lastByteAt < silenceLimit || !mayLeave())) {
-            result = withTimeoutOrNull(STALL_CHECK_INTERVAL.toMillis()) { response.next() }
+        handover: StreamHandover,
+    ): Progress {
+        if (!call.route.isResumable) return Progress.Received(response.next())
+        var chunk = withTimeoutOrNull(silenceLimit.toMillis()) { response.next() }
+        while (chunk == null) {
+            val isSilent = clock.now() - state.lastByteAt >= silenceLimit
+            if (isSilent && handover.isPossible) offer(response, handover)?.let { return it }
+            chunk = withTimeoutOrNull(STALL_CHECK_INTERVAL.toMillis()) { response.next() }
         }
-        return result
+        return Progress.Received(chunk)
     }
 
+    /** Offers the stream to another endpoint while [response] is still read; returns null if that one rejects it. */
+    private suspend fun offer(
+        response: UpstreamResponse,
+        handover: StreamHandover,
+    ): Progress? =
+        coroutineScope {
+            val reading = async { response.next() }
+            val offering = async { handover.offer() }
+            withTimeoutOrNull(MAX_OFFER_TIME.toMillis()) {
+                select {
+                    reading.onJoin { }
+                    offering.onJoin { }
+                }
+            }
+            // A cancelled read loses no piece, but one that has ended holds its piece.
+            reading.cancelAndJoin()
+            if (!reading.isCancelled) {
+                offering.cancelAndJoin()
+                if (!offering.isCancelled && offering.await()) handover.withdraw()
+                return@coroutineScope Progress.Received(reading.await())
+            }
+            val isAnswered = offering.isCompleted
+            if (!isAnswered) response.close()
+            val isAccepted = offering.await()
+            if (isAnswered && !isAccepted) null else Progress.Left(isAccepted)
+        }
+
     private suspend fun complete(
         exchange: HttpExchange,
         call: AdmittedCall,
@@ -147,5 +197,11 @@
 
     private companion object {
         val STALL_CHECK_INTERVAL: Duration = Duration.ofMillis(100)
+
+        /**
+         * How long two endpoints may hold a stream, one silent and one asked to go on; after it the stream leaves the
+         * silent one, so that both do not run it for long.
+         */
+        val MAX_OFFER_TIME: Duration = Duration.ofMillis(300)
     }
 }
