gateway: a resumed stream without a length and without an event is not complete

Callers got a stream that looked complete after two of its events, when the endpoint that was to go on sent the head of a stream without a length and closed.

Cause: the check for streams that end with their connection counted the events of the whole call, so that those of the first endpoint vouched for the second one.

Measured: FailedResumptionTest plays eight answers to a resumption (500, 503, 404 in chunks, plain 200, 204, half a head, half an event, a stream without a length and events); before, the last one failed, 7 of 8 passed; after, 8 of 8.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -54,6 +54,7 @@
         handover: StreamHandover,
     ): SendResult {
         val framer = ServerSentEventFramer()
+        val deliveredBefore = call.deliveredEvents
         while (true) {
             val chunk =
                 when (val progress = nextProgress(call, state, response, handover)) {
@@ -64,7 +65,10 @@
                 chunk.getOrElse {
                     return interrupted("${it.reason.name.lowercase()}: ${it.message}", it.isConnectionLost)
                 }
-            if (bytes == null) return complete(exchange, call, response, framer)
+            if (bytes == null) {
+                val hasEvents = call.deliveredEvents > deliveredBefore
+                return complete(exchange, call, response, framer, hasEvents)
+            }
             state.onBytesReceived(clock.now())
             val frames = framer.feed(bytes).getOrElse { return interrupted(it.message) }
             if (frames.isNotEmpty()) writeEvents(exchange, call, response, frames)
@@ -144,11 +148,12 @@
         call: AdmittedCall,
         response: UpstreamResponse,
         framer: ServerSentEventFramer,
+        hasEvents: Boolean,
     ): SendResult {
         if (framer.incompleteEventBytes > 0) {
             return interrupted("the stream ended inside an event", response.head.isCloseDelimited)
         }
-        if (response.head.isCloseDelimited && call.deliveredEvents == 0) {
+        if (response.head.isCloseDelimited && !hasEvents) {
             return interrupted("the connection closed before the first event", isConnectionLost = true)
         }
         val openSink = sink ?: startResponse(exchange, call, response)
