http: a response before the end of the request's body says that its connection closes

Callers saw: a whole request on a kept connection got neither an answer nor a refusal, after an earlier request on it had been refused before its body was in. Calls are refused so when a change of the configuration takes their route or key away.

Cause: the response was marked as reusable without a look at the body, and the end of the response closed the connection because of it.

Why this works: the response says Connection: close whenever the body was not complete at its start, so that callers open a new connection.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -32,7 +32,10 @@
     private lateinit var context: ChannelHandlerContext
     private val check = RequestCheck(settings)
     private var exchange: ServerExchange? = null
-    private var isRequestComplete = true
+    /** Whether the body of the last request was received to its end. */
+    @Volatile
+    var isRequestComplete = true
+        private set
     private val lineFolding = LineFoldingDetector()
     private var isPipelined = false
     private var isClosing = false
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -100,7 +100,9 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         headers.withoutHopByHop().entries.forEach { (name, value) -> response.headers().add(name, value) }
         val wantsClose = headers.all("Connection").any { it.equals("close", ignoreCase = true) }
-        isKeepAlive = traits.isKeepAlive && framing.isDelimited && !wantsClose && !connection.isDraining
+        // The rest of a body that the handler did not wait for is dropped together with the connection.
+        val isReusable = framing.isDelimited && connection.isRequestComplete && !connection.isDraining
+        isKeepAlive = traits.isKeepAlive && isReusable && !wantsClose
         if (framing.lengthBytes != null) response.headers().set("Content-Length", framing.lengthBytes)
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         if (!isKeepAlive) response.headers().set("Connection", "close")
