gateway: a stream is handed over at its first piece, and never because its own endpoint failed first

Callers saw streams cut: when the endpoint that was asked sent the head of a stream and closed, and when the silent endpoint crashed while the other one was about to answer. A silent stream with a quarantined prompt part was sent to another endpoint.

Cause: the head of a response counted as the begin of the stream; a failure of the own endpoint withdrew the offer like a piece of the stream does; the quarantine was checked before an attempt, but not before an offer.

Change: the offer is accepted at the first piece of the stream; a failure of the own endpoint leaves the stream to the offer; streams that the quarantine blocks are not offered; an offer is withdrawn whether or not its end was seen.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -1,5 +1,7 @@
 package io.limpetfold.gateway.call
 
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.VersionId
 import io.limpetfold.dispatch.CallOutcome
@@ -119,14 +121,12 @@
                 }
             }
 
-            /** Sends the call and waits for the head of its response; returns whether the endpoint goes on with the stream. */
+            /** Sends the call and waits for the first piece of its response; returns whether it goes on with the stream. */
             suspend fun offerStream(): Boolean {
                 var isAccepted = false
                 var result: SendResult? = null
                 try {
-                    result = open() ?: response?.takeUnless(sender::isStream)?.let {
-                        SendResult.Unknown("status ${it.head.status} instead of a stream")
-                    }
+                    result = open() ?: awaitStream()
                     isAccepted = result == null
                     return isAccepted
                 } finally {
@@ -134,6 +134,23 @@
                 }
             }
 
+            /** Returns null once a piece of a stream has arrived, and otherwise what came in its place. */
+            private suspend fun awaitStream(): SendResult? {
+                val opened = checkNotNull(response)
+                if (!sender.isStream(
+                        opened,
+                    )
+                ) {
+                    return SendResult.Unknown("status ${opened.head.status} instead of a stream")
+                }
+                val first = opened.next()
+                val error = first.getError()
+                if (error != null) return SendResult.Unknown(error.message, error.isConnectionLost)
+                val piece = first.get() ?: return SendResult.Unknown("the stream ended before its first event")
+                response = PeekedResponse(opened, piece)
+                return null
+            }
+
             /** Ends an attempt that does not run, because of [result] or because it is no longer needed. */
             fun discard(result: SendResult? = null) {
                 response?.close()
@@ -175,7 +192,11 @@
         /** Offers the stream of the running attempt to an endpoint that the call has not been sent to. */
         private inner class Handover : StreamHandover {
             override val isPossible: Boolean
-                get() = (!relay.hasStarted || canResume()) && hasAttemptLeft() && otherEndpoint() != null
+                get() =
+                    (!relay.hasStarted || canResume()) &&
+                        hasAttemptLeft() &&
+                        !quarantine.blocks(call.headers.prompt, clock.now()) &&
+                        otherEndpoint() != null
 
             override suspend fun offer(): Boolean {
                 val other = otherEndpoint() ?: return false
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
@@ -5,9 +5,9 @@
     /** Whether another endpoint can be asked to take the stream over. */
     val isPossible: Boolean
 
-    /** Asks another endpoint to go on with the stream; returns whether it has begun to. */
+    /** Asks another endpoint to go on with the stream; returns whether it has sent a part of it. */
     suspend fun offer(): Boolean
 
-    /** Ends an accepted [offer], because the own endpoint went on first. */
+    /** Ends an [offer] that was accepted, if any, because the own endpoint went on first. */
     fun withdraw()
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -116,7 +116,10 @@
         return Progress.Received(chunk)
     }
 
-    /** Offers the stream to another endpoint while [response] is still read; returns null if that one rejects it. */
+    /**
+     * Offers the stream to another endpoint while [response] is still read. Returns null if the other one does not take
+     * it. Whichever goes on first keeps the stream; a failure of the own endpoint leaves it to the other one.
+     */
     private suspend fun offer(
         response: UpstreamResponse,
         handover: StreamHandover,
@@ -132,15 +135,27 @@
             }
             // A cancelled read loses no piece, but one that has ended holds its piece.
             reading.cancelAndJoin()
-            if (!reading.isCancelled) {
-                offering.cancelAndJoin()
-                if (!offering.isCancelled && offering.await()) handover.withdraw()
-                return@coroutineScope Progress.Received(reading.await())
+            val own = if (reading.isCancelled) null else reading.await()
+            when {
+                own != null && own.isOk -> {
+                    offering.cancelAndJoin()
+                    handover.withdraw()
+                    Progress.Received(own)
+                }
+                own == null && offering.isCompleted ->
+                    if (offering.await()) {
+                        Progress.Left(
+                            isHandedOver = true,
+                        )
+                    } else {
+                        null
+                    }
+                else -> {
+                    response.close()
+                    val isTaken = offering.await()
+                    if (own == null || isTaken) Progress.Left(isTaken) else Progress.Received(own)
+                }
             }
-            val isAnswered = offering.isCompleted
-            if (!isAnswered) response.close()
-            val isAccepted = offering.await()
-            if (isAnswered && !isAccepted) null else Progress.Left(isAccepted)
         }
 
     private suspend fun complete(
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -32,6 +32,7 @@
     private lateinit var context: ChannelHandlerContext
     private val check = RequestCheck(settings)
     private var exchange: ServerExchange? = null
+
     /** Whether the body of the last request was received to its end. */
     @Volatile
     var isRequestComplete = true
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/EarlyResponseTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/EarlyResponseTest.kt
@@ -14,10 +14,11 @@
         fun connect(server: HttpServer) =
             RawConnection(Socket(server.address.host, server.address.port).apply { soTimeout = 10_000 })
 
-        fun startRefusing() =
-            HttpServer(HttpServerSettings(), loops, BufferBudget(), { it.respond(404) }).start()
+        fun startRefusing() = HttpServer(HttpServerSettings(), loops, BufferBudget(), { it.respond(404) }).start()
 
-        test("guards against a whole request that is read and never answered, after a response without Connection: close") {
+        test(
+            "guards against a whole request that is read and never answered, after a response without Connection: close",
+        ) {
             startRefusing().use { server ->
                 val caller = connect(server)
                 caller.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n01234")
