rollout: a withdrawn version stays withheld when its order is replaced or removed

Cause: the withdrawal was kept in the move, which ends when its order is replaced or removed; every endpoint that isn't of the new target then counts as one of the old version. A stored status that names an earlier target was dropped. Class: a verdict kept in state that ends earlier than what it is about.

Ruled out: the endpoint's own failures keep calls from it (only from the one that failed; the tests use a second endpoint of that version, which hasn't).

Change: each router keeps the last trial of each version with the position of its order in the store; the later position is valid, so an order that names the version again is a new trial and a completed one ends a withdrawal. Calls go to withdrawn versions only if the service has no other endpoints, a part of the calls served being better than none; the target of a reverted order in force is refused even then, as before. The status of the earlier order counts while the object still has it. Routers send each other their trials with the reports of moves, also without a running move while a withdrawn version has endpoints. Answers of calls to the new version of an ended move no longer enter the baseline.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -28,7 +28,8 @@
         request: PickRequest,
         now: Duration,
     ): EndpointState? {
-        val untried = usable(request.service, now).filter { it.endpoint.id !in request.excluded }
+        val usable = usable(request.service, request.avoidedVersions, now)
+        val untried = usable.filter { it.endpoint.id !in request.excluded }
         val candidates = inRotation(ofVersion(untried, request.versions, now), now)
         if (candidates.isEmpty()) return null
         val key = request.affinityKey ?: return leastLoaded(candidates)
@@ -37,12 +38,13 @@
 
     /**
      * When the first endpoint of [service] ends its pause, if all endpoints that may be used asked for one; null if one
-     * takes calls now or none may be used.
+     * takes calls now or none may be used. [avoidedVersions] are those of [PickRequest].
      */
     fun resumesAt(
         service: String,
         now: Duration,
-    ): Duration? = usable(service, now).minOfOrNull { it.pausedUntil }?.takeIf { it > now }
+        avoidedVersions: Set<String> = emptySet(),
+    ): Duration? = usable(service, avoidedVersions, now).minOfOrNull { it.pausedUntil }?.takeIf { it > now }
 
     /** Excludes the endpoint of [state], which said that it is leaving, for as long as this incarnation is known. */
     fun onLeaving(
@@ -98,11 +100,18 @@
         return state.pausedUntil > now || (leavingSince != null && now - leavingSince < policy.leavingRetention)
     }
 
-    /** The endpoints of [service] that are in the directory and have not said that they are leaving. */
+    /**
+     * The endpoints of [service] that are in the directory and have not said that they are leaving; those of
+     * [avoidedVersions] only if there are no others.
+     */
     private fun usable(
         service: String,
+        avoidedVersions: Set<String>,
         now: Duration,
-    ): List<EndpointState> = directory.usable(service, now).map(::stateOf).filter { it.leavingSince == null }
+    ): List<EndpointState> {
+        val all = directory.usable(service, now).map(::stateOf).filter { it.leavingSince == null }
+        return all.filter { it.endpoint.version !in avoidedVersions }.ifEmpty { all }
+    }
 
     /**
      * Returns the endpoints that may take the call now. Calls of the old version wait for the end of a pause of its
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -101,6 +101,26 @@
             picker.pick(toNew, NOW)?.endpoint?.version shouldBe "v2"
         }
 
+        test("guards against calls to a withdrawn version while another one can serve, and refusals when none can") {
+            val directory = directory(2)
+            val withdrawn = directory.all(NOW).first().copy(id = EndpointId("withdrawn"), version = "v2")
+            directory.applyChanges(listOf(withdrawn), emptyList(), 2, NOW)
+            val picker = picker(directory)
+            val others = setOf(EndpointId("i-1"), EndpointId("i-2"))
+            val request = PickRequest("s", null, avoidedVersions = setOf("v2"))
+            val toOld = VersionPreference("v3", isTargetPreferred = false, isFallbackAllowed = true)
+            for (each in listOf(request, request.copy(affinityKey = "k"), request.copy(versions = toOld))) {
+                repeat(50) { picker.pick(each, NOW)?.endpoint?.version shouldBe "v1" }
+                // A retry that has tried all others is refused, and a pause of the others is not a reason either.
+                picker.pick(each.copy(excluded = others), NOW) shouldBe null
+            }
+            repeat(2) { picker.pause(picker.pick(request, NOW).shouldNotBeNull(), NOW + Duration.ofSeconds(1)) }
+            picker.pick(request, NOW) shouldBe null
+            picker.resumesAt("s", NOW, request.avoidedVersions) shouldBe NOW + Duration.ofSeconds(1)
+            directory.applyChanges(emptyList(), others.toList(), 3, NOW)
+            picker.pick(request, NOW)?.endpoint?.id shouldBe withdrawn.id
+        }
+
         test(
             "guards against calls to an unreachable endpoint, and against refusing calls when all endpoints are ejected",
         ) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.budget.loan.TokenBorrower
 import io.limpetfold.budget.loan.TokenLender
 import io.limpetfold.core.Incarnation
+import io.limpetfold.core.VersionId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
 import io.limpetfold.dispatch.EndpointPicker
@@ -63,6 +64,7 @@
 import io.limpetfold.peer.ktor.KtorPeerNetwork
 import io.limpetfold.quarantine.PromptPartQuarantine
 import io.limpetfold.replication.RelayedObjectStore
+import io.limpetfold.rollout.timed.ServiceVersion
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
@@ -157,7 +159,8 @@
     private val lender = TokenLender(budget, budgetObserver)
     private val tokens = TokenBorrower(self, budget, peers, lenderSelector, listener = budgetObserver)
     private val versionSelector = TimedVersionSelector(self, monotonic::now, random)
-    private val moveCoordinator = TimedMoveCoordinator(versionSelector, moveCodec, store, peers, loops.dispatcher, log)
+    private val moveCoordinator =
+        TimedMoveCoordinator(versionSelector, moveCodec, store, peers, loops.dispatcher, log, ::presentVersions)
     private val reloadableSettings = ReloadableSettings(settings, readSettings, log)
     private val shutdown = GracefulShutdown({ reloadableSettings.current.shutdown }, monotonic)
     private val quarantine = PromptPartQuarantine(listener = QuarantineObserver(log))
@@ -349,6 +352,9 @@
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
     }
 
+    private fun presentVersions() =
+        directory.all(monotonic.now()).mapTo(HashSet()) { ServiceVersion(it.service, VersionId(it.version)) }
+
     private fun callHandler(): CallHandler {
         val notices = EndpointNotices(picker, codec, monotonic, EndpointNoticeObserver(log, metrics))
         val sender = EndpointSender(client, codec, monotonic, settings.calls, notices)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -90,9 +90,12 @@
         private fun pickUntried(): EndpointState? {
             val affinityKey = call.headers.prompt?.affinityKey
             val versions = call.move?.let(::preferenceOf)
-            return picker.pick(PickRequest(call.service, affinityKey, triedEndpoints, versions), clock.now())
+            val request = PickRequest(call.service, affinityKey, triedEndpoints, versions, avoidedVersions())
+            return picker.pick(request, clock.now())
         }
 
+        private fun avoidedVersions() = versionSelector.withdrawnVersions(call.service).mapTo(HashSet()) { it.value }
+
         /** One endpoint that the call is sent to; what it does is recorded once, at its end. */
         private inner class Attempt(
             val state: EndpointState,
@@ -235,7 +238,7 @@
 
         /** The refusal of a call while all endpoints of its service want no calls; null if one of them takes calls. */
         private fun paused(): CallEnd? {
-            val resumesAt = picker.resumesAt(call.service, clock.now()) ?: return null
+            val resumesAt = picker.resumesAt(call.service, clock.now(), avoidedVersions()) ?: return null
             return CallEnd.Refused(RefusalReason.ENDPOINTS_PAUSED, retryAfter = resumesAt - clock.now())
         }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -5,6 +5,7 @@
 import io.limpetfold.peer.PeerTopic
 import io.limpetfold.quarantine.QuarantineReport
 import io.limpetfold.rollout.timed.TimedMoveReport
+import io.limpetfold.rollout.timed.VersionTrial
 import kotlinx.serialization.Serializable
 
 /** Requests a configuration newer than [knownVersion] from a peer. */
@@ -32,11 +33,15 @@
     val endpoints: List<Endpoint>,
 )
 
-/** Reports of [router] on the running moves; the reply carries the reports of the receiver. */
+/**
+ * Reports of [router] on the running moves, and the last trials of versions that it knows; the reply carries those of the
+ * receiver.
+ */
 @Serializable
 internal data class MoveReports(
     val router: Incarnation,
     val reports: List<TimedMoveReport>,
+    val trials: List<VersionTrial> = emptyList(),
 )
 
 internal val QUARANTINE_TOPIC =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.membership.Member
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.rollout.timed.MoveOrder
+import io.limpetfold.rollout.timed.ServiceVersion
 import io.limpetfold.rollout.timed.TimedMoveDecision
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.store.ObjectKey
@@ -24,6 +25,8 @@
 /**
  * Applies operators' orders to move services between versions, exchanges reports with the other routers, and writes the
  * outcomes to the store.
+ *
+ * @param presentVersions the versions that have endpoints, draining ones included.
  */
 class TimedMoveCoordinator(
     private val versionSelector: TimedVersionSelector,
@@ -32,6 +35,7 @@
     private val peers: PeerNetwork,
     private val dispatcher: CoroutineDispatcher,
     private val log: DecisionLog,
+    private val presentVersions: () -> Set<ServiceVersion>,
 ) : FeedListener {
     private val storeState = DependencyState("store.moves", log)
 
@@ -42,8 +46,8 @@
     fun register() =
         peers.registerHandler(MOVES_TOPIC) { _, message ->
             withContext(dispatcher) {
-                versionSelector.applyReports(message.router, message.reports)
-                MoveReports(versionSelector.self, versionSelector.reports())
+                apply(message)
+                ownReports()
             }
         }
 
@@ -68,27 +72,30 @@
 
     /**
      * Performs one round while a move runs: exchanges reports with [members], decides, and writes the outcomes to the
-     * store.
+     * store. While a withdrawn version has endpoints the exchange goes on, for routers that have just started.
      */
     suspend fun maintain(members: List<Member>) {
-        if (!versionSelector.hasRunningMoves) return
+        versionSelector.updatePresence(presentVersions())
+        if (!versionSelector.hasRunningMoves && !versionSelector.isWithdrawnVersionPresent) return
         exchangeReports(members.map { it.instance })
         versionSelector.decide(members.mapTo(HashSet()) { it.incarnation }).forEach { reportStatus(it) }
     }
 
     private suspend fun exchangeReports(instances: List<InstanceId>) =
         coroutineScope {
-            val ownReports = MoveReports(versionSelector.self, versionSelector.reports())
+            val message = ownReports()
             instances
-                .map { peer ->
-                    async {
-                        peers.ask(peer, MOVES_TOPIC, ownReports, PEER_TIMEOUT).get()?.let {
-                            versionSelector.applyReports(it.router, it.reports)
-                        }
-                    }
-                }.awaitAll()
+                .map { peer -> async { peers.ask(peer, MOVES_TOPIC, message, PEER_TIMEOUT).get()?.let(::apply) } }
+                .awaitAll()
         }
 
+    private fun ownReports() = MoveReports(versionSelector.self, versionSelector.reports(), versionSelector.trials())
+
+    private fun apply(message: MoveReports) {
+        versionSelector.applyReports(message.router, message.reports)
+        versionSelector.applyTrials(message.trials)
+    }
+
     private suspend fun reportStatus(decision: TimedMoveDecision) {
         val order = decision.order
         val key = keysByService[order.service] ?: return
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOrder.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOrder.kt
@@ -9,6 +9,7 @@
  *
  * @property status the last stored status of the move to [target]; null before the first one.
  * @property objectVersion the version of the object that holds the order, for a conditional write of the status.
+ * @property previous the move whose status the object still holds, until the first status of this one is stored.
  */
 data class MoveOrder(
     val service: String,
@@ -16,4 +17,5 @@
     val duration: Duration,
     val status: MoveStatus?,
     val objectVersion: ObjectVersion,
+    val previous: PreviousMove? = null,
 )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
@@ -33,6 +33,13 @@
     var withdrawalReason: String? = null
         private set
 
+    /**
+     * Whether the new version was found worse or is stored as taken back. A move that is only overdue is not withdrawn:
+     * a router that is cut off does not know whether it was completed.
+     */
+    val isWithdrawn: Boolean get() =
+        order.status == MoveStatus.TAKEN_BACK || (withdrawalReason != null && order.status != MoveStatus.COMPLETED)
+
     /** Whether a final outcome is stored. */
     val hasFinalOutcome: Boolean get() = order.status?.isFinal == true
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
@@ -2,6 +2,7 @@
 
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.RouteId
+import io.limpetfold.core.VersionId
 import io.limpetfold.rollout.MoveSide
 import io.limpetfold.rollout.RouteBaseline
 import io.limpetfold.rollout.VersionObservation
@@ -24,27 +25,58 @@
 ) {
     private val moves = HashMap<String, TimedMove>()
     private val baselines = HashMap<RouteId, RouteBaseline>()
+    private val withdrawn = WithdrawnVersions()
 
     private val runningMoves: List<TimedMove> get() = moves.values.filter { !it.hasFinalOutcome }
 
     /** Whether any known move has no final outcome yet. */
     val hasRunningMoves: Boolean get() = runningMoves.isNotEmpty()
 
+    /** Whether a version that was withdrawn still has endpoints, as of the last [updatePresence]. */
+    val isWithdrawnVersionPresent: Boolean get() = withdrawn.isAnyPresent
+
     /** Applies an order as read from the store; a changed target starts a new move. */
     fun applyOrder(order: MoveOrder) {
+        recordWithdrawals()
         val known = moves[order.service]
-        if (known != null && known.order.target == order.target) {
-            known.applyOrder(order)
-        } else {
+        val isNewMove = known == null || known.order.target != order.target
+        if (isNewMove) {
             moves[order.service] = TimedMove(order, now(), ::baseline, policy)
+        } else {
+            known.applyOrder(order)
         }
+        // An order that names a version again is a new trial of it, and a completed move ends a withdrawal of it.
+        if (isNewMove || order.status == MoveStatus.COMPLETED) recordTrial(order, order.target, order.status)
+        order.previous?.takeIf { it.status.isFinal }?.let { recordTrial(order, it.target, it.status) }
     }
 
     /** Discards the move of [service], whose order was removed from the store. */
     fun removeOrder(service: String) {
+        recordWithdrawals()
         moves.remove(service)
     }
 
+    /**
+     * Returns the versions of [service] that were withdrawn. They must get no calls while another version has endpoints,
+     * also when the order was replaced or removed, until an order names them again.
+     */
+    fun withdrawnVersions(service: String): Set<VersionId> {
+        recordWithdrawals()
+        return withdrawn.of(service).mapTo(HashSet()) { it.version }
+    }
+
+    /** Returns what is known about the last trials of versions, to be sent to the other routers. */
+    fun trials(): List<VersionTrial> {
+        recordWithdrawals()
+        return withdrawn.trials
+    }
+
+    /** Applies the trials that another router knows. */
+    fun applyTrials(trials: List<VersionTrial>) = trials.forEach { withdrawn.add(it, now()) }
+
+    /** Records which versions have endpoints; a withdrawn version without any is forgotten after some time. */
+    fun updatePresence(present: Set<ServiceVersion>) = withdrawn.update(present, now())
+
     /** Chooses the version of a call of [service]; null when the service has no ordered move. */
     fun choose(service: String): TimedVersionChoice? {
         val move = moves[service] ?: return null
@@ -77,7 +109,8 @@
         val move = choice?.let { moveOf(it) }
         when {
             move != null -> move.onCallEnded(choice.side, route, observation)
-            observation != null -> baseline(route).learn(observation)
+            // A call to the new version of a move that is over says nothing about the version that serves now.
+            observation != null && choice?.side != MoveSide.NEW -> baseline(route).learn(observation)
         }
     }
 
@@ -101,6 +134,20 @@
         }
     }
 
+    private fun recordWithdrawals() =
+        moves.values.filter { it.isWithdrawn }.forEach {
+            recordTrial(it.order, it.order.target, MoveStatus.TAKEN_BACK)
+        }
+
+    private fun recordTrial(
+        order: MoveOrder,
+        version: VersionId,
+        status: MoveStatus?,
+    ) = withdrawn.add(
+        VersionTrial(ServiceVersion(order.service, version), order.objectVersion, status == MoveStatus.TAKEN_BACK),
+        now(),
+    )
+
     private fun baseline(route: RouteId) = baselines.getOrPut(route) { RouteBaseline() }
 
     private fun moveOf(choice: TimedVersionChoice): TimedMove? =
