--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
@@ -13,12 +13,14 @@
 /**
  * Routers with one clock that share one order in a store and exchange reports.
  *
- * @param isNewBad whether a call to the new version fails, by route and time since the start of the run.
+ * @param isBadSlow whether a bad call of the new version succeeds after four times as long; otherwise it fails.
+ * @param isNewBad whether a call to the new version is bad, by route and time since the start of the run.
  */
 internal class TimedMoveFleet(
     seed: Int,
     routerCount: Int = 8,
     private val callsPerTick: Int = 10,
+    private val isBadSlow: Boolean = false,
     private val isNewBad: (route: Int, elapsed: Duration, random: Random) -> Boolean,
 ) {
     private val random = Random(seed)
@@ -98,7 +100,13 @@
         if (isNew && isBad) newFailures++
         selector.onCallStarted(choice)
         val latency = Duration.ofMillis(40 + random.nextLong(30))
-        selector.onCallEnded(choice, RouteId("r$route"), VersionObservation(!isBad, latency = latency))
+        val observation =
+            if (isNew && isBad && isBadSlow) {
+                VersionObservation(isSuccess = true, latency = latency.multipliedBy(SLOW_FACTOR))
+            } else {
+                VersionObservation(!isBad, latency = latency)
+            }
+        selector.onCallEnded(choice, RouteId("r$route"), observation)
     }
 
     private fun forEachConnected(block: (TimedVersionSelector) -> Unit) =
@@ -108,5 +116,6 @@
         val DURATION: Duration = Duration.ofSeconds(12)
         private val TICK: Duration = Duration.ofMillis(200)
         private const val OLD_FAILURE_SHARE = 0.01
+        private const val SLOW_FACTOR = 4L
     }
 }
