gateway: an empty list of workspaces asks for a key on all routes that are not public

Callers saw: with "tenants":[] in the configuration, calls with a key that was never held, and calls without a key, ran.

Cause: a key was asked for if the list of workspaces had an entry, and the decoder gave the same empty list to a configuration without the field. Class: a missing and an empty value are one value, and the one that opens is chosen.

Ruled out: asking for keys in each configuration. A nullable list: an explicit null would then mean that no key is asked for.

Change: KeyRequirement (None, KeyOf) is carried from the decoder to the admission. A newer configuration that drops the field is obeyed, with the warning config.keys_not_required: each version stands for the whole configuration, and a router that starts later knows only the newest. If routers remembered that there was a list, those that run and those that start would answer the same call differently, and a restart would open the routes without a line in any log.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -12,8 +12,11 @@
     val version: Long,
     val routes: ImmutableList<ForwardingRoute>,
     val services: ImmutableList<ForwardingService>,
-    val workspaces: ImmutableList<WorkspaceAccess>,
+    val keyRequirement: KeyRequirement,
 ) {
+    /** The configured workspaces. */
+    val workspaces: ImmutableList<WorkspaceAccess> get() = keyRequirement.workspaces
+
     private val routesByHost =
         routes.groupBy { it.host.lowercase() }.mapValues { (_, list) ->
             list.sortedByDescending { it.pathPrefix.length }
@@ -23,8 +26,12 @@
         workspaces.flatMap { workspace -> workspace.keyHashes.map { it to workspace } }.toMap()
     private val workspacesById = workspaces.associateBy { it.workspace.value }
 
-    /** Whether any workspace is configured; if so, calls to routes that are not public need a key. */
-    val hasWorkspaces: Boolean get() = workspaces.isNotEmpty()
+    /** Whether calls to [route] need the key of a workspace. */
+    fun isKeyRequired(route: ForwardingRoute): Boolean =
+        when (keyRequirement) {
+            KeyRequirement.None -> false
+            is KeyRequirement.KeyOf -> !route.isPublic
+        }
 
     /**
      * Returns the route of [host] with the longest prefix that matches [path], or null; the port of [host] is ignored.
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
@@ -26,8 +26,7 @@
         val headers = codec.decode(head)
         val route = table.routeFor(headers.host, head.path) ?: return Err(RefusalReason.NO_ROUTE)
         val workspace = headers.key?.let { table.workspaceByKey(it) }
-        val isKeyRequired = table.hasWorkspaces && !route.isPublic
-        if (isKeyRequired && workspace == null) return Err(RefusalReason.UNKNOWN_KEY)
+        if (table.isKeyRequired(route) && workspace == null) return Err(RefusalReason.UNKNOWN_KEY)
         val request = headers.requestId ?: return Err(RefusalReason.NO_REQUEST_ID)
         if (!headers.isPromptValid) return Err(RefusalReason.INVALID_PROMPT)
         val service = route.pickService(random.nextDouble()) ?: return Err(RefusalReason.NO_ENDPOINT)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import io.limpetfold.gateway.observe.DecisionLog
+import io.limpetfold.routing.KeyRequirement
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
 import io.limpetfold.store.ObjectKey
@@ -76,6 +77,9 @@
             "routes" to table.routes.size,
             "workspaces" to table.workspaces.size,
         )
+        if (previous?.keyRequirement is KeyRequirement.KeyOf && table.keyRequirement == KeyRequirement.None) {
+            log.warn("config.keys_not_required", "version" to table.version, "before" to previous.version)
+        }
         onChange(previous, table)
     }
 }
