budget: settle a loan whose answer is lost as soon as both routers can talk

Callers saw 402 though their workspace had paid: tokens of a loan whose answer was lost stayed reserved at the lender while the borrower needed nothing more, and the next loan of the borrower counted them as spent.

Cause: three. The borrower asks again with no need, and the lender took that for the opening of an account and answered that it had lent nothing; the borrower dropped the loan. A request that arrives late, or is handled beside one that ends the loan, opens or extends a loan that only the lender knows. A loan of a replaced process was settled by the next loan only. Class: the side that ends an exchange isn't the side that holds what it leaves behind, and nothing makes them agree later.

Ruled out: taking tokens back after a time (the borrower may have got the answer and be paused). Tombstones of ended loans at the lender: one for each workspace and borrower is too much memory, and a borrower has no order of numbers over its workspaces. A final message of the borrower alone: a late first request after it opens the loan again.

Change: the lender answers a report with what it has lent, and the borrower reports each second while an answer is missing, also when its slot is in use. A lender asks about loans that it has not heard of for 10 s (one message for each borrower) and releases those that the borrower's process does not have: it drops a loan only after it reported all that it got, uses no number again and credits nothing to a dropped loan, so its word stays true whatever arrives later. If a newer process answers, the tokens count as spent. A loan that was ended meanwhile is not lent to; a late request of an older process doesn't end the loan of the newer; an evicted slot borrows nothing. A loan that the same process replaces is released, not charged, for the same reason.

TokenLoanTest 12, BudgetAgentTest 25, BudgetLedgerTest 12, BudgetOutageTest 7, BudgetSchedulePropertyTest 3, BillingOncePropertyTest 3, RepeatedLossTest 1, BudgetSpreadTest 5, ZoneLenderSelectorTest 2, PowerLossRecoveryTest 1, PathTest 21 and MeteredAnswersTest 3 pass.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -19,6 +19,7 @@
                 is Borrowed -> "borrowed"
                 is Lent -> "lent"
                 is LoanWrittenOff -> "loan_written_off"
+                is LoanReleased -> "loan_released"
                 is PredecessorClosed -> "predecessor_closed"
                 is Refused -> "refused"
             }
@@ -64,15 +65,20 @@
         val tokens: Long,
     ) : BudgetEvent
 
-    /**
-     * A borrower opened a new loan without reporting all tokens of the earlier one, so these [tokens] count as spent.
-     */
+    /** The process of a borrower was replaced before it reported these [tokens], so they count as spent. */
     data class LoanWrittenOff(
         override val workspace: WorkspaceId,
         val borrower: InstanceId,
         val tokens: Long,
     ) : BudgetEvent
 
+    /** A borrower no longer has a loan of which it never got these [tokens], so they are unspent. */
+    data class LoanReleased(
+        override val workspace: WorkspaceId,
+        val borrower: InstanceId,
+        val tokens: Long,
+    ) : BudgetEvent
+
     /** This router closed the entry of [holder], an earlier process of the instance. */
     data class PredecessorClosed(
         override val workspace: WorkspaceId,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/BorrowerSlot.kt
@@ -80,14 +80,25 @@
         change(reservation.loan) { it.settle(reservation.number, usedTokens) }
     }
 
-    /** The open loan of [lender], or a new one numbered by [nextNumber]. */
+    /** The open loan of [lender], or a new one numbered by [nextNumber]; null when the slot was evicted. */
     @Synchronized
     fun loanOf(
         lender: InstanceId,
         nextNumber: () -> Long,
-    ): BorrowedTokens =
-        loans.values.lastOrNull { it.lender == lender && !it.isEnded }
-            ?: BorrowedTokens(lender, nextNumber()).also { loans[it.number] = it }
+    ): BorrowedTokens? {
+        if (isEvicted) return null
+        return loans.values.lastOrNull { it.lender == lender && !it.isEnded }
+            // The response is missing from the start, so that the loan is not dropped before its first request.
+            ?: BorrowedTokens(lender, nextNumber(), isResponseMissing = true).also { loans[it.number] = it }
+    }
+
+    /** Whether tokens of the loan with [number] may still be spent or credited. */
+    @Synchronized
+    fun hasLoan(number: Long): Boolean = number in loans
+
+    /** The loan with [number] if its totals must be reported to its lender. */
+    @Synchronized
+    fun unreportedLoan(number: Long): BorrowedTokens? = loans[number]?.takeIf { !it.isEnded && it.isSyncNeeded }
 
     /** Applies [transform] to the loan with [number], if it exists. */
     @Synchronized
@@ -102,18 +113,20 @@
      * Returns the available tokens of all loans if the slot was not used for [idleMillis], and of all loans but the
      * newest in any case: a newer loan shows that an older one has too few tokens for a call. Drops completed loans.
      *
-     * @return the loans whose totals must be reported to their lenders.
+     * @return the numbers of the loans whose totals must be reported to their lenders, or may be unknown here.
      */
     @Synchronized
     fun returnIdle(
         nowMillis: Long,
         idleMillis: Long,
-    ): List<BorrowedTokens> {
+    ): List<Long> {
         val isIdle = nowMillis - usedAtMillis >= idleMillis
         val newest = loans.keys.lastOrNull()
         val returned = loans.filterKeys { isIdle || it != newest }.mapValues { it.value.returnAvailable() }
         loans += returned
         loans.values.removeIf { it.isDone }
-        return returned.values.filter { !it.isEnded && it.isSyncNeeded }
+        return loans.values
+            .filter { !it.isEnded && (it.isResponseMissing || it.number in returned && it.isSyncNeeded) }
+            .map { it.number }
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/Loan.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/Loan.kt
@@ -10,10 +10,13 @@
  *
  * Lent tokens stay reserved until the borrower reports them as spent or returned, so the lender's ledger entry covers
  * them when either process is killed. Guarded by [mutex].
+ *
+ * @property heardAtMillis when the borrower last sent a request for the loan, or was last asked about it.
  */
 internal class Loan(
     val borrower: Incarnation,
     val number: Long,
+    @Volatile var heardAtMillis: Long,
 ) {
     val mutex = Mutex()
     private val open = ArrayDeque<Reservation>()
@@ -52,9 +55,15 @@
         return closed
     }
 
-    /** Ends the loan: unreported tokens count as spent, because the borrower sends no more reports of it. */
+    /** Ends the loan of a borrower whose process was replaced: unreported tokens count as spent. */
     fun writeOff(): List<Charge> = open.map { Charge(it, it.tokens) }.also { open.clear() }
 
+    /**
+     * Ends a loan that its borrower no longer has. The borrower reports all tokens that it got before it drops a loan,
+     * so the others are unspent.
+     */
+    fun release(): List<Charge> = open.map { Charge(it, 0) }.also { open.clear() }
+
     /** The [tokens] to charge when [reservation] is settled. */
     class Charge(
         val reservation: Reservation,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/LoanPolicy.kt
@@ -13,6 +13,8 @@
  * longer than any reservation waits.
  * @property responseTimeout the timeout of a request to a lender, in addition to the wait that the lender is given.
  * @property retryDelay the backoff after an attempt in which no lender lent tokens or reported an insufficient budget.
+ * @property inquireAfter the time without a request for a loan after which its lender asks the borrower about it; longer
+ * than a borrower takes to report or return tokens by itself.
  * @property lendersPerAttempt the number of lenders asked before this router uses its own account.
  */
 data class LoanPolicy(
@@ -22,6 +24,7 @@
     val evictAfter: Duration = Duration.ofMinutes(1),
     val responseTimeout: Duration = Duration.ofMillis(100),
     val retryDelay: Duration = RETRY_DELAY,
+    val inquireAfter: Duration = INQUIRE_AFTER,
     val lendersPerAttempt: Int = 2,
 ) {
     init {
@@ -35,5 +38,6 @@
 
     private companion object {
         val RETRY_DELAY: Duration = Duration.ofMillis(200)
+        val INQUIRE_AFTER: Duration = Duration.ofSeconds(10)
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/loan/TokenBorrower.kt
@@ -44,6 +44,13 @@
     /** The number of workspaces with state in this router. */
     internal val workspaceCount: Int get() = slots.size
 
+    /** Registers the handler of lenders' inquiries; call it before the network starts. */
+    fun register() =
+        peers.registerHandler(LOAN_INQUIRY_TOPIC) { _, inquiry ->
+            val ended = inquiry.loans.filterNot { slots[it.workspace]?.hasLoan(it.number) ?: false }
+            LoanInquiryReply(self, ended.toSet())
+        }
+
     /** Reserves [tokens] for one run of [request], and waits up to [maxWait] for them; see [BudgetAgent.reserve]. */
     suspend fun reserve(
         workspace: WorkspaceId,
@@ -90,7 +97,9 @@
             val slot = slotOf(workspace)
             val reply =
                 slot.mutex.withLock {
-                    sendRequest(slot, slot.loanOf(lender, lastLoanNumber::incrementAndGet), 0, 0, Duration.ZERO)
+                    slot.loanOf(lender, lastLoanNumber::incrementAndGet)?.let {
+                        sendRequest(slot, it, 0, 0, Duration.ZERO)
+                    }
                 }
             if (reply?.outcome == LoanOutcome.LENT) return true
         }
@@ -120,9 +129,9 @@
 
     private suspend fun returnIdleTokens(idleMillis: Long) {
         for (slot in slots.values) {
-            for (loan in slot.returnIdle(nowMillis(), idleMillis)) {
+            for (number in slot.returnIdle(nowMillis(), idleMillis)) {
                 slot.mutex.withLock {
-                    sendRequest(slot, loan, 0, 0, Duration.ZERO)
+                    slot.unreportedLoan(number)?.let { sendRequest(slot, it, 0, 0, Duration.ZERO) }
                 }
             }
         }
@@ -178,7 +187,7 @@
         maxTokens: Long,
         maxWait: Duration,
     ): LoanReply? {
-        val loan = slot.loanOf(lender, lastLoanNumber::incrementAndGet)
+        val loan = slot.loanOf(lender, lastLoanNumber::incrementAndGet) ?: return null
         val shortTokens = maxOf(1, neededTokens - loan.availableTokens)
         val reply = sendRequest(slot, loan, shortTokens, maxOf(shortTokens, maxTokens - loan.availableTokens), maxWait)
         if (reply != null && reply.lentTokens > loan.lentTokens) {
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/loan/LoanFleet.kt
@@ -16,12 +16,16 @@
 import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.WorkspaceId
+import io.limpetfold.peer.PeerError
+import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.peer.PeerTopic
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
 import java.time.Duration
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 
 /**
@@ -41,8 +45,16 @@
         val self: Incarnation,
         val agent: BudgetAgent,
         val borrower: TokenBorrower,
+        val lender: TokenLender,
+        private val peers: PeerNetwork,
         private val selector: LenderSelector,
     ) {
+        suspend fun maintain() {
+            agent.maintain()
+            borrower.maintain()
+            lender.maintain(peers)
+        }
+
         val lenders: List<InstanceId> get() = selector.lendersOf(WORKSPACE)
     }
 
@@ -59,10 +71,14 @@
         }
     var storeFault = StoreFault.NONE
 
+    /** Whether routers find lenders; otherwise each uses its own account. */
+    var hasLenders = true
+
     /** The number of loan requests sent so far. */
     val loanRequestCount: Int get() = hub.askCount(LOAN_TOPIC)
     val clock = TestClock()
     private val store = FakeObjectStore()
+    private val sentRequests = CopyOnWriteArrayList<SentRequest>()
     val routers = MutableList(routerCount) { router(it, number = 1) }
 
     suspend fun ledger(): BudgetLedger = BudgetLedgerStore(store).read(WORKSPACE).get().shouldNotBeNull()
@@ -101,8 +117,7 @@
     suspend fun advance(time: Duration) {
         clock.advance(time)
         for (router in routers) {
-            router.agent.maintain()
-            router.borrower.maintain()
+            router.maintain()
         }
     }
 
@@ -112,6 +127,22 @@
         routers[index] = router(index, routers[index].self.number + 1)
     }
 
+    /** Delivers an earlier loan request again, or for the first time when it was lost; nobody gets its response. */
+    suspend fun deliverAgain(random: Random) {
+        sentRequests.randomOrNull(random)?.run { peers.ask(lender, LOAN_TOPIC, request, Duration.ZERO) }
+    }
+
+    /** The reserved and the spent tokens of all accounts. */
+    fun accountTokens(): AccountTokens {
+        val accounts = routers.flatMap { it.agent.accounts() }
+        return AccountTokens(accounts.sumOf { it.reservedTokens }, accounts.sumOf { it.spentTokens })
+    }
+
+    data class AccountTokens(
+        val reservedTokens: Long,
+        val spentTokens: Long,
+    )
+
     fun randomFault(random: Random): (InstanceId, InstanceId) -> PeerFault {
         val pairSeed = random.nextInt()
         return {
@@ -139,17 +170,39 @@
                 predecessorSpendLookup = { _, _ -> PredecessorSpendLookup.WHOLE_GRANT },
                 paidTotalOf = { PaidTotal(PAID, version = 1) },
             )
-        TokenLender(agent).register(peers)
+        val lender = TokenLender(agent, timeSource = clock.monotonic).also { it.register(peers) }
         val lenders =
             LenderSelector {
                 when {
+                    !hasLenders -> emptyList()
                     zones > 0 -> ofZone(index)
                     neighbours == 0 -> firstTwo(self.instance)
                     else -> ranked(self.instance)
                 }
             }
-        val borrower = TokenBorrower(self, agent, peers, lenders, timeSource = clock.monotonic)
-        return Router(self, agent, borrower, lenders)
+        val borrower = TokenBorrower(self, agent, RecordingNetwork(peers), lenders, timeSource = clock.monotonic)
+        borrower.register()
+        return Router(self, agent, borrower, lender, peers, lenders)
+    }
+
+    private class SentRequest(
+        val peers: PeerNetwork,
+        val lender: InstanceId,
+        val request: LoanRequest,
+    )
+
+    private inner class RecordingNetwork(
+        private val peers: PeerNetwork,
+    ) : PeerNetwork by peers {
+        override suspend fun <Q : Any, A : Any> ask(
+            to: InstanceId,
+            topic: PeerTopic<Q, A>,
+            message: Q,
+            timeout: Duration,
+        ): Result<A, PeerError> {
+            if (message is LoanRequest) sentRequests += SentRequest(peers, to, message)
+            return peers.ask(to, topic, message, timeout)
+        }
     }
 
     private fun firstTwo(self: InstanceId): List<InstanceId> = if (self in LENDERS) emptyList() else LENDERS
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -183,6 +183,7 @@
         sync.register()
         moveCoordinator.register()
         lender.register(peers)
+        tokens.register()
         quarantineSync.register()
         watchedStore.register()
         registerGauges()
@@ -299,6 +300,7 @@
         work.every(SHORT_INTERVAL, "accounts") { accountWarmer.maintain() }
         work.every(DEFAULT_INTERVAL, "budget") { budget.maintain() }
         work.every(LOAN_INTERVAL, "loans") { tokens.maintain() }
+        work.every(LOAN_INTERVAL, "lent tokens") { lender.maintain(peers) }
         work.every(LONG_INTERVAL, "budget holders") {
             if (hasNewMembers) budget.requestLedgerSync()
             hasNewMembers = false
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -42,6 +42,8 @@
                     "peer" to event.borrower,
                     "tokens" to event.tokens,
                 )
+            is BudgetEvent.LoanReleased ->
+                logTransfer("budget.loan_released", event, event.borrower, event.tokens)
             is BudgetEvent.Refused ->
                 log.info(
                     "budget.refused",
