gateway: put the limits of the configuration into force for callers

Cause: the limits of the configuration were decoded nowhere; the server of callers had constants. Class: a constant stands where a setting of the operators is in force.

Ruled out: reading the limits when a connection opens. Netty's decoder takes its sizes then, so open connections would keep the old head limit; the server therefore checks heads itself below a decoder bound of 256 KiB.

Change: the routing table carries the limits; a replica of them, within bounds and with the former constants as defaults, feeds the server for each request. Requests are judged by the limits in force at their first byte: 431, 413 and 408, as not run. An idle connection is kept for the longest idle time told on its latest response or in force since then, and one second more; Keep-Alive tells it. Absurd values are logged and bounded. Trailer fields stay bounded by the head limit. The limit of one body stood twice, in the body reader and in the server; the server's remains.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -7,12 +7,14 @@
  * One version of the forwarding configuration.
  *
  * @property version a newer configuration has a higher version; numbers may be skipped.
+ * @property callerLimits what callers may send and how long they may take.
  */
 class RoutingTable(
     val version: Long,
     val routes: ImmutableList<ForwardingRoute>,
     val services: ImmutableList<ForwardingService>,
     val workspaces: ImmutableList<WorkspaceAccess>,
+    val callerLimits: CallerLimits = CallerLimits.NONE,
 ) {
     private val routesByHost =
         routes.groupBy { it.host.lowercase() }.mapValues { (_, list) ->
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -41,6 +41,7 @@
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.operate.ZoneLenderSelector
 import io.limpetfold.gateway.operate.ZoneRelaySelector
+import io.limpetfold.gateway.state.CallerLimitsReplica
 import io.limpetfold.gateway.state.EndpointDirectoryUpdater
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
@@ -48,6 +49,7 @@
 import io.limpetfold.gateway.state.RoutingTableReplica
 import io.limpetfold.gateway.state.TimedMoveCoordinator
 import io.limpetfold.http.BufferBudget
+import io.limpetfold.http.ConnectionLimitsSource
 import io.limpetfold.http.HostPort
 import io.limpetfold.http.HttpEventLoops
 import io.limpetfold.http.HttpHandler
@@ -108,6 +110,7 @@
     private val client = UpstreamClient(upstreamSettings(), loops, buffers, dispatcher = loops.dispatcher)
     private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), FleetPolicies.PEERS, random)
     private val instances = StoreInstanceDirectory(store, log)
+    private val callerLimits = CallerLimitsReplica(settings.callerLimits, log)
     private val routing: RoutingTableReplica =
         RoutingTableReplica(
             settings.configKey,
@@ -164,7 +167,7 @@
     private val quarantineSync = QuarantineSync(quarantine, peers, monotonic, loops.dispatcher)
     private val bodyBudget = BodyBudget(settings.calls.maxBodiesBytes)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
-    private val callerServer = server(settings.callerListenAddress, callHandler())
+    private val callerServer = server(settings.callerListenAddress, callHandler(), callerLimits)
     private val readinessAndMetricsHandler = ReadinessAndMetricsHandler({ readiness }, metrics)
     private val readinessServer = server(settings.readinessListenAddress, readinessAndMetricsHandler)
     private val metricsServer = server(settings.metricsListenAddress, readinessAndMetricsHandler)
@@ -329,6 +332,7 @@
         previous: RoutingTable?,
         current: RoutingTable,
     ) {
+        callerLimits.apply(current.callerLimits, current.version)
         val previousPrepaid = previous?.workspaces?.associate { it.workspace to it.prepaidTokens }.orEmpty()
         val changed = current.workspaces.filter { it.prepaidTokens != previousPrepaid[it.workspace] }
         if (changed.isEmpty()) return
@@ -358,7 +362,7 @@
             }, versionSelector) { membership.routerCount }
         return CallHandler(
             CallAdmission(codec, { routing.current }, random, shutdown),
-            BodyReader(bodyBudget, settings.calls.maxBodyBytes),
+            BodyReader(bodyBudget),
             quarantine,
             TokenBudget(tokens),
             dispatcher,
@@ -374,12 +378,14 @@
     private fun server(
         address: HostPort,
         handler: HttpHandler,
+        limits: ConnectionLimitsSource = ConnectionLimitsSource { settings.callerLimits },
     ) = HttpServer(
-        HttpServerSettings(host = address.host, port = address.port, idleTimeout = CALLER_IDLE_TIMEOUT),
+        HttpServerSettings(host = address.host, port = address.port),
         loops,
         buffers,
         handler,
         loops.dispatcher,
+        limits,
     )
 
     private fun upstreamSettings() =
@@ -413,8 +419,5 @@
          */
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
         val POOLED_IDLE_TIMEOUT: Duration = Duration.ofSeconds(4)
-
-        /** Callers reuse connections that were idle for up to 12 s. */
-        val CALLER_IDLE_TIMEOUT: Duration = Duration.ofSeconds(30)
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewayDefaults.kt
@@ -1,10 +1,25 @@
 package io.limpetfold.gateway
 
 import io.limpetfold.budget.BudgetPolicy
+import io.limpetfold.http.ConnectionLimits
 import java.time.Duration
 
 /** Default policies, for a small fleet whose store may be unavailable for up to ten seconds at a time. */
 object GatewayDefaults {
+    /**
+     * The limits of callers' connections until a configuration states others. The idle timeout is long, because callers
+     * that know the configuration may reuse a connection before the router has read it.
+     */
+    val CALLER_LIMITS: ConnectionLimits =
+        ConnectionLimits(
+            maxHeaderBytes = 16 * 1024,
+            maxBodyBytes = 4L * 1024 * 1024,
+            headerTimeout = Duration.ofSeconds(10),
+            idleTimeout = Duration.ofSeconds(30),
+            idleMargin = Duration.ofSeconds(1),
+            announcesIdleTimeout = true,
+        )
+
     /**
      * Grants outlast an outage of the store, but all routers hold at most a fifth of what is unspent, because what they
      * hold is lost when all of them lose power. Each grant takes only a small fraction of the free tokens, so
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
@@ -7,6 +7,7 @@
 import io.limpetfold.dispatch.PickerPolicy
 import io.limpetfold.gateway.call.CallPolicy
 import io.limpetfold.gateway.operate.ShutdownPolicy
+import io.limpetfold.http.ConnectionLimits
 import io.limpetfold.http.HostPort
 import io.limpetfold.store.ObjectKey
 import kotlinx.collections.immutable.ImmutableList
@@ -27,6 +28,7 @@
  * @property configKey key of the object that holds the configuration.
  * @property endpointPrefix key prefix of the objects that list endpoints.
  * @property movePrefix key prefix of the objects that order moves between versions.
+ * @property callerLimits limits of callers' connections where the configuration states none.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -44,6 +46,7 @@
     val budget: BudgetPolicy = GatewayDefaults.BUDGET,
     val picker: PickerPolicy = PickerPolicy(),
     val calls: CallPolicy = CallPolicy(),
+    val callerLimits: ConnectionLimits = GatewayDefaults.CALLER_LIMITS,
     val contactTime: Duration = DEFAULT_CONTACT_TIME,
     val shutdown: ShutdownPolicy = ShutdownPolicy(),
 ) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/BodyReader.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/BodyReader.kt
@@ -1,13 +1,11 @@
 package io.limpetfold.gateway.call
 
 import io.limpetfold.http.HttpExchange
-import io.limpetfold.http.RequestBodyException
 import java.time.Duration
 
-/** Reads request bodies into memory within a [BodyBudget]. */
+/** Reads request bodies into memory within a [BodyBudget]; the server limits the size of each one. */
 internal class BodyReader(
     private val budget: BodyBudget,
-    private val maxBodyBytes: Int,
 ) {
     /** A request body, whose memory is reserved until [close]. */
     inner class Body internal constructor(
@@ -32,7 +30,6 @@
         lengthBytes: Long,
         maxWait: Duration,
     ): Body? {
-        if (lengthBytes > maxBodyBytes) throw tooLarge()
         if (!budget.reserve(lengthBytes, maxWait)) return null
         return releasedOnFailure({ lengthBytes }) {
             val bytes = ByteArray(lengthBytes.toInt())
@@ -57,7 +54,6 @@
             releasedOnFailure({ sizeBytes * 2 }) {
                 while (true) {
                     val piece = exchange.body.next() ?: break
-                    if (sizeBytes + piece.size > maxBodyBytes) throw tooLarge()
                     if (!budget.reserve(piece.size * 2L, maxWait)) return@releasedOnFailure null
                     pieces += piece
                     sizeBytes += piece.size
@@ -92,11 +88,4 @@
             if (!isRead) budget.release(reservedBytes())
         }
     }
-
-    private fun tooLarge() =
-        RequestBodyException(PAYLOAD_TOO_LARGE, "the body exceeds $maxBodyBytes bytes: send a smaller body")
-
-    private companion object {
-        const val PAYLOAD_TOO_LARGE = 413
-    }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -5,9 +5,8 @@
 /**
  * Limits of one forwarded call.
  *
- * @property maxBodyBytes maximum size of a request body, which is buffered completely so that it can be sent to another
- * endpoint.
- * @property maxBodiesBytes maximum size of the request bodies of all calls together.
+ * @property maxBodiesBytes maximum size of the request bodies of all calls together. Bodies are buffered completely so
+ * that they can be sent to another endpoint.
  * @property maxBufferedResponseBytes a response up to this size is buffered completely before its first byte goes to
  * the caller, so that the call can still be retried if the response is interrupted.
  * @property maxBudgetWait maximum wait for tokens of a budget.
@@ -22,7 +21,6 @@
  * retry at once.
  */
 data class CallPolicy(
-    val maxBodyBytes: Int = MAX_BODY_BYTES,
     val maxBodiesBytes: Long = Runtime.getRuntime().maxMemory() / BODIES_HEAP_DIVISOR,
     val maxBufferedResponseBytes: Int = MAX_BUFFERED_RESPONSE_BYTES,
     val maxBudgetWait: Duration = MAX_BUDGET_WAIT,
@@ -36,7 +34,6 @@
     private companion object {
         /** A body is held once on the heap and once while it is written, next to what the router needs itself. */
         const val BODIES_HEAP_DIVISOR = 4L
-        const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
         val MAX_BUDGET_WAIT: Duration = Duration.ofMillis(600)
         val FIRST_EVENT_TIMEOUT: Duration = Duration.ofMillis(700)
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/LineFoldingDetector.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HeadScanner.kt
@@ -3,16 +3,21 @@
 import io.netty.buffer.ByteBuf
 
 /**
- * Detects header fields that continue on the next line (obsolete line folding, RFC 9112).
+ * Scans request heads before they are decoded: counts the bytes of their header fields, and detects fields that continue
+ * on the next line (obsolete line folding, RFC 9112).
  *
- * Netty's decoder joins such lines, while other HTTP parsers may read them as separate fields, which allows request
+ * Netty's decoder joins folded lines, while other HTTP parsers may read them as separate fields, which allows request
  * smuggling.
  */
-internal class LineFoldingDetector {
+internal class HeadScanner {
     private var lineBytes = 0
     private var lines = 0
     private var isHeadComplete = false
 
+    /** The size of the header field lines scanned so far, line ends included; the request line does not count. */
+    var fieldBytes = 0L
+        private set
+
     /** Whether the head scanned so far has a folded field. */
     var isFolded = false
         private set
@@ -23,6 +28,7 @@
         lines = 0
         isHeadComplete = false
         isFolded = false
+        fieldBytes = 0
     }
 
     /** Scans the next bytes received on the connection without consuming them. */
@@ -30,6 +36,7 @@
         var index = bytes.readerIndex()
         while (!isHeadComplete && index < bytes.writerIndex()) {
             val byte = bytes.getByte(index++)
+            if (lines > 0) fieldBytes++
             when {
                 byte == LINE_FEED -> {
                     if (lines > 0 && lineBytes == 0) isHeadComplete = true
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServer.kt
@@ -29,6 +29,8 @@
  *
  * For a graceful shutdown, call [beginDrain], [closeIdle], [awaitIdle] and [close]; the listener closes last. [close]
  * alone aborts running exchanges.
+ *
+ * @param limits provides the limits that may change while the server runs; by default those of [settings].
  */
 class HttpServer(
     private val settings: HttpServerSettings,
@@ -36,6 +38,10 @@
     private val budget: BufferBudget,
     private val handler: HttpHandler,
     dispatcher: CoroutineDispatcher = Dispatchers.Default,
+    private val limits: ConnectionLimitsSource =
+        settings.connectionLimits.let { fixed ->
+            ConnectionLimitsSource { fixed }
+        },
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
@@ -122,7 +128,7 @@
             return
         }
         connections.add(channel)
-        val connection = ServerConnection(this, settings, budget)
+        val connection = ServerConnection(this, settings, limits, budget)
         channel.pipeline().addLast(
             RequestDecoder(settings, budget.pieceBytes, connection::acceptBytes),
             connection.encoder,
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServerSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServerSettings.kt
@@ -6,6 +6,7 @@
  * Address, size limits and timeouts of an [HttpServer].
  *
  * @property port the port to bind; 0 chooses a free one.
+ * @property maxHeaderBytes maximum size of the header field lines of a request.
  * @property headerTimeout maximum time from the first byte of a request head to its end.
  * @property idleTimeout maximum time that a connection stays open without a request.
  * @property bodyIdleTimeout maximum time without a received byte while the handler waits for the request body.
@@ -24,6 +25,10 @@
     val bodyIdleTimeout: Duration = DEFAULT_BODY_IDLE_TIMEOUT,
     val writeIdleTimeout: Duration = DEFAULT_WRITE_IDLE_TIMEOUT,
 ) {
+    /** The limits of this settings object that an [HttpServer] may also take from a [ConnectionLimitsSource]. */
+    val connectionLimits: ConnectionLimits
+        get() = ConnectionLimits(maxHeaderBytes, maxBodyBytes, headerTimeout, idleTimeout)
+
     private companion object {
         const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
@@ -12,11 +12,14 @@
 internal class RequestCheck(
     private val settings: HttpServerSettings,
 ) {
-    /** Returns the refusal for [request], or null when it is acceptable. */
-    fun refusal(request: HttpRequest): Refusal? {
+    /** Returns the refusal for [request] under [limits], or null when it is acceptable. */
+    fun refusal(
+        request: HttpRequest,
+        limits: ConnectionLimits,
+    ): Refusal? {
         if (request.decoderResult().isFailure) return decoderRefusal(request.decoderResult().cause())
         val isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1
-        return headRefusal(request, isVersion11) ?: bodyRefusal(request.headers(), isVersion11)
+        return headRefusal(request, isVersion11) ?: bodyRefusal(request.headers(), isVersion11, limits)
     }
 
     private fun headRefusal(
@@ -57,6 +60,7 @@
     private fun bodyRefusal(
         headers: HttpHeaders,
         isVersion11: Boolean,
+        limits: ConnectionLimits,
     ): Refusal? {
         val encodings = headers.getAll("Transfer-Encoding")
         val lengths = headers.getAll("Content-Length")
@@ -81,10 +85,10 @@
                     "send one decimal Content-Length",
                 )
             (lengths.firstOrNull()?.toLongOrNull() ?: if (lengths.isEmpty()) 0 else Long.MAX_VALUE) >
-                settings.maxBodyBytes ->
+                limits.maxBodyBytes ->
                 Refusal(
                     HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "the body exceeds ${settings.maxBodyBytes} bytes",
+                    "the body exceeds ${limits.maxBodyBytes} bytes",
                     "send a smaller body",
                 )
             headers.getAll("Expect").any { !it.equals("100-continue", ignoreCase = true) } ->
@@ -106,11 +110,7 @@
                     "shorten the target",
                 )
             is TooLongHttpHeaderException, is TooLongFrameException ->
-                Refusal(
-                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                    "the header fields exceed ${settings.maxHeaderBytes} bytes",
-                    "send smaller header fields",
-                )
+                headerFieldsTooLarge(ConnectionLimits.MAX_HEADER_BYTES)
             else ->
                 Refusal(
                     HttpResponseStatus.BAD_REQUEST,
@@ -119,6 +119,14 @@
                 )
         }
 
+    /** Returns the refusal of a head whose header field lines exceed [maxHeaderBytes]. */
+    fun headerFieldsTooLarge(maxHeaderBytes: Int) =
+        Refusal(
+            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the header fields exceed $maxHeaderBytes bytes",
+            "send smaller header fields",
+        )
+
     private fun isOriginForm(target: String): Boolean = target.startsWith("/") && target.all { it in '!'..'~' }
 
     /** The status and texts of the error response to a refused request. */
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestDecoder.kt
@@ -6,7 +6,12 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 
-/** Decodes requests. [accept] is called with all received bytes first; those for which it returns false are dropped. */
+/**
+ * Decodes requests. [accept] is called with all received bytes first; those for which it returns false are dropped.
+ *
+ * Netty's decoder takes its sizes when the connection is opened, so it accepts heads up to the upper bound, and [accept]
+ * checks the limit in force.
+ */
 internal class RequestDecoder(
     settings: HttpServerSettings,
     pieceBytes: Int,
@@ -14,7 +19,7 @@
 ) : HttpRequestDecoder(
         HttpDecoderConfig()
             .setMaxInitialLineLength(settings.maxRequestLineBytes)
-            .setMaxHeaderSize(settings.maxHeaderBytes)
+            .setMaxHeaderSize(ConnectionLimits.MAX_HEADER_BYTES)
             .setMaxChunkSize(pieceBytes)
             .setAllowDuplicateContentLengths(false),
     ) {
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -27,13 +27,21 @@
 internal class ServerConnection(
     private val server: HttpServer,
     private val settings: HttpServerSettings,
+    private val limits: ConnectionLimitsSource,
     private val budget: BufferBudget,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val check = RequestCheck(settings)
     private var exchange: ServerExchange? = null
     private var isRequestComplete = true
-    private val lineFolding = LineFoldingDetector()
+    private val headScanner = HeadScanner()
+
+    /** The limits of the request that is arriving or running. */
+    private var requestLimits = limits.current()
+    private val idleAllowance = IdleAllowance(requestLimits)
+
+    /** Bytes of a request body received since the decoder last produced a piece of it. */
+    private var undecodedBytes = 0L
     private var isPipelined = false
     private var isClosing = false
     private var bodyBytes = 0L
@@ -42,6 +50,9 @@
 
     val isDraining: Boolean get() = server.isDraining
 
+    /** The limits in force; may be read from any thread. */
+    val currentLimits: ConnectionLimits get() = limits.current()
+
     /** Encodes responses; a response to `HEAD` has no body, whatever its header fields say. */
     val encoder =
         object : HttpResponseEncoder() {
@@ -67,14 +78,25 @@
                 markPipelined()
                 false
             }
+            exchange == null -> acceptHeadBytes(bytes)
             else -> {
-                if (exchange == null && headStartNanos == null && bytes.isReadable) headStartNanos = activityNanos
-                if (exchange == null) lineFolding.scan(bytes)
+                undecodedBytes += bytes.readableBytes()
                 true
             }
         }
     }
 
+    private fun acceptHeadBytes(bytes: ByteBuf): Boolean {
+        if (headStartNanos == null && bytes.isReadable) {
+            headStartNanos = activityNanos
+            requestLimits = currentLimits
+        }
+        headScanner.scan(bytes)
+        if (headScanner.fieldBytes <= requestLimits.maxHeaderBytes) return true
+        refuse(check.headerFieldsTooLarge(requestLimits.maxHeaderBytes))
+        return false
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
@@ -88,7 +110,13 @@
         }
     }
 
-    override fun channelReadComplete(ctx: ChannelHandlerContext) = updateAutoRead()
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        // The decoder accepts trailer fields up to its own larger bound.
+        if (undecodedBytes > requestLimits.maxHeaderBytes + budget.pieceBytes) {
+            exchange?.inbound?.fail(malformedBody(), afterBufferedPieces = false)
+        }
+        updateAutoRead()
+    }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isClosing = true
@@ -159,6 +187,8 @@
         val mayContinue = ended.isKeepAlive && isRequestComplete && !isPipelined
         exchange = null
         activityNanos = System.nanoTime()
+        val current = currentLimits
+        idleAllowance.restart(ended.announcedLimits ?: current, current)
         ended.inbound.discard()
         if (!mayContinue) isClosing = true
         context.writeAndFlush(last).addListener { done ->
@@ -173,8 +203,8 @@
     private fun onHead(request: HttpRequest) {
         headStartNanos = null
         if (exchange != null) return markPipelined()
-        val refusal = if (lineFolding.isFolded) FOLDED else check.refusal(request)
-        lineFolding.reset()
+        val refusal = if (headScanner.isFolded) FOLDED else check.refusal(request, requestLimits)
+        headScanner.reset()
         if (refusal != null) return refuse(refusal)
         if (budget.isFull) budget.recordRequestAtLimit()
         val headers = Headers.of(request.headers().entries().map { it.key to it.value })
@@ -205,22 +235,22 @@
         exchange = started
         isRequestComplete = false
         bodyBytes = 0
+        undecodedBytes = 0
         server.start(started)
     }
 
     private fun onContent(content: HttpContent) {
         val running = exchange ?: return
         if (isRequestComplete) return markPipelined()
+        undecodedBytes = 0
         if (content.decoderResult().isFailure) {
-            return running.inbound.fail(
-                RequestBodyException(BAD_REQUEST, "the body is malformed: send valid chunks"),
-                afterBufferedPieces = false,
-            )
+            return running.inbound.fail(malformedBody(), afterBufferedPieces = false)
         }
         bodyBytes += content.content().readableBytes()
-        if (bodyBytes > settings.maxBodyBytes) {
+        val maxBodyBytes = requestLimits.maxBodyBytes
+        if (bodyBytes > maxBodyBytes) {
             val tooLarge =
-                RequestBodyException(TOO_LARGE, "the body exceeds ${settings.maxBodyBytes} bytes: send a smaller body")
+                RequestBodyException(TOO_LARGE, "the body exceeds $maxBodyBytes bytes: send a smaller body")
             return running.inbound.fail(tooLarge, afterBufferedPieces = false)
         }
         running.inbound.offer(ByteBufUtil.getBytes(content.content()))
@@ -265,10 +295,11 @@
     }
 
     private fun scheduleTick() {
+        val current = currentLimits
         val shortest =
             minOf(
-                settings.headerTimeout,
-                settings.idleTimeout,
+                current.headerTimeout,
+                current.idleTimeout,
                 minOf(settings.bodyIdleTimeout, settings.writeIdleTimeout),
             )
         val tickMillis = (shortest.toMillis() / TICKS_PER_TIMEOUT).coerceIn(MIN_TICK_MILLIS, MAX_TICK_MILLIS)
@@ -280,10 +311,11 @@
         val now = System.nanoTime()
         val running = exchange
         val headStart = headStartNanos
+        idleAllowance.extend(currentLimits)
         when {
             isClosing -> Unit
             running != null -> checkRunning(running, now)
-            headStart != null && isTimedOut(headStart, now, settings.headerTimeout) ->
+            headStart != null && isTimedOut(headStart, now, requestLimits.headerTimeout) ->
                 refuse(
                     RequestCheck.Refusal(
                         HttpResponseStatus.REQUEST_TIMEOUT,
@@ -291,7 +323,7 @@
                         "send the head at once",
                     ),
                 )
-            headStart == null && isTimedOut(activityNanos, now, settings.idleTimeout) -> context.close()
+            headStart == null && isTimedOut(activityNanos, now, idleAllowance.duration) -> context.close()
         }
         scheduleTick()
     }
@@ -317,6 +349,8 @@
         }
     }
 
+    private fun malformedBody() = RequestBodyException(BAD_REQUEST, "the body is malformed: send valid chunks")
+
     private fun isTimedOut(
         startNanos: Long,
         nowNanos: Long,
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -49,6 +50,11 @@
     var isKeepAlive = traits.isKeepAlive
         private set
 
+    /** The limits in force when the response head was written; null before that. */
+    @Volatile
+    var announcedLimits: ConnectionLimits? = null
+        private set
+
     override val callerDisconnected: Job get() = disconnected
 
     override val body =
@@ -103,7 +109,7 @@
         isKeepAlive = traits.isKeepAlive && framing.isDelimited && !wantsClose && !connection.isDraining
         if (framing.lengthBytes != null) response.headers().set("Content-Length", framing.lengthBytes)
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
-        if (!isKeepAlive) response.headers().set("Connection", "close")
+        if (isKeepAlive) announceIdleTimeout(response) else response.headers().set("Connection", "close")
         channel.write(response)
         // Only a head that a body of unknown length follows is flushed at once. Any other one could complete the
         // response before the connection is ready for the next request; see Sink.
@@ -111,6 +117,17 @@
         return Sink(framing.lengthBytes, framing.hasBody)
     }
 
+    private fun announceIdleTimeout(response: HttpResponse) {
+        val limits = connection.currentLimits
+        announcedLimits = limits
+        if (limits.announcesIdleTimeout) {
+            response.headers().set(
+                "Keep-Alive",
+                "timeout=${limits.idleTimeout.toSeconds()}",
+            )
+        }
+    }
+
     private fun framing(
         status: Int,
         headers: Headers,
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/HostileInputTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/HostileInputTest.kt
@@ -94,6 +94,11 @@
                         )}\r\n0\r\n\r\n" to
                             413
                     ),
+                "large trailer fields" to
+                    (
+                        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" +
+                            "X: ${"a".repeat(100_000)}\r\n\r\n" to 400
+                    ),
                 "a bad chunk size" to
                     ("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\na\r\n0\r\n\r\n" to 400),
                 "a signed chunk size" to
