http: a response that waits for a slow caller does not count as idle

Found while reading the idle timeout for the limits of the configuration: a caller that pauses while the last bytes of its response wait in the router got a cut response once the idle timeout had passed. With the former constant of 30 s this took a pause of 30 s; with a configured time of 1 s a pause of 2 s is enough.

Cause: the exchange ends when its last bytes are handed to the connection; from then on the idle timeout counted, although they were not written.

Ruled out: sink.finish() waits for the write, but the timeout looks at the connection, which has no exchange any more.

Change: until the end of a response is written, the write timeout applies; the idle time starts at the write.

A caller that reads nothing at all is still cut after the write timeout.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -40,6 +40,9 @@
     private var requestLimits = limits.current()
     private val idleAllowance = IdleAllowance(requestLimits)
 
+    /** Whether the end of the latest response is still to be written, because the caller reads slowly. */
+    private var isResponseEndPending = false
+
     /** Bytes of a request body received since the decoder last produced a piece of it. */
     private var undecodedBytes = 0L
     private var isPipelined = false
@@ -189,9 +192,12 @@
         activityNanos = System.nanoTime()
         val current = currentLimits
         idleAllowance.restart(ended.announcedLimits ?: current, current)
+        isResponseEndPending = true
         ended.inbound.discard()
         if (!mayContinue) isClosing = true
         context.writeAndFlush(last).addListener { done ->
+            isResponseEndPending = false
+            activityNanos = System.nanoTime()
             if (done.isSuccess) ended.onResponseWritten() else ended.onConnectionLost()
             if (!mayContinue) {
                 if (isPipelined) writeRefusal(PIPELINED) else lingerAndClose()
@@ -315,6 +321,7 @@
         when {
             isClosing -> Unit
             running != null -> checkRunning(running, now)
+            isResponseEndPending -> if (isTimedOut(activityNanos, now, settings.writeIdleTimeout)) context.close()
             headStart != null && isTimedOut(headStart, now, requestLimits.headerTimeout) ->
                 refuse(
                     RequestCheck.Refusal(
