--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -7,12 +7,14 @@
  * One version of the forwarding configuration.
  *
  * @property version a newer configuration has a higher version; numbers may be skipped.
+ * @property callerLimits what callers may send and how long they may take.
  */
 class RoutingTable(
     val version: Long,
     val routes: ImmutableList<ForwardingRoute>,
     val services: ImmutableList<ForwardingService>,
     val keyRequirement: KeyRequirement,
+    val callerLimits: CallerLimits = CallerLimits.NONE,
 ) {
     /** The configured workspaces. */
     val workspaces: ImmutableList<WorkspaceAccess> get() = keyRequirement.workspaces
