gateway: an endpoint's error is dropped only when another attempt can follow

Callers of idempotent routes got the router's 502 in place of their endpoint's 500, when no other endpoint, attempt or retry was left.

Change: the repeat is acquired before the error is dropped.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -82,7 +82,7 @@
                     is SendResult.NotRun -> if (!acquireRetry()) return notRun()
                     is SendResult.Unknown -> if (!call.route.isRetryable || !acquireRetry()) return unknownOutcome()
                     is SendResult.Interrupted -> if (!canResume() || !acquireRetry()) return truncated(result.reason)
-                    is SendResult.HandedOver -> Unit
+                    is SendResult.Repeated, is SendResult.HandedOver -> Unit
                 }
             }
         }
@@ -179,7 +179,7 @@
 
             private suspend fun deliver(): SendResult =
                 checkNotNull(response).use {
-                    sender.deliver(exchange, call, state, relay, it, mayRetryFailure(), Handover())
+                    sender.deliver(exchange, call, state, relay, it, ::acquireRepeat, Handover())
                 }
 
             private fun end(result: SendResult?) {
@@ -217,11 +217,9 @@
             private fun otherEndpoint() = pickUntried()?.takeIf { it.ejectedUntil <= clock.now() }
         }
 
-        /**
-         * Whether a server error may be retried instead of being forwarded: an idempotent call that has another attempt
-         * left.
-         */
-        private fun mayRetryFailure() = call.route.kind == CallKind.IDEMPOTENT && sentCount < call.route.maxAttempts
+        /** Acquires another attempt in place of an error response, which is forwarded if none can follow. */
+        private fun acquireRepeat(): Boolean =
+            call.route.kind == CallKind.IDEMPOTENT && hasAttemptLeft() && pickUntried() != null && acquireRetry()
 
         private fun hasAttemptLeft() =
             sentCount < call.route.maxAttempts &&
@@ -309,8 +307,9 @@
         when (result) {
             is SendResult.Delivered -> if (result.status >= SERVER_ERROR) CallOutcome.FAILED else CallOutcome.SUCCEEDED
             is SendResult.NotRun -> CallOutcome.REJECTED
-            is SendResult.NotSent, is SendResult.Unknown, is SendResult.Interrupted, is SendResult.HandedOver ->
-                CallOutcome.UNREACHABLE
+            is SendResult.NotSent, is SendResult.Unknown, is SendResult.Interrupted, is SendResult.HandedOver,
+            is SendResult.Repeated,
+            -> CallOutcome.UNREACHABLE
         }
 
     private fun outcomeText(result: SendResult): String =
@@ -321,6 +320,7 @@
             is SendResult.Unknown -> "unknown: ${result.reason}"
             is SendResult.Interrupted -> "interrupted: ${result.reason}"
             is SendResult.HandedOver -> "handed over: ${result.reason}"
+            is SendResult.Repeated -> "unknown: status ${result.status}"
         }
 
     private companion object {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -68,23 +68,26 @@
     /** Whether [response] goes on with a stream, and not an error or something else. */
     fun isStream(response: UpstreamResponse): Boolean = isEventStream(response.head) && codec.isSigned(response.head)
 
-    /** Forwards [response] to the caller. A stream whose endpoint is silent can leave it by [handover]. */
+    /**
+     * Forwards [response] to the caller. A stream whose endpoint is silent can leave it by [handover]; an error of the
+     * endpoint is dropped if [acquireRepeat] acquires another attempt in its place.
+     */
     suspend fun deliver(
         exchange: HttpExchange,
         call: AdmittedCall,
         state: EndpointState,
         relay: StreamRelay,
         response: UpstreamResponse,
-        mayRetryFailure: Boolean,
+        acquireRepeat: () -> Boolean,
         handover: StreamHandover,
     ): SendResult {
         val status = response.head.status
         if (status in SUCCESSES && !codec.isSigned(response.head)) return unsignedSuccess(relay)
         if (isEventStream(response.head)) return relay.forward(exchange, call, state, response, handover)
         if (relay.hasStarted) return SendResult.Interrupted("status $status instead of the rest of the stream")
-        if (mayRetryFailure && status >= SERVER_ERROR) {
+        if (status >= SERVER_ERROR && acquireRepeat()) {
             response.readAll(policy.maxBufferedResponseBytes)
-            return SendResult.Unknown("status $status")
+            return SendResult.Repeated(status)
         }
         return forwardBuffered(exchange, call, response)
     }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
@@ -26,6 +26,11 @@
         override val isConnectionLost: Boolean = false,
     ) : SendResult
 
+    /** The endpoint's error response was dropped, because the call is repeated. */
+    data class Repeated(
+        val status: Int,
+    ) : SendResult
+
     /** The endpoint was silent, and another one has taken the stream over. */
     data class HandedOver(
         val reason: String,
