http: a request without a body, or one that is decoded, keeps its connection

Change: only requests that announce a body can have one pending, and what was received is decoded before the decision.

Measured: KeepAliveTest, EarlyResponseTest, SessionGoldenTest, GracefulDrainTest and HostileInputTest pass.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -238,6 +238,8 @@
                                 request,
                             ) &&
                                 request.protocolVersion() == HttpVersion.HTTP_1_1,
+                        hasRequestBody =
+                            HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0,
                         hasResponseBody = request.method() != HttpMethod.HEAD,
                         expectsContinue = HttpUtil.is100ContinueExpected(request),
                     ),
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -107,7 +107,7 @@
         headers.withoutHopByHop().entries.forEach { (name, value) -> response.headers().add(name, value) }
         val wantsClose = headers.all("Connection").any { it.equals("close", ignoreCase = true) }
         // The rest of a body that the handler did not wait for is dropped together with the connection.
-        val isReusable = framing.isDelimited && connection.isRequestComplete && !connection.isDraining
+        val isReusable = framing.isDelimited && !isBodyPending() && !connection.isDraining
         isKeepAlive = traits.isKeepAlive && isReusable && !wantsClose
         if (framing.lengthBytes != null) response.headers().set("Content-Length", framing.lengthBytes)
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
@@ -130,6 +130,15 @@
         }
     }
 
+    /** Whether a part of the request body has not been received; what has been is decoded first. */
+    private suspend fun isBodyPending(): Boolean {
+        if (!traits.hasRequestBody || connection.isRequestComplete) return false
+        val isDecoded = CompletableDeferred<Unit>()
+        channel.eventLoop().execute { isDecoded.complete(Unit) }
+        isDecoded.await()
+        return !connection.isRequestComplete
+    }
+
     private fun framing(
         status: Int,
         headers: Headers,
@@ -181,6 +190,7 @@
     class Traits(
         val isVersion11: Boolean,
         val isKeepAlive: Boolean,
+        val hasRequestBody: Boolean,
         val hasResponseBody: Boolean,
         val expectsContinue: Boolean,
     )
