--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -140,12 +140,8 @@
             /** Returns null once a piece of a stream has arrived, and otherwise what came in its place. */
             private suspend fun awaitStream(): SendResult? {
                 val opened = checkNotNull(response)
-                if (!sender.isStream(
-                        opened,
-                    )
-                ) {
-                    return SendResult.Unknown("status ${opened.head.status} instead of a stream")
-                }
+                val status = opened.head.status
+                if (!sender.isStream(opened)) return SendResult.Unknown("status $status instead of a stream")
                 val first = opened.next()
                 val error = first.getError()
                 if (error != null) return SendResult.Unknown(error.message, error.isConnectionLost)
@@ -183,11 +179,11 @@
                 }
 
             private fun end(result: SendResult?) {
-                val outcome = result?.let(::outcomeOf) ?: CallOutcome.UNKNOWN
+                val outcome = result?.callOutcome ?: CallOutcome.UNKNOWN
                 picker.onCallEnded(state, outcome, clock.now())
                 versionSelector.onCallEnded(move, call.route.route, observationOf(outcome, call, sentAt))
                 if (result == null) return
-                call.attemptOutcomes += outcomeText(result)
+                call.attemptOutcomes += result.logText
                 recordEvidence(state, result)
             }
         }
@@ -236,7 +232,7 @@
             val prompt = call.headers.prompt ?: return
             when {
                 result.isConnectionLost -> quarantine.onConnectionLost(state.endpoint.id, prompt, clock.now())
-                outcomeOf(result) == CallOutcome.SUCCEEDED -> quarantine.onAnswered(prompt, clock.now())
+                result.callOutcome == CallOutcome.SUCCEEDED -> quarantine.onAnswered(prompt, clock.now())
             }
         }
 
@@ -302,28 +298,4 @@
             isTargetPreferred = choice.side == MoveSide.NEW,
             isFallbackAllowed = choice.side == MoveSide.NEW || !choice.isWithdrawn,
         )
-
-    private fun outcomeOf(result: SendResult): CallOutcome =
-        when (result) {
-            is SendResult.Delivered -> if (result.status >= SERVER_ERROR) CallOutcome.FAILED else CallOutcome.SUCCEEDED
-            is SendResult.NotRun -> CallOutcome.REJECTED
-            is SendResult.NotSent, is SendResult.Unknown, is SendResult.Interrupted, is SendResult.HandedOver,
-            is SendResult.Repeated,
-            -> CallOutcome.UNREACHABLE
-        }
-
-    private fun outcomeText(result: SendResult): String =
-        when (result) {
-            is SendResult.Delivered -> "delivered ${result.status}"
-            is SendResult.NotSent -> "not sent: ${result.reason}"
-            is SendResult.NotRun -> "not run ${result.status}"
-            is SendResult.Unknown -> "unknown: ${result.reason}"
-            is SendResult.Interrupted -> "interrupted: ${result.reason}"
-            is SendResult.HandedOver -> "handed over: ${result.reason}"
-            is SendResult.Repeated -> "unknown: status ${result.status}"
-        }
-
-    private companion object {
-        const val SERVER_ERROR = 500
-    }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallHandler.kt
@@ -69,13 +69,8 @@
         exchange: HttpExchange,
         call: AdmittedCall,
     ): CallEnd {
-        if (quarantine.blocks(
-                call.headers.prompt,
-                clock.now(),
-            )
-        ) {
-            return CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
-        }
+        val isQuarantined = quarantine.blocks(call.headers.prompt, clock.now())
+        if (isQuarantined) return CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
         val maxWait = minOf(policy.maxBudgetWait, (call.deadline - clock.now()).dividedBy(2))
         val reservation =
             budget.reserve(call, if (maxWait.isNegative) Duration.ZERO else maxWait).fold(
