fix: close a resumed stream that another retry takes over

A router kept the response and the slot of a model stream that nobody read. Callers would have met it as refusals of a router whose buffers are full, or as engines with fewer slots.

Cause: between resuming a stream and relaying it, a retry tells the other routers. A handover or a lost caller cancels it there, and neither the response nor the permit had an owner. The same held for a replay whose caller had left, for a call without time left, for the body of an engine's error, and for the permit while the engine was asked.

Change: the response is used within a block that closes it, the run knows its attempt before the next suspension, and a resumption that fails or is cancelled releases its permit.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -66,11 +66,13 @@
                 .acquire(call.route.route, call.workspace.workspace, candidate, MAX_RESUME_WAIT)
                 .getOrElse { return null }
         val address = HostPort(listed.host, listed.port)
-        val response = open(call, address, receivedEvents = 0)
-        if (response == null) {
-            permit.release(EndpointOutcome.Ignored)
-            return null
+        var response: UpstreamResponse? = null
+        try {
+            response = open(call, address, receivedEvents = 0)
+        } finally {
+            if (response == null) permit.release(EndpointOutcome.Ignored)
         }
+        if (response == null) return null
         val choice = versionSelector.untrackedChoice(call.route.route, call.request, listed.version)
         return ResumedStream(Attempt(endpoint, address, listed.version, choice, permit), response)
     }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -135,6 +135,7 @@
                 ModelStream(call, result, engineClient, meter, responseWriter(call, chat)).relay { 0 }
             }
         } finally {
+            resumed.response.close()
             resumed.attempt.permit.release(EndpointOutcome.Ignored)
         }
     }
@@ -144,26 +145,30 @@
         run: BillableRun,
         earlierEndpoint: EndpointId?,
     ): CallEnd {
-        val resumed = earlierEndpoint?.let { engineClient.resumeEarlier(call, it) }
-        val result =
-            if (resumed == null) {
-                forward(call, run)
-            } else {
-                // Replicated before the stream is relayed, so that the next retry finds this router; otherwise both
-                // would bill the request.
-                journal.recordOpened(call, resumed.attempt.endpoint, run)
-                call.trace.add("stream of an earlier attempt found endpoint=$earlierEndpoint")
-                ForwardResult.Responding.resumed(call, resumed.attempt, resumed.response)
-            }
-        return when (result) {
+        val resumed =
+            earlierEndpoint?.let { engineClient.resumeEarlier(call, it) } ?: return executeForwarded(call, run)
+        run.attempt = resumed.attempt
+        return resumed.response.use {
+            // Replicated before the stream is relayed, so that the next retry finds this router; otherwise both would
+            // bill the request.
+            journal.recordOpened(call, resumed.attempt.endpoint, run)
+            call.trace.add("stream of an earlier attempt found endpoint=$earlierEndpoint")
+            relay(call, run, ForwardResult.Responding.resumed(call, resumed.attempt, it))
+        }
+    }
+
+    private suspend fun executeForwarded(
+        call: Call,
+        run: BillableRun,
+    ): CallEnd =
+        when (val result = forward(call, run)) {
             is ForwardResult.NoResponse ->
                 RefusalWriter.refuse(
                     call,
                     checkNotNull(RequestLifecycle.refusal(result.state)) { "an ended request has a refusal" },
                 )
-            is ForwardResult.Responding -> relay(call, run, result)
+            is ForwardResult.Responding -> result.response.use { relay(call, run, result) }
         }
-    }
 
     private suspend fun forward(
         call: Call,
