gateway: keep a silent stream when the endpoint that it is offered to is silent as well

Cause: two endpoints must not run a stream for longer than 400 ms, so one of them is left after 300 ms, and it was always the first one, also when the second one had shown no sign of life.

Change: if the asked endpoint has sent no byte on any connection of this router since it was asked, the offer is withdrawn and the stream stays; that endpoint, or an untried one while attempts are left, is asked once more. Asking the same endpoint again adds no endpoint to the call's attempts and is taken from the fleet's retry budget. An endpoint that sends bytes takes the stream as before.

Ruled out: waiting longer than 300 ms, which lets two endpoints run the stream; preferring the first endpoint always, by which a stream whose first endpoint is silent for good would not end.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -188,41 +188,66 @@
             }
         }
 
-        /** Offers the stream of the running attempt to an endpoint that the call has not been sent to. */
+        /**
+         * Offers the stream of the running attempt to an endpoint that the call has not been sent to, or once more to
+         * one that was silent when it was asked.
+         */
         private inner class Handover : StreamHandover {
+            private var asked: EndpointState? = null
+            private var askedAt = Duration.ZERO
+            private var silentEndpoint: EndpointState? = null
+            private var hasPostponed = false
+
             override val isPossible: Boolean
                 get() =
                     (!relay.hasStarted || canResume()) &&
-                        hasAttemptLeft() &&
+                        mayRepeat() &&
                         !quarantine.blocks(call.headers.prompt, clock.now()) &&
-                        otherEndpoint() != null
+                        candidate() != null
 
             override suspend fun offer(): Boolean {
-                val other = otherEndpoint() ?: return false
-                if (!acquireRetry()) return false
-                val attempt = Attempt(other)
+                val candidate = candidate() ?: return false
+                if (!mayRepeat() || !acquireFromBudget()) return false
+                asked = candidate
+                askedAt = clock.now()
+                silentEndpoint = null
+                val attempt = Attempt(candidate)
                 val isAccepted = attempt.offerStream()
                 if (isAccepted) successor = attempt
                 return isAccepted
             }
 
+            override fun postpone(): Boolean {
+                val endpoint = asked ?: return false
+                if (hasPostponed || endpoint.lastByteAt > askedAt) return false
+                hasPostponed = true
+                silentEndpoint = endpoint
+                return true
+            }
+
             override fun withdraw() {
                 takeSuccessor()?.discard()
             }
 
-            private fun otherEndpoint() = pickUntried()?.takeIf { it.ejectedUntil <= clock.now() }
+            private fun candidate() = untriedEndpoint() ?: silentEndpoint
+
+            private fun untriedEndpoint() =
+                if (hasAttemptLeft()) pickUntried()?.takeIf { it.ejectedUntil <= clock.now() } else null
         }
 
         /** Acquires another attempt in place of an error response, which is forwarded if none can follow. */
         private fun acquireRepeat(): Boolean =
             call.route.kind == CallKind.IDEMPOTENT && hasAttemptLeft() && pickUntried() != null && acquireRetry()
 
-        private fun hasAttemptLeft() =
-            sentCount < call.route.maxAttempts &&
-                call.deadline - clock.now() >= policy.minAttemptTime &&
+        private fun hasAttemptLeft() = sentCount < call.route.maxAttempts && mayRepeat()
+
+        private fun mayRepeat() =
+            call.deadline - clock.now() >= policy.minAttemptTime &&
                 !quarantine.isSuspect(call.headers.prompt, clock.now())
 
-        private fun acquireRetry() = hasAttemptLeft() && retryBudget.tryAcquire(routerCount(), clock.now())
+        private fun acquireRetry() = hasAttemptLeft() && acquireFromBudget()
+
+        private fun acquireFromBudget() = retryBudget.tryAcquire(routerCount(), clock.now())
 
         /** What [result] shows about the parts of the prompt. */
         private fun recordEvidence(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
@@ -8,6 +8,12 @@
     /** Asks another endpoint to go on with the stream; returns whether it has sent a part of it. */
     suspend fun offer(): Boolean
 
+    /**
+     * Whether the stream stays with its own endpoint for now, because the one that is asked has sent nothing on any
+     * connection since then. True once at most; that endpoint can then be asked again.
+     */
+    fun postpone(): Boolean
+
     /** Ends an [offer] that was accepted, if any, because the own endpoint went on first. */
     fun withdraw()
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.http.UpstreamResponse
 import io.limpetfold.stream.ServerSentEventFrame
 import io.limpetfold.stream.ServerSentEventFramer
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
@@ -143,13 +144,11 @@
                     Progress.Received(own)
                 }
                 own == null && offering.isCompleted ->
-                    if (offering.await()) {
-                        Progress.Left(
-                            isHandedOver = true,
-                        )
-                    } else {
-                        null
-                    }
+                    handedOver(offering)
+                own == null && handover.postpone() -> {
+                    offering.cancelAndJoin()
+                    if (offering.isCancelled) null else handedOver(offering)
+                }
                 else -> {
                     response.close()
                     val isTaken = offering.await()
@@ -158,6 +157,9 @@
             }
         }
 
+    private suspend fun handedOver(offering: Deferred<Boolean>): Progress? =
+        if (offering.await()) Progress.Left(isHandedOver = true) else null
+
     private suspend fun complete(
         exchange: HttpExchange,
         call: AdmittedCall,
@@ -219,8 +221,8 @@
         val STALL_CHECK_INTERVAL: Duration = Duration.ofMillis(100)
 
         /**
-         * How long two endpoints may hold a stream, one silent and one asked to go on; after it the stream leaves the
-         * silent one, so that both do not run it for long.
+         * How long two endpoints may hold a stream, one silent and one asked to go on, so that both do not run it for
+         * long; after it the stream leaves one of them.
          */
         val MAX_OFFER_TIME: Duration = Duration.ofMillis(300)
     }
