gateway: tell withdrawn versions to members that do not know them only

Change: a router keeps the members that responded since its known trials last changed, and asks the others. A running move is exchanged with all members as before.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
+import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
 import io.limpetfold.gateway.codec.MoveOrderCodec
 import io.limpetfold.gateway.observe.DecisionLog
@@ -11,6 +12,7 @@
 import io.limpetfold.rollout.timed.ServiceVersion
 import io.limpetfold.rollout.timed.TimedMoveDecision
 import io.limpetfold.rollout.timed.TimedVersionSelector
+import io.limpetfold.rollout.timed.VersionTrial
 import io.limpetfold.store.ObjectKey
 import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectStore
@@ -42,6 +44,10 @@
     /** Key of the order of each service, because the object of an order is not necessarily named after the service. */
     private val keysByService = HashMap<String, ObjectKey>()
 
+    /** The members that know [toldTrials]. */
+    private var toldMembers = emptySet<Incarnation>()
+    private var toldTrials = emptyList<VersionTrial>()
+
     /** Registers the handler of the topic; must be called before the peer network starts. */
     fun register() =
         peers.registerHandler(MOVES_TOPIC) { _, message ->
@@ -72,23 +78,47 @@
 
     /**
      * Performs one round while a move runs: exchanges reports with [members], decides, and writes the outcomes to the
-     * store. While a withdrawn version has endpoints the exchange goes on, for routers that have just started.
+     * store. While a withdrawn version has endpoints, members that do not know of it are told, such as those that have
+     * just started.
      */
     suspend fun maintain(members: List<Member>) {
         versionSelector.updatePresence(presentVersions())
-        if (!versionSelector.hasRunningMoves && !versionSelector.isWithdrawnVersionPresent) return
-        exchangeReports(members.map { it.instance })
-        versionSelector.decide(members.mapTo(HashSet()) { it.incarnation }).forEach { reportStatus(it) }
+        when {
+            versionSelector.hasRunningMoves -> {
+                exchangeReports(members)
+                versionSelector.decide(members.mapTo(HashSet()) { it.incarnation }).forEach { reportStatus(it) }
+            }
+            versionSelector.isWithdrawnVersionPresent -> tellTrials(members)
+        }
     }
 
-    private suspend fun exchangeReports(instances: List<InstanceId>) =
+    private suspend fun tellTrials(members: List<Member>) {
+        val trials = versionSelector.trials()
+        if (trials != toldTrials) toldMembers = emptySet()
+        toldTrials = trials
+        val (told, untold) = members.partition { it.incarnation in toldMembers }
+        toldMembers = told.mapTo(HashSet()) { it.incarnation } + exchangeReports(untold)
+    }
+
+    /** Returns the members that responded. */
+    private suspend fun exchangeReports(members: List<Member>): List<Incarnation> =
         coroutineScope {
             val message = ownReports()
-            instances
-                .map { peer -> async { peers.ask(peer, MOVES_TOPIC, message, PEER_TIMEOUT).get()?.let(::apply) } }
+            members
+                .map { member -> async { member.incarnation.takeIf { exchange(member.instance, message) } } }
                 .awaitAll()
+                .filterNotNull()
         }
 
+    private suspend fun exchange(
+        peer: InstanceId,
+        message: MoveReports,
+    ): Boolean {
+        val response = peers.ask(peer, MOVES_TOPIC, message, PEER_TIMEOUT).get() ?: return false
+        apply(response)
+        return true
+    }
+
     private fun ownReports() = MoveReports(versionSelector.self, versionSelector.reports(), versionSelector.trials())
 
     private fun apply(message: MoveReports) {
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinatorTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinatorTest.kt
@@ -43,6 +43,20 @@
             repeat(10) { fleet.maintain() }
             fleet.hub.askCount(MOVES_TOPIC) shouldBe 0
         }
+
+        test("guards against messages in each round about a withdrawn version that all routers know") {
+            val fleet = CoordinatorFleet()
+            fleet.router("r0").takeBack(withdrawn)
+            repeat(2) { fleet.router("r${it + 1}") }
+            fleet.present = setOf(ServiceVersion("app", withdrawn))
+            repeat(2) { fleet.maintain() }
+            val asked = fleet.hub.askCount(MOVES_TOPIC)
+            repeat(10) { fleet.maintain() }
+            fleet.hub.askCount(MOVES_TOPIC) shouldBe asked
+            val started = fleet.router("r3")
+            fleet.maintain()
+            started.selector.withdrawnVersions("app") shouldBe setOf(withdrawn)
+        }
     })
 
 /** Routers that know each other and share no store. */
