--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -2,18 +2,14 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
-import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -31,6 +27,7 @@
     private val budget: BufferBudget,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var finalResponse: FinalResponse
     private val check = RequestCheck(settings)
     private var exchange: ServerExchange? = null
 
@@ -70,6 +67,7 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
+        finalResponse = FinalResponse(ctx.channel())
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -143,13 +141,7 @@
         // A caller that half-closes the connection while a request runs counts as disconnected. A truncated head can
         // still get a response.
         if (exchange == null && headStartNanos != null && !isClosing) {
-            refuse(
-                RequestCheck.Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "the request head is truncated",
-                    "send the whole head",
-                ),
-            )
+            refuse(Refusals.TRUNCATED)
         } else {
             ctx.close()
         }
@@ -205,7 +197,7 @@
             activityNanos = System.nanoTime()
             if (done.isSuccess) ended.onResponseWritten() else ended.onConnectionLost()
             if (!mayContinue) {
-                if (isPipelined) writeRefusal(PIPELINED) else lingerAndClose()
+                if (isPipelined) writeRefusal(Refusals.PIPELINED) else finalResponse.lingerAndClose(::updateAutoRead)
             }
         }
         updateAutoRead()
@@ -214,7 +206,7 @@
     private fun onHead(request: HttpRequest) {
         headStartNanos = null
         if (exchange != null) return markPipelined()
-        val refusal = if (headScanner.isFolded) FOLDED else check.refusal(request, requestLimits)
+        val refusal = if (headScanner.isFolded) Refusals.FOLDED else check.refusal(request, requestLimits)
         headScanner.reset()
         if (refusal != null) return refuse(refusal)
         if (budget.isFull) budget.recordRequestAtLimit()
@@ -283,29 +275,7 @@
         writeRefusal(refusal)
     }
 
-    private fun writeRefusal(refusal: RequestCheck.Refusal) {
-        val body =
-            Unpooled.wrappedBuffer(
-                ErrorBody.encode("invalid_request", refusal.message, refusal.remedy, ran = "no"),
-            )
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status, body)
-        response.headers().set("Content-Type", "application/json")
-        response.headers().set("Content-Length", body.readableBytes())
-        response.headers().set("Connection", "close")
-        context.writeAndFlush(response).addListener { lingerAndClose() }
-    }
-
-    /**
-     * Drops input for a while before closing: closing a socket with unread bytes resets the connection, and the caller
-     * can lose the response.
-     */
-    private fun lingerAndClose() {
-        val channel = context.channel()
-        if (!channel.isActive) return
-        updateAutoRead()
-        (channel as? SocketChannel)?.shutdownOutput()
-        channel.eventLoop().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
-    }
+    private fun writeRefusal(refusal: RequestCheck.Refusal) = finalResponse.refuse(refusal, ::updateAutoRead)
 
     private fun scheduleTick() {
         val current = currentLimits
@@ -330,13 +300,7 @@
             running != null -> checkRunning(running, now)
             isResponseEndPending -> if (isTimedOut(activityNanos, now, settings.writeIdleTimeout)) context.close()
             headStart != null && isTimedOut(headStart, now, requestLimits.headerTimeout) ->
-                refuse(
-                    RequestCheck.Refusal(
-                        HttpResponseStatus.REQUEST_TIMEOUT,
-                        "the request head took too long",
-                        "send the head at once",
-                    ),
-                )
+                refuse(Refusals.TOO_SLOW)
             headStart == null && isTimedOut(activityNanos, now, idleAllowance.duration) -> context.close()
         }
         scheduleTick()
@@ -373,22 +337,9 @@
 
     private companion object {
         val LOGGER = LoggerFactory.getLogger(ServerConnection::class.java)
-        val PIPELINED =
-            RequestCheck.Refusal(
-                HttpResponseStatus.BAD_REQUEST,
-                "a second request arrived before the answer ended",
-                "wait for the answer before the next request",
-            )
-        val FOLDED =
-            RequestCheck.Refusal(
-                HttpResponseStatus.BAD_REQUEST,
-                "a header field is folded over lines",
-                "send each field on one line",
-            )
         const val BAD_REQUEST = 400
         const val TIMEOUT = 408
         const val TOO_LARGE = 413
-        const val LINGER_MILLIS = 500L
         const val TICKS_PER_TIMEOUT = 4
         const val MIN_TICK_MILLIS = 20L
         const val MAX_TICK_MILLIS = 1000L
