--- a/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
+++ b/limpetfold-measure/src/main/kotlin/io/limpetfold/measure/MeasureMain.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import io.limpetfold.measure.budgets.BudgetsCommand
+import io.limpetfold.measure.heads.HeadsCommand
 import io.limpetfold.measure.limits.LimitsCommand
 import io.limpetfold.measure.moves.MovesCommand
 import io.limpetfold.measure.overhead.OverheadCommand
@@ -15,6 +16,7 @@
     MeasureProgram()
         .subcommands(
             BudgetsCommand(),
+            HeadsCommand(),
             LimitsCommand(),
             MovesCommand(),
             OverheadCommand(),
