http: end attempts whose response head can be read in several ways

Callers got responses with two ids, two signatures or, in HTTP/1.0, two lengths, of which this client read the first and their own reader perhaps another. Netty takes the first of several Content-Length fields of an HTTP/1.0 message and removes the others, also on the way in; ReceivedHeaders makes such heads malformed.

A field that stands once and is repeated, and a length that is not one number, end the attempt with an unknown outcome. UpstreamSettings.singleFields names the fields besides the id.

Tests: EndpointCompatibilityTest, 12 new rows. With the length check alone the two rows of HTTP/1.0 with two lengths still failed; the decoder's headers were changed because of that.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -6,16 +6,11 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
@@ -35,10 +30,13 @@
     private val owner: Owner,
 ) : ChannelInboundHandlerAdapter() {
     private val decoder =
-        ResponseDecoder(settings.maxHeaderBytes, budget.pieceBytes, ::acceptBytes) {
-            exchange?.request?.method ==
-                "HEAD"
-        }
+        ResponseDecoder(
+            settings.maxHeaderBytes,
+            budget.pieceBytes,
+            ::acceptBytes,
+        ) { exchange?.request?.method == "HEAD" }
+    private val singleFields = SingleFields(settings.singleFields + settings.requestIdHeader)
+    private val messages = UpstreamMessages(address)
     private val correlation = ResponseCorrelation(settings.requestIdHeader)
     private var exchange: ClientExchange? = null
     private var isUsable = true
@@ -151,9 +149,7 @@
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isUsable = false
         if (!isResponseComplete) {
-            exchange?.fail(
-                UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"),
-            )
+            exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"))
         }
         owner.onClosed(this)
         ctx.fireChannelInactive()
@@ -165,9 +161,7 @@
         cause: Throwable,
     ) {
         if (!isResponseComplete) {
-            exchange?.fail(
-                UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"),
-            )
+            exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"))
         }
         discard()
     }
@@ -201,23 +195,11 @@
         activityNanos = System.nanoTime()
         val body = request.body
         if (body is UpstreamBody.Stream) {
-            channel.writeAndFlush(
-                prepare(
-                    request,
-                    DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target),
-                ),
-            )
+            channel.writeAndFlush(messages.head(request))
         } else {
             val bytes = (body as? UpstreamBody.Bytes)?.bytes ?: ByteArray(0)
-            val message =
-                DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1,
-                    HttpMethod.valueOf(request.method),
-                    request.target,
-                    Unpooled.wrappedBuffer(bytes),
-                )
             budget.add(bytes.size, 0)
-            channel.writeAndFlush(prepare(request, message)).addListener {
+            channel.writeAndFlush(messages.whole(request, bytes)).addListener {
                 budget.remove(bytes.size, 0)
                 if (it.isSuccess) onRequestWritten()
             }
@@ -225,29 +207,6 @@
         return started
     }
 
-    private fun prepare(
-        request: UpstreamRequest,
-        message: HttpRequest,
-    ): HttpRequest {
-        val headers = message.headers()
-        request.headers
-            .withoutHopByHop()
-            .entries
-            .forEach { (name, value) -> headers.add(name, value) }
-        if (!headers.contains("Host")) headers.set("Host", address.toString())
-        when (val body = request.body) {
-            is UpstreamBody.Bytes -> headers.set("Content-Length", body.bytes.size)
-            is UpstreamBody.Stream ->
-                if (body.lengthBytes == null) {
-                    HttpUtil.setTransferEncodingChunked(message, true)
-                } else {
-                    headers.set("Content-Length", body.lengthBytes)
-                }
-            UpstreamBody.None -> if (request.method !in setOf("GET", "HEAD", "DELETE")) headers.set("Content-Length", 0)
-        }
-        return message
-    }
-
     private fun onRequestWritten() {
         isRequestWritten = true
         activityNanos = System.nanoTime()
@@ -261,6 +220,10 @@
         if (running.isHeadReceived) return onUnsolicited()
         val headers = Headers.of(response.headers().entries().map { it.key to it.value })
         val framing = ResponseFraming(running.request.method, status, headers)
+        singleFields
+            .repeatedIn(
+                response.headers(),
+            )?.let { return fail(malformed("the field $it stands more than once")) }
         framing.problem(settings.acceptsCloseDelimitedResponses)?.let { return fail(malformed(it)) }
         if (!correlation.isOwn(running, headers)) return onForeignHead()
         isResponseKeepAlive = HttpUtil.isKeepAlive(response) && !framing.isCloseDelimited
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
@@ -21,7 +21,8 @@
             .setMaxHeaderSize(
                 maxHeaderBytes,
             ).setMaxChunkSize(pieceBytes)
-            .setAllowDuplicateContentLengths(false),
+            .setAllowDuplicateContentLengths(false)
+            .setHeadersFactory(ReceivedHeaders.Factory),
     ) {
     /** The number of bytes received but not decoded; more than 0 at the end of a response means surplus bytes. */
     val undecodedBytes: Int get() = actualReadableBytes()
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseFraming.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseFraming.kt
@@ -10,6 +10,7 @@
     headers: Headers,
 ) {
     private val encodings = headers.all("Transfer-Encoding")
+    private val lengths = headers.all("Content-Length")
     private val isChunked = encodings.size == 1 && encodings[0].equals("chunked", ignoreCase = true)
     private val isBodiless =
         method == HttpMethod.HEAD.name() ||
@@ -17,13 +18,15 @@
             status == HttpResponseStatus.NOT_MODIFIED.code()
 
     /** Whether the body ends with the connection. */
-    val isCloseDelimited = !isBodiless && !isChunked && headers["Content-Length"] == null
+    val isCloseDelimited = !isBodiless && !isChunked && lengths.isEmpty()
 
     /** Returns why the response can't be used, or null. */
     fun problem(acceptsCloseDelimited: Boolean): String? =
         when {
             status < HttpResponseStatus.OK.code() -> "status $status is not supported"
             encodings.isNotEmpty() && !isChunked -> "Transfer-Encoding is not exactly 'chunked'"
+            lengths.size > 1 || lengths.any { it.isEmpty() || !it.all { digit -> digit in '0'..'9' } } ->
+                "Content-Length is not one number"
             // Without a length, a truncated response looks complete.
             isCloseDelimited && !acceptsCloseDelimited -> "the answer has no length"
             else -> null
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
@@ -15,6 +15,8 @@
  * @property requestIdHeader the request header field whose echo in the response is checked.
  * @property acceptsCloseDelimitedResponses whether a response without a length may end with its connection. A truncated
  * one then looks complete unless the endpoint resets the connection.
+ * @property singleFields names of the header fields that may stand only once in a response, besides [requestIdHeader]
+ * and those that frame the body; a response with two of one can't be used.
  */
 data class UpstreamSettings(
     val connectTimeout: Duration = Duration.ofSeconds(1),
@@ -26,11 +28,14 @@
     val keepAliveMargin: Duration = KEEP_ALIVE_MARGIN,
     val requestIdHeader: String = "X-Request-Id",
     val acceptsCloseDelimitedResponses: Boolean = false,
+    val singleFields: Set<String> = GENERAL_SINGLE_FIELDS,
 ) {
-    private companion object {
-        val DEFAULT_TIMEOUT: Duration = Duration.ofSeconds(30)
-        val KEEP_ALIVE_MARGIN: Duration = Duration.ofMillis(500)
-        const val DEFAULT_MAX_CONNECTIONS = 1024
-        const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+    companion object {
+        /** The fields of HTTP itself that stand once and that programs decide by. */
+        val GENERAL_SINGLE_FIELDS: Set<String> = setOf("Content-Type", "ETag")
+        private val DEFAULT_TIMEOUT: Duration = Duration.ofSeconds(30)
+        private val KEEP_ALIVE_MARGIN: Duration = Duration.ofMillis(500)
+        private const val DEFAULT_MAX_CONNECTIONS = 1024
+        private const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
     }
 }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
@@ -71,6 +71,31 @@
             }
         }
 
+        val ambiguousHeads =
+            mapOf(
+                "two ids" to "Call-Id: mine\r\nCall-Id: mine\r\n",
+                "its own id before another one" to "Call-Id: mine\r\nCall-Id: other\r\n",
+                "two signatures" to "Call-Id: mine\r\nSignature: a\r\nsignature: b\r\n",
+                "two equal lengths" to "Call-Id: mine\r\nContent-Length: 2\r\n",
+                "two lengths" to "Call-Id: mine\r\nContent-Length: 1\r\n",
+                "a length beside chunks" to "Call-Id: mine\r\nTransfer-Encoding: chunked\r\n",
+            )
+        for (version in listOf("1.0", "1.1")) {
+            for ((name, fields) in ambiguousHeads) {
+                test("guards against a response in HTTP/$version with $name that is taken for one response") {
+                    RawServer { "HTTP/$version 200 OK\r\nContent-Length: 2\r\n$fields\r\nok" }.use { server ->
+                        val settings = UpstreamSettings(requestIdHeader = "Call-Id", singleFields = setOf("Signature"))
+                        withClient(settings) { client ->
+                            val request = UpstreamRequest("GET", "/", Headers.of("Call-Id" to "mine"))
+                            val error = client.send(server.address, request).getError()
+                            error.shouldBeInstanceOf<UpstreamError.OutcomeUnknown>()
+                            error.reason shouldBe UpstreamError.Reason.MALFORMED_ANSWER
+                        }
+                    }
+                }
+            }
+        }
+
         test("guards against a Host field of the caller that is replaced by the endpoint's address") {
             RawServer { head ->
                 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n${Regex(
