peer: treat every malformed message as one that does not decode

What callers saw: nothing yet. A reply whose CBOR makes the library throw anything but a SerializationException ended the coroutine that had asked, in place of the typed error of the ask. Cause: kotlinx-serialization's CBOR throws ArrayIndexOutOfBoundsException for a length near 2^31 in a skipped element, and IllegalArgumentException for an empty polymorphic value. Ruled out: catching these at each caller; four places decode, and the next one would forget it. Change: Frame.decode is the only place that decodes and throws SerializationException only.

--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Frame.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Frame.kt
@@ -1,8 +1,10 @@
 package io.limpetfold.peer.ktor
 
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 
@@ -43,7 +45,24 @@
     companion object {
         val CBOR: Cbor = Cbor { ignoreUnknownKeys = true }
 
-        fun decode(bytes: ByteArray): Frame = CBOR.decodeFromByteArray(serializer(), bytes)
+        fun decode(bytes: ByteArray): Frame = decode(serializer(), bytes)
+
+        /**
+         * Decodes a message that a peer sent; throws only [SerializationException].
+         *
+         * On malformed CBOR the library also throws others, such as [IndexOutOfBoundsException] for a length near 2^31.
+         */
+        fun <T> decode(
+            deserializer: DeserializationStrategy<T>,
+            bytes: ByteArray,
+        ): T =
+            try {
+                CBOR.decodeFromByteArray(deserializer, bytes)
+            } catch (e: SerializationException) {
+                throw e
+            } catch (e: RuntimeException) {
+                throw SerializationException("the bytes are no CBOR of ${deserializer.descriptor.serialName}", e)
+            }
 
         fun encode(frame: Frame): ByteArray = CBOR.encodeToByteArray(serializer(), frame)
     }
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/Handshake.kt
@@ -130,7 +130,7 @@
     private suspend fun <T> receive(
         channel: FrameChannel,
         serializer: DeserializationStrategy<T>,
-    ): T = Frame.CBOR.decodeFromByteArray(serializer, channel.read(MAX_MESSAGE_BYTES))
+    ): T = Frame.decode(serializer, channel.read(MAX_MESSAGE_BYTES))
 
     companion object {
         const val PROTOCOL = 1
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/KtorPeerNetwork.kt
@@ -126,7 +126,7 @@
         payload: ByteArray,
     ): Result<A, PeerError> =
         try {
-            Ok(Frame.CBOR.decodeFromByteArray(topic.replySerializer, payload))
+            Ok(Frame.decode(topic.replySerializer, payload))
         } catch (e: SerializationException) {
             LOG.warn("peer: reply does not decode peer={} topic={} reason={}", from, topic, e.javaClass.simpleName)
             Err(PeerError.Rejected(from, "its reply to $topic does not decode"))
--- a/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/TopicHandlers.kt
+++ b/limpetfold-peer/src/main/kotlin/io/limpetfold/peer/ktor/TopicHandlers.kt
@@ -59,7 +59,7 @@
             from: Incarnation,
             payload: ByteArray,
         ): ByteArray {
-            val message = Frame.CBOR.decodeFromByteArray(topic.requestSerializer, payload)
+            val message = Frame.decode(topic.requestSerializer, payload)
             return Frame.CBOR.encodeToByteArray(topic.replySerializer, handler.handle(from, message))
         }
     }
