http: refuse requests whose head can be read in several ways

A program behind this server could take another path, host, key or identity from a request than the handler decided on. RequestCheck now reads a head once and returns either the head for the handler with its framing, or a refusal: 400 for paths with dot segments, encoded slashes, backslashes or control characters, for a Host that is no host and for a second field of a name that stands once; 405 for TRACE. Targets in absolute form are served, and their host counts before the Host field (RFC 9112, 3.2.2). HttpServerSettings.singleFields and refusalHeaders are new.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/FinalResponse.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/FinalResponse.kt
@@ -11,9 +11,10 @@
 internal class FinalResponse(
     private val channel: Channel,
 ) {
-    /** Writes [refusal] and closes the connection; calls [onWritten] in between. */
+    /** Writes [refusal] with [headers] and closes the connection; calls [onWritten] in between. */
     fun refuse(
         refusal: RequestCheck.Refusal,
+        headers: Headers,
         onWritten: () -> Unit,
     ) {
         val body =
@@ -24,6 +25,7 @@
         response.headers().set("Content-Type", "application/json")
         response.headers().set("Content-Length", body.readableBytes())
         response.headers().set("Connection", "close")
+        (headers.entries + refusal.headers.entries).forEach { (name, value) -> response.headers().add(name, value) }
         channel.writeAndFlush(response).addListener { lingerAndClose(onWritten) }
     }
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServerSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HttpServerSettings.kt
@@ -11,6 +11,9 @@
  * @property idleTimeout maximum time that a connection stays open without a request.
  * @property bodyIdleTimeout maximum time without a received byte while the handler waits for the request body.
  * @property writeIdleTimeout maximum time in which the caller reads no byte of a pending response.
+ * @property singleFields names of the header fields that may stand only once in a request, besides `Host` and those that
+ *   frame the body; two values of a field that decides something could be read differently by the next program.
+ * @property refusalHeaders header fields of the responses to requests that are refused before a handler sees them.
  */
 data class HttpServerSettings(
     val host: String = "127.0.0.1",
@@ -24,20 +27,24 @@
     val idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT,
     val bodyIdleTimeout: Duration = DEFAULT_BODY_IDLE_TIMEOUT,
     val writeIdleTimeout: Duration = DEFAULT_WRITE_IDLE_TIMEOUT,
+    val singleFields: Set<String> = GENERAL_SINGLE_FIELDS,
+    val refusalHeaders: Headers = Headers.EMPTY,
 ) {
     /** The limits of this settings object that an [HttpServer] may also take from a [ConnectionLimitsSource]. */
     val connectionLimits: ConnectionLimits
         get() = ConnectionLimits(maxHeaderBytes, maxBodyBytes, headerTimeout, idleTimeout)
 
-    private companion object {
-        const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+    companion object {
+        /** The fields of HTTP itself that stand once and that programs decide by. */
+        val GENERAL_SINGLE_FIELDS: Set<String> = setOf("Authorization", "Content-Type")
+        private const val DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 
         /**
          * Longer than the 60 s after which load balancers usually close an idle connection, so that the server does not
          * close it first.
          */
-        val DEFAULT_IDLE_TIMEOUT: Duration = Duration.ofSeconds(75)
-        val DEFAULT_BODY_IDLE_TIMEOUT: Duration = Duration.ofSeconds(30)
-        val DEFAULT_WRITE_IDLE_TIMEOUT: Duration = Duration.ofSeconds(120)
+        private val DEFAULT_IDLE_TIMEOUT: Duration = Duration.ofSeconds(75)
+        private val DEFAULT_BODY_IDLE_TIMEOUT: Duration = Duration.ofSeconds(30)
+        private val DEFAULT_WRITE_IDLE_TIMEOUT: Duration = Duration.ofSeconds(120)
     }
 }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/Refusals.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/Refusals.kt
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 
-/** Refusals of requests because of how they arrive, which no handler sees. */
+/** Refusals of requests because of how they arrive. */
 internal object Refusals {
     val PIPELINED =
         RequestCheck.Refusal(
@@ -28,4 +28,15 @@
             "the request head took too long",
             "send the head at once",
         )
+
+    private const val BAD_REQUEST = 400
+    private const val TIMEOUT = 408
+    private const val TOO_LARGE = 413
+
+    fun malformedBody() = RequestBodyException(BAD_REQUEST, "the body is malformed: send valid chunks")
+
+    fun slowBody() = RequestBodyException(TIMEOUT, "the body took too long: send it without pauses")
+
+    fun largeBody(maxBytes: Long) =
+        RequestBodyException(TOO_LARGE, "the body exceeds $maxBytes bytes: send a smaller body")
 }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
@@ -1,62 +1,142 @@
 package io.limpetfold.http
 
+import com.github.michaelbull.result.getOrElse
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 
-/** Validates decoded request heads: syntax, size, and that no other HTTP parser could read them differently. */
+/**
+ * Reads decoded request heads once for all: refuses those that are malformed, too large, or that another HTTP program
+ * could read differently, and returns what the others say.
+ */
 internal class RequestCheck(
     private val settings: HttpServerSettings,
 ) {
+    private val singleFields = SingleFields(settings.singleFields)
+
     /** Returns the refusal for [request] under [limits], or null when it is acceptable. */
     fun refusal(
         request: HttpRequest,
         limits: ConnectionLimits,
-    ): Refusal? {
-        if (request.decoderResult().isFailure) return decoderRefusal(request.decoderResult().cause())
+    ): Refusal? = (read(request, limits) as? RequestReading.Refused)?.refusal
+
+    /** Returns what [request] says, or its refusal under [limits]. */
+    fun read(
+        request: HttpRequest,
+        limits: ConnectionLimits,
+    ): RequestReading {
+        if (request.decoderResult().isFailure) return refused(decoderRefusal(request.decoderResult().cause()))
         val isVersion11 = request.protocolVersion() == HttpVersion.HTTP_1_1
-        return headRefusal(request, isVersion11) ?: bodyRefusal(request.headers(), isVersion11, limits)
+        val target =
+            RequestTarget.read(request.uri()).getOrElse {
+                return refused(badRequest(it, "send the target as a plain path, such as /v1/models"))
+            }
+        val refusal =
+            lineRefusal(request, isVersion11)
+                ?: fieldRefusal(request.headers(), isVersion11)
+                ?: bodyRefusal(request.headers(), isVersion11, limits)
+        return if (refusal == null) accepted(request, target, isVersion11) else refused(refusal)
     }
 
-    private fun headRefusal(
+    private fun refused(refusal: Refusal) = RequestReading.Refused(refusal)
+
+    private fun accepted(
         request: HttpRequest,
+        target: RequestTarget,
         isVersion11: Boolean,
-    ): Refusal? {
-        val headers = request.headers()
-        val hosts = headers.getAll("Host")
-        return when {
+    ): RequestReading.Accepted {
+        val body = bodyFraming(request.headers())
+        val traits =
+            ServerExchange.Traits(
+                isVersion11,
+                isKeepAlive = isVersion11 && HttpUtil.isKeepAlive(request),
+                hasRequestBody = body != RequestHead.BodyFraming.None,
+                hasResponseBody = request.method() != HttpMethod.HEAD,
+                expectsContinue = HttpUtil.is100ContinueExpected(request),
+            )
+        return RequestReading.Accepted(
+            RequestHead(request.method().name(), target.originForm, fields(request.headers(), target.authority), body),
+            traits,
+        )
+    }
+
+    /** Returns the fields of [headers]; [authority] replaces the value of `Host` unless it is null. */
+    private fun fields(
+        headers: HttpHeaders,
+        authority: String?,
+    ): Headers {
+        val received = Headers.of(headers.map { it.key to it.value })
+        if (authority == null) return received
+        if (received[HOST] == null) return received.with(HOST, authority)
+        return Headers.of(
+            received.entries.map { (name, value) ->
+                name to
+                    if (name.equals(HOST, ignoreCase = true)) authority else value
+            },
+        )
+    }
+
+    private fun bodyFraming(headers: HttpHeaders): RequestHead.BodyFraming {
+        if (headers.contains("Transfer-Encoding")) return RequestHead.BodyFraming.Chunked
+        val lengthBytes = headers["Content-Length"]?.toLong() ?: 0
+        return if (lengthBytes == 0L) RequestHead.BodyFraming.None else RequestHead.BodyFraming.Length(lengthBytes)
+    }
+
+    private fun lineRefusal(
+        request: HttpRequest,
+        isVersion11: Boolean,
+    ): Refusal? =
+        when {
             !isVersion11 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
                 Refusal(
                     HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED,
                     "the HTTP version is not supported",
                     "use HTTP/1.1",
                 )
+            request.method().name().equals(HttpMethod.TRACE.name(), ignoreCase = true) ->
+                Refusal(
+                    HttpResponseStatus.METHOD_NOT_ALLOWED,
+                    "TRACE is not served, because it returns the keys in a request",
+                    "use another method",
+                    Headers.of("Allow" to SERVED_METHODS),
+                )
+            else -> null
+        }
+
+    private fun fieldRefusal(
+        headers: HttpHeaders,
+        isVersion11: Boolean,
+    ): Refusal? {
+        val hosts = headers.getAll(HOST)
+        return when {
             headers.size() > settings.maxHeaderCount ->
                 Refusal(
                     HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                     "more than ${settings.maxHeaderCount} header fields",
                     "send fewer header fields",
                 )
-            !isOriginForm(request.uri()) ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "the request target is not a path",
-                    "send the target in origin form, such as /v1/models",
-                )
             hosts.size > 1 || (isVersion11 && hosts.isEmpty()) ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "the request needs exactly one Host field",
-                    "send one Host field",
-                )
-            else -> null
+                badRequest("the request needs exactly one Host field", "send one Host field")
+            hosts.any { !RequestTarget.isAuthority(it) } ->
+                badRequest("the Host field is not a host with an optional port", "send the host of the target")
+            else ->
+                singleFields.repeatedIn(headers)?.let {
+                    badRequest("the field $it stands more than once", "send one $it field")
+                }
         }
     }
 
+    private fun badRequest(
+        message: String,
+        remedy: String,
+    ) = Refusal(HttpResponseStatus.BAD_REQUEST, message, remedy)
+
     private fun bodyRefusal(
         headers: HttpHeaders,
         isVersion11: Boolean,
@@ -67,23 +147,14 @@
         return when {
             encodings.isNotEmpty() &&
                 (encodings.size > 1 || !isVersion11 || !encodings[0].equals("chunked", ignoreCase = true)) ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
+                badRequest(
                     "Transfer-Encoding is not exactly 'chunked'",
                     "send a Content-Length or 'Transfer-Encoding: chunked'",
                 )
             encodings.isNotEmpty() && lengths.isNotEmpty() ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "both Content-Length and Transfer-Encoding are present",
-                    "send only one of them",
-                )
+                badRequest("both Content-Length and Transfer-Encoding are present", "send only one of them")
             lengths.size > 1 || lengths.any { it.isEmpty() || !it.all(Char::isAsciiDigit) } ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "Content-Length is not one number",
-                    "send one decimal Content-Length",
-                )
+                badRequest("Content-Length is not one number", "send one decimal Content-Length")
             (lengths.firstOrNull()?.toLongOrNull() ?: if (lengths.isEmpty()) 0 else Long.MAX_VALUE) >
                 limits.maxBodyBytes ->
                 Refusal(
@@ -112,11 +183,7 @@
             is TooLongHttpHeaderException, is TooLongFrameException ->
                 headerFieldsTooLarge(ConnectionLimits.MAX_HEADER_BYTES)
             else ->
-                Refusal(
-                    HttpResponseStatus.BAD_REQUEST,
-                    "the request head is malformed",
-                    "send a request as in RFC 9112",
-                )
+                badRequest("the request head is malformed", "send a request as in RFC 9112")
         }
 
     /** Returns the refusal of a head whose header field lines exceed [maxHeaderBytes]. */
@@ -127,14 +194,18 @@
             "send smaller header fields",
         )
 
-    private fun isOriginForm(target: String): Boolean = target.startsWith("/") && target.all { it in '!'..'~' }
-
-    /** The status and texts of the error response to a refused request. */
+    /** The status, texts and further header fields of the error response to a refused request. */
     data class Refusal(
         val status: HttpResponseStatus,
         val message: String,
         val remedy: String,
+        val headers: Headers = Headers.EMPTY,
     )
+
+    private companion object {
+        const val HOST = "Host"
+        const val SERVED_METHODS = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"
+    }
 }
 
 private fun Char.isAsciiDigit(): Boolean = this in '0'..'9'
