--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/StoreError.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/StoreError.kt
@@ -48,13 +48,20 @@
         override val message get() = "the history up to the watched position is gone; list the objects again"
     }
 
-    /** The value is larger than the platform accepts. */
+    /**
+     * The value is larger than the platform accepts; nothing was written.
+     *
+     * @property limitBytes the platform's limit, if it is known.
+     */
     data class TooLarge(
         val sizeBytes: Int,
+        val limitBytes: Long? = null,
     ) : StoreError {
-        override val message
-            get() =
-                "a value of $sizeBytes bytes exceeds the platform's limit of 1 MB; split the object"
+        override val message: String
+            get() {
+                val limit = limitBytes?.let { " of $it bytes" }.orEmpty()
+                return "a value of $sizeBytes bytes exceeds the platform's limit$limit; split the object"
+            }
     }
 
     /** The stored value can't be decoded, or the platform rejected the call as invalid. */
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/PlatformClient.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/PlatformClient.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.http.Headers
 import io.limpetfold.http.ResponseHead
+import io.limpetfold.http.UpstreamBody
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamError
 import io.limpetfold.http.UpstreamRequest
@@ -40,8 +41,12 @@
         return commonError(response)?.let { Err(it) } ?: Ok(response)
     }
 
-    /** Sends a write. If it fails after the platform may have received it, the error is [StoreError.OutcomeUnknown]. */
+    /**
+     * Sends a write. If it fails after the platform may have received it, the error is [StoreError.OutcomeUnknown]. A
+     * body above [PlatformSettings.maxObjectBytes] is not sent.
+     */
     suspend fun write(request: UpstreamRequest): Result<Response, StoreError> {
+        tooLarge(request)?.let { return Err(it) }
         val response =
             call(request, Duration.ZERO).getOrElse {
                 return Err(
@@ -62,6 +67,12 @@
         return commonError(response)?.let { Err(it) } ?: Ok(response)
     }
 
+    private fun tooLarge(request: UpstreamRequest): StoreError? {
+        val limitBytes = settings.maxObjectBytes ?: return null
+        val sizeBytes = (request.body as? UpstreamBody.Bytes)?.bytes?.size ?: return null
+        return if (sizeBytes > limitBytes) StoreError.TooLarge(sizeBytes, limitBytes) else null
+    }
+
     /** Returns the error for a status that is handled alike for reads and writes, or null. */
     private fun commonError(response: Response): StoreError? =
         when (val status = response.head.status) {
