gateway: refuse a prompt that no endpoint can hold

Callers saw: endpoints refuse such a call as if they were full, so it was sent to several of them and refused with Retry-After, as if a later try could help. Change: a call whose prompt alone has more tokens than kvCapacity gets 503 prompt_too_large at once, without Retry-After. Of a split, the services that can hold the prompt share the call. Ruled out: 413, as the body is within the limits; counting the output, as the call may end before it.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
@@ -38,15 +38,20 @@
         get() = kind == CallKind.IDEMPOTENT || (kind == CallKind.STREAM && isResumable)
 
     /**
-     * Returns a service chosen by weight, or null when no weight is positive; [fraction] is a random number in [0, 1).
+     * Returns a service chosen by weight among those that are [usable], or null when none of these has a positive weight;
+     * [fraction] is a random number in [0, 1).
      */
-    fun pickService(fraction: Double): String? {
-        val totalWeight = services.sumOf { it.weight }
+    fun pickService(
+        fraction: Double,
+        usable: (service: String) -> Boolean = { true },
+    ): String? {
+        val candidates = services.filter { usable(it.service) }
+        val totalWeight = candidates.sumOf { it.weight }
         var remaining = fraction * totalWeight
-        for (candidate in services) {
+        for (candidate in candidates) {
             remaining -= candidate.weight
             if (remaining < 0) return candidate.service
         }
-        return services.lastOrNull { it.weight > 0 }?.service
+        return candidates.lastOrNull { it.weight > 0 }?.service
     }
 }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/RoutingTable.kt
@@ -47,6 +47,12 @@
     /** Returns the service [name], or null when the configuration has none. */
     fun service(name: String): ForwardingService? = servicesByName[name]
 
+    /** Whether an endpoint of the service [name] can ever have room for a prompt of [inputTokens]. */
+    fun canHold(
+        name: String,
+        inputTokens: Int,
+    ): Boolean = service(name)?.engine?.canHold(inputTokens) ?: true
+
     /** Returns the workspace that [key] belongs to, or null when the key is unknown. */
     fun workspaceByKey(key: String): WorkspaceAccess? = workspacesByKeyHash[Sha256Hex.of(key)]
 
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/routing/RoutingTableTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/routing/RoutingTableTest.kt
@@ -7,6 +7,7 @@
 import io.limpetfold.core.WorkspaceId
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableList
 import java.time.Duration
 
 class RoutingTableTest :
@@ -37,6 +38,26 @@
             table.workspaceByKey("key") shouldBe null
         }
 
+        test("guards against a call that is refused because one of its route's services can't hold its prompt") {
+            val services = persistentListOf(WeightedService("small", 9), WeightedService("large", 1))
+            val route = route(isPublic = false).copy(services = services)
+            val traits = mapOf("small" to 100L, "large" to 1_000L)
+            val table =
+                RoutingTable(
+                    1,
+                    persistentListOf(route),
+                    traits
+                        .map { (name, tokens) -> ForwardingService(name, "/h", 1, EngineTraits(1, tokens, 1)) }
+                        .toImmutableList(),
+                    KeyRequirement.None,
+                )
+
+            fun pick(inputTokens: Int) = route.pickService(0.0) { table.canHold(it, inputTokens) }
+            pick(100) shouldBe "small"
+            pick(101) shouldBe "large"
+            pick(1_001) shouldBe null
+        }
+
         test("guards against a key asked for by a configuration that does not mention workspaces") {
             table(KeyRequirement.None).isKeyRequired(route(isPublic = false)) shouldBe false
         }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
@@ -6,6 +6,7 @@
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.gateway.operate.GracefulShutdown
 import io.limpetfold.http.RequestHead
+import io.limpetfold.routing.ForwardingRoute
 import io.limpetfold.routing.RoutingTable
 import java.time.Duration
 import kotlin.random.Random
@@ -29,9 +30,15 @@
         if (table.isKeyRequired(route) && workspace == null) return Err(RefusalReason.UNKNOWN_KEY)
         val request = headers.requestId ?: return Err(RefusalReason.NO_REQUEST_ID)
         if (!headers.isPromptValid) return Err(RefusalReason.INVALID_PROMPT)
-        val service = route.pickService(random.nextDouble()) ?: return Err(RefusalReason.NO_ENDPOINT)
+        val inputTokens = headers.prompt?.inputTokens ?: 0
+        val service =
+            route.pickService(random.nextDouble()) { table.canHold(it, inputTokens) }
+                ?: return Err(noService(route))
         val timeout = headers.timeout?.let { minOf(it, route.timeout) } ?: route.timeout
         if (!shutdown.acceptsCall(now + timeout)) return Err(RefusalReason.STOPPING)
         return Ok(AdmittedCall(head, headers, request, table, route, workspace, service, now, now + timeout))
     }
+
+    private fun noService(route: ForwardingRoute): RefusalReason =
+        if (route.pickService(0.0) == null) RefusalReason.NO_ENDPOINT else RefusalReason.PROMPT_TOO_LARGE
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
@@ -35,6 +35,12 @@
         "endpoints crashed on requests with a part of this prompt",
         "send a prompt without this part, or report it to the operators",
     ),
+    PROMPT_TOO_LARGE(
+        503,
+        "prompt_too_large",
+        "the prompt has more tokens than an endpoint of the service can hold",
+        "send a shorter prompt",
+    ),
     BODIES_TOO_LARGE(
         503,
         "bodies_too_large",
@@ -60,5 +66,6 @@
     ;
 
     /** Whether a later retry may succeed, so that a `Retry-After` header is sent. */
-    val isTransient: Boolean get() = (status == 503 || status == 429) && this != PROMPT_PART_QUARANTINED
+    val isTransient: Boolean
+        get() = (status == 503 || status == 429) && this != PROMPT_PART_QUARANTINED && this != PROMPT_TOO_LARGE
 }
