dispatch: leave out affinity on routes that say so

Cause: sessionAffinity was not decoded; each call with prompt parts had affinity. Change: a route with false sends its calls to the least loaded endpoint; a route without the field keeps affinity. Measured: SessionAffinityTest fails with the field ignored (1 endpoint used, more expected).

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
@@ -18,6 +18,7 @@
  * @property maxAttempts maximum number of endpoints that one call is sent to.
  * @property isPublic whether calls need no key.
  * @property isResumable whether an interrupted stream may be resumed at another endpoint after the last event received.
+ * @property hasAffinity whether calls that share a prompt part prefer the same endpoint.
  */
 data class ForwardingRoute(
     val route: RouteId,
@@ -32,6 +33,7 @@
     val maxAttempts: Int,
     val isPublic: Boolean,
     val isResumable: Boolean,
+    val hasAffinity: Boolean = true,
 ) {
     /** Whether a call with an unknown outcome may be retried at another endpoint. */
     val isRetryable: Boolean
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -90,7 +90,10 @@
         private fun takeSuccessor(): Attempt? = successor.also { successor = null }
 
         private fun pickUntried(): EndpointState? {
-            val affinityKey = call.headers.prompt?.affinityKey
+            val affinityKey =
+                call.headers.prompt
+                    ?.affinityKey
+                    ?.takeIf { call.route.hasAffinity }
             val versions = call.move?.let(::preferenceOf)
             val request = PickRequest(call.service, affinityKey, triedEndpoints, versions, avoidedVersions())
             return picker.pick(request, clock.now())
