dispatch: keep to a share of an endpoint's connections

Cause: maxConns was read and used by nothing; endpoints reset connections beyond it. Change: a router's share is maxConns divided by the number of routers, at least the endpoint's slots. An endpoint at its share is passed over while another one has room; no call is refused for it, since other routers may use less.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -30,8 +30,9 @@
     ): EndpointState? {
         val usable = usable(request.service, request.avoidedVersions, now)
         val untried = usable.filter { it.endpoint.id !in request.excluded }
-        val candidates = inRotation(ofVersion(untried, request.versions, now), now)
-        if (candidates.isEmpty()) return null
+        val inRotation = inRotation(ofVersion(untried, request.versions, now), now)
+        if (inRotation.isEmpty()) return null
+        val candidates = withConnectionLeft(inRotation, request.connectionShare)
         val key = request.affinityKey ?: return leastLoaded(candidates)
         return byAffinity(key, candidates)
     }
@@ -149,6 +150,19 @@
             }.ifEmpty { notEjected }
     }
 
+    /**
+     * Leaves out endpoints at which the router has used up [share]; returns all when it has at each, because the other
+     * routers may use less than theirs. A router may have as many calls at an endpoint as this has slots, since with
+     * few callers one router may have them all.
+     */
+    private fun withConnectionLeft(
+        candidates: List<EndpointState>,
+        share: Int?,
+    ): List<EndpointState> {
+        if (share == null) return candidates
+        return candidates.filter { it.inFlight < maxOf(share, it.endpoint.slots) }.ifEmpty { candidates }
+    }
+
     private fun byAffinity(
         key: String,
         candidates: List<EndpointState>,
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickRequest.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickRequest.kt
@@ -10,6 +10,8 @@
  * @property versions which version of the service the call prefers; null while no move between versions is in progress.
  * @property avoidedVersions versions whose endpoints get the call only if the service has no others, because a refusal
  *   would serve no caller.
+ * @property connectionShare this router's share of the connections that an endpoint accepts from all routers; null if it
+ *   is unknown. An endpoint with as many calls of this router in flight is passed over while another one has room.
  */
 data class PickRequest(
     val service: String,
@@ -17,4 +19,5 @@
     val excluded: Set<EndpointId> = emptySet(),
     val versions: VersionPreference? = null,
     val avoidedVersions: Set<String> = emptySet(),
+    val connectionShare: Int? = null,
 )
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -150,6 +150,25 @@
             counts.getValue("i-1") shouldBeLessThanOrEqual 140
         }
 
+        test("guards against connections that an endpoint resets, and refusals while all endpoints are at the limit") {
+            val picker = picker(directory(2))
+            val request = PickRequest("s", "hot", connectionShare = 8)
+
+            fun next() = picker.pick(request, NOW).shouldNotBeNull().also(picker::onCallStarted)
+            val states = List(16) { next() }
+            states
+                .groupingBy { it.endpoint.id }
+                .eachCount()
+                .values
+                .toSet() shouldBe setOf(8)
+            next()
+            // The endpoints have six slots each, which a smaller share leaves open to one router.
+            val other = picker(directory(2))
+            val small = request.copy(connectionShare = 1)
+            val hot = List(6) { other.pick(small, NOW).shouldNotBeNull().also(other::onCallStarted) }
+            hot.toSet() shouldHaveSize 1
+        }
+
         test("guards against cross-zone calls while an endpoint in the router's own zone has free slots") {
             val picker = picker(directory(4, zones = 2))
             val state = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -95,10 +95,24 @@
                     ?.affinityKey
                     ?.takeIf { call.route.hasAffinity }
             val versions = call.move?.let(::preferenceOf)
-            val request = PickRequest(call.service, affinityKey, triedEndpoints, versions, avoidedVersions())
+            val request =
+                PickRequest(
+                    call.service,
+                    affinityKey,
+                    triedEndpoints,
+                    versions,
+                    avoidedVersions(),
+                    connectionShare(),
+                )
             return picker.pick(request, clock.now())
         }
 
+        private fun connectionShare(): Int? =
+            call.table
+                .service(call.service)
+                ?.maxConnections
+                ?.let { it / maxOf(1, routerCount()) }
+
         private fun avoidedVersions() = versionSelector.withdrawnVersions(call.service).mapTo(HashSet()) { it.value }
 
         /** One endpoint that the call is sent to; what it does is recorded once, at its end. */
