dispatch: send fewer calls to endpoints that are slow after their start

Cause: coldMs was not decoded; a new endpoint got its full share at once. Change: until that time after its entry was read, a call at the endpoint counts as two. An entry that is read again does not prolong it. The weight of two is chosen.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
@@ -11,6 +11,7 @@
  * @property startedAtMillis when the process started, in Unix time; together with [id] it identifies one
  * incarnation. 0 when unknown.
  * @property slots maximum number of calls that the endpoint processes concurrently.
+ * @property coldMillis how much longer the endpoint is slow after its start, counted from the writing of the entry.
  * @property isDraining whether the endpoint only finishes its calls and must get no new ones.
  */
 @Serializable
@@ -25,4 +26,5 @@
     val version: String,
     val slots: Int,
     val isDraining: Boolean = false,
+    val coldMillis: Long = 0,
 )
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
@@ -14,7 +14,8 @@
     private val policy: DirectoryPolicy = DirectoryPolicy(),
 ) {
     private class Entry(
-        var endpoint: Endpoint,
+        val endpoint: Endpoint,
+        val warmAt: Duration,
         var expiresAt: Duration? = null,
     )
 
@@ -50,7 +51,7 @@
         if (listPosition < position) return
         position = listPosition
         val present = endpoints.mapTo(HashSet()) { it.id }
-        endpoints.forEach { put(it) }
+        endpoints.forEach { put(it, now) }
         entries.keys.filter { it !in present }.forEach { remove(it, now) }
     }
 
@@ -63,7 +64,7 @@
     ) {
         if (changePosition < position) return
         position = changePosition
-        endpoints.forEach { put(it) }
+        endpoints.forEach { put(it, now) }
         removed.forEach { remove(it, now) }
     }
 
@@ -89,8 +90,23 @@
         return !isExpired && !entry.endpoint.isDraining && entry.endpoint.startedAtMillis == endpoint.startedAtMillis
     }
 
-    private fun put(endpoint: Endpoint) {
-        entries[endpoint.id] = Entry(endpoint)
+    /**
+     * Returns whether [endpoint] is still slow after its start, counted from when its entry was read: clocks of other
+     * instances don't have to agree with that of this one.
+     */
+    fun isCold(
+        endpoint: Endpoint,
+        now: Duration,
+    ): Boolean = entries[endpoint.id]?.let { now < it.warmAt } ?: false
+
+    /** An entry that is read again, such as after an outage of the store, does not make its incarnation cold again. */
+    private fun put(
+        endpoint: Endpoint,
+        now: Duration,
+    ) {
+        val warmAt = now + Duration.ofMillis(endpoint.coldMillis)
+        val known = entries[endpoint.id]?.takeIf { it.endpoint.startedAtMillis == endpoint.startedAtMillis }
+        entries[endpoint.id] = Entry(endpoint, if (known == null) warmAt else minOf(known.warmAt, warmAt))
     }
 
     private fun remove(
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -33,8 +33,8 @@
         val inRotation = inRotation(ofVersion(untried, request.versions, now), now)
         if (inRotation.isEmpty()) return null
         val candidates = withConnectionLeft(inRotation, request.connectionShare)
-        val key = request.affinityKey ?: return leastLoaded(candidates)
-        return byAffinity(key, candidates)
+        val key = request.affinityKey ?: return leastLoaded(candidates, now)
+        return byAffinity(key, candidates, now)
     }
 
     /**
@@ -166,17 +166,30 @@
     private fun byAffinity(
         key: String,
         candidates: List<EndpointState>,
+        now: Duration,
     ): EndpointState {
-        val meanInFlight = candidates.sumOf { it.inFlight }.toDouble() / candidates.size
-        val maxInFlight = policy.maxLoadFactor * meanInFlight + policy.loadMargin
+        val loads = candidates.associateWith { it.inFlight * coldFactor(it, now) }
+        val maxLoad = policy.maxLoadFactor * loads.values.average() + policy.loadMargin
         val ranked = RendezvousHash.rank(key, candidates) { it.endpoint.id.value }
-        return ranked.firstOrNull { it.inFlight < maxInFlight } ?: ranked.minBy { it.inFlight }
+        return ranked.firstOrNull { loads.getValue(it) < maxLoad } ?: ranked.minBy { loads.getValue(it) }
     }
 
-    private fun leastLoaded(candidates: List<EndpointState>): EndpointState = candidates.shuffled(random).minBy(::cost)
+    private fun leastLoaded(
+        candidates: List<EndpointState>,
+        now: Duration,
+    ): EndpointState = candidates.shuffled(random).minBy { cost(it, now) }
+
+    /** How much more a call counts at an endpoint that is slow after its start. */
+    private fun coldFactor(
+        state: EndpointState,
+        now: Duration,
+    ): Double = if (directory.isCold(state.endpoint, now)) policy.coldLoadFactor else 1.0
 
-    private fun cost(state: EndpointState): Double {
-        val load = (state.inFlight + 1.0) / state.endpoint.slots.coerceAtLeast(1)
+    private fun cost(
+        state: EndpointState,
+        now: Duration,
+    ): Double {
+        val load = (state.inFlight + 1) * coldFactor(state, now) / state.endpoint.slots.coerceAtLeast(1)
         val zonePenalty = if (state.endpoint.zone == zone) 0.0 else policy.otherZonePenalty
         return load + zonePenalty
     }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
@@ -8,6 +8,7 @@
  * @property maxLoadFactor the endpoint preferred by affinity is passed over when its calls in flight reach this
  * multiple of the mean plus [loadMargin].
  * @property loadMargin calls that are always allowed above that multiple, because the mean of a single router is small.
+ * @property coldLoadFactor how many calls one call counts as at an endpoint that is slow after its start.
  * @property otherZonePenalty load, in calls per slot, that is added to endpoints of other zones when the least loaded
  * one is chosen.
  * @property firstEjection how long an endpoint is ejected after a call without a response; doubles with each
@@ -21,6 +22,7 @@
 data class PickerPolicy(
     val maxLoadFactor: Double = 1.5,
     val loadMargin: Int = 3,
+    val coldLoadFactor: Double = 2.0,
     val otherZonePenalty: Double = 0.25,
     val firstEjection: Duration = FIRST_EJECTION,
     val maxEjection: Duration = Duration.ofSeconds(3),
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
@@ -24,6 +24,18 @@
             directory.isUsable(endpoint("b"), seconds(2)) shouldBe false
         }
 
+        test("guards against an endpoint that stays cold because its entry is read again, and one that starts warm") {
+            val directory = EndpointDirectory()
+            val cold = endpoint("a").copy(coldMillis = 5_000)
+            directory.applyList(listOf(cold), 10, seconds(1))
+            directory.applyList(listOf(cold), 11, seconds(4))
+            directory.isCold(cold, seconds(5)) shouldBe true
+            directory.isCold(cold, seconds(6)) shouldBe false
+            val restarted = cold.copy(startedAtMillis = 2)
+            directory.applyChanges(listOf(restarted), emptyList(), 12, seconds(7))
+            directory.isCold(restarted, seconds(11)) shouldBe true
+        }
+
         test("guards against losing live endpoints whose entries expired during an outage of the store") {
             val directory = EndpointDirectory()
             directory.applyList(listOf(endpoint("a"), endpoint("b")), 10, seconds(1))
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -169,6 +169,25 @@
             hot.toSet() shouldHaveSize 1
         }
 
+        test(
+            "guards against a full share of calls for an endpoint that is slow after its start, and a lasting penalty",
+        ) {
+            val directory = directory(4)
+            val cold = directory.all(NOW).first().copy(startedAtMillis = 2, coldMillis = 5_000)
+            directory.applyChanges(listOf(cold), emptyList(), 2, NOW)
+
+            fun share(now: Duration): Int {
+                val picker = picker(directory)
+                val states =
+                    List(70) {
+                        picker.pick(PickRequest("s", null), now).shouldNotBeNull().also(picker::onCallStarted)
+                    }
+                return states.count { it.endpoint.id == cold.id }
+            }
+            share(NOW) shouldBeLessThanOrEqual 11
+            share(NOW + Duration.ofSeconds(5)) shouldBeGreaterThan 16
+        }
+
         test("guards against cross-zone calls while an endpoint in the router's own zone has free slots") {
             val picker = picker(directory(4, zones = 2))
             val state = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
