--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
@@ -40,6 +40,7 @@
                 "endpoint" to it.id,
                 "service" to it.service,
                 "draining" to it.isDraining,
+                "coldMillis" to it.coldMillis,
                 "position" to page.position.number,
             )
         }
