--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -30,10 +30,11 @@
     ): EndpointState? {
         val usable = usable(request.service, request.avoidedVersions, now)
         val untried = usable.filter { it.endpoint.id !in request.excluded }
-        val candidates = inRotation(ofVersion(untried, request.versions, now), now)
-        if (candidates.isEmpty()) return null
-        val key = request.affinityKey ?: return leastLoaded(candidates)
-        return byAffinity(key, candidates)
+        val inRotation = inRotation(ofVersion(untried, request.versions, now), now)
+        if (inRotation.isEmpty()) return null
+        val candidates = withConnectionLeft(inRotation, request.connectionShare)
+        val key = request.affinityKey ?: return leastLoaded(candidates, now)
+        return byAffinity(key, candidates, now)
     }
 
     /**
@@ -149,20 +150,46 @@
             }.ifEmpty { notEjected }
     }
 
+    /**
+     * Leaves out endpoints at which the router has used up [share]; returns all when it has at each, because the other
+     * routers may use less than theirs. A router may have as many calls at an endpoint as this has slots, since with
+     * few callers one router may have them all.
+     */
+    private fun withConnectionLeft(
+        candidates: List<EndpointState>,
+        share: Int?,
+    ): List<EndpointState> {
+        if (share == null) return candidates
+        return candidates.filter { it.inFlight < maxOf(share, it.endpoint.slots) }.ifEmpty { candidates }
+    }
+
     private fun byAffinity(
         key: String,
         candidates: List<EndpointState>,
+        now: Duration,
     ): EndpointState {
-        val meanInFlight = candidates.sumOf { it.inFlight }.toDouble() / candidates.size
-        val maxInFlight = policy.maxLoadFactor * meanInFlight + policy.loadMargin
+        val loads = candidates.associateWith { it.inFlight * coldFactor(it, now) }
+        val maxLoad = policy.maxLoadFactor * loads.values.average() + policy.loadMargin
         val ranked = RendezvousHash.rank(key, candidates) { it.endpoint.id.value }
-        return ranked.firstOrNull { it.inFlight < maxInFlight } ?: ranked.minBy { it.inFlight }
+        return ranked.firstOrNull { loads.getValue(it) < maxLoad } ?: ranked.minBy { loads.getValue(it) }
     }
 
-    private fun leastLoaded(candidates: List<EndpointState>): EndpointState = candidates.shuffled(random).minBy(::cost)
+    private fun leastLoaded(
+        candidates: List<EndpointState>,
+        now: Duration,
+    ): EndpointState = candidates.shuffled(random).minBy { cost(it, now) }
 
-    private fun cost(state: EndpointState): Double {
-        val load = (state.inFlight + 1.0) / state.endpoint.slots.coerceAtLeast(1)
+    /** How much more a call counts at an endpoint that is slow after its start. */
+    private fun coldFactor(
+        state: EndpointState,
+        now: Duration,
+    ): Double = if (directory.isCold(state.endpoint, now)) policy.coldLoadFactor else 1.0
+
+    private fun cost(
+        state: EndpointState,
+        now: Duration,
+    ): Double {
+        val load = (state.inFlight + 1) * coldFactor(state, now) / state.endpoint.slots.coerceAtLeast(1)
         val zonePenalty = if (state.endpoint.zone == zone) 0.0 else policy.otherZonePenalty
         return load + zonePenalty
     }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/routing/ForwardingRoute.kt
@@ -18,6 +18,7 @@
  * @property maxAttempts maximum number of endpoints that one call is sent to.
  * @property isPublic whether calls need no key.
  * @property isResumable whether an interrupted stream may be resumed at another endpoint after the last event received.
+ * @property hasAffinity whether calls that share a prompt part prefer the same endpoint.
  */
 data class ForwardingRoute(
     val route: RouteId,
@@ -32,21 +33,27 @@
     val maxAttempts: Int,
     val isPublic: Boolean,
     val isResumable: Boolean,
+    val hasAffinity: Boolean = true,
 ) {
     /** Whether a call with an unknown outcome may be retried at another endpoint. */
     val isRetryable: Boolean
         get() = kind == CallKind.IDEMPOTENT || (kind == CallKind.STREAM && isResumable)
 
     /**
-     * Returns a service chosen by weight, or null when no weight is positive; [fraction] is a random number in [0, 1).
+     * Returns a service chosen by weight among those that are [usable], or null when none of these has a positive weight;
+     * [fraction] is a random number in [0, 1).
      */
-    fun pickService(fraction: Double): String? {
-        val totalWeight = services.sumOf { it.weight }
+    fun pickService(
+        fraction: Double,
+        usable: (service: String) -> Boolean = { true },
+    ): String? {
+        val candidates = services.filter { usable(it.service) }
+        val totalWeight = candidates.sumOf { it.weight }
         var remaining = fraction * totalWeight
-        for (candidate in services) {
+        for (candidate in candidates) {
             remaining -= candidate.weight
             if (remaining < 0) return candidate.service
         }
-        return services.lastOrNull { it.weight > 0 }?.service
+        return candidates.lastOrNull { it.weight > 0 }?.service
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallAdmission.kt
@@ -31,7 +31,10 @@
         val workspace = headers.key?.let { table.workspaceByKey(it) }
         headRefusal(head, headers, table, route, workspace)?.let { return refused(headers, it) }
         val request = headers.requestId ?: return refused(headers, RefusalReason.NO_REQUEST_ID)
-        val service = route.pickService(random.nextDouble()) ?: return refused(headers, RefusalReason.NO_ENDPOINT)
+        val inputTokens = headers.prompt?.inputTokens ?: 0
+        val service =
+            route.pickService(random.nextDouble()) { table.canHold(it, inputTokens) }
+                ?: return refused(headers, noService(route))
         val timeout = headers.timeout?.let { minOf(it, route.timeout) } ?: route.timeout
         if (!shutdown.acceptsCall(now + timeout)) return refused(headers, RefusalReason.STOPPING)
         return Ok(AdmittedCall(head, headers, request, table, route, workspace, service, now, now + timeout))
@@ -77,4 +80,7 @@
             headers.invalidField.takeIf { reason == RefusalReason.INVALID_FIELD },
         ),
     )
+
+    private fun noService(route: ForwardingRoute): RefusalReason =
+        if (route.pickService(0.0) == null) RefusalReason.NO_ENDPOINT else RefusalReason.PROMPT_TOO_LARGE
 }
