router: give the choice of a version and the slot of an attempt to the call

Seen: a model caller that left the queue for a slot during a move left its choice of a version pending. After 60 s it counted as a failure of a version that got no call, and its exposure was not returned. A call that ended by an exception that its handler does not know kept its slot at the endpoint.

Cause: each handler released both for the endings that it knew, and while a call waited for a slot nobody owned the choice.

Change: CallResources owns each choice from the moment at which it is made, and the slot from the moment at which it is acquired. CallerRequestHandler closes it at the end of the call, whatever ended it. Handlers only report results; one call releases both. The releases for disconnected callers and handovers are gone from the handlers, since the end of the call does them. A resumed or replayed stream takes the same way, and its response is closed by the block that uses it.

Ruled out: the gateway.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -262,7 +262,7 @@
 
     private fun callerRequestHandler(): CallerRequestHandler {
         val endpointSelector = EndpointSelector(versionSelector, membership, limiter, limiterUpdater::refreshSeat)
-        val forwarder = Forwarder(endpointSelector, upstream, limiter, versionSelector, monotonic)
+        val forwarder = Forwarder(endpointSelector, upstream, limiter, monotonic)
         val engineClient = EngineClient(upstream, membership, limiter, versionSelector)
         val callJournal =
             CallJournal(self, journal, runs, peers) {
@@ -276,14 +276,13 @@
                 engineClient,
                 budget,
                 PromptEstimator(),
-                versionSelector,
                 callJournal,
                 runs,
                 bodyBuffer,
                 clock,
                 scope,
             ),
-            ServiceCallHandler(forwarder, claims, versionSelector),
+            ServiceCallHandler(forwarder, claims),
             CallObserver(metrics, burn, traces),
             clock,
             monotonic,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Call.kt
@@ -29,6 +29,9 @@
     val deadline: TimeMark,
     val trace: RequestTrace,
 ) {
+    /** What the attempts of this call hold; released when the call ends. */
+    val resources = CallResources()
+
     /**
      * The request identity sent to endpoints. It contains the workspace, so that a workspace can't resume the stream of
      * another one. Neither part may contain a colon, so the identity is unique.
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
@@ -86,10 +86,7 @@
         observer.onStarted(call)
         val end =
             try {
-                when (call.service.kind) {
-                    ServiceKind.MODEL -> modelHandler.handle(call)
-                    ServiceKind.PLAIN -> serviceHandler.handle(call)
-                }
+                call.resources.use { handlerOf(call).handle(call) }
             } catch (_: CallerDisconnectedException) {
                 CallEnd.Cancelled
             }
@@ -97,6 +94,12 @@
         logEnd(call, end)
     }
 
+    private fun handlerOf(call: Call): CallHandler =
+        when (call.service.kind) {
+            ServiceKind.MODEL -> modelHandler
+            ServiceKind.PLAIN -> serviceHandler
+        }
+
     private fun logEnd(
         call: Call,
         end: CallEnd,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointSelector.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EndpointSelector.kt
@@ -49,6 +49,7 @@
                 hasOldEndpoint,
                 call.configPublishedAtMillis,
             )
+        val resources = call.resources.own(choice, versionSelector)
         val version = choice.version ?: call.route.activeVersion
         val versionEndpoints = usableEndpoints.filter { it.version == version }
         val untriedEndpoints = versionEndpoints.filter { EndpointId(it.instance.value) !in triedEndpoints }
@@ -60,11 +61,12 @@
         val maxWait = minOf(call.route.queue.maxWait, call.remainingTime())
         return limiter.acquire(call.route.route, call.workspace.workspace, candidates, maxWait).fold(
             success = { permit ->
+                resources.add(permit)
                 val endpoint = versionEndpoints.first { it.instance.value == permit.endpoint.value }
-                Ok(Attempt(permit.endpoint, endpoint.address(), version, choice, permit))
+                Ok(Attempt(permit.endpoint, endpoint.address(), version, resources))
             },
             failure = { refusal ->
-                versionSelector.cancel(choice, wasSent = false)
+                resources.discardUnsent()
                 Err(refusal.toRefusal())
             },
         )
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/EngineClient.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.router.call
 
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.core.EndpointId
@@ -11,7 +12,6 @@
 import io.limpetfold.json.JsonDepth
 import io.limpetfold.limits.EndpointCandidate
 import io.limpetfold.limits.EndpointLimiter
-import io.limpetfold.limits.EndpointOutcome
 import io.limpetfold.membership.Membership
 import io.limpetfold.rollout.VersionSelector
 import io.limpetfold.router.chat.ChatEvent
@@ -61,20 +61,18 @@
         val listed =
             membership.endpoints(call.service.name).firstOrNull { it.instance.value == endpoint.value } ?: return null
         val candidate = listOf(EndpointCandidate(endpoint, listed.zone))
-        val permit =
-            limiter
-                .acquire(call.route.route, call.workspace.workspace, candidate, MAX_RESUME_WAIT)
-                .getOrElse { return null }
+        val choice = versionSelector.untrackedChoice(call.route.route, call.request, listed.version)
+        val resources = call.resources.own(choice, versionSelector)
+        limiter
+            .acquire(call.route.route, call.workspace.workspace, candidate, MAX_RESUME_WAIT)
+            .fold(success = resources::add, failure = { return null })
         val address = HostPort(listed.host, listed.port)
-        var response: UpstreamResponse? = null
-        try {
-            response = open(call, address, receivedEvents = 0)
-        } finally {
-            if (response == null) permit.release(EndpointOutcome.Ignored)
+        val response = open(call, address, receivedEvents = 0)
+        if (response == null) {
+            resources.discard()
+            return null
         }
-        if (response == null) return null
-        val choice = versionSelector.untrackedChoice(call.route.route, call.request, listed.version)
-        return ResumedStream(Attempt(endpoint, address, listed.version, choice, permit), response)
+        return ResumedStream(Attempt(endpoint, address, listed.version, resources), response)
     }
 
     /**
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ForwardResult.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ForwardResult.kt
@@ -7,7 +7,7 @@
 
 /** How the attempts of one request ended. */
 internal sealed interface ForwardResult {
-    /** An endpoint responds; [response] must be read to its end or closed, and the attempt released. */
+    /** An endpoint responds; [response] must be read to its end or closed. */
     class Responding(
         val state: RequestState,
         val attempt: Attempt,
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
@@ -21,7 +21,6 @@
 import io.limpetfold.request.RetryBudgetPolicy
 import io.limpetfold.request.RetryPolicy
 import io.limpetfold.rollout.VersionObservation
-import io.limpetfold.rollout.VersionSelector
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.TimeSource
@@ -31,7 +30,6 @@
     private val endpointSelector: EndpointSelector,
     private val upstream: UpstreamClient,
     private val limiter: EndpointLimiter,
-    private val versionSelector: VersionSelector,
     private val monotonic: TimeSource,
 ) {
     private val retryBudgets = ConcurrentHashMap<RouteId, RetryBudget>()
@@ -64,7 +62,7 @@
                     ).getOrElse { return ForwardResult.NoResponse(refuse(state, it)) }
             val refusal = beforeSend(attempt)
             if (refusal != null) {
-                cancel(attempt)
+                attempt.resources.discardUnsent()
                 return ForwardResult.NoResponse(refuse(state, refusal))
             }
             triedEndpoints += attempt.endpoint
@@ -104,6 +102,7 @@
         request: UpstreamRequest,
     ): SendOutcome {
         val sentAt = monotonic.markNow()
+        attempt.resources.markSent()
         return upstream.send(attempt.address, request).fold(
             success = { response -> classify(call, attempt, response) },
             failure = { error ->
@@ -127,8 +126,7 @@
         }
         if (!response.head.provesNotStarted()) return SendOutcome.Response(response)
         response.close()
-        attempt.permit.release(EndpointOutcome.Overloaded)
-        versionSelector.cancel(attempt.versionChoice, wasSent = true)
+        attempt.resources.discard(EndpointOutcome.Overloaded)
         return SendOutcome.NotStarted(NotStartedProof.STATED_BY_ENDPOINT, "the endpoint did not start the request")
     }
 
@@ -148,19 +146,15 @@
             UpstreamError.Reason.INVALID_REQUEST,
             UpstreamError.Reason.REQUEST_BODY_FAILED,
             UpstreamError.Reason.CANCELLED,
-            -> cancel(attempt)
-            else -> {
-                attempt.permit.release(EndpointOutcome.Failed)
-                versionSelector.record(attempt.versionChoice, VersionObservation(isSuccess = false, latency = waited))
-            }
+            -> attempt.resources.discardUnsent()
+            else ->
+                attempt.resources.release(
+                    EndpointOutcome.Failed,
+                    VersionObservation(isSuccess = false, latency = waited),
+                )
         }
     }
 
-    private fun cancel(attempt: Attempt) {
-        attempt.permit.release(EndpointOutcome.Ignored)
-        versionSelector.cancel(attempt.versionChoice, wasSent = false)
-    }
-
     private fun toEvent(outcome: SendOutcome): RequestEvent =
         when (outcome) {
             is SendOutcome.Response -> RequestEvent.ResponseStarted
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ModelCallHandler.kt
@@ -15,7 +15,6 @@
 import io.limpetfold.request.RequestEvent
 import io.limpetfold.request.RequestLifecycle
 import io.limpetfold.rollout.VersionObservation
-import io.limpetfold.rollout.VersionSelector
 import io.limpetfold.router.call.CallJournal.EarlierAttempt
 import io.limpetfold.router.chat.ChatRequest
 import io.limpetfold.router.chat.TokenMeter
@@ -39,7 +38,6 @@
     private val engineClient: EngineClient,
     private val budget: BudgetAgent,
     private val estimator: PromptEstimator,
-    private val versionSelector: VersionSelector,
     private val journal: CallJournal,
     private val runs: RunRegistry,
     private val bodyBuffer: RequestBodyBuffer,
@@ -108,7 +106,6 @@
         } catch (e: CancellationException) {
             if (run.state != BillingState.HANDED_OVER) throw e
             call.trace.add("handed over to another router")
-            release(run)
             CallEnd.Cancelled
         } finally {
             // Has no effect when the run was settled before. Otherwise it ended without using an engine or was handed
@@ -127,16 +124,19 @@
         val resumed =
             endpoint?.let { engineClient.resumeEarlier(call, it) }
                 ?: return RefusalWriter.refuse(call, Refusal.DuplicateFinished(OK))
-        call.trace.add("answer replayed endpoint=$endpoint")
+        return resumed.response.use { relayAgain(call, chat, resumed) }
+    }
+
+    private suspend fun relayAgain(
+        call: Call,
+        chat: ChatRequest,
+        resumed: EngineClient.ResumedStream,
+    ): CallEnd {
+        call.trace.add("answer replayed endpoint=${resumed.attempt.endpoint}")
         val meter = TokenMeter(chat.maxTokens.toLong(), estimator.maxPromptTokens(chat.model, chat.promptBytes))
         val result = ForwardResult.Responding.resumed(call, resumed.attempt, resumed.response)
-        return try {
-            call.exchange.cancelOnDisconnect {
-                ModelStream(call, result, engineClient, meter, responseWriter(call, chat)).relay { 0 }
-            }
-        } finally {
-            resumed.response.close()
-            resumed.attempt.permit.release(EndpointOutcome.Ignored)
+        return call.exchange.cancelOnDisconnect {
+            ModelStream(call, result, engineClient, meter, responseWriter(call, chat)).relay { 0 }
         }
     }
 
@@ -221,7 +221,7 @@
         val stream = ModelStream(call, result, engineClient, run.meter, responseWriter(call, run.chat))
         val end = stream.relay { settle(call, run) }
         val hasFailed = end !is CallEnd.Answered
-        release(run, hasFailed, stream)
+        release(result.attempt, hasFailed, stream)
         if (!hasFailed) forwarder.recordSuccess(call)
         return end
     }
@@ -236,8 +236,10 @@
         val body = result.response.readAll(MAX_ERROR_BYTES).getOrElse { ByteArray(0) }
         run.discard()
         val hasFailed = status >= FIRST_SERVER_ERROR
-        result.attempt.permit.release(if (hasFailed) EndpointOutcome.Failed else EndpointOutcome.Ignored)
-        versionSelector.record(result.attempt.versionChoice, VersionObservation(isSuccess = !hasFailed))
+        result.attempt.resources.release(
+            if (hasFailed) EndpointOutcome.Failed else EndpointOutcome.Ignored,
+            VersionObservation(isSuccess = !hasFailed),
+        )
         val contentType = result.response.head.headers["Content-Type"] ?: "application/json"
         val headers = Headers.of("Content-Type" to contentType, "X-Request-Id" to call.request.value)
         call.exchange.respond(status, headers, body)
@@ -262,21 +264,17 @@
     ): ResponseWriter = if (chat.isStream) StreamingResponseWriter(call) else BufferedResponseWriter(call, chat.model)
 
     private fun release(
-        run: BillableRun,
+        attempt: Attempt,
         hasFailed: Boolean,
         stream: ModelStream,
     ) {
-        val attempt = run.attempt ?: return
         val firstToken = stream.firstToken
-        attempt.permit.release(
+        attempt.resources.release(
             if (hasFailed || firstToken == null) {
                 EndpointOutcome.Failed
             } else {
                 EndpointOutcome.Responded(firstToken)
             },
-        )
-        versionSelector.record(
-            attempt.versionChoice,
             VersionObservation(!hasFailed, null, firstToken, stream.betweenTokens),
         )
     }
@@ -292,13 +290,6 @@
             val mayHaveRun = engineClient.cancel(call, attempt, run.meter) || run.meter.eventCount > 0
             if (mayHaveRun) settle(call, run) else run.discard()
         }
-        release(run)
-    }
-
-    private fun release(run: BillableRun) {
-        val attempt = run.attempt ?: return
-        attempt.permit.release(EndpointOutcome.Ignored)
-        versionSelector.cancel(attempt.versionChoice, wasSent = true)
     }
 
     private fun maxWait(call: Call): Duration = minOf(MAX_BUDGET_WAIT, call.remainingTime())
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/ServiceCallHandler.kt
@@ -7,7 +7,6 @@
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.claim.RecordedResponse
 import io.limpetfold.config.CallRule
-import io.limpetfold.http.CallerDisconnectedException
 import io.limpetfold.http.Headers
 import io.limpetfold.http.ResponseSink
 import io.limpetfold.http.UpstreamRequest
@@ -18,7 +17,6 @@
 import io.limpetfold.request.RequestLifecycle
 import io.limpetfold.request.RequestState
 import io.limpetfold.rollout.VersionObservation
-import io.limpetfold.rollout.VersionSelector
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.time.Duration
@@ -32,7 +30,6 @@
 internal class ServiceCallHandler(
     private val forwarder: Forwarder,
     private val claims: ClaimRegistry,
-    private val versionSelector: VersionSelector,
 ) : CallHandler {
     override suspend fun handle(call: Call): CallEnd {
         val rule = call.route.callRule(call.exchange.head.method, call.exchange.head.path)
@@ -171,21 +168,13 @@
         val outcome =
             try {
                 if (claim == null) relayStream(call, result) else respondToClaimed(call, claim, result)
-            } catch (e: CallerDisconnectedException) {
-                // The endpoint responded; a caller that disconnects says nothing about the endpoint.
-                result.attempt.permit.release(EndpointOutcome.Ignored)
-                versionSelector.cancel(result.attempt.versionChoice, wasSent = true)
-                throw e
             } finally {
                 result.response.close()
             }
         val isServerError = result.response.head.status >= FIRST_SERVER_ERROR
         val hasFailed = outcome !is CallEnd.Answered || isServerError
-        result.attempt.permit.release(
+        result.attempt.resources.release(
             if (hasFailed) EndpointOutcome.Failed else EndpointOutcome.Responded(firstByte),
-        )
-        versionSelector.record(
-            result.attempt.versionChoice,
             VersionObservation(isSuccess = !hasFailed, latency = elapsed(call)),
         )
         if (!hasFailed) forwarder.recordSuccess(call)
