router: count the end of a request that ends by an exception

Seen: limpetfold_requests_running grew by one with each request whose body is above the limit of its route (413), and with each unexpected error, and never fell. Neither was in the other metrics or in the SLO burn.

Cause: CallerRequestHandler counted the end for a disconnected caller only; other exceptions pass to the server, which answers them.

Change: the end is counted before the exception is passed on: a bad body as a refusal, a cancellation as cancelled, another exception as broken. Callers get the same answers as before.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/CallerRequestHandler.kt
@@ -8,9 +8,11 @@
 import io.limpetfold.http.CallerDisconnectedException
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.HttpHandler
+import io.limpetfold.http.RequestBodyException
 import io.limpetfold.request.Refusal
 import io.limpetfold.router.observe.CallObserver
 import io.limpetfold.router.observe.RequestTrace
+import kotlinx.coroutines.CancellationException
 import org.slf4j.LoggerFactory
 import org.slf4j.MDC
 import java.time.Duration
@@ -89,7 +91,25 @@
                 call.resources.use { handlerOf(call).handle(call) }
             } catch (_: CallerDisconnectedException) {
                 CallEnd.Cancelled
+            } catch (e: Exception) {
+                // The server answers the caller; without this the request would count as running forever.
+                onEnded(call, endOf(e))
+                throw e
             }
+        onEnded(call, end)
+    }
+
+    private fun endOf(cause: Exception): CallEnd =
+        when (cause) {
+            is CancellationException -> CallEnd.Cancelled
+            is RequestBodyException -> CallEnd.Refused(Refusal.InvalidRequest(cause.message, cause.status))
+            else -> CallEnd.Broken("the handler failed: $cause")
+        }
+
+    private fun onEnded(
+        call: Call,
+        end: CallEnd,
+    ) {
         observer.onEnded(call, end)
         logEnd(call, end)
     }
