router: cancel a run that was handed over before its coroutine was known

Seen: by reading, and now by a test. A handover between RunRegistry.add and the start of the coroutine marked the run as handed over and cancelled nothing. The run could not bill, but it went on to the engine, where it could cancel the stream that another router had taken over.

Change: setting the job of a run that was handed over cancels the job. Both sides hold the lock of the run.

Measured: BillableRunTest, before: the job is not cancelled; after: it is.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BillableRun.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/BillableRun.kt
@@ -24,9 +24,13 @@
     @Volatile
     var attempt: Attempt? = null
 
-    /** The coroutine that serves the caller; a handover cancels it. */
-    @Volatile
+    /** The coroutine that serves the caller; a handover cancels it, also one that came before the coroutine was set. */
     var job: Job? = null
+        set(value) =
+            synchronized(this) {
+                field = value
+                if (state == BillingState.HANDED_OVER) value?.cancel()
+            }
 
     val state: BillingState get() = current.get()
 
