limits: name the setting of a route in the message of a full queue

The message told operators to raise maxQueued, which is a property of the code; the setting of a route is queue.maxRequests. LimitRefusalTest failed before.

--- a/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitRefusal.kt
+++ b/limpetfold-limits/src/main/kotlin/io/limpetfold/limits/LimitRefusal.kt
@@ -13,7 +13,7 @@
         val route: RouteId,
         override val retryAfter: Duration,
     ) : LimitRefusal {
-        override val message get() = "the queue of route $route is full; retry later or raise its maxQueued"
+        override val message get() = "the queue of route $route is full; retry later or raise its queue.maxRequests"
     }
 
     /** No slot became free within the maximum wait of the request. */
