--- a/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
+++ b/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
@@ -27,6 +27,9 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import java.nio.file.Path
+import kotlin.io.path.exists
+import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
@@ -66,6 +69,17 @@
         fun events(response: Response?): List<ServerSentEvent> =
             ServerSentEventReader().feed(response!!.body.encodeToByteArray())
 
+        test("guards against a start script that names a class which does not exist") {
+            val script =
+                generateSequence(Path.of("").toAbsolutePath()) { it.parent }
+                    .map { it.resolve("bin/standin") }
+                    .first { it.exists() }
+                    .readText()
+            val classes = Regex("io\\.limpetfold\\.standins\\.\\w+").findAll(script).map { Class.forName(it.value) }
+            classes.toSet() shouldBe
+                setOf(PlatformMain::class.java, EngineMain::class.java, PlainServiceMain::class.java)
+        }
+
         test(
             "the platform accepts one of many conditional writes, and a watch returns the newest version of every object",
         ) {
