http: drop another call's late response also when one of its fields is repeated

Found by the review of the change that ends attempts on repeated fields: the check came before the response's id, so a late extra response that is not this call's ended the attempt, where it was dropped before and the call's own answer read. The id is compared first now. Evidence is by reading; EndpointCompatibilityTest (repeated ids and signatures of the own call) passes as before.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -220,12 +220,10 @@
         if (running.isHeadReceived) return onUnsolicited()
         val headers = Headers.of(response.headers().entries().map { it.key to it.value })
         val framing = ResponseFraming(running.request.method, status, headers)
-        singleFields
-            .repeatedIn(
-                response.headers(),
-            )?.let { return fail(malformed("the field $it stands more than once")) }
         framing.problem(settings.acceptsCloseDelimitedResponses)?.let { return fail(malformed(it)) }
         if (!correlation.isOwn(running, headers)) return onForeignHead()
+        val repeatedField = singleFields.repeatedIn(response.headers())
+        if (repeatedField != null) return fail(malformed("the field $repeatedField stands more than once"))
         isResponseKeepAlive = HttpUtil.isKeepAlive(response) && !framing.isCloseDelimited
         keepAliveLimit = keepAliveLimit(headers, settings)
         running.onHead(ResponseHead(status, headers))
