http: a planned stop lets the rest of a response reach a slow caller

Change: the connection is closed once the rest is written.

Measured: SlowReaderTest, the case of a planned stop, red before (1 of 2 failed), 2 of 2 pass now.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -43,6 +43,9 @@
     /** Whether the end of the latest response is still to be written, because the caller reads slowly. */
     private var isResponseEndPending = false
 
+    /** Whether the connection closes once the end of the latest response is written. */
+    private var isCloseAfterResponse = false
+
     /** Bytes of a request body received since the decoder last produced a piece of it. */
     private var undecodedBytes = 0L
     private var isPipelined = false
@@ -154,9 +157,13 @@
         ctx.close()
     }
 
-    /** Closes the connection unless a request is running or arriving on it; call it on the event loop. */
+    /**
+     * Closes the connection unless a request is running or arriving on it, or once the rest of a response is written;
+     * call it on the event loop.
+     */
     fun closeIfIdle() {
-        if (exchange == null && headStartNanos == null && !isClosing) context.close()
+        if (exchange != null || headStartNanos != null || isClosing) return
+        if (isResponseEndPending) isCloseAfterResponse = true else context.close()
     }
 
     /**
@@ -194,8 +201,10 @@
             isResponseEndPending = false
             activityNanos = System.nanoTime()
             if (done.isSuccess) ended.onResponseWritten() else ended.onConnectionLost()
-            if (!mayContinue) {
-                if (isPipelined) writeRefusal(Refusals.PIPELINED) else finalResponse.lingerAndClose(::updateAutoRead)
+            when {
+                mayContinue -> if (isCloseAfterResponse) closeIfIdle()
+                isPipelined -> writeRefusal(Refusals.PIPELINED)
+                else -> finalResponse.lingerAndClose(::updateAutoRead)
             }
         }
         updateAutoRead()
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/SlowReaderTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/SlowReaderTest.kt
@@ -13,7 +13,7 @@
 /** Load pattern: callers that pause for longer than the idle timeout while they read a response. */
 class SlowReaderTest :
     FunSpec({
-        test("guards against a response cut at the idle timeout while its last bytes wait for a slow caller") {
+        suspend fun slowlyReadResponse(onWritten: (HttpServer) -> Unit): String =
             HttpEventLoops(threads = 2).use { loops ->
                 val isWritten = AtomicBoolean()
                 val handler =
@@ -33,16 +33,34 @@
                         val caller = RawConnection(socket)
                         caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
                         eventually(30.seconds) { isWritten.get() shouldBe true }
-                        Thread.sleep(PAUSE_MILLIS)
-                        caller.readToEnd() shouldEndWith "\r\n0\r\n\r\n"
+                        onWritten(server)
+                        caller.readToEnd()
                     }
                 }
             }
+
+        test("guards against a response cut at the idle timeout while its last bytes wait for a slow caller") {
+            slowlyReadResponse { Thread.sleep(PAUSE_MILLIS) } shouldEndWith LAST_CHUNK
+        }
+
+        test("guards against a response cut by a planned stop while its last bytes wait for a slow caller") {
+            val response =
+                slowlyReadResponse { server ->
+                    Thread.sleep(END_MILLIS)
+                    server.beginDrain()
+                    server.closeIdle()
+                    Thread.sleep(END_MILLIS)
+                }
+            response shouldEndWith LAST_CHUNK
         }
     }) {
     private companion object {
         const val PIECE_BYTES = 16 * 1024
         const val FULL_MILLIS = 500L
         const val PAUSE_MILLIS = 1_500L
+
+        /** Enough for the end of the response to be written behind the pieces that wait. */
+        const val END_MILLIS = 300L
+        const val LAST_CHUNK = "\r\n0\r\n\r\n"
     }
 }
