gateway: ask a silent endpoint again only if it may still get calls

Change: EndpointPicker.mayTake decides anew; the unit is taken when the decision is postponed, which does not happen without one; a part of the stream ends the silence.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -37,6 +37,16 @@
         return byAffinity(key, candidates, now)
     }
 
+    /** Whether the endpoint of [state] may still take the call of [request], which may have been sent to it before. */
+    fun mayTake(
+        state: EndpointState,
+        request: PickRequest,
+        now: Duration,
+    ): Boolean {
+        val usable = usable(request.service, request.avoidedVersions, now)
+        return state in ofVersion(usable, request.versions, now) && state.ejectedUntil <= now
+    }
+
     /**
      * When the first endpoint of [service] ends its pause, if all endpoints that may be used asked for one; null if one
      * takes calls now or none may be used. [avoidedVersions] are those of [PickRequest].
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -72,6 +72,28 @@
             picker.pick(PickRequest("s", null, setOf(others.first()!!)), NOW).shouldNotBeNull()
         }
 
+        test("guards against a second attempt at an endpoint that may get no calls any more") {
+            val request = PickRequest("s", null, avoidedVersions = setOf("v2"))
+            val changes =
+                listOf<EndpointPicker.(EndpointDirectory, EndpointState) -> Unit>(
+                    { _, state -> onLeaving(state, NOW) },
+                    { _, state -> pause(state, NOW + Duration.ofSeconds(1)) },
+                    { _, state -> onCallStarted(state).also { onCallEnded(state, CallOutcome.UNREACHABLE, NOW) } },
+                    { directory, state -> directory.applyChanges(emptyList(), listOf(state.endpoint.id), 2, NOW) },
+                    { directory, state ->
+                        directory.applyChanges(listOf(state.endpoint.copy(version = "v2")), emptyList(), 2, NOW)
+                    },
+                )
+            changes.forEach { change ->
+                val directory = directory(2)
+                val picker = picker(directory)
+                val state = picker.pick(request, NOW).shouldNotBeNull()
+                picker.mayTake(state, request, NOW) shouldBe true
+                picker.change(directory, state)
+                picker.mayTake(state, request, NOW) shouldBe false
+            }
+        }
+
         test("guards against calls to an endpoint that asked for a pause, and calls that are refused after it") {
             val picker = picker(directory(2))
             val first = picker.pick(PickRequest("s", null), NOW).shouldNotBeNull()
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -89,22 +89,22 @@
 
         private fun takeSuccessor(): Attempt? = successor.also { successor = null }
 
-        private fun pickUntried(): EndpointState? {
+        private fun pickUntried(): EndpointState? = picker.pick(pickRequest(), clock.now())
+
+        private fun pickRequest(): PickRequest {
             val affinityKey =
                 call.headers.prompt
                     ?.affinityKey
                     ?.takeIf { call.route.hasAffinity }
             val versions = call.move?.let(::preferenceOf)
-            val request =
-                PickRequest(
-                    call.service,
-                    affinityKey,
-                    triedEndpoints,
-                    versions,
-                    avoidedVersions(),
-                    connectionShare(),
-                )
-            return picker.pick(request, clock.now())
+            return PickRequest(
+                call.service,
+                affinityKey,
+                triedEndpoints,
+                versions,
+                avoidedVersions(),
+                connectionShare(),
+            )
         }
 
         private fun connectionShare(): Int? =
@@ -212,6 +212,8 @@
         private inner class Handover : StreamHandover {
             private var asked: EndpointState? = null
             private var askedAt = Duration.ZERO
+
+            /** An endpoint that was silent when it was asked; its second attempt is taken from the retry budget already. */
             private var silentEndpoint: EndpointState? = null
             private var hasPostponed = false
 
@@ -220,14 +222,15 @@
                     (!relay.hasStarted || canResume()) &&
                         mayRepeat() &&
                         !quarantine.blocks(call.headers.prompt, clock.now()) &&
-                        candidate() != null
+                        (untriedEndpoint() ?: repeatedEndpoint()) != null
 
             override suspend fun offer(): Boolean {
-                val candidate = candidate() ?: return false
-                if (!mayRepeat() || !acquireFromBudget()) return false
+                val repeated = repeatedEndpoint()
+                val candidate = untriedEndpoint() ?: repeated ?: return false
+                if (repeated == null && !acquireRetry()) return false
+                silentEndpoint = null
                 asked = candidate
                 askedAt = clock.now()
-                silentEndpoint = null
                 val attempt = Attempt(candidate)
                 val isAccepted = attempt.offerStream()
                 if (isAccepted) successor = attempt
@@ -236,17 +239,23 @@
 
             override fun postpone(): Boolean {
                 val endpoint = asked ?: return false
-                if (hasPostponed || endpoint.lastByteAt > askedAt) return false
+                val isSilent = endpoint.lastByteAt <= askedAt
+                if (hasPostponed || !isSilent || !mayRepeat() || !acquireFromBudget()) return false
                 hasPostponed = true
                 silentEndpoint = endpoint
                 return true
             }
 
+            override fun onProgress() {
+                hasPostponed = false
+                silentEndpoint = null
+            }
+
             override fun withdraw() {
                 takeSuccessor()?.discard()
             }
 
-            private fun candidate() = untriedEndpoint() ?: silentEndpoint
+            private fun repeatedEndpoint() = silentEndpoint?.takeIf { picker.mayTake(it, pickRequest(), clock.now()) }
 
             private fun untriedEndpoint() =
                 if (hasAttemptLeft()) pickUntried()?.takeIf { it.ejectedUntil <= clock.now() } else null
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamHandover.kt
@@ -10,10 +10,13 @@
 
     /**
      * Whether the stream stays with its own endpoint for now, because the one that is asked has sent nothing on any
-     * connection since then. True once at most; that endpoint can then be asked again.
+     * connection since then. True once at most in each silence; that endpoint can then be asked again.
      */
     fun postpone(): Boolean
 
+    /** The own endpoint has sent a part of the stream, which ends its silence. */
+    fun onProgress()
+
     /** Ends an [offer] that was accepted, if any, because the own endpoint went on first. */
     fun withdraw()
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/StreamRelay.kt
@@ -71,6 +71,7 @@
                 return complete(exchange, call, response, framer, hasEvents)
             }
             state.onBytesReceived(clock.now())
+            handover.onProgress()
             val frames = framer.feed(bytes).getOrElse { return interrupted(it.message) }
             if (frames.isNotEmpty()) writeEvents(exchange, call, response, frames)
         }
