http: refuse two lengths in a request of HTTP/1.0

What callers saw: a request of HTTP/1.0 with two Content-Length fields ran with the first length; a proxy before the router that takes the last one would see another request (request smuggling). It gets 400 now, as with HTTP/1.1. Cause: for HTTP/1.0 Netty uses the first length and removes the others before RequestCheck sees the head. Ruled out: a check in RequestCheck, which gets the head without them. Change: the fields of a request take Content-Length once; a second one makes the head malformed. Test: RequestFuzzTest drives ServerConnection over an in-memory channel with seeded requests and compares with a strict reader.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestDecoder.kt
@@ -21,7 +21,8 @@
             .setMaxInitialLineLength(settings.maxRequestLineBytes)
             .setMaxHeaderSize(ConnectionLimits.MAX_HEADER_BYTES)
             .setMaxChunkSize(pieceBytes)
-            .setAllowDuplicateContentLengths(false),
+            .setAllowDuplicateContentLengths(false)
+            .setHeadersFactory(SingleLengthHeaders),
     ) {
     override fun channelRead(
         ctx: ChannelHandlerContext,
