quarantine: keep quarantines and crashes of prompt parts in the store

Cause: PromptPartQuarantine kept its state in memory only.

Change: one object, routers/quarantine, in the list of routers that each router reads at its start anyway. Routers that saw a crash write it by conditional PUT, the others hear of the version by the reports. Crashes are kept from the first one on, because five may be spread over restarts. Times are ages, no clock is compared; a lasting quarantine is renewed each tenth of its duration. An answer or the end of its time clears it. No call while nothing is known.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/CrashHistory.kt
@@ -23,6 +23,8 @@
         at: Duration,
         prompts: Collection<List<String>>,
     ): Boolean {
+        // The store does not tell when a restored crash was: a crash from before it was read is taken for the same.
+        crashes.removeAll { it.endpoint == endpoint && it.restoredAt != null && at < it.restoredAt }
         val known = crashes.find { it.endpoint == endpoint && (it.at - at).abs() < policy.sameCrashWindow }
         if (known != null) return known.prompts.addAll(prompts.take(MAX_PROMPTS - known.prompts.size))
         if (crashes.size >= policy.maxCrashes) crashes.remove(crashes.minBy { it.at })
@@ -30,6 +32,25 @@
         return true
     }
 
+    /**
+     * Adds [restored] crashes, which were read from the store at [now]. Those of an endpoint with known crashes only add
+     * their prompts to its last one, because they may be the same.
+     */
+    fun restore(
+        restored: List<Crash>,
+        now: Duration,
+    ) {
+        val known = crashes.groupBy { it.endpoint }.mapValues { (_, own) -> own.maxBy { it.at }.prompts }
+        for (crash in restored) {
+            val prompts = known[crash.endpoint]
+            if (prompts != null) {
+                prompts.addAll(crash.prompts.take(MAX_PROMPTS - prompts.size))
+            } else if (crashes.size < policy.maxCrashes) {
+                crashes += crash.copy(restoredAt = now)
+            }
+        }
+    }
+
     /** Forgets the crashes before [start]. */
     fun removeBefore(start: Duration) {
         crashes.removeAll { it.at < start }
@@ -42,11 +63,17 @@
             if (prompts.isEmpty()) null else crash.copy(prompts = prompts)
         }
 
-    /** One crash of [endpoint] at monotonic time [at]; [prompts] are the shared parts of the calls that it ran. */
+    /**
+     * One crash of [endpoint] at monotonic time [at].
+     *
+     * @property prompts the shared parts of the calls that it ran.
+     * @property restoredAt when the crash was read from the store; null for a crash that a router has seen.
+     */
     data class Crash(
         val endpoint: EndpointId,
         val at: Duration,
         val prompts: MutableSet<List<String>>,
+        val restoredAt: Duration? = null,
     )
 
     private companion object {
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/PromptPartQuarantine.kt
@@ -26,6 +26,13 @@
     var revision: Long = 0
         private set
 
+    /** How long a crash counts. */
+    val crashWindow: Duration get() = policy.crashWindow
+
+    /** Increases with each crash, and with each answer that ends a quarantine, that this router saw itself. */
+    var ownRevision: Long = 0
+        private set
+
     /** Whether there is anything to tell other routers. */
     val hasEvidence: Boolean get() = !history.isEmpty || quarantines.isNotEmpty()
 
@@ -67,19 +74,28 @@
     ) {
         val parts = sharedPartsOf(prompt)
         if (parts.all { answered.contains(it, now) }) return
-        if (history.add(endpoint, now, listOf(parts))) onEvidence(now)
+        if (!history.add(endpoint, now, listOf(parts))) return
+        ownRevision++
+        onEvidence(now)
     }
 
     /** Records that a call with [prompt] was answered in full. */
     fun onAnswered(
         prompt: PromptDemand,
         now: Duration,
-    ) = sharedPartsOf(prompt).forEach { clear(it, answeredAt = now, now) }
+    ) {
+        val before = quarantines.size
+        sharedPartsOf(prompt).forEach { clear(it, answeredAt = now, now) }
+        if (quarantines.size < before) ownRevision++
+    }
 
     /** What this router knows at [now], for other routers. */
     fun report(now: Duration): QuarantineReport {
         removeExpired(now)
-        val crashes = history.select { prompt -> prompt.any { !answered.contains(it, now) } }
+        val crashes =
+            history
+                .select { prompt -> prompt.any { !answered.contains(it, now) } }
+                .filter { it.restoredAt == null }
         val quarantined = quarantines.filterKeys { isQuarantined(it, now) }
         val parts = history.parts + quarantined.keys
         return QuarantineReport(
@@ -109,8 +125,78 @@
         if (added > 0) onEvidence(now)
     }
 
+    /** Whether a call with [part] was answered a short time ago, so that the part is harmless. */
+    fun isAnswered(
+        part: String,
+        now: Duration,
+    ): Boolean = answered.contains(part, now)
+
+    /** What the store must hold, so that a restart of all routers at [now] forgets nothing that matters. */
+    fun stored(now: Duration): StoredQuarantine {
+        removeExpired(now)
+        val unexplained = history.select { prompt -> !isExplained(prompt, now) }
+        val crashes =
+            unexplained.mapNotNull { crash ->
+                val prompts = crash.prompts.map { withoutAnswered(it, now) }.filterTo(HashSet()) { it.isNotEmpty() }
+                if (prompts.isEmpty()) null else CrashReport(crash.endpoint, (now - crash.at).toMillis(), prompts)
+            }
+        return StoredQuarantineLimits.select(
+            crashes,
+            quarantines.map { (part, it) ->
+                QuarantinedPartReport(part, (it.until - now).toMillis(), it.duration.toMillis())
+            },
+        )
+    }
+
+    /**
+     * Adds what the store held when it was read at [now]. Restored crashes are not reported to other routers, which read
+     * the store themselves: without a common clock they could not tell them from later ones.
+     */
+    fun restore(
+        stored: StoredQuarantine,
+        now: Duration,
+    ) {
+        val crashes =
+            stored.crashes.mapNotNull { crash ->
+                val prompts = crash.prompts.map { withoutAnswered(it, now) }.filterTo(HashSet()) { it.isNotEmpty() }
+                val at = now - Duration.ofMillis(crash.ageMillis)
+                if (prompts.isEmpty()) null else CrashHistory.Crash(crash.endpoint, at, prompts)
+            }
+        history.restore(crashes, now)
+        stored.quarantined.forEach { restoreQuarantine(it, now) }
+        quarantineCandidates(now)
+    }
+
+    private fun restoreQuarantine(
+        stored: QuarantinedPartReport,
+        now: Duration,
+    ) {
+        if (answered.contains(stored.part, now)) return
+        val duration = minOf(Duration.ofMillis(stored.durationMillis), policy.maxQuarantine)
+        val until = now + minOf(Duration.ofMillis(stored.remainingMillis), duration)
+        val known = quarantines[stored.part]
+        when {
+            known == null && quarantines.size >= policy.maxQuarantinedParts -> return
+            known != null && known.duration > duration -> return
+            // The earlier end of one quarantine is right, because a read prolongs it.
+            known != null && known.duration == duration ->
+                quarantines[stored.part] = Quarantine(minOf(known.until, until), duration)
+            until > now -> quarantine(stored.part, until, duration, crashes = 0)
+            else -> quarantines[stored.part] = Quarantine(until, duration)
+        }
+    }
+
+    private fun withoutAnswered(
+        prompt: List<String>,
+        now: Duration,
+    ) = prompt.filterNot { answered.contains(it, now) }
+
     private fun onEvidence(now: Duration) {
         revision++
+        quarantineCandidates(now)
+    }
+
+    private fun quarantineCandidates(now: Duration) {
         removeExpired(now)
         while (quarantines.size < policy.maxQuarantinedParts) {
             val crashes = history.select { prompt -> !isExplained(prompt, now) }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
@@ -9,12 +9,15 @@
  *
  * @property answerAgeMillis for each part of a crashed call that calls which were answered contain too, the age of the
  * last answer.
+ * @property stored what the store holds as far as the router knows, at version [storedVersion] of the object.
  */
 @Serializable
 data class QuarantineReport(
     val crashes: List<CrashReport> = emptyList(),
     val quarantined: List<QuarantinedPartReport> = emptyList(),
     val answerAgeMillis: Map<String, Long> = emptyMap(),
+    val stored: StoredQuarantine? = null,
+    val storedVersion: Long = 0,
 )
 
 /**
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.PaidTotal
@@ -47,6 +48,7 @@
 import io.limpetfold.gateway.state.EndpointDirectoryUpdater
 import io.limpetfold.gateway.state.ObjectFeed
 import io.limpetfold.gateway.state.PeerSync
+import io.limpetfold.gateway.state.QuarantineRecord
 import io.limpetfold.gateway.state.QuarantineSync
 import io.limpetfold.gateway.state.RoutingTableReplica
 import io.limpetfold.gateway.state.TimedMoveCoordinator
@@ -119,7 +121,13 @@
             loops.dispatcher,
         )
     private val peers = KtorPeerNetwork(self, FleetKey(settings.fleetSecret), FleetPolicies.PEERS, random)
-    private val instances = StoreInstanceDirectory(store, log)
+    private val quarantine = PromptPartQuarantine(listener = QuarantineObserver(log))
+    private val quarantineRecord: QuarantineRecord =
+        QuarantineRecord(quarantine, store, monotonic, random, log) { membership.routerCount }
+    private val instances =
+        StoreInstanceDirectory(store, log, setOf(QuarantineRecord.KEY)) {
+            it.fold(quarantineRecord::onListed) { quarantineRecord.onListFailed() }
+        }
     private val callerLimits = CallerLimitsReplica(settings.callerLimits, log)
     private val routing: RoutingTableReplica =
         RoutingTableReplica(
@@ -174,8 +182,7 @@
         TimedMoveCoordinator(versionSelector, moveCodec, store, peers, loops.dispatcher, log, ::presentVersions)
     private val reloadableSettings = ReloadableSettings(settings, readSettings, log)
     private val shutdown = GracefulShutdown({ reloadableSettings.current.shutdown }, monotonic)
-    private val quarantine = PromptPartQuarantine(listener = QuarantineObserver(log))
-    private val quarantineSync = QuarantineSync(quarantine, peers, monotonic, loops.dispatcher)
+    private val quarantineSync = QuarantineSync(quarantine, quarantineRecord, peers, monotonic, loops.dispatcher)
     private val bodyBudget = BodyBudget(settings.calls.maxBodiesBytes)
     private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
     private val callerServer = server(settings.callerListenAddress, callHandler(), callerLimits)
@@ -265,6 +272,10 @@
         metrics.gauge("limpetfold_quarantined_prompt_parts", "Prompt parts whose calls are refused") {
             quarantine.quarantinedParts(monotonic.now()).size.toDouble()
         }
+        metrics.gauge(
+            "limpetfold_quarantine_unsaved",
+            "1 while the store lacks what this router knows of the quarantine",
+        ) { if (quarantineRecord.isBehind) 1.0 else 0.0 }
         metrics.gauge(
             "limpetfold_request_body_bytes",
             "Reserved for request bodies",
@@ -282,9 +293,7 @@
             ObjectFeed(watchedStore, settings.movePrefix, moveCoordinator, policies::changeFeed, random).run()
         }
         scope.launch {
-            while (readiness == Readiness.STARTING &&
-                (routing.current == null || !directory.isInitialized)
-            ) {
+            while (readiness == Readiness.STARTING && !hasStartState()) {
                 delay(READINESS_CHECK_INTERVAL.toMillis())
             }
             if (readiness == Readiness.STARTING) readiness = Readiness.READY
@@ -292,6 +301,9 @@
         }
     }
 
+    /** Whether everything is read that calls are decided by; the quarantine may be missing if the store is away. */
+    private fun hasStartState() = routing.current != null && directory.isInitialized && quarantineRecord.isStartReadDone
+
     private fun startWork() {
         scope.launch { registration.register() }
         work.every(DEFAULT_INTERVAL, "membership") {
@@ -303,6 +315,7 @@
             quarantineSync.maintain(membership.members())
             moveCoordinator.maintain(membership.members())
         }
+        work.every(SHORT_INTERVAL, "quarantine record") { quarantineRecord.maintain() }
         val accountWarmer =
             BudgetAccountWarmer(
                 tokens,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
@@ -10,6 +10,7 @@
 import io.limpetfold.peer.ListedInstance
 import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
@@ -21,13 +22,28 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.SerializationException
 
-/** The routers of the fleet, each of which registers itself in the platform's store. */
+/**
+ * The routers of the fleet, each of which registers itself in the platform's store.
+ *
+ * @param otherKeys keys of objects under the same prefix that are not routers.
+ * @param onList called with each result of a listing.
+ */
 internal class StoreInstanceDirectory(
     private val store: ObjectStore,
     private val log: DecisionLog,
+    private val otherKeys: Set<ObjectKey>,
+    private val onList: (Result<ObjectPage, StoreError>) -> Unit,
 ) : InstanceDirectory {
     override suspend fun list(): Result<ImmutableList<ListedInstance>, StoreError> =
-        store.list(PREFIX).map { page -> page.objects.mapNotNull(::decode).toImmutableList() }
+        store
+            .list(PREFIX)
+            .also(onList)
+            .map { page ->
+                page.objects
+                    .filter { it.key !in otherKeys }
+                    .mapNotNull(::decode)
+                    .toImmutableList()
+            }
 
     /**
      * Writes the entry of [self] unless the stored entry already equals it. In a fleet that starts there is no entry
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -38,6 +38,7 @@
             listOf(
                 "limpetfold_budget_held_tokens",
                 "limpetfold_quarantined_prompt_parts",
+                "limpetfold_quarantine_unsaved",
                 "limpetfold_calls_running",
                 "limpetfold_buffered_bytes",
                 "limpetfold_request_body_bytes",
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineSyncTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineSyncTest.kt
@@ -9,14 +9,17 @@
 import io.limpetfold.dispatch.PromptDemand
 import io.limpetfold.dispatch.PromptPart
 import io.limpetfold.gateway.MonotonicClock
+import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.membership.Member
 import io.limpetfold.quarantine.PromptPartQuarantine
+import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
 import io.limpetfold.testing.TestClock
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.Dispatchers
 import java.time.Duration
+import kotlin.random.Random
 
 class QuarantineSyncTest :
     FunSpec({
@@ -82,7 +85,10 @@
     ) {
         private val monotonic = MonotonicClock(clock.monotonic)
         private val quarantine = PromptPartQuarantine()
-        val sync = QuarantineSync(quarantine, hub.join(self), monotonic, Dispatchers.Unconfined).also { it.register() }
+        private val record =
+            QuarantineRecord(quarantine, FakeObjectStore(), monotonic, Random(1), DecisionLog("test")) { routers.size }
+        val sync =
+            QuarantineSync(quarantine, record, hub.join(self), monotonic, Dispatchers.Unconfined).also { it.register() }
 
         fun crash(endpoint: String) {
             clock.advance(Duration.ofSeconds(1))
