--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -240,8 +240,9 @@
             override fun postpone(): Boolean {
                 val endpoint = asked ?: return false
                 val isSilent = endpoint.lastByteAt <= askedAt
-                if (hasPostponed || !isSilent || !mayRepeat() || !acquireFromBudget()) return false
+                if (hasPostponed || !isSilent) return false
                 hasPostponed = true
+                if (!mayRepeat() || !acquireFromBudget()) return false
                 silentEndpoint = endpoint
                 return true
             }
