store: versions carry the era of the store, and no call acts across a restore

Cause: the order of the store's history was taken from its revisions alone. A store that is restored from an older copy gives revisions out again, so a position of before hides what comes after, and the condition of a write that was read before can hold by accident. Change: ObjectVersion is era and revision, compared as a whole; in era 0 it serializes as the revision did, so messages stay readable. EraCheckedStore refuses writes and watches across a restore, and the log names it (store.restored).

--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
@@ -156,10 +156,10 @@
                 ledger =
                     ledger.close(peer, HolderUpdate(1, spentTokens = 1, receivedTokens = persistentMapOf(A.key to 2L)))
                 repeat(2) {
-                    account = account.observe(ledger, version(account.version.number + 1)).withWriteStarted()
+                    account = account.observe(ledger, version(account.version.revision + 1)).withWriteStarted()
                     ledger = ledger.update(A, account.update()).get().shouldNotBeNull()
                 }
-                account = account.observe(ledger, version(account.version.number + 1))
+                account = account.observe(ledger, version(account.version.revision + 1))
             }
 
             ledger.transfers.size shouldBe 0
@@ -230,7 +230,7 @@
 private fun dated(number: Int) =
     TopUpId("2026-${"%02d".format(number / 28 % 12 + 1)}-${"%02d".format(number % 28 + 1)}/t$number")
 
-private fun version(number: Long) = ObjectVersion(number)
+private fun version(number: Long) = ObjectVersion.of(number)
 
 private fun paid(tokens: Long) = BudgetLedger().topUp(TopUpId("2026-01-01/a"), tokens).get().shouldNotBeNull()
 
--- a/limpetfold-config/src/test/kotlin/io/limpetfold/config/ConfigWatcherTest.kt
+++ b/limpetfold-config/src/test/kotlin/io/limpetfold/config/ConfigWatcherTest.kt
@@ -37,10 +37,10 @@
             store.put(
                 FleetConfig.KEY,
                 TypedObject.JSON.encodeToString(FleetConfig.serializer(), edited!!),
-                ObjectVersion(1),
+                ObjectVersion.of(1),
             )
             watcher.watch()
-            store.put(FleetConfig.KEY, "no json", ObjectVersion(2))
+            store.put(FleetConfig.KEY, "no json", ObjectVersion.of(2))
             watcher.watch()
 
             watcher.current shouldBe publishedConfig
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/TypedObject.kt
@@ -35,6 +35,17 @@
         isStaleReadAllowed: Boolean = false,
         isStaleResultAllowed: Boolean = false,
         change: (T?) -> Change<T, E>,
+    ): Result<Versioned<T>, UpdateError<E>> =
+        updateVersioned({ it.value?.let(isApplied) == true }, isStaleReadAllowed, isStaleResultAllowed) {
+            change(it.value)
+        }
+
+    /** As [update], for a change that depends on the version at which the value was read. */
+    suspend fun <E> updateVersioned(
+        isApplied: (Versioned<T>) -> Boolean,
+        isStaleReadAllowed: Boolean = false,
+        isStaleResultAllowed: Boolean = false,
+        change: (Versioned<T>) -> Change<T, E>,
     ): Result<Versioned<T>, UpdateError<E>> {
         var isOutcomeUnknown = false
         var isStale = isStaleReadAllowed
@@ -43,8 +54,8 @@
         repeat(MAX_ATTEMPTS) {
             val stored = conflicting?.let { Ok(it) } ?: if (isStale) store.getStale(key) else store.get(key)
             val current = stored.andThen(::decode).getOrElse { return failed(it, isOutcomeUnknown) }
-            if (isOutcomeUnknown && current.value?.let(isApplied) == true) return Ok(current)
-            val result = change(current.value)
+            if (isOutcomeUnknown && isApplied(current)) return Ok(current)
+            val result = change(current)
             val isStaleResultGood = result is Change.Write || (isStaleResultAllowed && result is Change.Keep)
             if (isStale && !isStaleResultGood) {
                 isStale = false
--- a/limpetfold-core/src/test/kotlin/io/limpetfold/store/TypedObjectTest.kt
+++ b/limpetfold-core/src/test/kotlin/io/limpetfold/store/TypedObjectTest.kt
@@ -118,8 +118,8 @@
             writeCount++
             val current = stored?.version ?: ObjectVersion.NONE
             if (expected != current) return Err(StoreError.Conflict(key, current, stored))
-            stored = StoredObject(key, ObjectVersion(expected.number + 1), value)
-            if (loseResponses-- <= 0) return Ok(ObjectVersion(expected.number + 1))
+            stored = StoredObject(key, ObjectVersion.of(expected.revision + 1), value)
+            if (loseResponses-- <= 0) return Ok(ObjectVersion.of(expected.revision + 1))
             isDown = isDownAfterLoss
             return Err(StoreError.OutcomeUnknown("lost"))
         }
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.directory
 
 import io.limpetfold.core.EndpointId
+import io.limpetfold.store.ObjectVersion
 import java.time.Duration
 
 /**
@@ -24,11 +25,11 @@
     private var graceEnd: Duration = Duration.ZERO
 
     /** The position in the store's history that this directory reflects. */
-    var position: Long = 0
+    var position: ObjectVersion = ObjectVersion.NONE
         private set
 
     /** Whether a list was applied, from the store or from a peer. */
-    val isInitialized: Boolean get() = position > 0
+    val isInitialized: Boolean get() = position > ObjectVersion.NONE
 
     /** Records that the store does not respond. */
     fun onStoreUnavailable() {
@@ -45,7 +46,7 @@
     /** Applies the complete list as of [listPosition]; a list older than [position] is ignored. */
     fun applyList(
         endpoints: List<Endpoint>,
-        listPosition: Long,
+        listPosition: ObjectVersion,
         now: Duration,
     ) {
         if (listPosition < position) return
@@ -59,7 +60,7 @@
     fun applyChanges(
         endpoints: List<Endpoint>,
         removed: Collection<EndpointId>,
-        changePosition: Long,
+        changePosition: ObjectVersion,
         now: Duration,
     ) {
         if (changePosition < position) return
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/quarantine/QuarantineReport.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.quarantine
 
 import io.limpetfold.core.EndpointId
+import io.limpetfold.store.ObjectVersion
 import kotlinx.serialization.Serializable
 
 /**
@@ -17,7 +18,7 @@
     val quarantined: List<QuarantinedPartReport> = emptyList(),
     val answerAgeMillis: Map<String, Long> = emptyMap(),
     val stored: StoredQuarantine? = null,
-    val storedVersion: Long = 0,
+    val storedVersion: ObjectVersion = ObjectVersion.NONE,
 )
 
 /**
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.core.ZoneId
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.directory.EndpointDirectory
+import io.limpetfold.store.ObjectVersion
 import java.time.Duration
 import kotlin.random.Random
 
@@ -24,7 +25,7 @@
                 (1..count).map {
                     Endpoint(EndpointId("i-$it"), 1, "s", "10.0.0.$it", 80, ZoneId("z${it % zones}"), "v1", 6)
                 }
-            directory.applyList(endpoints, 1, NOW)
+            directory.applyList(endpoints, ObjectVersion.of(1), NOW)
         }
 
         fun picker(
@@ -64,11 +65,16 @@
             val others = (1..20).map { picker.pick(PickRequest("s", "session-$it"), NOW)?.endpoint?.id }
             others.toSet() shouldBe setOf(EndpointId("i-1"), EndpointId("i-2")) - leaving.endpoint.id
             // The entry is missing for a while, as during an outage of the store, and its state is evicted meanwhile.
-            directory.applyChanges(emptyList(), listOf(leaving.endpoint.id), 2, NOW)
+            directory.applyChanges(emptyList(), listOf(leaving.endpoint.id), ObjectVersion.of(2), NOW)
             picker.evictRemoved(NOW)
-            directory.applyChanges(listOf(leaving.endpoint), emptyList(), 3, NOW)
+            directory.applyChanges(listOf(leaving.endpoint), emptyList(), ObjectVersion.of(3), NOW)
             picker.pick(PickRequest("s", null, setOf(others.first()!!)), NOW) shouldBe null
-            directory.applyChanges(listOf(leaving.endpoint.copy(startedAtMillis = 2)), emptyList(), 4, NOW)
+            directory.applyChanges(
+                listOf(leaving.endpoint.copy(startedAtMillis = 2)),
+                emptyList(),
+                ObjectVersion.of(4),
+                NOW,
+            )
             picker.pick(PickRequest("s", null, setOf(others.first()!!)), NOW).shouldNotBeNull()
         }
 
@@ -79,9 +85,19 @@
                     { _, state -> onLeaving(state, NOW) },
                     { _, state -> pause(state, NOW + Duration.ofSeconds(1)) },
                     { _, state -> onCallStarted(state).also { onCallEnded(state, CallOutcome.UNREACHABLE, NOW) } },
-                    { directory, state -> directory.applyChanges(emptyList(), listOf(state.endpoint.id), 2, NOW) },
+                    {
+                        directory,
+                        state,
+                        ->
+                        directory.applyChanges(emptyList(), listOf(state.endpoint.id), ObjectVersion.of(2), NOW)
+                    },
                     { directory, state ->
-                        directory.applyChanges(listOf(state.endpoint.copy(version = "v2")), emptyList(), 2, NOW)
+                        directory.applyChanges(
+                            listOf(state.endpoint.copy(version = "v2")),
+                            emptyList(),
+                            ObjectVersion.of(2),
+                            NOW,
+                        )
                     },
                 )
             changes.forEach { change ->
@@ -114,7 +130,7 @@
         ) {
             val directory = directory(2)
             val new = directory.all(NOW).first().copy(id = EndpointId("new"), version = "v2")
-            directory.applyChanges(listOf(new), emptyList(), 2, NOW)
+            directory.applyChanges(listOf(new), emptyList(), ObjectVersion.of(2), NOW)
             val picker = picker(directory)
             val toOld = PickRequest("s", null, versions = VersionPreference("v2", isTargetPreferred = false, true))
             repeat(2) { picker.pause(picker.pick(toOld, NOW).shouldNotBeNull(), NOW + Duration.ofSeconds(1)) }
@@ -126,7 +142,7 @@
         test("guards against calls to a withdrawn version while another one can serve, and refusals when none can") {
             val directory = directory(2)
             val withdrawn = directory.all(NOW).first().copy(id = EndpointId("withdrawn"), version = "v2")
-            directory.applyChanges(listOf(withdrawn), emptyList(), 2, NOW)
+            directory.applyChanges(listOf(withdrawn), emptyList(), ObjectVersion.of(2), NOW)
             val picker = picker(directory)
             val others = setOf(EndpointId("i-1"), EndpointId("i-2"))
             val request = PickRequest("s", null, avoidedVersions = setOf("v2"))
@@ -139,7 +155,7 @@
             repeat(2) { picker.pause(picker.pick(request, NOW).shouldNotBeNull(), NOW + Duration.ofSeconds(1)) }
             picker.pick(request, NOW) shouldBe null
             picker.resumesAt("s", NOW, request.avoidedVersions) shouldBe NOW + Duration.ofSeconds(1)
-            directory.applyChanges(emptyList(), others.toList(), 3, NOW)
+            directory.applyChanges(emptyList(), others.toList(), ObjectVersion.of(3), NOW)
             picker.pick(request, NOW)?.endpoint?.id shouldBe withdrawn.id
         }
 
@@ -196,7 +212,7 @@
         ) {
             val directory = directory(4)
             val cold = directory.all(NOW).first().copy(startedAtMillis = 2, coldMillis = 5_000)
-            directory.applyChanges(listOf(cold), emptyList(), 2, NOW)
+            directory.applyChanges(listOf(cold), emptyList(), ObjectVersion.of(2), NOW)
 
             fun share(now: Duration): Int {
                 val picker = picker(directory)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -73,6 +73,7 @@
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectStore
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -111,7 +112,7 @@
     private val buffers = BufferBudget(MAX_BUFFERED_BYTES)
     private val scope = CoroutineScope(SupervisorJob() + loops.dispatcher)
     private val metrics = GatewayMetrics()
-    private val store = createStore(loops, buffers)
+    private val store = EraCheckedStore(createStore(loops, buffers), ::onEraChanged)
     private val client =
         UpstreamClient(
             upstreamSettings(),
@@ -354,6 +355,11 @@
             }
         }
 
+    private fun onEraChanged(
+        previous: Long,
+        current: Long,
+    ) = log.warn("store.restored", "before" to previous, "era" to current)
+
     private fun onRoutingChanged(
         previous: RoutingTable?,
         current: RoutingTable,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.gateway.codec.EndpointDecoder
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.store.ObjectPage
+import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
 
 /** Updates an [EndpointDirectory] from the store; skips each entry that does not decode. */
@@ -25,15 +26,15 @@
     override fun onListed(page: ObjectPage) {
         onStoreResponded()
         val (endpoints, _) = decode(page)
-        directory.applyList(endpoints, page.position.number, clock.now())
-        log.info("endpoints.listed", "position" to page.position.number, "count" to endpoints.size)
+        directory.applyList(endpoints, page.position, clock.now())
+        log.info("endpoints.listed", "position" to page.position, "count" to endpoints.size)
     }
 
     override fun onChanged(page: ObjectPage) {
         onStoreResponded()
         val (endpoints, unusable) = decode(page)
         val removed = page.removed.map { EndpointId(it.path.substringAfterLast('/')) }
-        directory.applyChanges(endpoints, removed + unusable, page.position.number, clock.now())
+        directory.applyChanges(endpoints, removed + unusable, page.position, clock.now())
         endpoints.forEach {
             log.info(
                 "endpoint.changed",
@@ -41,10 +42,10 @@
                 "service" to it.service,
                 "draining" to it.isDraining,
                 "coldMillis" to it.coldMillis,
-                "position" to page.position.number,
+                "position" to page.position,
             )
         }
-        removed.forEach { log.info("endpoint.removed", "endpoint" to it, "position" to page.position.number) }
+        removed.forEach { log.info("endpoint.removed", "endpoint" to it, "position" to page.position) }
     }
 
     override fun onFailed(error: StoreError) {
@@ -55,7 +56,7 @@
     /** Applies a peer's list if [position] is newer; used while the store does not respond to this router. */
     fun applyIfNewer(
         endpoints: List<Endpoint>,
-        position: Long,
+        position: ObjectVersion,
         peer: String,
     ) {
         if (position <= directory.position) return
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -6,6 +6,7 @@
 import io.limpetfold.quarantine.QuarantineReport
 import io.limpetfold.rollout.timed.TimedMoveReport
 import io.limpetfold.rollout.timed.VersionTrial
+import io.limpetfold.store.ObjectVersion
 import kotlinx.serialization.Serializable
 
 /** Requests a configuration newer than [knownVersion] from a peer. */
@@ -23,13 +24,13 @@
 /** Requests the endpoint list of a peer if it is newer than [knownPosition]. */
 @Serializable
 internal data class EndpointsRequest(
-    val knownPosition: Long,
+    val knownPosition: ObjectVersion,
 )
 
 /** The peer's endpoints as of [position]; [endpoints] is empty if the peer has no newer list. */
 @Serializable
 internal data class EndpointsReply(
-    val position: Long,
+    val position: ObjectVersion,
     val endpoints: List<Endpoint>,
 )
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineRecord.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineRecord.kt
@@ -41,7 +41,7 @@
     private var dueReason = Difference.NONE
     private var notBefore = Duration.ZERO
     private var failures = 0
-    private var comparedState: Pair<Long, Long>? = null
+    private var comparedState: Pair<Long, ObjectVersion>? = null
     private var comparedAt = Duration.ZERO
 
     /** Whether the list of routers has been read or the read has failed, so that there is nothing to wait for. */
@@ -51,15 +51,15 @@
     /** Whether this router knows something that the store lacks. */
     val isBehind: Boolean get() = dueReason == Difference.MISSING
 
-    /** The version of the object as far as known; zero if there is none. */
-    val knownVersion: Long get() = version?.number ?: 0
+    /** The version of the object as far as known. */
+    val knownVersion: ObjectVersion get() = version ?: ObjectVersion.NONE
 
     /** The last version that this router wrote or heard of, which others may not know. */
-    var toldVersion: Long = 0
+    var toldVersion: ObjectVersion = ObjectVersion.NONE
         private set
 
     /** What the object holds at [knownVersion], or null if that is unknown or nothing. */
-    fun known(): StoredQuarantine? = aged().takeIf { knownVersion > 0 }
+    fun known(): StoredQuarantine? = aged().takeIf { knownVersion > ObjectVersion.NONE }
 
     /** Takes the object from the list of routers. */
     fun onListed(page: ObjectPage) {
@@ -79,11 +79,11 @@
 
     /** Takes over what a peer knows of the object if it is newer. */
     fun onReported(
-        reportedVersion: Long,
+        reportedVersion: ObjectVersion,
         reported: StoredQuarantine,
     ) {
         if (reportedVersion <= knownVersion) return
-        adopt(ObjectVersion(reportedVersion), reported)
+        adopt(reportedVersion, reported)
         toldVersion = reportedVersion
     }
 
@@ -214,9 +214,9 @@
         at: Duration,
     ) {
         // While the write was under way a peer may have told of a later one.
-        if (written.number <= knownVersion) return
+        if (written <= knownVersion) return
         version = written
-        toldVersion = written.number
+        toldVersion = written
         content = value
         contentAt = at
     }
@@ -229,7 +229,7 @@
     }
 
     private fun adopt(stored: StoredObject) {
-        if (stored.version.number <= knownVersion) return
+        if (stored.version <= knownVersion) return
         val value =
             try {
                 TypedObject.JSON.decodeFromString(StoredQuarantine.serializer(), stored.value)
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -22,7 +22,7 @@
 
 class ObjectFeedTest :
     FunSpec({
-        fun page(position: Long) = ObjectPage(persistentListOf(), ObjectVersion(position))
+        fun page(position: Long) = ObjectPage(persistentListOf(), ObjectVersion.of(position))
 
         /**
          * Runs a feed against the scripted [responses] and returns the recorded calls and failures after the last one.
@@ -72,7 +72,7 @@
         }
 
         test("guards against a feed that ends because its listener fails on one page") {
-            val recorded = RecordingListener(failingAt = ObjectVersion(6))
+            val recorded = RecordingListener(failingAt = ObjectVersion.of(6))
             val store = ScriptedStore(listOf({ Ok(page(5)) }, { Ok(page(6)) }, { Ok(page(7)) }), recorded)
             coroutineScope {
                 val policy = FeedPolicy(backoffMin = Duration.ofMillis(4))
@@ -121,8 +121,8 @@
         test("guards against one watch call per change in each router when there are many changes") {
             val changed =
                 ObjectPage(
-                    persistentListOf(StoredObject(ObjectKey("servers/a"), ObjectVersion(2), "{}")),
-                    ObjectVersion(2),
+                    persistentListOf(StoredObject(ObjectKey("servers/a"), ObjectVersion.of(2), "{}")),
+                    ObjectVersion.of(2),
                 )
             val responses = Array<(String) -> Result<ObjectPage, StoreError>>(10_000) { { Ok(changed) } }
             val recorded = RecordingListener()
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinatorTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinatorTest.kt
@@ -90,7 +90,7 @@
         /** Takes a move of the service `app` to [version] back, and removes its order. */
         fun takeBack(version: VersionId) {
             val duration = Duration.ofSeconds(12)
-            selector.applyOrder(MoveOrder("app", version, duration, MoveStatus.TAKEN_BACK, ObjectVersion(2)))
+            selector.applyOrder(MoveOrder("app", version, duration, MoveStatus.TAKEN_BACK, ObjectVersion.of(2)))
             selector.removeOrder("app")
         }
     }
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -40,7 +40,14 @@
     ): Result<ObjectVersion, StoreError> {
         val bytes = value.encodeToByteArray()
         if (bytes.size > MAX_VALUE_BYTES) return Err(StoreError.TooLarge(bytes.size))
-        val condition = if (expected == ObjectVersion.NONE) "If-None-Match" to "*" else "If-Match" to "\"$expected\""
+        val condition =
+            if (expected ==
+                ObjectVersion.NONE
+            ) {
+                "If-None-Match" to "*"
+            } else {
+                "If-Match" to "\"${expected.revision}\""
+            }
         val headers = Headers.of(condition, "Content-Type" to "application/json")
         val request = UpstreamRequest("PUT", "/v1/objects/$key", headers, UpstreamBody.Bytes(bytes))
         val response = platformClient.write(request).getOrElse { return Err(it) }
@@ -62,7 +69,7 @@
         after: ObjectVersion,
         wait: Duration,
     ): Result<ObjectPage, StoreError> =
-        page("prefix=${encode(prefix)}&after=$after&waitMillis=${wait.toMillis()}", wait)
+        page("prefix=${encode(prefix)}&after=${after.revision}&waitMillis=${wait.toMillis()}", wait)
 
     private suspend fun page(
         query: String,
@@ -81,7 +88,7 @@
         response.head.headers["ETag"]
             ?.removeSurrounding("\"")
             ?.toLongOrNull()
-            ?.let(::ObjectVersion)
+            ?.let(ObjectVersion::of)
 
     private fun rejected(response: PlatformClient.Response) = StoreError.Rejected("status ${response.head.status}")
 
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/WirePage.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/WirePage.kt
@@ -19,7 +19,7 @@
 ) {
     fun toPage(): ObjectPage =
         ObjectPage(
-            objects.map { StoredObject(ObjectKey(it.key), ObjectVersion(it.version), it.value) }.toImmutableList(),
-            ObjectVersion(position),
+            objects.map { StoredObject(ObjectKey(it.key), ObjectVersion.of(it.version), it.value) }.toImmutableList(),
+            ObjectVersion.of(position),
         )
 }
--- a/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
+++ b/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
@@ -66,16 +66,18 @@
                     else -> exchange.respond(404)
                 }
             }) { store, directory ->
-                store.put(key, "{}", ObjectVersion.NONE).get() shouldBe ObjectVersion(7)
-                store.put(key, "{}", ObjectVersion(7)).getError() shouldBe StoreError.Conflict(key, ObjectVersion(9))
-                store.put(key, "{}", ObjectVersion(8)).getError() shouldBe StoreError.RateLimited(Duration.ofSeconds(2))
-                store.put(key, "{}", ObjectVersion(9)).getError().shouldBeInstanceOf<StoreError.Unavailable>()
-                store.put(key, "{}", ObjectVersion(10)).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
+                store.put(key, "{}", ObjectVersion.NONE).get() shouldBe ObjectVersion.of(7)
+                store.put(key, "{}", ObjectVersion.of(7)).getError() shouldBe
+                    StoreError.Conflict(key, ObjectVersion.of(9))
+                store.put(key, "{}", ObjectVersion.of(8)).getError() shouldBe
+                    StoreError.RateLimited(Duration.ofSeconds(2))
+                store.put(key, "{}", ObjectVersion.of(9)).getError().shouldBeInstanceOf<StoreError.Unavailable>()
+                store.put(key, "{}", ObjectVersion.of(10)).getError().shouldBeInstanceOf<StoreError.OutcomeUnknown>()
                 store.put(key, "a".repeat(1_000_001), ObjectVersion.NONE).getError() shouldBe
                     StoreError.TooLarge(1_000_001)
-                store.get(key).get()?.version shouldBe ObjectVersion(7)
+                store.get(key).get()?.version shouldBe ObjectVersion.of(7)
                 store.get(ObjectKey("none")).get() shouldBe null
-                store.list("a/").get()?.position shouldBe ObjectVersion(5)
+                store.list("a/").get()?.position shouldBe ObjectVersion.of(5)
                 directory.list().get() shouldBe emptyList()
             }
         }
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/ObjectHistoryTest.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/ObjectHistoryTest.kt
@@ -18,40 +18,43 @@
             written: Map<String, Long> = emptyMap(),
             removed: List<String> = emptyList(),
         ) = ObjectPage(
-            written.map { (name, version) -> StoredObject(key(name), ObjectVersion(version), "{}") }.toImmutableList(),
-            ObjectVersion(position),
+            written
+                .map { (name, version) ->
+                    StoredObject(key(name), ObjectVersion.of(version), "{}")
+                }.toImmutableList(),
+            ObjectVersion.of(position),
             removed.map(::key).toImmutableList(),
         )
 
         test("returns only what changed after a position") {
             val history = ObjectHistory()
             history.applyListing(page(10, mapOf("a" to 3, "b" to 9)))
-            history.applyChanges(ObjectVersion(10), page(14, mapOf("a" to 12), listOf("b")))
-            history.changesAfter(ObjectVersion(10)) shouldBe page(14, mapOf("a" to 12), listOf("b"))
-            history.changesAfter(ObjectVersion(14)) shouldBe page(14)
+            history.applyChanges(ObjectVersion.of(10), page(14, mapOf("a" to 12), listOf("b")))
+            history.changesAfter(ObjectVersion.of(10)) shouldBe page(14, mapOf("a" to 12), listOf("b"))
+            history.changesAfter(ObjectVersion.of(14)) shouldBe page(14)
         }
 
         test("guards against a router that misses what was removed before the history begins") {
             val history = ObjectHistory()
             history.applyListing(page(10, mapOf("a" to 3)))
-            history.changesAfter(ObjectVersion(9)) shouldBe null
+            history.changesAfter(ObjectVersion.of(9)) shouldBe null
         }
 
         test("guards against a removal that is sent on after the object was written again") {
             val history = ObjectHistory()
             history.applyListing(page(10, mapOf("a" to 3)))
-            history.applyChanges(ObjectVersion(10), page(11, removed = listOf("a")))
-            history.applyChanges(ObjectVersion(11), page(12, mapOf("a" to 12)))
-            history.changesAfter(ObjectVersion(10)) shouldBe page(12, mapOf("a" to 12))
+            history.applyChanges(ObjectVersion.of(10), page(11, removed = listOf("a")))
+            history.applyChanges(ObjectVersion.of(11), page(12, mapOf("a" to 12)))
+            history.changesAfter(ObjectVersion.of(10)) shouldBe page(12, mapOf("a" to 12))
         }
 
         test("guards against removals that grow without bound, and against a gap where they were dropped") {
             val history = ObjectHistory(maxRemovals = 2)
             history.applyListing(page(10, mapOf("a" to 1, "b" to 2, "c" to 3)))
-            history.applyChanges(ObjectVersion(10), page(11, removed = listOf("a")))
-            history.applyChanges(ObjectVersion(11), page(12, removed = listOf("b")))
-            history.applyChanges(ObjectVersion(12), page(13, removed = listOf("c")))
-            history.changesAfter(ObjectVersion(10)) shouldBe null
-            history.changesAfter(ObjectVersion(11))?.removed shouldBe persistentListOf(key("b"), key("c"))
+            history.applyChanges(ObjectVersion.of(10), page(11, removed = listOf("a")))
+            history.applyChanges(ObjectVersion.of(11), page(12, removed = listOf("b")))
+            history.applyChanges(ObjectVersion.of(12), page(13, removed = listOf("c")))
+            history.changesAfter(ObjectVersion.of(10)) shouldBe null
+            history.changesAfter(ObjectVersion.of(11))?.removed shouldBe persistentListOf(key("b"), key("c"))
         }
     })
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/WatchingStore.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/WatchingStore.kt
@@ -38,7 +38,7 @@
         key: ObjectKey,
         value: String,
     ) {
-        val stored = StoredObject(key, ObjectVersion(revision.value + 1), value)
+        val stored = StoredObject(key, ObjectVersion.of(revision.value + 1), value)
         objects[key] = stored
         events += Event(stored, isRemoval = false)
         revision.value++
@@ -46,7 +46,7 @@
 
     fun remove(key: ObjectKey) {
         val stored = objects.remove(key) ?: return
-        events += Event(stored.copy(version = ObjectVersion(revision.value + 1)), isRemoval = true)
+        events += Event(stored.copy(version = ObjectVersion.of(revision.value + 1)), isRemoval = true)
         revision.value++
     }
 
@@ -56,7 +56,7 @@
     ) : ObjectStore {
         override suspend fun list(prefix: String): Result<ObjectPage, StoreError> =
             call(CALL_TIMEOUT_MILLIS) {
-                ObjectPage(objects.values.toImmutableList(), ObjectVersion(revision.value))
+                ObjectPage(objects.values.toImmutableList(), ObjectVersion.of(revision.value))
             }
 
         override suspend fun watch(
@@ -65,7 +65,7 @@
             wait: Duration,
         ): Result<ObjectPage, StoreError> =
             call(wait.toMillis() + CALL_TIMEOUT_MILLIS) {
-                withTimeoutOrNull(wait.toMillis()) { revision.first { it > after.number } }
+                withTimeoutOrNull(wait.toMillis()) { revision.first { it > after.revision } }
                 pageAfter(after)
             }
 
@@ -98,7 +98,7 @@
         val newest = events.filter { it.stored.version > after }.associateBy { it.stored.key }.values
         return ObjectPage(
             newest.filter { !it.isRemoval }.map { it.stored }.toImmutableList(),
-            ObjectVersion(revision.value),
+            ObjectVersion.of(revision.value),
             newest.filter { it.isRemoval }.map { it.stored.key }.toImmutableList(),
         )
     }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
@@ -42,7 +42,7 @@
                 val request = MoveRequest(MoveId("m"), route, old, new, "ana", deadline)
                 val record = checkNotNull(MoveCommands(store, clock).start(request).get())
                 val granted = record.copy(weight = 0.5, grants = mapOf("r0@1" to 20L, "r1@1" to 20L))
-                return MoveSnapshot(granted, ObjectVersion(2)).also { snapshot ->
+                return MoveSnapshot(granted, ObjectVersion.of(2)).also { snapshot ->
                     routers.forEach { it.handleReportQuery(ReportQuery(listOf(snapshot))) }
                 }
             }
@@ -95,7 +95,7 @@
         test("a partitioned router that knows of the completion keeps the new version after the deadline") {
             val fleet = Fleet()
             val started = fleet.start()
-            val completed = MoveSnapshot(started.record.copy(phase = MovePhase.Completed), ObjectVersion(3))
+            val completed = MoveSnapshot(started.record.copy(phase = MovePhase.Completed), ObjectVersion.of(3))
             fleet.routers[1].handleReportQuery(ReportQuery(listOf(completed)))
             fleet.isStoreUnavailable = true
             fleet.clock.advance(Duration.ofSeconds(400))
@@ -122,7 +122,7 @@
             fleet.isStoreUnavailable = true
             fleet.routers[0].sendVerdicts()
             fleet.send(1, 500, isBad = false) shouldBe 0
-            val later = MoveSnapshot(started.record.copy(grants = mapOf("r1@1" to 90L)), ObjectVersion(9))
+            val later = MoveSnapshot(started.record.copy(grants = mapOf("r1@1" to 90L)), ObjectVersion.of(9))
             fleet.routers[1].handleReportQuery(ReportQuery(listOf(later)))
             fleet.send(1, 500, isBad = false) shouldBe 0
             fleet.clock.advance(Duration.ofSeconds(400))
@@ -137,7 +137,7 @@
             fleet.routers[0].verdict(started.record.id) shouldBe null
             fleet.send(0, 50, isBad = true) shouldBe 0
             fleet.routers[0].handleReportQuery(
-                ReportQuery(listOf(MoveSnapshot(started.record.copy(weight = 0.6), ObjectVersion(3)))),
+                ReportQuery(listOf(MoveSnapshot(started.record.copy(weight = 0.6), ObjectVersion.of(3)))),
             )
             fleet.routers[0].verdict(started.record.id)?.metric shouldBe GuardMetric.FAILURES
         }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/TimedMoveFleet.kt
@@ -32,7 +32,7 @@
                     TimedVersionSelector(it, { now }, Random(seed + index))
             }
         }
-    private var order = MoveOrder("app", VersionId("v2"), DURATION, status = null, ObjectVersion(1))
+    private var order = MoveOrder("app", VersionId("v2"), DURATION, status = null, ObjectVersion.of(1))
 
     /** Indices of the routers that reach neither the store nor their peers. */
     val partitioned = mutableSetOf<Int>()
@@ -78,7 +78,7 @@
 
     private fun store(decision: TimedMoveDecision) {
         if (decision.order.objectVersion != order.objectVersion) return
-        order = order.copy(status = decision.status, objectVersion = ObjectVersion(order.objectVersion.number + 1))
+        order = order.copy(status = decision.status, objectVersion = ObjectVersion.of(order.objectVersion.revision + 1))
     }
 
     private fun call(elapsed: Duration?) {
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/WithdrawnVersionsTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/WithdrawnVersionsTest.kt
@@ -26,7 +26,7 @@
             VersionId(target),
             Duration.ofSeconds(12),
             status,
-            ObjectVersion(position),
+            ObjectVersion.of(position),
             previous,
         )
 
@@ -87,7 +87,7 @@
 
         test("guards against a version that is withheld though its completion was stored first") {
             val known = selector().apply { applyOrder(order("v2", 1)) }
-            known.applyTrials(listOf(VersionTrial(present.single(), ObjectVersion(1), isWithdrawn = true)))
+            known.applyTrials(listOf(VersionTrial(present.single(), ObjectVersion.of(1), isWithdrawn = true)))
             known.withdrawnVersions("app") shouldBe v2
             known.applyOrder(order("v2", 2, MoveStatus.COMPLETED))
             known.withdrawnVersions("app") shouldBe emptySet()
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/call/CallFixture.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/call/CallFixture.kt
@@ -192,7 +192,7 @@
                     weight = 1.0,
                     grants = mapOf("router-0@1" to 20L),
                 ),
-                ObjectVersion(1),
+                ObjectVersion.of(1),
             )
     }
 }
