http: a folded field of a response has one reading

Callers saw a 502 where an endpoint folded a field after an empty first line: the id or the length was not recognised. Cause: the decoder joins folded lines with a blank, as RFC 9112 wants, but keeps that blank before a value whose first line is empty. Ruled out: refusing folded responses as requests are refused, since a gateway may replace the fold by a blank, and such a response is then like any other.

--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/EndpointCompatibilityTest.kt
@@ -96,6 +96,25 @@
             }
         }
 
+        test(
+            "guards against a folded field of a response that is read as several fields, or differently by framing and ids",
+        ) {
+            val head =
+                "HTTP/1.1 200 OK\r\nX-Note: a\r\n \tContent-Length: 99\r\nCall-Id:\r\n\tmine\r\nContent-Length:\r\n 2\r\n\r\n"
+            RawServer { "${head}ok" }.use { server ->
+                withClient(UpstreamSettings(requestIdHeader = "Call-Id")) { client ->
+                    val request = UpstreamRequest("GET", "/", Headers.of("Call-Id" to "mine"))
+                    repeat(2) {
+                        client.send(server.address, request).get().shouldNotBeNull().use { response ->
+                            response.head.headers.all("X-Note") shouldBe listOf("a Content-Length: 99")
+                            response.readAll(MAX_BYTES).get()?.decodeToString() shouldBe "ok"
+                        }
+                    }
+                    server.connections.get() shouldBe 1
+                }
+            }
+        }
+
         test("guards against a Host field of the caller that is replaced by the endpoint's address") {
             RawServer { head ->
                 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n${Regex(
