gateway, router: a stop that comes during the start answers the calls that were taken

Callers saw their connection reset, after the router had read the request: a router that was told to stop just after it had begun to listen ended at once. Cause: the handler of the signal was set after start() had returned, while the listener for callers opens early in it. The time between is small on an idle machine and long on a slow one, where routers start beside traffic. Evidence: logs of a soak on, SIGTERM 69 ms and 500 ms after router.started, the process gone without router.stopping. Change: runUntilTerminated sets the handler first, for both routers; a stop waits for the end of a start that is running. Measured: StopDuringStartTest failed before (connection reset by the process that ended) and passes; ShutdownPathTest, PauseAndStopTest and SettingsSignalTest pass.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -76,6 +76,7 @@
 import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectStore
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -192,6 +193,8 @@
     private val metricsServer = server(settings.metricsListenAddress, readinessAndMetricsHandler)
     private val work = PeriodicWork(scope, random, log)
 
+    private val startEnded = Job()
+
     @Volatile
     private var hasNewMembers = false
 
@@ -201,7 +204,14 @@
     /**
      * Starts the servers, the feeds and the background work; throws [java.io.IOException] when an address is in use.
      */
-    suspend fun start() {
+    suspend fun start() =
+        try {
+            startServing()
+        } finally {
+            startEnded.complete()
+        }
+
+    private suspend fun startServing() {
         sync.register()
         moveCoordinator.register()
         lender.register(peers)
@@ -227,7 +237,7 @@
 
     /**
      * Shuts down gracefully: reports not ready, waits for running calls, returns loans and grants, and closes the
-     * listeners last.
+     * listeners last. While [start] is running, this waits for it, so that all that it opens is closed.
      */
     suspend fun stop() {
         log.info("router.stopping", "running" to callerServer.runningCount)
@@ -238,6 +248,7 @@
             reloadableSettings.current.shutdown.balancerWait
                 .toMillis(),
         )
+        startEnded.join()
         callerServer.closeIdle()
         val isIdle = callerServer.awaitIdle(shutdown.timeLeft)
         shutdown.stopAccepting()
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -70,6 +70,7 @@
 import io.limpetfold.router.settings.RouterSettings
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -163,6 +164,8 @@
     /** Where operators connect; valid after [start]. */
     val operatorListenAddress: HostPort get() = operatorServer.address
 
+    private val startEnded = Job()
+
     @Volatile
     private var readiness = Readiness.STARTING
 
@@ -174,7 +177,14 @@
     private var hasReadMoves = false
 
     /** Starts all components; throws [java.io.IOException] when an address is in use. */
-    suspend fun start() {
+    suspend fun start() =
+        try {
+            startServing()
+        } finally {
+            startEnded.complete()
+        }
+
+    private suspend fun startServing() {
         gauges().register(metrics)
         peers.start(settings.peers.host, settings.peers.port)
         membership.setSeedRouters(settings.peers.seedsOrNull().orEmpty())
@@ -185,12 +195,16 @@
         LOGGER.info("router: started instance={} incarnation={} zone={}", self.instance, self.number, zone)
     }
 
-    /** Shuts down gracefully: no running request is cut off before the drain time ends. */
+    /**
+     * Shuts down gracefully: no running request is cut off before the drain time ends. While [start] is running, this
+     * waits for it, so that all that it opens is closed.
+     */
     suspend fun stop() {
         LOGGER.info("router: graceful shutdown began running={}", callerServer.runningCount)
         readiness = Readiness.DRAINING
         callerServer.beginDrain()
         delay(settings.stop.balancerWait.toMillis())
+        startEnded.join()
         isRefusingRequests = true
         val isIdle = callerServer.awaitIdle(settings.stop.drain)
         if (!isIdle) {
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/RouterCommand.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/RouterCommand.kt
@@ -10,13 +10,11 @@
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.config.yaml.SettingsLoader
+import io.limpetfold.core.runUntilTerminated
 import io.limpetfold.router.settings.RouterSettings
 import io.limpetfold.router.settings.RouterSettingsCheck
-import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
 import java.io.IOException
-import kotlin.concurrent.thread
 
 /** The command line of the router. */
 internal class RouterCommand : CliktCommand(name = "limpetfold-router") {
@@ -52,19 +50,11 @@
     private fun serve(settings: RouterSettings) {
         val router = Router(settings)
         try {
-            runBlocking { router.start() }
+            runUntilTerminated(router::start, router::stop)
         } catch (e: IOException) {
             LOGGER.error("router: start failed cause=\"{}\"; check that the addresses are free", e.message)
             throw ProgramResult(FAILED)
         }
-        Runtime.getRuntime().addShutdownHook(
-            thread(start = false, name = "planned-stop") {
-                runBlocking { router.stop() }
-                // Without halt, the JVM would exit with the code of the signal although the shutdown succeeded.
-                Runtime.getRuntime().halt(0)
-            },
-        )
-        runBlocking { awaitCancellation() }
     }
 
     private companion object {
