directory: an older copy of the store does not bring endpoints back, or drop them

Cause: the first list of a restored store was applied like any other. An endpoint that had left was used again, one that was draining became ready, and one that registered after the copy was made was dropped, unless the router had noticed an outage. Change: entries carry the version of their object (Endpoint.entryVersion, NONE in messages of earlier routers, which then counts as the position of the list). In a list of a later era a draining endpoint stays draining and a process that a later one replaced stays replaced, until the entry has a revision above the known one. Removed endpoints are remembered (1,000, five minutes) and stay out until they are written again; an entry that is still listed after 10 s belongs to a live endpoint, since the store drops silent ones after three check-ins (3.6 s), and is used again. Missing endpoints are used for returnGrace. endpoints.listed tells what a list added, lacks, withholds and keeps draining.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/Endpoint.kt
@@ -2,6 +2,7 @@
 
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.ZoneId
+import io.limpetfold.store.ObjectVersion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -13,6 +14,7 @@
  * @property slots maximum number of calls that the endpoint processes concurrently.
  * @property coldMillis how much longer the endpoint is slow after its start, counted from the writing of the entry.
  * @property isDraining whether the endpoint only finishes its calls and must get no new ones.
+ * @property entryVersion the version of the entry in the store; [ObjectVersion.NONE] when unknown.
  */
 @Serializable
 data class Endpoint(
@@ -27,4 +29,5 @@
     val slots: Int,
     val isDraining: Boolean = false,
     val coldMillis: Long = 0,
+    val entryVersion: ObjectVersion = ObjectVersion.NONE,
 )
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
@@ -10,6 +10,10 @@
  * Entries of live endpoints may expire in the store during an outage. An endpoint that is missing right after an outage
  * therefore stays usable for [DirectoryPolicy.returnGrace], unless it was draining. All times are monotonic and measured
  * from the start of the process.
+ *
+ * A list of a later era than [position] comes from a store that was restored from an older copy. An endpoint that is
+ * missing from it, because it registered after the copy was made, has the same grace. What was known to be draining or
+ * removed is not undone by the copy, but only by an entry of another start, or by one that was written since.
  */
 class EndpointDirectory(
     private val policy: DirectoryPolicy = DirectoryPolicy(),
@@ -17,10 +21,17 @@
     private class Entry(
         val endpoint: Endpoint,
         val warmAt: Duration,
-        var expiresAt: Duration? = null,
+        var expiry: Expiry? = null,
+    )
+
+    /** When an entry that the store lacks as of [missingAt] ends. */
+    private class Expiry(
+        val at: Duration,
+        val missingAt: ObjectVersion,
     )
 
     private val entries = LinkedHashMap<EndpointId, Entry>()
+    private val removed = RemovedEndpoints(policy)
     private var isStoreUnavailable = false
     private var graceEnd: Duration = Duration.ZERO
 
@@ -43,17 +54,28 @@
         graceEnd = now + policy.returnGrace
     }
 
-    /** Applies the complete list as of [listPosition]; a list older than [position] is ignored. */
+    /** Applies the complete list as of [listPosition]; returns null for a list older than [position], which is ignored. */
     fun applyList(
         endpoints: List<Endpoint>,
         listPosition: ObjectVersion,
         now: Duration,
-    ) {
-        if (listPosition < position) return
+    ): DirectoryChange? {
+        if (listPosition < position) return null
+        val isFirstOfEra = isInitialized && listPosition.era > position.era
         position = listPosition
-        val present = endpoints.mapTo(HashSet()) { it.id }
-        endpoints.forEach { put(it, now) }
-        entries.keys.filter { it !in present }.forEach { remove(it, now) }
+        val (withheld, present) =
+            endpoints
+                .map { it.orWrittenAt(listPosition) }
+                .filterNot(::isOfEarlierStart)
+                .partition { removed.withhold(it, now) }
+        removed.retainWithheld(withheld.mapTo(HashSet()) { it.id }::contains)
+        val added = present.count { it.id !in entries }
+        val stillDraining = present.count { put(it, now) }
+        val ids = present.mapTo(HashSet()) { it.id }
+        val missing = entries.values.filter { it.endpoint.id !in ids }
+        // An entry whose expiry has begun keeps it: a further list of the same store says nothing new about it.
+        missing.filter { it.expiry == null }.forEach { remove(it, now, isFirstOfEra) }
+        return DirectoryChange(added, missing.size, withheld.size, stillDraining)
     }
 
     /** Applies changes up to [changePosition]; changes older than [position] are ignored. */
@@ -65,16 +87,28 @@
     ) {
         if (changePosition < position) return
         position = changePosition
-        endpoints.forEach { put(it, now) }
-        removed.forEach { remove(it, now) }
+        for (endpoint in endpoints) {
+            this.removed.forget(endpoint.id)
+            put(endpoint.orWrittenAt(changePosition), now)
+        }
+        for (id in removed) {
+            this.removed.dropWithheld(id)
+            entries[id]?.let { remove(it, now, isFirstOfEra = false) }
+        }
     }
 
     /** Returns all known endpoints, including draining ones. */
     fun all(now: Duration): List<Endpoint> {
-        entries.values.removeIf { entry -> entry.expiresAt?.let { it <= now } ?: false }
+        update(now)
         return entries.values.map { it.endpoint }
     }
 
+    /** Returns the endpoints that the store has, as far as is known; those that are missing from it are left out. */
+    fun listed(now: Duration): List<Endpoint> {
+        update(now)
+        return entries.values.filter { it.expiry == null }.map { it.endpoint }
+    }
+
     /** Returns the endpoints of [service] that may get new calls. */
     fun usable(
         service: String,
@@ -87,8 +121,9 @@
         now: Duration,
     ): Boolean {
         val entry = entries[endpoint.id] ?: return false
-        val isExpired = entry.expiresAt?.let { it <= now } ?: false
-        return !isExpired && !entry.endpoint.isDraining && entry.endpoint.startedAtMillis == endpoint.startedAtMillis
+        return !entry.isExpired(now) &&
+            !entry.endpoint.isDraining &&
+            entry.endpoint.startedAtMillis == endpoint.startedAtMillis
     }
 
     /**
@@ -100,26 +135,67 @@
         now: Duration,
     ): Boolean = entries[endpoint.id]?.let { now < it.warmAt } ?: false
 
-    /** An entry that is read again, such as after an outage of the store, does not make its incarnation cold again. */
+    /** Ends what has expired, and uses withheld endpoints whose time has ended. */
+    private fun update(now: Duration) {
+        entries.values.removeIf { entry ->
+            entry.isExpired(now).also { if (it) recordRemoval(entry, checkNotNull(entry.expiry).missingAt, now) }
+        }
+        removed.takeDue(now).forEach { put(it, now) }
+    }
+
+    /**
+     * Puts [endpoint] and returns whether it stays draining although it is listed as ready. An entry that is read again,
+     * such as after an outage of the store, does not make its incarnation cold again.
+     */
     private fun put(
         endpoint: Endpoint,
         now: Duration,
-    ) {
+    ): Boolean {
         val warmAt = now + Duration.ofMillis(endpoint.coldMillis)
         val known = entries[endpoint.id]?.takeIf { it.endpoint.startedAtMillis == endpoint.startedAtMillis }
-        entries[endpoint.id] = Entry(endpoint, if (known == null) warmAt else minOf(known.warmAt, warmAt))
+        val isStillDraining =
+            known != null &&
+                known.endpoint.isDraining &&
+                !endpoint.isDraining &&
+                !endpoint.entryVersion.isWrittenAfter(known.endpoint.entryVersion)
+        entries[endpoint.id] =
+            Entry(
+                if (isStillDraining) endpoint.copy(isDraining = true) else endpoint,
+                if (known == null) warmAt else minOf(known.warmAt, warmAt),
+            )
+        return isStillDraining
     }
 
     private fun remove(
-        id: EndpointId,
+        entry: Entry,
         now: Duration,
+        isFirstOfEra: Boolean,
     ) {
-        val entry = entries[id] ?: return
-        val isInGrace = isStoreUnavailable || now < graceEnd
+        val isInGrace = isStoreUnavailable || isFirstOfEra || now < graceEnd
         if (entry.endpoint.isDraining || !isInGrace) {
-            entries.remove(id)
-        } else if (entry.expiresAt == null) {
-            entry.expiresAt = if (isStoreUnavailable) now + policy.returnGrace else graceEnd
+            entries.remove(entry.endpoint.id)
+            recordRemoval(entry, position, now)
+        } else if (entry.expiry == null) {
+            val end = if (isStoreUnavailable || isFirstOfEra) now + policy.returnGrace else graceEnd
+            entry.expiry = Expiry(end, position)
         }
     }
+
+    private fun recordRemoval(
+        entry: Entry,
+        version: ObjectVersion,
+        now: Duration,
+    ) = removed.record(entry.endpoint, version, now)
+
+    /** Whether the entry in an older copy is of a process that a later one has replaced. */
+    private fun isOfEarlierStart(listed: Endpoint): Boolean {
+        val known = entries[listed.id]?.endpoint ?: return false
+        return listed.startedAtMillis < known.startedAtMillis &&
+            !listed.entryVersion.isWrittenAfter(known.entryVersion)
+    }
+
+    private fun Entry.isExpired(now: Duration) = expiry.let { it != null && it.at <= now }
+
+    private fun Endpoint.orWrittenAt(version: ObjectVersion) =
+        if (entryVersion == ObjectVersion.NONE) copy(entryVersion = version) else this
 }
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
@@ -71,6 +71,92 @@
             directory.usableIds(seconds(3)) shouldBe listOf("b")
         }
 
+        fun Endpoint.at(
+            revision: Long,
+            era: Long = 0,
+        ) = copy(entryVersion = ObjectVersion.of(revision, era))
+
+        fun era1(revision: Long) = ObjectVersion.of(revision, era = 1)
+
+        test("guards against a restored store that makes a draining endpoint ready again, until it is written again") {
+            val directory = EndpointDirectory()
+            val ready = endpoint("a")
+            directory.applyList(listOf(ready.at(300)), ObjectVersion.of(400), seconds(1))
+            directory.applyChanges(
+                listOf(endpoint("a", isDraining = true).at(450)),
+                emptyList(),
+                ObjectVersion.of(450),
+                seconds(2),
+            )
+            directory.applyList(listOf(ready.at(300, 1)), era1(320), seconds(3))?.stillDraining shouldBe 1
+            directory.applyList(listOf(ready.at(300, 1)), era1(330), seconds(4))
+            directory.applyList(listOf(ready.at(300, 2)), ObjectVersion.of(310, 2), seconds(5))
+            directory.usableIds(seconds(5)) shouldBe emptyList()
+            val restarted = endpoint("a", startedAtMillis = 2).at(311, 2)
+            directory.applyChanges(listOf(restarted), emptyList(), ObjectVersion.of(311, 2), seconds(6))
+            directory.applyList(listOf(ready.at(300, 3)), ObjectVersion.of(305, 3), seconds(7))
+            directory.isUsable(ready, seconds(7)) shouldBe false
+            directory.isUsable(restarted, seconds(7)) shouldBe true
+        }
+
+        test("guards against a restored store that brings a removed endpoint back") {
+            fun directory() =
+                EndpointDirectory().also {
+                    it.applyList(listOf(endpoint("a").at(300)), ObjectVersion.of(400), seconds(1))
+                    it.applyChanges(emptyList(), listOf(EndpointId("a")), ObjectVersion.of(500), seconds(2))
+                    it.applyList(listOf(endpoint("a").at(300, 1)), era1(320), seconds(3))?.withheld shouldBe 1
+                    it.applyList(listOf(endpoint("a").at(300, 1)), era1(321), seconds(4))
+                    it.usableIds(seconds(4)) shouldBe emptyList()
+                }
+
+            directory().run {
+                applyChanges(listOf(endpoint("a").at(322, 1)), emptyList(), era1(322), seconds(5))
+                usableIds(seconds(5)) shouldBe listOf("a")
+            }
+            directory().run {
+                applyList(listOf(endpoint("a").at(322, 1)), era1(330), seconds(5))
+                usableIds(seconds(5)) shouldBe listOf("a")
+            }
+            directory().run {
+                applyList(listOf(endpoint("a").at(501, 2)), ObjectVersion.of(510, 2), seconds(5))
+                usableIds(seconds(5)) shouldBe listOf("a")
+            }
+            // The entry of a live endpoint that has nothing new to write stays as it is in the copy.
+            directory().usableIds(seconds(13)) shouldBe listOf("a")
+            directory().run {
+                applyChanges(emptyList(), listOf(EndpointId("a")), era1(340), seconds(7))
+                usableIds(seconds(14)) shouldBe emptyList()
+            }
+        }
+
+        test(
+            "guards against losing endpoints that the copy of a restored store lacks, and against keeping them for good",
+        ) {
+            val directory = EndpointDirectory()
+            val leaving = endpoint("c", isDraining = true)
+            directory.applyList(listOf(endpoint("a"), endpoint("b"), leaving), ObjectVersion.of(400), seconds(1))
+            directory.applyList(emptyList(), era1(320), seconds(3))?.missing shouldBe 3
+            directory.applyList(emptyList(), era1(321), seconds(4))
+            directory.all(seconds(4)).map { it.id.value } shouldBe listOf("a", "b")
+            directory.listed(seconds(4)) shouldBe emptyList()
+            directory.applyChanges(listOf(endpoint("a")), emptyList(), era1(322), seconds(4))
+            directory.usableIds(seconds(5)) shouldBe listOf("a")
+            directory.applyChanges(emptyList(), listOf(EndpointId("a")), era1(323), seconds(5))
+            directory.usableIds(seconds(5)) shouldBe emptyList()
+        }
+
+        test("guards against removals that are remembered without bound") {
+            val directory = EndpointDirectory(DirectoryPolicy(maxRemovals = 1))
+            val all = listOf(endpoint("a").at(300), endpoint("b").at(301), endpoint("c").at(302))
+            directory.applyList(all, ObjectVersion.of(400), seconds(1))
+            directory.applyChanges(emptyList(), all.take(2).map { it.id }, ObjectVersion.of(500), seconds(2))
+            directory.applyList(all.map { it.at(it.entryVersion.revision, 1) }, era1(320), seconds(3))
+            directory.usableIds(seconds(3)) shouldBe listOf("c", "a")
+            directory.applyChanges(emptyList(), listOf(EndpointId("c")), era1(330), seconds(4))
+            directory.applyList(listOf(endpoint("c").at(302, 2)), ObjectVersion.of(325, 2), seconds(400))
+            directory.usableIds(seconds(402)) shouldBe listOf("c")
+        }
+
         test("guards against a call to an earlier incarnation of an endpoint") {
             val directory = EndpointDirectory()
             val oldIncarnation = endpoint("a", startedAtMillis = 1)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/EndpointDirectoryUpdater.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import io.limpetfold.core.EndpointId
+import io.limpetfold.directory.DirectoryChange
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.directory.EndpointDirectory
 import io.limpetfold.gateway.MonotonicClock
@@ -26,8 +27,8 @@
     override fun onListed(page: ObjectPage) {
         onStoreResponded()
         val (endpoints, _) = decode(page)
-        directory.applyList(endpoints, page.position, clock.now())
-        log.info("endpoints.listed", "position" to page.position, "count" to endpoints.size)
+        val change = directory.applyList(endpoints, page.position, clock.now())
+        logList("endpoints.listed", page.position, endpoints.size, change)
     }
 
     override fun onChanged(page: ObjectPage) {
@@ -60,8 +61,31 @@
         peer: String,
     ) {
         if (position <= directory.position) return
-        directory.applyList(endpoints, position, clock.now())
-        log.info("endpoints.copied", "peer" to peer, "position" to position, "count" to endpoints.size)
+        val change = directory.applyList(endpoints, position, clock.now())
+        logList("endpoints.copied", position, endpoints.size, change, "peer" to peer)
+    }
+
+    private fun logList(
+        event: String,
+        position: ObjectVersion,
+        count: Int,
+        change: DirectoryChange?,
+        vararg source: Pair<String, Any>,
+    ) {
+        if (change == null) {
+            log.info("endpoints.ignored", *source, "position" to position, "known" to directory.position)
+            return
+        }
+        log.info(
+            event,
+            *source,
+            "position" to position,
+            "count" to count,
+            "added" to change.added,
+            "missing" to change.missing,
+            "withheld" to change.withheld,
+            "stillDraining" to change.stillDraining,
+        )
     }
 
     private fun onStoreResponded() {
@@ -74,7 +98,7 @@
         val endpoints =
             page.objects.mapNotNull { stored ->
                 decoder.decode(stored).fold(
-                    success = { it },
+                    success = { it.copy(entryVersion = stored.version) },
                     failure = { reason ->
                         unusable += EndpointId(stored.key.path.substringAfterLast('/'))
                         log.warn("endpoint.skipped", "entry" to stored.key, "reason" to reason)
