store, gateway: a router learns of a restore from other routers

Cause: only a response of the store told a router of a new era, so one that the store does not respond to went on with watches and conditions of before. A late listing of an earlier era was accepted as a listing. Change: EraCheckedStore.onVersionTold takes notice of a version that a peer told, and onEraChanged fires once. PeerSync passes on the positions in the heartbeats of members. Listings of an earlier era fail. Peers are sent the endpoints that the store lists, without those in their grace, which each router decides for itself. Gauge limpetfold_store_era.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
@@ -34,9 +34,15 @@
     @Volatile
     private var exactReadsUntil = Duration.ZERO
 
-    /** The latest era of which a response arrived; 0 before the first response. */
+    /** The latest era that a response or a peer told of; 0 before the first. */
     val era: Long get() = maxOf(0, knownEra.get())
 
+    /**
+     * Takes notice of [version], which another router read from the store, so that a router that the store does not
+     * respond to learns of a restore.
+     */
+    fun onVersionTold(version: ObjectVersion) = observe(version)
+
     override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> =
         store.get(key).onSuccess { stored -> stored?.let { observe(it.version) } }
 
@@ -63,7 +69,11 @@
         store.list(prefix).andThen { page ->
             observe(page.position)
             val isOneEra = page.objects.all { it.version.era == page.position.era }
-            if (isOneEra) Ok(page) else Err(StoreError.Unavailable("the store was restored during a listing"))
+            if (isOneEra && page.position.era >= era) {
+                Ok(page)
+            } else {
+                Err(StoreError.Unavailable("the store was restored during a listing"))
+            }
         }
 
     override suspend fun watch(
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraListener.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraListener.kt
@@ -3,8 +3,8 @@
 /** Is told when the store has begun a new era, that is, when it has come back from an older copy. */
 fun interface EraListener {
     /**
-     * The first response of era [current] arrived; what was written since the copy was made is gone. Called on the
-     * thread of the call that received the response; must not block.
+     * A response or a peer told of era [current] for the first time; what was written since the copy was made is gone. Called on the
+     * thread that learnt of it; must not block.
      */
     fun onEraChanged(
         previous: Long,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -162,7 +162,8 @@
         )
     private val registration: FleetRegistration =
         FleetRegistration(settings, instances, membership, peers, random, log)
-    private val sync = PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher)
+    private val sync =
+        PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher, store::onVersionTold)
     private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
         BudgetAgent(
@@ -263,6 +264,9 @@
                     ?: 0
             ).toDouble()
         }
+        metrics.gauge("limpetfold_store_era", "How often the store has come back from an older copy") {
+            store.era.toDouble()
+        }
         metrics.gauge(
             "limpetfold_routers_heard",
             "Other routers heard a moment ago",
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
@@ -5,6 +5,7 @@
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.membership.Member
 import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.store.ObjectVersion
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.withContext
 import java.time.Duration
@@ -22,6 +23,7 @@
     private val directoryUpdater: EndpointDirectoryUpdater,
     private val clock: MonotonicClock,
     private val dispatcher: CoroutineDispatcher,
+    private val onVersionTold: (ObjectVersion) -> Unit,
 ) {
     /** Registers the handlers of the topics; must be called before the peer network starts. */
     fun register() {
@@ -33,16 +35,17 @@
         peers.registerHandler(ENDPOINTS_TOPIC) { _, request ->
             withContext(dispatcher) {
                 val isNewer = directory.position > request.knownPosition
-                EndpointsReply(directory.position, if (isNewer) directory.all(clock.now()) else emptyList())
+                EndpointsReply(directory.position, if (isNewer) directory.listed(clock.now()) else emptyList())
             }
         }
     }
 
     /**
      * Fetches the configuration from the member with the newest version, and the endpoint list too while the store does
-     * not respond.
+     * not respond. Passes on the positions of the members, which may be of an era that this router has not seen.
      */
     suspend fun maintain(members: List<Member>) {
+        members.forEach { onVersionTold(it.directoryPosition) }
         fetchRouting(members)
         if (!directoryUpdater.isStoreAvailable) fetchEndpoints(members)
     }
--- a/limpetfold-testing/src/test/kotlin/io/limpetfold/testing/EraCheckedStoreTest.kt
+++ b/limpetfold-testing/src/test/kotlin/io/limpetfold/testing/EraCheckedStoreTest.kt
@@ -72,6 +72,22 @@
                 ?.map { it.key } shouldBe listOf(other)
         }
 
+        test("an era that a peer told counts as one that a response stated") {
+            val fake = FakeObjectStore()
+            val eras = mutableListOf<Long>()
+            val store = EraCheckedStore(fake, { _, current -> eras += current })
+            val position = checkNotNull(store.put(key, "1", ObjectVersion.NONE).get())
+            store.onVersionTold(ObjectVersion.NONE)
+            repeat(2) { store.onVersionTold(ObjectVersion.of(7, era = 1)) }
+
+            eras.shouldContainExactly(1L)
+            store.watch("kind/", position, Duration.ZERO).getError() shouldBe StoreError.HistoryExpired
+            store.list("kind/").getError().shouldBeInstanceOf<StoreError.Unavailable>()
+            fake.restore(fake.copy())
+            store.list("kind/").get()?.position shouldBe ObjectVersion.of(1, era = 1)
+            eras.shouldContainExactly(1L)
+        }
+
         test("the first era is not reported, each later one is, once") {
             val fake = FakeObjectStore()
             val eras = mutableListOf<Pair<Long, Long>>()
