replication: relays answer positions of their own era only

Cause: a relay that was behind the era of the asker replied with an empty page, as if nothing had changed, and an older listing or page that came late replaced what was known of the later era. Change: a relay replies HISTORY_EXPIRED to a position of an earlier era, and NOT_CURRENT when its own state is of an earlier era than the latest it knows. A page of another era than the asked position is never applied. The history of a prefix holds one era. Requests and replies tell the era, so RelayedObjectStore takes the EraCheckedStore; it asks no relay from a position of an earlier era.

--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectHistory.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectHistory.kt
@@ -7,7 +7,10 @@
 import kotlinx.collections.immutable.toImmutableList
 
 /**
- * The newest change of each object under one prefix. Not safe for concurrent use.
+ * The newest change of each object under one prefix, in one era of the store. Not safe for concurrent use.
+ *
+ * A page of an earlier era is ignored. One of a later era replaces the history, so that no removal of the earlier era is
+ * told to those that follow the later one.
  *
  * @param maxRemovals the number of removed keys that are kept; the oldest ones are dropped first, and the history is
  * then complete only from the dropped removal on.
@@ -29,6 +32,7 @@
 
     /** Replaces the history by a listing; what happened before its position is not known. */
     fun applyListing(page: ObjectPage) {
+        if (page.position.era < position.era) return
         objects.clear()
         removals.clear()
         page.objects.forEach { objects[it.key] = it }
@@ -42,6 +46,11 @@
         after: ObjectVersion,
         page: ObjectPage,
     ) {
+        if (page.position.era < position.era) return
+        if (page.position.era > position.era) {
+            objects.clear()
+            removals.clear()
+        }
         if (after > position) completeFrom = after
         for (changed in page.objects) {
             removals.remove(changed.key)
@@ -57,9 +66,9 @@
         if (page.objects.isNotEmpty() || page.removed.isNotEmpty()) lastChange = position
     }
 
-    /** The changes with a version above [after]; null when the history does not reach back to it. */
+    /** The changes with a version above [after]; null when the history does not reach back to it, or is of another era. */
     fun changesAfter(after: ObjectVersion): ObjectPage? {
-        if (after < completeFrom) return null
+        if (after < completeFrom || after.era != position.era) return null
         return ObjectPage(
             objects.values
                 .filter { it.version > after }
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectReplica.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectReplica.kt
@@ -32,30 +32,46 @@
     fun onListed(
         page: ObjectPage,
         currentUntil: Duration,
-    ) = update(currentUntil) { history.applyListing(page) }
+    ) = updateFrom(page, currentUntil) { history.applyListing(page) }
 
     /** Applies a watch; [currentUntil] is null for the reply of a relay. */
     fun onChanged(
         after: ObjectVersion,
         page: ObjectPage,
         currentUntil: Duration?,
-    ) = update(currentUntil) { history.applyChanges(after, page) }
+    ) = updateFrom(page, currentUntil) { history.applyChanges(after, page) }
 
     /** Records that the store did not respond. */
     fun onStoreFailed() = update(currentUntil = null) {}
 
-    /** Replies with the changes after [after], and waits up to [maxWait] for one. */
+    /**
+     * Replies with the changes after [after], and waits up to [maxWait] for one. A state of an era before [knownEra] is not
+     * current. A reply without changes carries the position, from which the asker learns of a later era.
+     */
     suspend fun awaitChanges(
         after: ObjectVersion,
         maxWait: Duration,
+        knownEra: () -> Long,
         now: () -> Duration,
     ): RelayReply {
         val untilOutdated = (currentUntil ?: now()) - now()
         withTimeoutOrNull(minOf(maxWait, untilOutdated.plusMillis(1)).toMillis()) {
-            updates.first { !isCurrent(now()) || history.lastChange > after }
+            updates.first { !isCurrent(now()) || history.position.era < knownEra() || history.lastChange > after }
         }
-        if (!isCurrent(now())) return RelayReply(RelayOutcome.NOT_CURRENT)
-        return history.changesAfter(after)?.let { RelayReply.of(it) } ?: RelayReply(RelayOutcome.HISTORY_EXPIRED)
+        if (!isCurrent(now()) || history.position.era < knownEra()) {
+            return RelayReply(RelayOutcome.NOT_CURRENT, ObjectVersion.of(0, knownEra()))
+        }
+        return history.changesAfter(after)?.let { RelayReply.of(it) }
+            ?: RelayReply(RelayOutcome.HISTORY_EXPIRED, history.position)
+    }
+
+    /** A page of an earlier era that arrives late confirms nothing. */
+    private inline fun updateFrom(
+        page: ObjectPage,
+        currentUntil: Duration?,
+        change: () -> Unit,
+    ) {
+        if (page.position.era >= history.position.era) update(currentUntil, change)
     }
 
     private inline fun update(
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayMessages.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayMessages.kt
@@ -16,7 +16,11 @@
     val waitMillis: Long,
 )
 
-/** The reply to a [RelayRequest]; the other fields are set only with [RelayOutcome.CHANGES]. */
+/**
+ * The reply to a [RelayRequest]; [objects] and [removed] are set only with [RelayOutcome.CHANGES].
+ *
+ * @property position the position of the page, or of the relay if it has none; [ObjectVersion.NONE] when unknown.
+ */
 @Serializable
 internal data class RelayReply(
     val outcome: RelayOutcome,
@@ -24,6 +28,14 @@
     val objects: List<RelayedObject> = emptyList(),
     val removed: List<ObjectKey> = emptyList(),
 ) {
+    /** The outcome of a watch from [after]: changes of another era never continue it. */
+    fun outcomeFor(after: ObjectVersion): RelayOutcome =
+        when {
+            outcome != RelayOutcome.CHANGES || position.era == after.era -> outcome
+            position.era > after.era -> RelayOutcome.HISTORY_EXPIRED
+            else -> RelayOutcome.NOT_CURRENT
+        }
+
     /** The page that a watch of the store would have returned. */
     fun toPage() =
         ObjectPage(
@@ -48,7 +60,7 @@
 internal enum class RelayOutcome {
     CHANGES,
 
-    /** The relay does not follow the store itself, or the store does not respond to it. */
+    /** The relay does not follow the store itself, or the store does not respond to it, or the era of the asker is later. */
     NOT_CURRENT,
 
     /** The relay's history does not reach back to the requested position. */
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.onSuccess
 import io.limpetfold.core.InstanceId
 import io.limpetfold.peer.PeerNetwork
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.ObjectVersion
@@ -22,12 +23,13 @@
  * store itself.
  *
  * Positions are those of the store, so a watch continues at the store from the same position when no relay has a
- * current state. All other calls go to the store. All calls must be made on [dispatcher].
+ * current state. All other calls go to the store. All calls must be made on [dispatcher]. Requests and replies of other
+ * routers tell [store] of eras that it has not seen.
  *
  * @param dispatcher the single thread of the router's decisions, on which requests of peers are handled too.
  */
 class RelayedObjectStore(
-    private val store: ObjectStore,
+    private val store: EraCheckedStore,
     private val peers: PeerNetwork,
     private val relaySelector: RelaySelector,
     private val dispatcher: CoroutineDispatcher,
@@ -58,7 +60,11 @@
     ): Result<ObjectPage, StoreError> {
         val replica = replicaOf(prefix)
         val end = now() + wait
-        if (!isServing(replica)) watchRelays(prefix, after, end, replica)?.let { return Ok(it) }
+        if (!isServing(replica) &&
+            after.era >= store.era
+        ) {
+            watchRelays(prefix, after, end, replica)?.let { return Ok(it) }
+        }
         // What the relays took of the wait counts, so that the watch ends in time when a relay stopped responding.
         val remaining = maxOf(end - now(), Duration.ZERO)
         return store
@@ -90,7 +96,8 @@
             if (remaining <= Duration.ZERO) return null
             val request = RelayRequest(prefix, after, remaining.toMillis())
             val reply = peers.ask(relay, RELAY_TOPIC, request, remaining + policy.responseMargin).get()
-            when (reply?.outcome) {
+            reply?.position?.let(store::onVersionTold)
+            when (reply?.outcomeFor(after)) {
                 RelayOutcome.CHANGES -> {
                     val page = reply.toPage()
                     replica.onChanged(after, page, currentUntil = null)
@@ -126,10 +133,11 @@
     }
 
     private suspend fun handleRequest(request: RelayRequest): RelayReply {
+        store.onVersionTold(request.after)
         val replica = replicas[request.prefix] ?: return RelayReply(RelayOutcome.NOT_CURRENT)
         replica.askedAt = now()
         val maxWait = Duration.ofMillis(request.waitMillis.coerceIn(0, MAX_WAIT_MILLIS))
-        return replica.awaitChanges(request.after, maxWait, ::now)
+        return replica.awaitChanges(request.after, maxWait, store::era, ::now)
     }
 
     private fun replicaOf(prefix: String) = replicas.getOrPut(prefix) { ObjectReplica() }
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/ObjectHistoryTest.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/ObjectHistoryTest.kt
@@ -57,4 +57,29 @@
             history.changesAfter(ObjectVersion.of(10)) shouldBe null
             history.changesAfter(ObjectVersion.of(11))?.removed shouldBe persistentListOf(key("b"), key("c"))
         }
+
+        test("guards against removals and objects of an earlier era that are told to those that follow the later one") {
+            fun ObjectPage.ofEra(era: Long) =
+                ObjectPage(
+                    objects
+                        .map { it.copy(version = ObjectVersion.of(it.version.revision, era)) }
+                        .toImmutableList(),
+                    ObjectVersion.of(position.revision, era),
+                    removed,
+                )
+
+            val history = ObjectHistory()
+            history.applyListing(page(10, mapOf("a" to 3, "b" to 9)))
+            history.applyChanges(ObjectVersion.of(10), page(20, mapOf("a" to 12), listOf("b")))
+            history.applyListing(page(8, mapOf("b" to 7)).ofEra(1))
+            history.applyListing(page(30, mapOf("a" to 12)))
+            history.applyChanges(ObjectVersion.of(20), page(31, removed = listOf("b")))
+
+            history.position shouldBe ObjectVersion.of(8, 1)
+            history.changesAfter(ObjectVersion.of(20)) shouldBe null
+            history.changesAfter(ObjectVersion.of(8, 1)) shouldBe page(8).ofEra(1)
+            history.changesAfter(ObjectVersion.of(8, 2)) shouldBe null
+            history.applyChanges(ObjectVersion.of(8, 1), page(9, mapOf("c" to 9)).ofEra(1))
+            history.changesAfter(ObjectVersion.of(8, 1)) shouldBe page(9, mapOf("c" to 9)).ofEra(1)
+        }
     })
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayFleet.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayFleet.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.peer.PeerError
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.peer.PeerTopic
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectKey
 import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectVersion
@@ -71,6 +72,10 @@
             private set
         val seen = LinkedHashMap<ObjectKey, String>()
         private var incarnation = 0L
+        private var currentEra: () -> Long = { 0 }
+
+        /** The latest era of the store that this router knows. */
+        val era: Long get() = currentEra()
         private val dispatcher = scheduler.RouterDispatcher()
         private var scope = CoroutineScope(SupervisorJob() + dispatcher)
 
@@ -78,9 +83,11 @@
             scope = CoroutineScope(SupervisorJob() + dispatcher)
             seen.clear()
             val peers = TimedPeers(hub.join(Incarnation(id, ++incarnation)))
+            val checkedStore = EraCheckedStore(store.View { isCutFromStore }, timeSource = clock.monotonic)
+            currentEra = checkedStore::era
             val relayed =
                 RelayedObjectStore(
-                    store.View { isCutFromStore },
+                    checkedStore,
                     peers,
                     ::relays,
                     dispatcher,
@@ -115,7 +122,7 @@
             return { isCutFromPeers = false }
         }
 
-        private fun relays(): List<InstanceId> {
+        fun relays(): List<InstanceId> {
             val ofZone = RendezvousHash.rank(zone, routers.filter { it.zone == zone }) { it.id.value }.map { it.id }
             return ofZone.takeWhile { it != id }.filter { !isPartitioned(id, it) }
         }
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
@@ -7,6 +7,8 @@
 import io.kotest.matchers.shouldBe
 import io.limpetfold.store.ObjectKey
 
+/** The oldest copy that the store of a schedule comes back from, in changes. */
+private const val MAX_COPIES = 6
 private const val SETTLE_MILLIS = 5_000L
 
 /** The shortest time in which deployments require a change to be in force. */
@@ -39,6 +41,29 @@
             }
         }
 
+        test("guards against a router that keeps what a restored store has lost, or misses what it holds") {
+            repeat(30) { seed ->
+                withClue("seed $seed") { runSchedule(1_000 + seed, CHANGE_BOUND_MILLIS, hasRestores = true) }
+            }
+        }
+
+        test("guards against a router that does not learn of a restore because the store does not respond to it") {
+            val fleet = RelayFleet(seed = 3, routerCount = 4, zoneCount = 1)
+            fleet.routers.forEach { it.start() }
+            fleet.advance(SETTLE_MILLIS)
+            val copy = fleet.store.copy()
+            fleet.store.write(key(1), "ready")
+            fleet.advance(SETTLE_MILLIS)
+            val cuts = fleet.routers.filter { it.relays().isNotEmpty() }.map { it.cutFromStore() }
+            fleet.store.restore(copy)
+            // A router that another one asked watches only the store for a while, whether it responds or not.
+            fleet.advance(3 * SETTLE_MILLIS)
+            fleet.routers.map { it.era } shouldBe List(4) { 1L }
+            cuts.forEach { it() }
+            fleet.advance(SETTLE_MILLIS)
+            fleet.routers.forEach { it.seen shouldBe emptyMap() }
+        }
+
         test("guards against two routers that confirm each other's outdated state while both are cut from the store") {
             val fleet = RelayFleet(seed = 7, routerCount = 4, zoneCount = 1)
             fleet.routers.forEach { it.start() }
@@ -59,15 +84,20 @@
 private fun runSchedule(
     seed: Int,
     boundMillis: Long,
+    hasRestores: Boolean = false,
 ) {
     val fleet = RelayFleet(seed, routerCount = 24, zoneCount = 1 + seed % 4)
     val random = fleet.random
     fleet.routers.forEach { it.start() }
     fleet.advance(SETTLE_MILLIS)
     val faults = RandomFaults(fleet)
+    val copies = ArrayDeque<WatchingStore.Copy>()
     repeat(40) { number ->
         faults.begin()
         val key = ObjectKey("servers/i-${random.nextInt(8)}")
+        if (hasRestores && copies.isNotEmpty() && random.nextInt(5) == 0) fleet.store.restore(copies.random(random))
+        copies.addLast(fleet.store.copy())
+        if (copies.size > MAX_COPIES) copies.removeFirst()
         if (random.nextInt(4) == 0) fleet.store.remove(key) else fleet.store.write(key, "value $number")
         val undisturbed = faults.undisturbed()
         val isBoundChecked = random.nextBoolean()
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/WatchingStore.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/WatchingStore.kt
@@ -16,7 +16,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.time.Duration
 
-/** A store whose watches wait, on the scheduler of the test; a view of a router can be cut off. */
+/**
+ * A store whose watches wait, on the scheduler of the test; a view of a router can be cut off. A watch that waits across
+ * a restore gets a page of the later era, as if its connection had not been cut.
+ */
 internal class WatchingStore {
     private class Event(
         val stored: StoredObject,
@@ -25,7 +28,7 @@
 
     private val events = mutableListOf<Event>()
     private val objects = LinkedHashMap<ObjectKey, StoredObject>()
-    private val revision = MutableStateFlow(1L)
+    private val position = MutableStateFlow(ObjectVersion.of(1))
 
     /** Calls that reached the store, through all views. */
     var callCount = 0
@@ -34,29 +37,52 @@
     /** The values of all objects, by key. */
     fun current(): Map<ObjectKey, String> = objects.mapValues { it.value.value }
 
+    /** What the store held at one time. */
+    class Copy internal constructor(
+        internal val objects: Map<ObjectKey, StoredObject>,
+        internal val revision: Long,
+    )
+
+    fun copy() = Copy(objects.toMap(), position.value.revision)
+
+    /** Begins a new era with what [copy] holds, and gives out again the revisions of what was written since. */
+    fun restore(copy: Copy) {
+        objects.clear()
+        objects.putAll(copy.objects)
+        events.removeIf { it.stored.version.revision > copy.revision }
+        position.value = ObjectVersion.of(copy.revision, position.value.era + 1)
+    }
+
     fun write(
         key: ObjectKey,
         value: String,
     ) {
-        val stored = StoredObject(key, ObjectVersion.of(revision.value + 1), value)
+        val next = next()
+        val stored = StoredObject(key, ObjectVersion.of(next.revision), value)
         objects[key] = stored
         events += Event(stored, isRemoval = false)
-        revision.value++
+        position.value = next
     }
 
     fun remove(key: ObjectKey) {
         val stored = objects.remove(key) ?: return
-        events += Event(stored.copy(version = ObjectVersion.of(revision.value + 1)), isRemoval = true)
-        revision.value++
+        val next = next()
+        events += Event(stored.copy(version = ObjectVersion.of(next.revision)), isRemoval = true)
+        position.value = next
     }
 
+    private fun next() = position.value.let { ObjectVersion.of(it.revision + 1, it.era) }
+
+    private fun labelled(stored: StoredObject) =
+        stored.copy(version = ObjectVersion.of(stored.version.revision, position.value.era))
+
     /** The store as one router reaches it; while [isCut] is true, calls get no response until their timeout. */
     inner class View(
         private val isCut: () -> Boolean,
     ) : ObjectStore {
         override suspend fun list(prefix: String): Result<ObjectPage, StoreError> =
             call(CALL_TIMEOUT_MILLIS) {
-                ObjectPage(objects.values.toImmutableList(), ObjectVersion.of(revision.value))
+                ObjectPage(objects.values.map(::labelled).toImmutableList(), position.value)
             }
 
         override suspend fun watch(
@@ -65,7 +91,7 @@
             wait: Duration,
         ): Result<ObjectPage, StoreError> =
             call(wait.toMillis() + CALL_TIMEOUT_MILLIS) {
-                withTimeoutOrNull(wait.toMillis()) { revision.first { it > after.revision } }
+                withTimeoutOrNull(wait.toMillis()) { position.first { it > after } }
                 pageAfter(after)
             }
 
@@ -95,10 +121,10 @@
     }
 
     private fun pageAfter(after: ObjectVersion): ObjectPage {
-        val newest = events.filter { it.stored.version > after }.associateBy { it.stored.key }.values
+        val newest = events.filter { it.stored.version.revision > after.revision }.associateBy { it.stored.key }.values
         return ObjectPage(
-            newest.filter { !it.isRemoval }.map { it.stored }.toImmutableList(),
-            ObjectVersion.of(revision.value),
+            newest.filter { !it.isRemoval }.map { labelled(it.stored) }.toImmutableList(),
+            position.value,
             newest.filter { it.isRemoval }.map { it.stored.key }.toImmutableList(),
         )
     }
