gateway: a feed backs off when the history expires again and again

Cause: after HistoryExpired a feed listed at once, also when the watch of the new position failed in the same way. A page of a later era advanced the position without a listing, and a late listing of an earlier era moved it back. Change: the first HistoryExpired lists at once; further ones before a watch has succeeded back off as failed calls do. A page of another era counts as HistoryExpired, a listing of an earlier era as a failed call.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/ObjectFeed.kt
@@ -14,7 +14,7 @@
 
 /**
  * Follows the objects under a prefix: lists them once, watches from that position, and lists again when the store no
- * longer has the history.
+ * longer has the history, or was restored from an older copy.
  */
 class ObjectFeed(
     private val store: ObjectStore,
@@ -24,17 +24,19 @@
     private val random: Random = Random.Default,
 ) {
     private var position: ObjectVersion? = null
+    private var latestEra = 0L
     private var failures = 0
+    private var expirations = 0
 
     /** Follows the objects until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
             val from = position
             val error = survivingListener { if (from == null) list() else watch(from) }
-            if (error == null) {
-                failures = 0
-            } else {
-                onError(error)
+            when (error) {
+                null -> failures = 0
+                StoreError.HistoryExpired -> onHistoryExpired()
+                else -> onError(error)
             }
         }
     }
@@ -52,6 +54,8 @@
     private suspend fun list(): StoreError? =
         store.list(prefix).fold(
             success = { page ->
+                if (page.position.era < latestEra) return StoreError.Unavailable("the listing is of an earlier era")
+                latestEra = page.position.era
                 position = page.position
                 listener.onListed(page)
                 null
@@ -63,6 +67,8 @@
         val policy = currentPolicy()
         return respondedWatch(from, policy).fold(
             success = { page ->
+                if (page.position.era != from.era) return StoreError.HistoryExpired
+                expirations = 0
                 position = maxOf(from, page.position)
                 listener.onChanged(page)
                 val isEmpty = page.objects.isEmpty() && page.removed.isEmpty()
@@ -83,14 +89,21 @@
             ?: Err(StoreError.Unavailable("no response to a watch in ${timeout.toMillis()} ms"))
     }
 
+    /** Lists again at once, but backs off when the history expires again before a watch succeeded. */
+    private suspend fun onHistoryExpired() {
+        position = null
+        if (expirations > 0) backOff(expirations - 1)
+        expirations++
+    }
+
     private suspend fun onError(error: StoreError) {
-        if (error is StoreError.HistoryExpired) {
-            position = null
-            return
-        }
         listener.onFailed(error)
-        val shift = failures.coerceAtMost(MAX_DOUBLINGS)
+        backOff(failures)
         failures++
+    }
+
+    private suspend fun backOff(earlierFailures: Int) {
+        val shift = earlierFailures.coerceAtMost(MAX_DOUBLINGS)
         val policy = currentPolicy()
         val maxDelayMillis = minOf(policy.backoffMin.toMillis() shl shift, policy.backoffMax.toMillis())
         delay(random.nextLong(maxDelayMillis / 2, maxDelayMillis + 1))
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/ObjectFeedTest.kt
@@ -118,6 +118,36 @@
             recorded.calls.size shouldBeLessThanOrEqual 40
         }
 
+        test("guards against a tight loop when the store has no history for any position") {
+            val responses =
+                List<(String) -> Result<ObjectPage, StoreError>>(10_000) { number ->
+                    { if (number % 2 == 0) Ok(page(5)) else Err(StoreError.HistoryExpired) }
+                }
+            val recorded = RecordingListener()
+            coroutineScope {
+                val feed = launch { ObjectFeed(ScriptedStore(responses, recorded), "servers/", recorded).run() }
+                delay(300)
+                feed.cancel()
+            }
+            recorded.calls.size shouldBeLessThanOrEqual 16
+            recorded.failures shouldBe 0
+        }
+
+        test("guards against a page of another era that is taken as a continuation, or as the list of a later one") {
+            fun laterPage(position: Long) = ObjectPage(persistentListOf(), ObjectVersion.of(position, era = 1))
+            val recorded =
+                follow(
+                    { Ok(page(50)) },
+                    { Ok(laterPage(60)) },
+                    { Ok(laterPage(20)) },
+                    { Err(StoreError.HistoryExpired) },
+                    { Ok(page(70)) },
+                    { Ok(laterPage(21)) },
+                )
+            recorded.calls shouldBe listOf("list", "watch 50", "list", "watch 1:20", "list", "list", "watch 1:21")
+            recorded.failures shouldBe 1
+        }
+
         test("guards against one watch call per change in each router when there are many changes") {
             val changed =
                 ObjectPage(
