gateway: the log names a configuration that is older than the active one

Cause: a store that lost the version in force could not be told from the log. Change: config.older_ignored names both versions. The rule itself was right: the highest version that was accepted stays in force. Measured: RoutingTableReplicaTest passes; it also holds without the change, which only adds the line.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
@@ -11,7 +11,7 @@
 
 /**
  * The active configuration of this router. A version that is not higher than the active one is ignored, whatever its
- * source.
+ * source, and also if the store was restored from a copy that lacks the active one: the operator publishes it again.
  *
  * @param onStoreRecovered called when the store responds for the first time, and when it responds again after a
  * failure.
@@ -60,13 +60,22 @@
 
     override fun onFailed(error: StoreError) = storeState.markUnavailable(error.message)
 
+    private fun logOlder(
+        offered: Long,
+        active: Long,
+        source: String,
+    ) = log.warn("config.older_ignored", "version" to active, "offered" to offered, "source" to source)
+
     private fun activate(
         table: RoutingTable,
         stored: String,
         source: String,
     ) {
         val previous = current
-        if (previous != null && table.version <= previous.version) return
+        if (previous != null && table.version <= previous.version) {
+            if (table.version < previous.version) logOlder(table.version, previous.version, source)
+            return
+        }
         current = table
         storedText = stored
         log.info(
