rollout: keep outcomes and withdrawals of moves across a restore

Cause: a status that was written after the copy is gone when the store is restored. The order then had a later version and no status, so it counted as running: a completed move was taken back as overdue, and a replaced order that came back began a new trial of a version that was taken back. Change: the final outcome of a move is kept apart from the stored status and is written again, in the order of the routers. Reports carry outcomes, also in responses to routers whose move still runs. A trial of a later era does not end a withdrawal of an earlier one by itself. If outcomes of before and after a restore differ, the move counts as taken back. FakeObjectStore holds statuses.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.rollout.timed.MoveOrder
 import io.limpetfold.rollout.timed.ServiceVersion
 import io.limpetfold.rollout.timed.TimedMoveDecision
+import io.limpetfold.rollout.timed.TimedMoveReport
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.rollout.timed.VersionTrial
 import io.limpetfold.store.ObjectKey
@@ -53,13 +54,14 @@
         peers.registerHandler(MOVES_TOPIC) { _, message ->
             withContext(dispatcher) {
                 apply(message)
-                ownReports()
+                reports(versionSelector.reportsFor(message.reports))
             }
         }
 
     override fun onListed(page: ObjectPage) {
         val present = page.objects.mapTo(HashSet()) { it.key }
-        removeOrdersWhere { it !in present }
+        val missing = keysByService.filterValues { it !in present }.keys
+        missing.filter { versionSelector.onOrderMissing(it, page.position) }.forEach(::onRemoved)
         onChanged(page)
     }
 
@@ -71,7 +73,10 @@
                 failure = { log.warn("move.skipped", "entry" to stored.key, "reason" to it) },
             )
         }
-        removeOrdersWhere { it in page.removed }
+        for (service in keysByService.filterValues { it in page.removed }.keys) {
+            versionSelector.removeOrder(service)
+            onRemoved(service)
+        }
     }
 
     override fun onFailed(error: StoreError) = storeState.markUnavailable(error.message)
@@ -103,7 +108,7 @@
     /** Returns the members that responded. */
     private suspend fun exchangeReports(members: List<Member>): List<Incarnation> =
         coroutineScope {
-            val message = ownReports()
+            val message = reports(versionSelector.reports())
             members
                 .map { member -> async { member.incarnation.takeIf { exchange(member.instance, message) } } }
                 .awaitAll()
@@ -119,7 +124,7 @@
         return true
     }
 
-    private fun ownReports() = MoveReports(versionSelector.self, versionSelector.reports(), versionSelector.trials())
+    private fun reports(own: List<TimedMoveReport>) = MoveReports(versionSelector.self, own, versionSelector.trials())
 
     private fun apply(message: MoveReports) {
         versionSelector.applyReports(message.router, message.reports)
@@ -168,12 +173,9 @@
         )
     }
 
-    private fun removeOrdersWhere(isRemoved: (ObjectKey) -> Boolean) {
-        for (service in keysByService.filterValues(isRemoved).keys) {
-            keysByService.remove(service)
-            versionSelector.removeOrder(service)
-            log.info("move.removed", "service" to service)
-        }
+    private fun onRemoved(service: String) {
+        keysByService.remove(service)
+        log.info("move.removed", "service" to service)
     }
 
     private companion object {
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOrder.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/MoveOrder.kt
@@ -18,4 +18,18 @@
     val status: MoveStatus?,
     val objectVersion: ObjectVersion,
     val previous: PreviousMove? = null,
-)
+) {
+    /** The final outcome as stored with this order; null while there is none. */
+    internal val storedOutcome: MoveOutcome? get() =
+        status?.takeIf { it.isFinal }?.let { MoveOutcome(it, objectVersion) }
+
+    /**
+     * Whether this is [other] as a store holds it that was restored since [other] was read: the operator writes the same
+     * order again, and its versions tell nothing about that.
+     */
+    internal fun isRestored(other: MoveOrder): Boolean =
+        objectVersion.era > other.objectVersion.era &&
+            service == other.service &&
+            target == other.target &&
+            duration == other.duration
+}
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedMove.kt
@@ -18,6 +18,10 @@
  * Every router follows the same steps by the time since the order was first read, so that a partitioned router meets
  * the deadline without any message. The first final outcome that is stored wins; without one the move counts as taken
  * back from [OUTCOME_GRACE_SHARE] of the duration after [TimedMovePolicy.completeUntil].
+ *
+ * An outcome stays known when the store is restored from a copy without it, because endpoints may have been stopped by
+ * it; it is then written again. If different outcomes were stored before and after a restore, the move counts as taken
+ * back, so that a version that was found worse gets no calls.
  */
 internal class TimedMove(
     order: MoveOrder,
@@ -29,6 +33,10 @@
     var order: MoveOrder = order
         private set
 
+    /** The final outcome that the store is known to have held, also if a restore has removed it; null without one. */
+    var outcome: MoveOutcome? = order.storedOutcome
+        private set
+
     /** Why the new version was withdrawn; null while it is not withdrawn. */
     var withdrawalReason: String? = null
         private set
@@ -38,12 +46,24 @@
      * a router that is cut off does not know whether it was completed.
      */
     val isWithdrawn: Boolean get() =
-        order.status == MoveStatus.TAKEN_BACK || (withdrawalReason != null && order.status != MoveStatus.COMPLETED)
+        outcome?.status == MoveStatus.TAKEN_BACK ||
+            (withdrawalReason != null && outcome?.status != MoveStatus.COMPLETED)
 
-    /** Whether a final outcome is stored. */
-    val hasFinalOutcome: Boolean get() = order.status?.isFinal == true
+    /** Whether the store holds the final outcome. */
+    val isSettled: Boolean get() = outcome != null && order.status == outcome?.status
+
+    /** Whether the order was in the store at the last reading; a copy from which the store is restored may lack it. */
+    val isInStore: Boolean get() = missingSince == null
+
+    /** Since when the order is missing from a restored store; null while it is there. */
+    var missingSince: Duration? = null
+        private set
 
+    private val firstVersion = order.objectVersion
     private var startedAt = firstSeenAt
+
+    /** When the order was read from a restored store; null before the first restore. */
+    private var restoredAt: Duration? = null
     private val plan =
         MovePlan(MovePreset.AVAILABILITY, emptyList(), policy.errorRate, policy.minOutcomes, policy.guardCount)
     private val guards = HashMap<RouteId, VersionGuard>()
@@ -52,16 +72,29 @@
     private var oldCallsInFlight = 0
     private var newOutcomes = 0L
 
-    /** Replaces [order] if [latest] was read at a later object version. */
-    fun applyOrder(latest: MoveOrder) {
-        if (latest.objectVersion > order.objectVersion) order = latest
+    /** Replaces [order] if [latest] was read at a later object version; [now] is the time of the reading. */
+    fun applyOrder(
+        latest: MoveOrder,
+        now: Duration,
+    ) {
+        if (latest.objectVersion <= order.objectVersion) return
+        if (outcome?.version?.era == latest.objectVersion.era) outcome = null
+        latest.storedOutcome?.let(::adopt)
+        if (latest.objectVersion.era > order.objectVersion.era) restoredAt = now
+        order = latest
+        missingSince = null
+    }
+
+    /** Records that a restored store lacks the order. */
+    fun onMissing(now: Duration) {
+        if (missingSince == null) missingSince = now
     }
 
     /** Returns the share of calls that go to the new version at [now]. */
     fun weightAt(now: Duration): Double =
         when {
-            order.status == MoveStatus.COMPLETED -> 1.0
-            order.status == MoveStatus.TAKEN_BACK || withdrawalReason != null -> 0.0
+            outcome?.status == MoveStatus.COMPLETED -> 1.0
+            outcome?.status == MoveStatus.TAKEN_BACK || withdrawalReason != null -> 0.0
             isOverdue(shareAt(now)) -> 0.0
             else -> policy.steps.last { it.from <= shareAt(now) }.weight
         }
@@ -98,6 +131,18 @@
         ) {
             withdrawalReason = "router ${router.instance} found the new version worse"
         }
+        if (isOnThisOrder(report)) report.outcome?.let(::adopt)
+    }
+
+    /** Whether [report] is not on another order with the same target, whose outcome says nothing about this one. */
+    private fun isOnThisOrder(report: TimedMoveReport): Boolean {
+        val isRestored = report.orderVersion.era < firstVersion.era
+        return report.durationMillis == order.duration.toMillis() &&
+            (isRestored || report.orderVersion >= firstVersion)
+    }
+
+    private fun adopt(stored: MoveOutcome) {
+        if (outcome == null || stored.status == MoveStatus.TAKEN_BACK) outcome = stored
     }
 
     /**
@@ -109,6 +154,7 @@
         self: Incarnation,
         now: Duration,
     ) {
+        if (outcome != null) return
         val reports = peerReports + (self to report(now))
         for (route in reports.values.flatMapTo(HashSet()) { it.guards.keys }) {
             val evidence = pooled.getOrPut(route) { PooledEvidence(plan) }
@@ -125,8 +171,11 @@
             (now - startedAt).toMillis(),
             oldCallsInFlight,
             newOutcomes,
-            withdrawalReason != null,
+            withdrawalReason != null && outcome?.status != MoveStatus.COMPLETED,
             guards.mapValues { it.value.report },
+            outcome,
+            order.objectVersion,
+            order.duration.toMillis(),
         )
 
     /**
@@ -141,7 +190,8 @@
         rank: Int,
         runningRouters: Set<Incarnation>,
     ): MoveStatus? {
-        if (hasFinalOutcome) return null
+        if (isSettled || !isInStore || isLeftToOthers(now, rank)) return null
+        outcome?.let { return it.status.takeIf { _ -> isRemovedByRestore(it) } }
         val share = shareAt(now) - rank * policy.decisionDelayShare
         return when {
             withdrawalReason != null || isOverdue(share) -> MoveStatus.TAKEN_BACK
@@ -156,6 +206,19 @@
         }
     }
 
+    /** Whether [known] is from before a restore; otherwise the store holds it, and the watch is only late. */
+    private fun isRemovedByRestore(known: MoveOutcome) = known.version.era < order.objectVersion.era
+
+    /** Whether the routers ranked before this one still have time to write a status that a restore has removed. */
+    private fun isLeftToOthers(
+        now: Duration,
+        rank: Int,
+    ): Boolean {
+        val since = restoredAt ?: return false
+        val perRank = Duration.ofMillis((order.duration.toMillis() * policy.decisionDelayShare).toLong())
+        return now - since < minOf(perRank, MAX_REWRITE_DELAY).multipliedBy(rank.toLong())
+    }
+
     private fun hasEnoughOutcomes() = newOutcomes + peerReports.values.sumOf { it.newOutcomes } >= policy.minOutcomes
 
     private fun isOldVersionIdle(runningRouters: Set<Incarnation>) =
@@ -184,5 +247,8 @@
          * outcome counts as taken back.
          */
         const val OUTCOME_GRACE_SHARE = 0.05
+
+        /** Limits how long the outcome of a long move is missing when the first routers do not know it. */
+        val MAX_REWRITE_DELAY: Duration = Duration.ofMillis(500)
     }
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
@@ -6,6 +6,7 @@
 import io.limpetfold.rollout.MoveSide
 import io.limpetfold.rollout.RouteBaseline
 import io.limpetfold.rollout.VersionObservation
+import io.limpetfold.store.ObjectVersion
 import java.time.Duration
 import kotlin.random.Random
 
@@ -27,33 +28,82 @@
     private val baselines = HashMap<RouteId, RouteBaseline>()
     private val withdrawn = WithdrawnVersions()
 
-    private val runningMoves: List<TimedMove> get() = moves.values.filter { !it.hasFinalOutcome }
+    /** Moves that were replaced or removed; a restored store may hold their orders again. */
+    private val endedMoves = EndedMoves()
 
-    /** Whether any known move has no final outcome yet. */
+    private val runningMoves: List<TimedMove> get() =
+        moves.values.filter {
+            !it.isSettled &&
+                (it.outcome == null || it.isInStore)
+        }
+
+    /** Whether any known move has no final outcome in the store yet. */
     val hasRunningMoves: Boolean get() = runningMoves.isNotEmpty()
 
     /** Whether a version that was withdrawn still has endpoints, as of the last [updatePresence]. */
     val isWithdrawnVersionPresent: Boolean get() = withdrawn.isAnyPresent
 
-    /** Applies an order as read from the store; a changed target starts a new move. */
+    /**
+     * Applies an order as read from the store; a changed target starts a new move. An order that was known before a
+     * restore of the store continues its move.
+     */
     fun applyOrder(order: MoveOrder) {
         recordWithdrawals()
         val known = moves[order.service]
-        val isNewMove = known == null || known.order.target != order.target
-        if (isNewMove) {
-            moves[order.service] = TimedMove(order, now(), ::baseline, policy)
+        if (known == null || isOther(order, known.order)) {
+            startOrResume(order)
         } else {
-            known.applyOrder(order)
+            known.applyOrder(order, now())
+        }
+        // A completed move ends a withdrawal of its version.
+        val outcome = moves[order.service]?.outcome
+        if (order.status == MoveStatus.COMPLETED && outcome?.status == MoveStatus.COMPLETED) {
+            recordTrial(order, order.target, order.status, overridesEarlierEras = true)
         }
-        // An order that names a version again is a new trial of it, and a completed move ends a withdrawal of it.
-        if (isNewMove || order.status == MoveStatus.COMPLETED) recordTrial(order, order.target, order.status)
         order.previous?.takeIf { it.status.isFinal }?.let { recordTrial(order, it.target, it.status) }
     }
 
+    private fun isOther(
+        order: MoveOrder,
+        known: MoveOrder,
+    ): Boolean {
+        val isChangedByRestore =
+            order.objectVersion.era > known.objectVersion.era && !order.isRestored(known)
+        return order.target != known.target || isChangedByRestore
+    }
+
+    private fun startOrResume(order: MoveOrder) {
+        moves[order.service]?.let { endedMoves.add(it, now()) }
+        val resumed = endedMoves.takeRestored(order)
+        if (resumed != null) {
+            moves[order.service] = resumed.apply { applyOrder(order, now()) }
+            return
+        }
+        moves[order.service] = TimedMove(order, now(), ::baseline, policy)
+        // An order that names a version again is a new trial of it.
+        recordTrial(order, order.target, order.status, endedMoves.hasOtherOrder(order))
+    }
+
     /** Discards the move of [service], whose order was removed from the store. */
     fun removeOrder(service: String) {
         recordWithdrawals()
-        moves.remove(service)
+        moves.remove(service)?.let { endedMoves.add(it, now()) }
+    }
+
+    /**
+     * Records that a listing as of [position] lacks the order of [service]. The move is discarded, but if the order was
+     * read before a restore of the store, only when the order is still missing after [MISSING_RETENTION].
+     *
+     * @return whether the move was discarded.
+     */
+    fun onOrderMissing(
+        service: String,
+        position: ObjectVersion,
+    ): Boolean {
+        val move = moves[service] ?: return true
+        val isRestored = position.era > move.order.objectVersion.era
+        if (isRestored) move.onMissing(now()) else removeOrder(service)
+        return !isRestored
     }
 
     /**
@@ -75,7 +125,15 @@
     fun applyTrials(trials: List<VersionTrial>) = trials.forEach { withdrawn.add(it, now()) }
 
     /** Records which versions have endpoints; a withdrawn version without any is forgotten after some time. */
-    fun updatePresence(present: Set<ServiceVersion>) = withdrawn.update(present, now())
+    fun updatePresence(present: Set<ServiceVersion>) {
+        val missing =
+            moves.filterValues { move ->
+                move.missingSince.let { it != null && now() - it > MISSING_RETENTION }
+            }
+        missing.keys.forEach(::removeOrder)
+        endedMoves.removeExpired(now())
+        withdrawn.update(present, now())
+    }
 
     /** Chooses the version of a call of [service]; null when the service has no ordered move. */
     fun choose(service: String): TimedVersionChoice? {
@@ -125,6 +183,24 @@
     /** Returns the reports of the running moves, to be sent to the other routers. */
     fun reports(): List<TimedMoveReport> = runningMoves.map { it.report(now()) }
 
+    /**
+     * Returns the reports of the running moves and of those in [asked], the running moves of another router, whose
+     * outcome this router knows.
+     */
+    fun reportsFor(asked: List<TimedMoveReport>): List<TimedMoveReport> {
+        val own = reports()
+        val others = asked.filter { wanted -> own.none { it.service == wanted.service && it.target == wanted.target } }
+        return own + others.mapNotNull { wanted -> decidedMove(wanted.service, wanted.target)?.report(now()) }
+    }
+
+    private fun decidedMove(
+        service: String,
+        target: VersionId,
+    ): TimedMove? {
+        val current = moves[service]?.takeIf { it.order.target == target }
+        return (current ?: endedMoves.find(service, target))?.takeIf { it.outcome != null }
+    }
+
     /** Evaluates all running moves and returns the statuses to store now; [others] are the other running routers. */
     fun decide(others: Set<Incarnation>): List<TimedMoveDecision> {
         val rank = others.count { it < self }
@@ -143,8 +219,14 @@
         order: MoveOrder,
         version: VersionId,
         status: MoveStatus?,
+        overridesEarlierEras: Boolean = false,
     ) = withdrawn.add(
-        VersionTrial(ServiceVersion(order.service, version), order.objectVersion, status == MoveStatus.TAKEN_BACK),
+        VersionTrial(
+            ServiceVersion(order.service, version),
+            order.objectVersion,
+            status == MoveStatus.TAKEN_BACK,
+            overridesEarlierEras,
+        ),
         now(),
     )
 
@@ -155,4 +237,9 @@
             it.order.target ==
                 choice.target
         }
+
+    companion object {
+        /** Time within which an operator has written an order again that a restored store lacks. */
+        val MISSING_RETENTION: Duration = Duration.ofMinutes(2)
+    }
 }
--- a/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakeObjectStore.kt
+++ b/limpetfold-testing/src/main/kotlin/io/limpetfold/testing/FakeObjectStore.kt
@@ -84,6 +84,17 @@
         key: ObjectKey,
         value: String,
         expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError> = write(key) { it.put(key, value, expected) }
+
+    override suspend fun putStatus(
+        key: ObjectKey,
+        status: String,
+        expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError> = write(key) { it.putStatus(key, status, expected) }
+
+    private inline fun write(
+        key: ObjectKey,
+        crossinline execute: (State) -> Result<ObjectVersion, StoreError>,
     ): Result<ObjectVersion, StoreError> {
         val fault = faults(StoreCall.Put(key))
         return synchronized(state) {
@@ -92,15 +103,15 @@
                 StoreFault.RATE_LIMITED -> Err(StoreError.RateLimited(Duration.ofMillis(100)))
                 StoreFault.REQUEST_LOST -> Err(StoreError.OutcomeUnknown("fault of the test"))
                 StoreFault.RESPONSE_LOST -> {
-                    state.put(key, value, expected)
+                    execute(state)
                     Err(StoreError.OutcomeUnknown("fault of the test"))
                 }
                 StoreFault.NONE ->
                     if (isDelayed(StoreCall.Put(key))) {
-                        state.delayed.addLast { state.put(key, value, expected) }
+                        state.delayed.addLast { execute(state) }
                         Err(StoreError.OutcomeUnknown("delayed by the test"))
                     } else {
-                        state.put(key, value, expected)
+                        execute(state)
                     }
             }
         }
@@ -158,14 +169,30 @@
         ): Result<ObjectVersion, StoreError> {
             callCount++
             val current = objects[key]
-            if ((current?.version?.revision ?: 0) != expected.revision) {
-                return Err(StoreError.Conflict(key, labelled(current)?.version ?: ObjectVersion.NONE))
-            }
+            if ((current?.version?.revision ?: 0) != expected.revision) return Err(conflict(key))
             if (value.encodeToByteArray().size > MAX_VALUE_BYTES) return Err(StoreError.TooLarge(value.length))
+            history.getOrPut(key) { mutableListOf() } += value
+            return store(StoredObject(key, ObjectVersion.NONE, value, current?.status))
+        }
+
+        fun putStatus(
+            key: ObjectKey,
+            status: String,
+            expected: ObjectVersion,
+        ): Result<ObjectVersion, StoreError> {
+            callCount++
+            val current = objects[key]
+            if (current == null || current.version.revision != expected.revision) return Err(conflict(key))
+            return store(current.copy(status = status))
+        }
+
+        private fun conflict(key: ObjectKey) =
+            StoreError.Conflict(key, labelled(objects[key])?.version ?: ObjectVersion.NONE)
+
+        private fun store(stored: StoredObject): Result<ObjectVersion, StoreError> {
             revision++
             writeCount++
-            objects[key] = StoredObject(key, ObjectVersion.of(revision), value)
-            history.getOrPut(key) { mutableListOf() } += value
+            objects[stored.key] = stored.copy(version = ObjectVersion.of(revision))
             return Ok(ObjectVersion.of(revision, era))
         }
     }
