gateway: write the quarantine record again after a restore

Cause: after a restore the record took its version of before for the one in the store. A copy without the object was never noticed, and versions that peers reported of the earlier era hid that the object was gone. A restart of all routers then forgot the quarantine. Change: QuarantineRecord.onEraChanged discards what is known of the object and reads it again at a random time; versions of an earlier era are ignored in reports, listings, reads and results of writes.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineRecord.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/QuarantineRecord.kt
@@ -23,6 +23,8 @@
  * The object is part of the list of routers, which each router reads when it starts. It is written when it lacks what
  * this router knows, first by the routers that saw the crash; the others hear from them that it is written, and write it
  * themselves only if they don't. While nothing is known and nothing is stored, no call is made.
+ *
+ * After a restore of the store the object may be older or absent; versions of an earlier era then say nothing about it.
  */
 internal class QuarantineRecord(
     private val quarantine: PromptPartQuarantine,
@@ -33,6 +35,7 @@
     private val routerCount: () -> Int,
 ) {
     private var version: ObjectVersion? = null
+    private var era = 0L
     private var content = StoredQuarantine()
     private var contentAt = Duration.ZERO
     private var seenOwnRevision = quarantine.ownRevision
@@ -64,6 +67,8 @@
     /** Takes the object from the list of routers. */
     fun onListed(page: ObjectPage) {
         isStartReadDone = true
+        if (page.position.era < era) return
+        onEraChanged(page.position.era)
         val stored = page.objects.find { it.key == KEY }
         if (stored != null) {
             adopt(stored)
@@ -72,6 +77,21 @@
         }
     }
 
+    /**
+     * Records that the store began era [current]. What it holds is read again before the next write, at a random time
+     * unless the list of routers is read before.
+     */
+    fun onEraChanged(current: Long) {
+        if (current <= era) return
+        era = current
+        if (version.let { it == null || it.era >= current }) return
+        version = if (content.isEmpty && !quarantine.hasEvidence) ObjectVersion.NONE else null
+        content = StoredQuarantine()
+        dueAt = null
+        dueReason = Difference.NONE
+        notBefore = clock.now() + uniform(Duration.ZERO, spread())
+    }
+
     /** Records that the list of routers could not be read. */
     fun onListFailed() {
         isStartReadDone = true
@@ -82,7 +102,7 @@
         reportedVersion: ObjectVersion,
         reported: StoredQuarantine,
     ) {
-        if (reportedVersion <= knownVersion) return
+        if (reportedVersion <= knownVersion || reportedVersion.era < era) return
         adopt(reportedVersion, reported)
         toldVersion = reportedVersion
     }
@@ -214,7 +234,7 @@
         at: Duration,
     ) {
         // While the write was under way a peer may have told of a later one.
-        if (written <= knownVersion) return
+        if (written <= knownVersion || written.era < era) return
         version = written
         toldVersion = written
         content = value
@@ -229,7 +249,7 @@
     }
 
     private fun adopt(stored: StoredObject) {
-        if (stored.version <= knownVersion) return
+        if (stored.version <= knownVersion || stored.version.era < era) return
         val value =
             try {
                 TypedObject.JSON.decodeFromString(StoredQuarantine.serializer(), stored.value)
@@ -245,6 +265,7 @@
         value: StoredQuarantine,
     ) {
         version = newVersion
+        era = maxOf(era, newVersion.era)
         content = value
         contentAt = clock.now()
         quarantine.restore(value, contentAt)
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineRestartTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/QuarantineRestartTest.kt
@@ -62,6 +62,38 @@
             fleet.play(endMillis = fleet.nowMillis + 10_000)
             fleet.isQuarantined() shouldBe false
         }
+
+        // Versions of before the restore hid that the copy lacked the object, so that no router wrote it again.
+        test("guards against a quarantine that a restore of the store removes and a restart then forgets") {
+            var quarantined = 0
+            for (seed in 1..60) {
+                val restores = Random(seed)
+                val fleet = RestartingFleet(Random(seed), crashingShare = 0.05, hasOtherLosses = false)
+                var copy = fleet.copyStore()
+                repeat(restores.nextInt(1, 8)) {
+                    if (restores.nextBoolean()) copy = fleet.copyStore()
+                    fleet.play(endMillis = fleet.nowMillis + 1_000 + restores.nextLong(3_000))
+                }
+                fleet.stopCrashing()
+                fleet.skip(seconds = 3)
+                if (!fleet.isQuarantined()) continue
+                quarantined++
+                withClue("seed $seed") {
+                    val callsBefore = fleet.storeCalls
+                    val writesBefore = fleet.storeWrites
+                    repeat(1 + restores.nextInt(2)) {
+                        fleet.restoreStore(copy, restores)
+                        fleet.skip(seconds = 10)
+                    }
+                    fleet.storeWrites - writesBefore shouldBeLessThanOrEqual 6
+                    fleet.storeCalls - callsBefore shouldBeLessThanOrEqual 50
+                    fleet.restartAll()
+                    fleet.play(endMillis = fleet.nowMillis + 5_000)
+                    fleet.isQuarantined() shouldBe true
+                }
+            }
+            quarantined shouldBeGreaterThan 20
+        }
     })
 
 /** A fleet that has found the part; no call contains it from now on. */
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestartingFleet.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestartingFleet.kt
@@ -11,6 +11,7 @@
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.membership.Member
 import io.limpetfold.quarantine.PromptPartQuarantine
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.StoreFault
@@ -79,6 +80,24 @@
         return badCallTimes.count { sent -> sent > fifth + CONTACT_MILLIS && blindSpans.none { sent in it } }
     }
 
+    fun copyStore(): FakeObjectStore.Copy = memory.copy()
+
+    /**
+     * Restores the store from [copy]. Each router learns of it by another response, up to [learnMillis] later, and about
+     * half of them read the list of routers then.
+     */
+    fun restoreStore(
+        copy: FakeObjectStore.Copy,
+        restores: Random,
+        learnMillis: Long = 3_000,
+    ) {
+        memory.restore(copy)
+        routers.filterNotNull().forEach {
+            it.learnsEraAtMillis = nowMillis + restores.nextLong(learnMillis)
+            it.isListRead = restores.nextBoolean()
+        }
+    }
+
     fun isQuarantined() = routers.filterNotNull().all { it.quarantine.blocks(prompt(isBad = true), it.now()) }
 
     fun stopCrashing() {
@@ -215,16 +234,24 @@
     ) {
         private val monotonic = MonotonicClock(clock.monotonic)
         val quarantine = PromptPartQuarantine()
-        private val record =
-            QuarantineRecord(quarantine, store, monotonic, random, DecisionLog("test")) { ROUTERS }
+        private val checkedStore = EraCheckedStore(store, { _, current -> record.onEraChanged(current) })
+        private val record: QuarantineRecord =
+            QuarantineRecord(quarantine, checkedStore, monotonic, random, DecisionLog("test")) { ROUTERS }
         private val sync =
             QuarantineSync(quarantine, record, hub.join(self), monotonic, Dispatchers.Unconfined).also { it.register() }
 
         fun now(): Duration = monotonic.now()
 
-        suspend fun start() = store.list("routers/").fold(record::onListed) { record.onListFailed() }
+        var learnsEraAtMillis = Long.MAX_VALUE
+        var isListRead = false
+
+        suspend fun start() = checkedStore.list("routers/").fold(record::onListed) { record.onListFailed() }
 
         suspend fun maintain() {
+            if (nowMillis >= learnsEraAtMillis) {
+                learnsEraAtMillis = Long.MAX_VALUE
+                if (isListRead) start() else checkedStore.list("rollouts/")
+            }
             val others = routers.filterNotNull().filter { it !== this }
             sync.maintain(others.map { Member(it.self, ZoneId("z"), 0, null, isDraining = false) })
             record.maintain()
