gateway: register routers again after a restore of the store

Cause: an entry of a router that was written after the copy is gone, and nothing wrote it again. Membership dropped such a router at the next listing, though it ran and was connected. Change: after a restore each router reads its entry at a random time (50 ms for each router, and 0.5 s) and writes it if it is missing, then reads the list. Membership keeps reachable routers that a listing lacks.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -358,7 +358,11 @@
     private fun onEraChanged(
         previous: Long,
         current: Long,
-    ) = log.warn("store.restored", "before" to previous, "era" to current)
+    ) {
+        log.warn("store.restored", "before" to previous, "era" to current)
+        quarantineRecord.onEraChanged(current)
+        scope.launch { registration.renew() }
+    }
 
     private fun onRoutingChanged(
         previous: RoutingTable?,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
@@ -22,6 +22,8 @@
     private val random: Random,
     private val log: DecisionLog,
 ) {
+    private var renewals = 0
+
     /** Sets the seed addresses of the settings, which membership uses until it has read the instance list. */
     fun setSeedRouters() =
         membership.setSeedRouters(
@@ -58,6 +60,24 @@
         isRouterCountKnown = true
     }
 
+    /**
+     * Writes the entry of this router again if a restored store lacks it, at a random time, because all routers do so
+     * after a restore; then reads the entries of the others.
+     */
+    suspend fun renew() {
+        val renewal = ++renewals
+        val spread = RENEWAL_SPREAD_PER_ROUTER.multipliedBy(membership.routerCount.toLong()) + RENEWAL_SPREAD_MIN
+        delay(random.nextLong(spread.toMillis()))
+        val own = listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION)
+        // A later restore starts a renewal of its own.
+        while (renewal == renewals) {
+            val failure = instances.renew(own).fold({ null }, { it.toString() }) ?: break
+            log.warn("router.not_listed", "reason" to failure)
+            delay(random.nextLong(RETRY_DELAY_MIN.toMillis(), RETRY_DELAY_MAX.toMillis()))
+        }
+        membership.requestDirectoryRefresh()
+    }
+
     private fun listedInstance(
         instance: InstanceId,
         host: String,
@@ -80,6 +100,10 @@
 
         /** Time within which membership reads the list after a refresh was requested. */
         val DIRECTORY_READ_WAIT: Duration = Duration.ofSeconds(1)
+
+        /** With it a hundred routers read and write 40 times a second, a small part of the store's rates. */
+        val RENEWAL_SPREAD_PER_ROUTER: Duration = Duration.ofMillis(50)
+        val RENEWAL_SPREAD_MIN: Duration = Duration.ofMillis(500)
         val RETRY_DELAY_MIN: Duration = Duration.ofMillis(500)
         val RETRY_DELAY_MAX: Duration = Duration.ofSeconds(2)
     }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/StoreInstanceDirectory.kt
@@ -52,10 +52,14 @@
     suspend fun register(self: ListedInstance): Result<Versioned<ListedInstance>, UpdateError<Nothing>> {
         val value = TypedObject.JSON.encodeToString(ListedInstance.serializer(), self)
         store.put(keyOf(self.instance), value, ObjectVersion.NONE).onSuccess { return Ok(Versioned(self, it)) }
-        return TypedObject(store, keyOf(self.instance), ListedInstance.serializer())
-            .update(isApplied = { it == self }) { if (it == self) Change.Keep else Change.Write(self) }
+        return renew(self)
     }
 
+    /** Reads the entry of [self] and writes it unless the stored entry already equals it. */
+    suspend fun renew(self: ListedInstance): Result<Versioned<ListedInstance>, UpdateError<Nothing>> =
+        TypedObject(store, keyOf(self.instance), ListedInstance.serializer())
+            .update(isApplied = { it == self }) { if (it == self) Change.Keep else Change.Write(self) }
+
     private fun decode(stored: StoredObject): ListedInstance? =
         try {
             TypedObject.JSON.decodeFromString(ListedInstance.serializer(), stored.value)
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/DirectoryView.kt
@@ -29,17 +29,22 @@
     fun instancesOf(name: String): ImmutableList<ListedInstance> =
         instances.filter { it.service == name }.toImmutableList()
 
-    /** Returns the view after a read of the platform's list; [known] are further instances whose absence is tracked. */
+    /**
+     * Returns the view after a read of the platform's list. The [reachable] routers that it lacks stay in the view as
+     * they were: a platform that was restored from an older copy lists them again later. Their absence counts from
+     * the first such read nevertheless.
+     */
     fun withListing(
         listed: List<ListedInstance>,
-        known: Set<InstanceId>,
+        reachable: Set<InstanceId>,
         now: Duration,
     ): DirectoryView {
         val present = listed.mapTo(HashSet()) { it.instance }
-        val tracked = instances.map { it.instance } + missingSince.keys + known
+        val tracked = instances.map { it.instance } + missingSince.keys + reachable
         val missing = tracked.toSet().filter { it !in present }.associateWith { missingSince[it] ?: now }
         val kept = missing.filterValues { now - it < MAX_TRACKED_ABSENCE }
-        return DirectoryView(listed.toImmutableList(), kept.toPersistentMap(), isFromPlatform = true)
+        val alive = instances.filter { it.instance in missing && it.instance in reachable }
+        return DirectoryView((listed + alive).toImmutableList(), kept.toPersistentMap(), isFromPlatform = true)
     }
 
     /** Returns the view with a peer's copy of the list, unless this router has a list already. */
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -78,6 +78,21 @@
             a.hasEnded(Incarnation(InstanceId("b"), 1)) shouldBe true
         }
 
+        // A restored store lacks the entries that were written since the copy, and their routers write them again.
+        test("guards against a router that runs, is missing from the platform's list, and is dropped") {
+            val fleet = Fleet()
+            val routers = List(3) { fleet.start("router-$it", 1) }
+            fleet.run(routers, Duration.ofSeconds(10))
+            fleet.remove("router-1")
+            fleet.run(routers, Duration.ofSeconds(30))
+            routers.first().routerCount shouldBe 3
+            routers.first().connectionTargets().map { it.instance } shouldContain InstanceId("router-1")
+
+            fleet.hub.disconnect(InstanceId("router-1"))
+            fleet.run(listOf(routers[0], routers[2]), Duration.ofSeconds(20))
+            routers.first().routerCount shouldBe 2
+        }
+
         test("a router that starts while the platform is unavailable copies the list from a peer") {
             val fleet = Fleet()
             fleet.start("a", 1).maintain()
