lease: no term and no fencing token is repeated across a restore of the store

Cause: a lease that was acquired or renewed since the copy was missing from the restored store, so a candidate took it at once, or by an older record, while its holder still acted. The fencing token in the copy is older too, so it was given out again. Change: a record names the era in which its write was based. One of an earlier era, or none after the first restore, is taken only after it stayed unchanged for a full TTL in the present era. A holder whose term has not expired writes its record again at once. The upper bits of a fencing token hold the era. Nobody waits in a store that was never restored, or after a release in the same era.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectVersion.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/ObjectVersion.kt
@@ -14,7 +14,8 @@
 @Serializable
 @JvmInline
 value class ObjectVersion private constructor(
-    private val packed: Long,
+    /** Era and revision in one number, in the order of the versions. */
+    val packed: Long,
 ) : Comparable<ObjectVersion> {
     /** How often the store has been restored from an older copy. */
     val era: Long get() = packed shr REVISION_BITS
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseClient.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseClient.kt
@@ -3,11 +3,13 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import io.limpetfold.core.Incarnation
 import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectKey
 import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
@@ -33,11 +35,18 @@
  *   previous renewal keeps counting down.
  * - Response to an acquisition lost and the platform unavailable: the record may name [self]; a later [maintain] renews
  *   it before [fencingTokenIfHeld] returns its token.
+ * - Store restored from an older copy: a term of before may be missing from the copy. Each record names the era in
+ *   which its write was based. A record of an earlier era, and an absent one after the first restore, says nothing
+ *   about such terms: a candidate takes it only when it stayed unchanged for a full TTL, even if it is released or names
+ *   [self]. All earlier terms have ended by then, because each write of theirs took effect before the restore. A holder
+ *   whose term has not expired after it read such a record writes its own record over it at once and keeps its token. A
+ *   write that takes effect in another era than the one that it was based on is no acquisition. In an era in which the
+ *   store has never been restored, or after a release in the same era, nobody waits.
  *
  * Safe for concurrent use.
  */
 class LeaseClient(
-    store: ObjectStore,
+    private val store: ObjectStore,
     private val self: Incarnation,
     private val monotonic: TimeSource,
     key: ObjectKey = MOVE_CONTROLLER_KEY,
@@ -60,10 +69,10 @@
             if (isReleased) return@withLock
             val lastCall = term?.sentAt ?: polledAt
             if (lastCall != null && lastCall.elapsedNow().toJavaDuration() < policy.renewAfter) return@withLock
-            lease.read().fold(
+            read().fold(
                 success = {
                     polledAt = monotonic.markNow()
-                    observe(it.value)
+                    observe(it)
                 },
                 failure = { listener.onError(it) },
             )
@@ -73,8 +82,7 @@
     fun fencingTokenIfHeld(margin: Duration): FencingToken? {
         val current = term
         if (current == null || isReleased) return null
-        val remaining = termLength - current.sentAt.elapsedNow().toJavaDuration()
-        return if (remaining > margin) current.fencing else null
+        return if (remaining(current) > margin) current.fencing else null
     }
 
     /**
@@ -88,12 +96,12 @@
             term = null
             var released: FencingToken? = null
             val updated =
-                lease.update<Unit>(isApplied = { it.holder != self }) { current ->
-                    if (current?.holder != self) {
+                lease.updateVersioned<Unit>(isApplied = { it.value?.holder != self }) { (record, version) ->
+                    if (record == null || !isOwn(ReadRecord(record, version))) {
                         Change.Keep
                     } else {
-                        released = current.fencing
-                        Change.Write(current.copy(holder = null, renewal = current.renewal + 1))
+                        released = record.fencing
+                        Change.Write(record.copy(holder = null, renewal = record.renewal + 1))
                     }
                 }
             updated.fold(
@@ -106,29 +114,63 @@
         }
     }
 
-    private suspend fun observe(record: LeaseRecord?) {
-        if (record?.holder == self) return write(record, record.copy(renewal = record.renewal + 1))
+    private suspend fun observe(read: ReadRecord) {
+        val record = read.record
+        if (record != null && isOwn(read)) return write(read, record.copy(renewal = record.renewal + 1))
+        val unexpired = term?.takeIf { remaining(it) > Duration.ZERO }
+        if (unexpired != null && !read.isOfCurrentEra) return write(read, record(unexpired.fencing, read.era))
         endTerm()
-        if (lastObserved?.record != record) lastObserved = ObservedRecord(record, monotonic.markNow())
-        if (record?.holder != null) {
+        if (lastObserved?.version != read.version || lastObserved?.isAbsent != (record == null)) {
+            lastObserved = ObservedRecord(read.version, record == null, monotonic.markNow())
+        }
+        if (!isFree(read)) {
             val waited = checkNotNull(lastObserved).firstReadAt.elapsedNow().toJavaDuration()
-            if (waited < Duration.ofMillis(record.timeToLiveMillis)) return
+            if (waited < (record?.let { Duration.ofMillis(it.timeToLiveMillis) } ?: policy.timeToLive)) return
         }
-        val fencing = FencingToken((record?.fencing ?: FencingToken.NONE).number + 1)
-        write(record, LeaseRecord(fencing, self, policy.timeToLive.toMillis(), renewal = 0))
+        write(read, record(FencingToken.after(record?.fencing, read.version), read.era))
     }
 
+    /** Reads the lease; a listing tells the era of an absent one. */
+    private suspend fun read(): Result<ReadRecord, StoreError> =
+        lease.read().andThen { found ->
+            if (found.value != null) {
+                Ok(ReadRecord(found.value, found.version))
+            } else {
+                store.list(lease.key.path).andThen { page ->
+                    val isAbsent = page.objects.none { it.key == lease.key }
+                    val era = page.position.era
+                    if (isAbsent) {
+                        Ok(ReadRecord(null, ObjectVersion.of(0, era)))
+                    } else {
+                        Err(StoreError.Unavailable("${lease.key} was created during the read"))
+                    }
+                }
+            }
+        }
+
+    private fun isOwn(read: ReadRecord) = read.record?.holder == self && read.isOfCurrentEra
+
+    private fun isFree(read: ReadRecord): Boolean =
+        if (read.record == null) read.era == 0L else read.record.holder == null && read.isOfCurrentEra
+
+    private fun record(
+        fencing: FencingToken,
+        era: Long,
+    ) = LeaseRecord(fencing, self, policy.timeToLive.toMillis(), renewal = 0, era)
+
     private suspend fun write(
-        expected: LeaseRecord?,
+        read: ReadRecord,
         next: LeaseRecord,
     ) {
         val sentAt = monotonic.markNow()
         val updated =
-            lease.update(isApplied = { it == next }) { current ->
-                if (current == expected) Change.Write(next) else Change.Refuse(Unit)
+            lease.updateVersioned(isApplied = { it.value == next && it.version.era == read.era }) { current ->
+                val isUnchanged = if (read.record == null) current.value == null else current.version == read.version
+                if (isUnchanged) Change.Write(next) else Change.Refuse(Unit)
             }
         updated.fold(
             success = {
+                if (it.version.era != read.era) return@fold
                 val isNew = term?.fencing != next.fencing
                 term = Term(next.fencing, sentAt)
                 if (isNew) listener.onAcquired(next.fencing)
@@ -137,6 +179,8 @@
         )
     }
 
+    private fun remaining(term: Term): Duration = termLength - term.sentAt.elapsedNow().toJavaDuration()
+
     private fun endTerm() {
         term?.let { listener.onLost(it.fencing) }
         term = null
@@ -147,9 +191,21 @@
         val sentAt: TimeMark,
     )
 
-    /** The record, null if absent, that was last read while another instance or none was the holder. */
-    private data class ObservedRecord(
+    /** The lease as it was read; the version of an absent record has the era of the read and no revision. */
+    private class ReadRecord(
         val record: LeaseRecord?,
+        val version: ObjectVersion,
+    ) {
+        val era: Long get() = version.era
+
+        /** Whether the write that stored the record was based on a read in the era in which it took effect. */
+        val isOfCurrentEra: Boolean get() = record?.era == era
+    }
+
+    /** What was last read while another instance or none was the holder. */
+    private class ObservedRecord(
+        val version: ObjectVersion,
+        val isAbsent: Boolean,
         val firstReadAt: TimeMark,
     )
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/lease/LeaseRecord.kt
@@ -11,7 +11,9 @@
  * @property fencing the token of the latest holder; it is kept after a release, so that the next holder's is larger.
  * @property holder null after a release.
  * @property timeToLiveMillis how long the record must stay unchanged before another instance may acquire the lease.
- * @property renewal the number of renewals and releases since the acquisition.
+ * @property renewal the number of renewals and releases since the acquisition, or since the record was written again
+ *   after a restore of the store.
+ * @property era the era of the store in which the write was based; the record proves nothing in other eras.
  */
 @Serializable
 data class LeaseRecord(
@@ -19,4 +21,5 @@
     val holder: Incarnation?,
     val timeToLiveMillis: Long,
     val renewal: Long,
+    val era: Long = 0,
 )
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/lease/LeasePropertyTest.kt
@@ -1,9 +1,11 @@
 package io.limpetfold.lease
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.StoreCall
@@ -24,6 +26,42 @@
             (Schedule.acquisitions > SCHEDULES) shouldBe true
         }
 
+        test("no schedule with restores of the store has two holders at the same time or a repeated fencing token") {
+            val before = Schedule.acquisitions
+            val schedules = (0 until SCHEDULES).map { Schedule(it.toLong(), hasRestores = true) }
+            val failures = schedules.mapNotNull { it.run() }
+            val acquisitions = Schedule.acquisitions - before
+            println(
+                "lease with restores: $SCHEDULES schedules, ${failures.size} failures, $acquisitions acquisitions, " +
+                    "${schedules.sumOf {
+                        it.restoreCount
+                    }} restores, ${schedules.sumOf { it.lateWriteCount }} late writes",
+            )
+            failures.firstOrNull() shouldBe null
+            (acquisitions > SCHEDULES) shouldBe true
+            schedules.sumOf { it.restoreCount } shouldBeGreaterThan SCHEDULES
+            schedules.sumOf { it.lateWriteCount } shouldBeGreaterThan SCHEDULES / 4
+        }
+
+        test("a restored copy in which the lease is free is not acquired before the term of its holder has ended") {
+            val store = FakeObjectStore()
+            val time = TestTimeSource()
+            val copy = store.copy()
+            val holder = LeaseClient(EraCheckedStore(store), Incarnation(InstanceId("r0"), 1), time)
+            holder.maintain()
+            store.restore(copy)
+            val candidate = LeaseClient(EraCheckedStore(store), Incarnation(InstanceId("r1"), 1), time)
+            candidate.maintain()
+            candidate.fencingTokenIfHeld(Duration.ZERO) shouldBe null
+
+            time += 3_000.milliseconds
+            holder.maintain()
+            time += 8_000.milliseconds
+            candidate.maintain()
+            holder.fencingTokenIfHeld(Duration.ZERO) shouldBe FencingToken(1)
+            candidate.fencingTokenIfHeld(Duration.ZERO) shouldBe null
+        }
+
         test(
             "a released lease is acquired at once with a larger fencing token, and an unchanged one only after a full TTL",
         ) {
@@ -58,13 +96,20 @@
     /** Instances whose clock rates differ by less than the policy allows; a call may stall while the others run. */
     private class Schedule(
         private val seed: Long,
+        private val hasRestores: Boolean = false,
     ) {
         private val random = Random(seed)
         private val shared = FakeObjectStore()
         private val log = mutableListOf<String>()
         private val nodes = (0 until INSTANCES).map { Node(it) }
         private val fencingHolders = mutableMapOf<FencingToken, String>()
+        private val restoreRandom = Random(-1 - seed)
+        private val copies = mutableListOf(shared.copy())
         private var violation: String? = null
+        var restoreCount = 0
+            private set
+        var lateWriteCount = 0
+            private set
         private var isStalled = false
 
         fun run(): String? {
@@ -73,6 +118,7 @@
         }
 
         private fun step() {
+            if (hasRestores) stepStore()
             val node = nodes.random(random)
             when (random.nextInt(40)) {
                 0 -> node.restart()
@@ -92,6 +138,28 @@
             check()
         }
 
+        /** Copies or restores the store, or executes a write that was sent earlier, perhaps in another era. */
+        private fun stepStore() {
+            when (restoreRandom.nextInt(12)) {
+                0, 1 -> copies += shared.copy()
+                2 ->
+                    repeat(restoreRandom.nextInt(1, 3)) {
+                        val copy = restoreRandom.nextInt(copies.size)
+                        log += "restore of copy $copy"
+                        shared.restore(copies[copy])
+                        restoreCount++
+                    }
+                3, 4 ->
+                    if (shared.delayedCount > 0) {
+                        val writes = shared.writeCount
+                        shared.executeDelayed()
+                        val isExecuted = shared.writeCount > writes
+                        if (isExecuted) lateWriteCount++
+                        log += "late write executed=$isExecuted"
+                    }
+            }
+        }
+
         private fun advance(
             millis: Long,
             reason: String,
@@ -131,6 +199,7 @@
                 log += "r$index stalls in $call"
                 repeat(random.nextInt(1, 12)) {
                     advance(random.nextLong(2_500), "stall")
+                    if (hasRestores) stepStore()
                     runBlocking {
                         nodes.filter { it.index != index }.forEach {
                             it.act(
@@ -153,15 +222,24 @@
             val clockRate = 1.0 + random.nextDouble(-0.009, 0.009)
             var time = TestTimeSource()
             var incarnation = Incarnation(InstanceId("r$index"), 1)
-            private val store: ObjectStore = shared.withFaults { fault(index, it) }
-            var client = LeaseClient(store, incarnation, time)
+            private val faulty = shared.withFaults { fault(index, it) }
+            var client = newClient()
 
             fun restart() {
                 log += "r$index restarts"
                 incarnation = incarnation.copy(number = incarnation.number + 1)
-                client = LeaseClient(store, incarnation, time)
+                client = newClient()
             }
 
+            private fun newClient() = LeaseClient(store(), incarnation, time)
+
+            private fun store(): ObjectStore =
+                if (hasRestores) {
+                    EraCheckedStore(faulty.withDelays { restoreRandom.nextInt(6) == 0 }, timeSource = time)
+                } else {
+                    faulty
+                }
+
             suspend fun act(
                 label: String,
                 action: suspend (LeaseClient) -> Unit,
