claim: live routers write their claims again after a restore of the store

Cause: claims since the copy were missing from the restored shards, so their keys were granted and forwarded again. A late write of an earlier era could also put an older shard in place. Change: a shard names the era in which it was written. In a later era it is incomplete until all routers have added the claims that they remember, and keys without a record are refused as not run with a retry hint. A router remembers a claim until each copy that can still be restored has it.

--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimError.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimError.kt
@@ -19,6 +19,14 @@
         override val message get() = "claim shard $shard is full; space returns when its oldest claims expire"
     }
 
+    /** The store was restored from an older copy, and not all routers have written their claims of the shard again. */
+    data class Restoring(
+        val shard: Int,
+        override val retryAfter: Duration,
+    ) : ClaimError {
+        override val message get() = "claims of shard $shard are being written again after a restore of the platform"
+    }
+
     /** The platform did not store the claim. */
     data class PlatformUnavailable(
         val reason: String,
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
@@ -17,6 +17,9 @@
  * @property unavailableRetryAfter retry hint for the caller when the platform is unavailable.
  * @property lateWriteWindow how long a write with an unknown outcome may still take effect; until then the removal of a
  * disowned claim is repeated.
+ * @property maxCopyAge how old the copy may be from which the store is restored; a router remembers its claims for this
+ * long, to write them again.
+ * @property restoreRetryAfter retry hint for the caller while claims are written again after a restore of the store.
  * @property maxDisownedClaims number of disowned claims remembered for removal; one that is evicted from memory blocks
  * its key until it expires.
  */
@@ -32,6 +35,8 @@
     val unavailableRetryAfter: Duration = Duration.ofSeconds(2),
     val lateWriteWindow: Duration = Duration.ofMinutes(1),
     val maxDisownedClaims: Int = 10_000,
+    val maxCopyAge: Duration = FIVE_MINUTES,
+    val restoreRetryAfter: Duration = Duration.ofSeconds(2),
 ) {
     init {
         require(maxForwardAge < retention) { "maxForwardAge must be shorter than retention" }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
 import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.RouteId
 import io.limpetfold.core.WorkspaceId
@@ -43,6 +44,15 @@
  * clocks of the routers. They may differ by up to the retention less [ClaimPolicy.maxForwardAge] without a second
  * forward of a claim that is still held. A clock that is further ahead shortens the time for which duplicates are
  * detected.
+ *
+ * A store that is restored from an older copy lacks the claims since. Each shard names the era in which it was written.
+ * In a later era it is incomplete until all [routers] have written the claims again that they remember; until then keys
+ * without a record are refused as not run. A late write that puts a shard of an earlier era in place makes it incomplete
+ * again. What remains: the claims that a router was granted since the copy are lost if it ended before it wrote them
+ * again, so a call that it forwarded can be forwarded again. The same holds for a router that is missing from [routers]
+ * while it runs, and for copies older than [ClaimPolicy.maxCopyAge].
+ *
+ * @param routers the instances that may have claimed keys, null while they are unknown.
  */
 class ClaimRegistry(
     private val self: Incarnation,
@@ -51,8 +61,14 @@
     private val timeSource: TimeSource = TimeSource.Monotonic,
     private val policy: ClaimPolicy = ClaimPolicy(),
     private val listener: ClaimListener = ClaimListener.NONE,
+    private val routers: () -> Set<InstanceId>? = { setOf(self.instance) },
 ) {
-    private val writers = List(ClaimKey.SHARD_COUNT) { ShardWriter(it, store, clock, policy, listener) }
+    private val eras = ClaimEras(timeSource)
+    private val writers =
+        List(ClaimKey.SHARD_COUNT) { ShardWriter(it, store, clock, policy, listener, timeSource, eras) }
+
+    /** The era in which each shard was last seen complete. */
+    private val completeEras = LongArray(ClaimKey.SHARD_COUNT)
     private val attemptCounter = AtomicLong()
 
     /** Claims of this process that may be stored and must never be forwarded, by token, oldest first. */
@@ -84,14 +100,26 @@
                 throw e
             } ?: Err(StoreError.OutcomeUnknown("no answer within ${maxWait.toMillis()} ms"))
         return written.fold(
-            success = { shard ->
-                val record = shard.records[key.hash]
-                if (record?.token == token) {
-                    val claim =
-                        Claim(key, token, request, claimedAt, claimedMark, clock, policy.maxForwardAge, listener)
-                    Ok(ClaimDecision.Granted(claim))
-                } else {
-                    decideByRecord(key, record)
+            success = { written ->
+                val record = written.shard.records[key.hash]
+                when {
+                    record?.token != token -> decideByRecord(key, record, written)
+                    written.isComplete ->
+                        Ok(
+                            ClaimDecision.Granted(
+                                Claim(
+                                    key,
+                                    token,
+                                    request,
+                                    claimedAt,
+                                    claimedMark,
+                                    clock,
+                                    policy.maxForwardAge,
+                                    listener,
+                                ),
+                            ),
+                        )
+                    else -> Err(handleWriteError(StoreError.OutcomeUnknown("the store was restored"), token, key))
                 }
             },
             failure = { Err(handleWriteError(it, token, key)) },
@@ -140,6 +168,27 @@
         }
     }
 
+    /** The store began [era] with an older copy; [maintainRestored] then writes claims again. */
+    fun onEraChanged(era: Long) = eras.observe(era)
+
+    /**
+     * Writes the claims of this process again after a restore of the store; call it about once a second. Does nothing
+     * while no restore is known or all shards are complete.
+     *
+     * Until [ClaimPolicy.lateWriteWindow] has passed, complete shards are checked again, because a late write of an
+     * earlier era may replace one.
+     */
+    suspend fun maintainRestored() {
+        val era = eras.current
+        if (era == 0L) return
+        val isLateWritePossible = eras.age < policy.lateWriteWindow.toKotlinDuration()
+        val required = routers()?.mapTo(HashSet()) { it.value }
+        for ((shard, writer) in writers.withIndex()) {
+            if (completeEras[shard] == era && !isLateWritePossible) continue
+            if (writer.restore(self.instance.value, required)) completeEras[shard] = era
+        }
+    }
+
     private suspend fun remove(
         token: String,
         key: ClaimKey,
@@ -155,8 +204,11 @@
     private suspend fun decideByRecord(
         key: ClaimKey,
         record: ClaimRecord?,
+        written: WrittenShard,
     ): Result<ClaimDecision, ClaimError> =
         when {
+            record == null && !written.isComplete ->
+                Err(ClaimError.Restoring(key.shard, policy.restoreRetryAfter))
             record == null -> Err(ClaimError.ShardFull(key.shard, policy.shardFullRetryAfter))
             record.isUnfinished ->
                 Ok(ClaimDecision.Unfinished(Instant.ofEpochMilli(record.claimedAtMillis)))
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
@@ -10,20 +10,59 @@
      * Expired records are removed only together with another change, so that expiry costs no extra write. A batch whose
      * operations have all taken effect changes nothing. After a lost response, this is how a router recognises that its
      * own write was stored.
+     *
+     * @param era the era of the store in which [current] was read.
      */
     fun apply(
         current: ClaimShard?,
         operations: List<ShardOperation>,
         nowMillis: Long,
         policy: ClaimPolicy,
+        era: Long,
     ): Change<ClaimShard, Nothing> {
-        val oldestMillis = nowMillis - policy.retention.toMillis()
-        val records = HashMap(current?.records.orEmpty().filterValues { it.claimedAtMillis > oldestMillis })
+        val shard = current ?: ClaimShard(era = era)
+        val records = HashMap(unexpired(shard.records, nowMillis, policy))
         var isChanged = false
         for (operation in operations) {
+            if (operation is ShardOperation.Acquire && !shard.isCompleteIn(era)) continue
             isChanged = applyOne(records, operation, policy) || isChanged
         }
-        return if (isChanged) Change.Write(ClaimShard(records)) else Change.Keep
+        return if (isChanged) Change.Write(shard.copy(records = records)) else Change.Keep
+    }
+
+    /**
+     * Adds [own] records to a shard that a restore of the store has taken back, on behalf of [instance].
+     *
+     * They replace others: in an incomplete shard no other router can have been granted a key since the restore, and
+     * what the copy has is older.
+     *
+     * @param required the instances that may have claimed since the copy was made, null while they are unknown.
+     */
+    fun restore(
+        current: ClaimShard?,
+        own: Map<String, ClaimRecord>,
+        instance: String,
+        required: Set<String>?,
+        nowMillis: Long,
+        policy: ClaimPolicy,
+        era: Long,
+    ): Change<ClaimShard, Nothing> {
+        val shard = current ?: ClaimShard(era = era)
+        if (shard.isCompleteIn(era)) return Change.Keep
+        val restoredBy = (if (shard.era == era) shard.restoredBy else emptySet()) + instance
+        val isComplete = required != null && restoredBy.containsAll(required)
+        if (shard.era == era && restoredBy == shard.restoredBy && !isComplete) return Change.Keep
+        val records = unexpired(shard.records + own, nowMillis, policy)
+        return Change.Write(ClaimShard(records, era, isComplete, if (isComplete) emptySet() else restoredBy))
+    }
+
+    private fun unexpired(
+        records: Map<String, ClaimRecord>,
+        nowMillis: Long,
+        policy: ClaimPolicy,
+    ): Map<String, ClaimRecord> {
+        val oldestMillis = nowMillis - policy.retention.toMillis()
+        return records.filterValues { it.claimedAtMillis > oldestMillis }
     }
 
     private fun applyOne(
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardWriter.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardWriter.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
+import io.limpetfold.store.Versioned
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
@@ -18,6 +19,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import java.time.InstantSource
+import kotlin.time.TimeSource
 
 /**
  * Writes the operations of one shard in batches.
@@ -31,7 +33,10 @@
     private val clock: InstantSource,
     private val policy: ClaimPolicy,
     private val listener: ClaimListener,
+    private val timeSource: TimeSource,
+    private val eras: ClaimEras,
 ) {
+    private val recent = RecentClaims(policy.maxCopyAge)
     private val shardObject = TypedObject(store, ObjectKey("claim/$shard"), ClaimShard.serializer())
     private val writeMutex = Mutex()
 
@@ -40,11 +45,12 @@
 
     private class Batch {
         val operations = mutableListOf<ShardOperation>()
-        val result = CompletableDeferred<Result<ClaimShard, StoreError>>()
+        val result = CompletableDeferred<Result<WrittenShard, StoreError>>()
     }
 
     /** Adds [operation] to a batch and returns the shard as it is after the batch was written. */
-    suspend fun submit(operation: ShardOperation): Result<ClaimShard, StoreError> {
+    suspend fun submit(operation: ShardOperation): Result<WrittenShard, StoreError> {
+        recent.onSubmitted(operation)
         var isLeader = false
         val batch =
             synchronized(this) {
@@ -76,14 +82,54 @@
             batch.operations.toList()
         }
 
-    private suspend fun write(operations: List<ShardOperation>): Result<ClaimShard, StoreError> =
-        shardObject
-            .update<Nothing>(isApplied = { false }) {
-                ShardChange.apply(it, operations, clock.millis(), policy)
+    /** Writes the claims of this process again in the present era; returns whether all routers have done so. */
+    suspend fun restore(
+        instance: String,
+        required: Set<String>?,
+    ): Boolean =
+        withTimeoutOrNull(policy.writeTimeout.toMillis()) {
+            writeMutex.withLock {
+                val own = recent.records()
+                shardObject
+                    .updateVersioned<Nothing>(isApplied = { false }) {
+                        val era = eraOf(it)
+                        ShardChange.restore(it.value, own, instance, required, clock.millis(), policy, era)
+                    }.fold(
+                        success = {
+                            val written = observe(it)
+                            if (written.shard.era == written.era) {
+                                val stored = written.shard.records
+                                val restored = own.filter { (hash, record) -> stored[hash]?.token == record.token }
+                                recent.onRestored(restored, written.era, timeSource.markNow())
+                            }
+                            written.isComplete
+                        },
+                        failure = { false },
+                    )
+            }
+        } ?: false
+
+    private fun eraOf(read: Versioned<ClaimShard>): Long = if (read.value == null) eras.current else read.version.era
+
+    private fun observe(stored: Versioned<ClaimShard>): WrittenShard {
+        val value = stored.value ?: return WrittenShard(ClaimShard(era = eras.current), eras.current)
+        eras.observe(stored.version.era)
+        return WrittenShard(value, stored.version.era)
+    }
+
+    private suspend fun write(operations: List<ShardOperation>): Result<WrittenShard, StoreError> {
+        val sentAt = timeSource.markNow()
+        return shardObject
+            .updateVersioned<Nothing>(isApplied = { false }) {
+                ShardChange.apply(it.value, operations, clock.millis(), policy, eraOf(it))
             }.fold(
                 success = {
                     listener.onWritten(shard, operations.size)
-                    Ok(it.value ?: ClaimShard())
+                    val written = observe(it)
+                    if (written.isComplete) {
+                        recent.onStored(written.shard, operations, written.era, sentAt, timeSource.markNow())
+                    }
+                    Ok(written)
                 },
                 failure = {
                     val error =
@@ -95,4 +141,5 @@
                     Err(error)
                 },
             )
+    }
 }
