--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatClientTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/SeatClientTest.kt
@@ -2,14 +2,18 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.StoreCall
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
+import kotlinx.coroutines.runBlocking
 import java.time.Duration
+import kotlin.random.Random
 
 /** Guards against two routers that use one seat, or one router that holds two, after lost responses and pauses. */
 class SeatClientTest :
@@ -60,6 +64,13 @@
             paused.seat shouldBe null
         }
 
+        test("no schedule with restores of the store gives one seat to two routers") {
+            val failures = (0 until SCHEDULES).mapNotNull { RestoreSchedule(it).run() }
+            println("seats: $SCHEDULES schedules, ${failures.size} failures, ${RestoreSchedule.seatsTaken} seats taken")
+            failures.firstOrNull() shouldBe null
+            RestoreSchedule.seatsTaken shouldBeGreaterThan SCHEDULES * 3
+        }
+
         test("a router that is disconnected from the platform keeps its seat") {
             val shared = FakeObjectStore()
             var isDown = false
@@ -77,7 +88,91 @@
             client.seat shouldBe seat
         }
     }) {
+    /** Routers that start, stop and lose contact with the store or with each other, around restores of the store. */
+    private class RestoreSchedule(
+        private val seed: Int,
+    ) {
+        private val random = Random(seed)
+        private val clock = TestClock()
+        private val store = FakeObjectStore()
+        private val copies = mutableListOf(store.copy())
+        private val log = mutableListOf<String>()
+        private val routers = MutableList(3) { Router(it, 1) }
+
+        fun run(): String? {
+            repeat(150) {
+                runBlocking { step() }
+                val seats = routers.mapNotNull { it.client.seat?.number }
+                if (seats.size != seats.toSet().size) return "seats $seats; seed=$seed schedule=$log"
+            }
+            return null
+        }
+
+        private suspend fun step() {
+            val router = routers.random(random)
+            when (random.nextInt(24)) {
+                0 -> copies += store.copy()
+                1 -> {
+                    val index = random.nextInt(copies.size)
+                    store.restore(copies[index])
+                    log += "restore of copy $index"
+                }
+                2 -> routers[router.index] = Router(router.index, router.incarnation.number + 1)
+                3 -> router.client.release(isDrained = random.nextBoolean())
+                4 -> router.isCutOff = !router.isCutOff
+                5 -> clock.advance(Duration.ofSeconds(random.nextLong(120)))
+                else -> {
+                    clock.advance(Duration.ofMillis(random.nextLong(8_000)))
+                    routers.shuffled(random).take(random.nextInt(1, 4)).forEach {
+                        log += "maintain ${it.incarnation}"
+                        val before = it.client.seat
+                        it.client.maintain(4)
+                        if (before == null && it.client.seat != null) seatsTaken++
+                    }
+                }
+            }
+        }
+
+        private inner class Router(
+            val index: Int,
+            number: Long,
+        ) {
+            val incarnation = Incarnation(InstanceId("router-$index"), number)
+            var isCutOff = false
+            private val checkedStore = EraCheckedStore(store.withFaults { fault() }, timeSource = clock.monotonic)
+            val client =
+                SeatClient(
+                    incarnation,
+                    checkedStore,
+                    clock.monotonic,
+                    era = { checkedStore.era },
+                    seatsOfOthers = ::seatsOfOthers,
+                    hasEnded = { ended -> routers.none { it.incarnation == ended } },
+                )
+
+            private fun fault(): StoreFault =
+                when {
+                    isCutOff -> StoreFault.UNAVAILABLE
+                    random.nextInt(10) == 0 -> StoreFault.entries.random(random)
+                    else -> StoreFault.NONE
+                }
+
+            private fun seatsOfOthers(): Set<Int>? =
+                if (random.nextInt(4) == 0) {
+                    null
+                } else {
+                    routers.filter { it.index != index }.mapNotNull { it.client.seat?.number }.toSet()
+                }
+        }
+
+        companion object {
+            var seatsTaken = 0
+        }
+    }
+
     private companion object {
+        const val SCHEDULES = 3_000
+
         fun client(
             name: String,
             store: FakeObjectStore,
