platform: versions of HttpObjectStore carry an era, and the router and its tools check it

Cause: the project's own platform API had no way to say that its store came back from an older copy, and ConfigWatcher kept a position of before, which a store of a new era refuses at each read. Change: HttpObjectStore reads the era from Limpetfold-Store-Era. The stand-in sends it and has POST /admin/copy and /admin/restore. Router, ctl and publish wrap the store with EraCheckedStore; the router tells claims and seats of a new era. ConfigWatcher reads from the beginning after HistoryExpired. Measured: ConfigWatcherTest "guards against a router that reads no generation any more after a restore of the store": before, "expected:<2L> but was:<1L>"; now passes, with HttpObjectStoreTest and StandinsTest.

--- a/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigWatcher.kt
+++ b/limpetfold-config/src/main/kotlin/io/limpetfold/config/ConfigWatcher.kt
@@ -6,6 +6,7 @@
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.StoreError
 import io.limpetfold.store.StoredObject
 import io.limpetfold.store.TypedObject
 import kotlinx.coroutines.async
@@ -24,6 +25,9 @@
 /**
  * Keeps the newest valid generation that a router has received, and serves it to peers.
  *
+ * A store that is restored from an older copy has an older generation; routers keep and pass on the newer one, and the
+ * next publication exceeds it.
+ *
  * Whatever the source, only a higher generation with valid content is accepted, so a stale response never reverts a
  * router to an older generation. Safe for concurrent use.
  */
@@ -101,6 +105,8 @@
                 true
             },
             failure = {
+                // After a restore of the store, its versions are in a new era. Only a read from the beginning shows them.
+                if (it is StoreError.HistoryExpired) highestReadVersion.set(ObjectVersion.NONE)
                 LOG.info("config: read from the platform failed generation={} reason=\"{}\"", generation(), it.message)
                 false
             },
--- a/limpetfold-config/src/test/kotlin/io/limpetfold/config/ConfigWatcherTest.kt
+++ b/limpetfold-config/src/test/kotlin/io/limpetfold/config/ConfigWatcherTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.TypedObject
 import io.limpetfold.testing.FakeObjectStore
@@ -47,6 +48,19 @@
             refused shouldBe listOf("2 from WATCH: maxRouters, publication.contentHash")
         }
 
+        test("guards against a router that reads no generation any more after a restore of the store") {
+            val store = FakeObjectStore()
+            val copy = store.copy()
+            val watcher = ConfigWatcher(EraCheckedStore(store), network(), clock.monotonic)
+            ConfigPublisher(store, clock).publish(sampleConfig(), 0, "ana").get()
+            watcher.watch()
+            store.restore(copy)
+            ConfigPublisher(store, clock).publish(sampleConfig(), 0, "ben", highestReportedGeneration = 1).get()
+            repeat(3) { watcher.watch() }
+
+            watcher.current?.generation shouldBe 2
+        }
+
         test("guards against more than one poll of the platform per 5 s") {
             val store = FakeObjectStore()
             val watcher = ConfigWatcher(store, network(), clock.monotonic)
--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlSession.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/CtlSession.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.platform.HttpInstanceDirectory
 import io.limpetfold.platform.HttpObjectStore
 import io.limpetfold.platform.PlatformSettings
+import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectStore
 import java.time.InstantSource
 
@@ -31,7 +32,7 @@
             val platform = PlatformSettings(address(settings.platform))
             return CtlSession(
                 settings,
-                HttpObjectStore(client, platform),
+                EraCheckedStore(HttpObjectStore(client, platform)),
                 HttpInstanceDirectory(client, platform),
                 RouterClient(client, settings.routers.map(::address), settings.operatorsKey),
             ) {
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -70,6 +70,9 @@
     fun otherListedRouters(): ImmutableList<ListedInstance> =
         synchronized(this) { routers().filter { it.instance != self }.toImmutableList() }
 
+    /** Whether a list of the platform is known, rather than only the addresses in the settings. */
+    val hasDirectory: Boolean get() = synchronized(this) { !view.isEmpty }
+
     /** The number of listed routers, reachable or not, including this one. */
     val routerCount: Int get() = synchronized(this) { routers().count { it.instance != self } + 1 }
 
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -18,7 +18,12 @@
 import java.net.URLEncoder
 import java.time.Duration
 
-/** The platform's object API over HTTP. */
+/**
+ * The platform's object API over HTTP.
+ *
+ * Versions carry the era that the platform states in the header `Limpetfold-Store-Era`, 0 without it. Conditions state
+ * revisions only, so wrap it with [io.limpetfold.store.EraCheckedStore] to write across restores.
+ */
 class HttpObjectStore(
     client: UpstreamClient,
     settings: PlatformSettings,
@@ -78,7 +83,7 @@
         val response = platformClient.read("/v1/objects?$query", wait).getOrElse { return Err(it) }
         if (response.head.status != OK) return Err(rejected(response))
         return try {
-            Ok(JSON.decodeFromString(WirePage.serializer(), response.body).toPage())
+            Ok(JSON.decodeFromString(WirePage.serializer(), response.body).toPage(era(response)))
         } catch (e: IllegalArgumentException) {
             Err(StoreError.Rejected("the listing does not decode: ${e.message?.take(MAX_DETAIL_CHARS)}"))
         }
@@ -88,13 +93,19 @@
         response.head.headers["ETag"]
             ?.removeSurrounding("\"")
             ?.toLongOrNull()
-            ?.let(ObjectVersion::of)
+            ?.let { ObjectVersion.of(it, era(response)) }
+
+    private fun era(response: PlatformClient.Response): Long =
+        response.head.headers[ERA_HEADER]
+            ?.toLongOrNull()
+            ?.takeIf { it in 0..ObjectVersion.MAX_ERA } ?: 0
 
     private fun rejected(response: PlatformClient.Response) = StoreError.Rejected("status ${response.head.status}")
 
     private fun encode(text: String) = URLEncoder.encode(text, Charsets.UTF_8)
 
     private companion object {
+        const val ERA_HEADER = "Limpetfold-Store-Era"
         const val OK = 200
         const val CREATED = 201
         const val NO_CONTENT = 204
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/WirePage.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/WirePage.kt
@@ -17,9 +17,16 @@
     val objects: List<WireObject> = emptyList(),
     val position: Long,
 ) {
-    fun toPage(): ObjectPage =
+    fun toPage(era: Long): ObjectPage =
         ObjectPage(
-            objects.map { StoredObject(ObjectKey(it.key), ObjectVersion.of(it.version), it.value) }.toImmutableList(),
-            ObjectVersion.of(position),
+            objects
+                .map {
+                    StoredObject(
+                        ObjectKey(it.key),
+                        ObjectVersion.of(it.version, era),
+                        it.value,
+                    )
+                }.toImmutableList(),
+            ObjectVersion.of(position, era),
         )
 }
--- a/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
+++ b/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
@@ -82,6 +82,26 @@
             }
         }
 
+        test("versions carry the era of the response") {
+            withPlatform({ exchange ->
+                val isListing = exchange.head.path == "/v1/objects"
+                val body = if (isListing) """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}""" else "{}"
+                exchange.respond(
+                    if (exchange.head.headers["If-Match"] == null) 200 else 412,
+                    Headers.of("ETag" to "\"7\"", "Limpetfold-Store-Era" to "2"),
+                    body.encodeToByteArray(),
+                )
+            }) { store, _ ->
+                val version = ObjectVersion.of(7, era = 2)
+                store.get(key).get()?.version shouldBe version
+                store.put(key, "{}", ObjectVersion.NONE).get() shouldBe version
+                store.put(key, "{}", ObjectVersion.of(3, era = 2)).getError() shouldBe StoreError.Conflict(key, version)
+                val page = store.list("a/").get()
+                page?.position shouldBe ObjectVersion.of(5, era = 2)
+                page?.objects?.map { it.version } shouldBe listOf(ObjectVersion.of(3, era = 2))
+            }
+        }
+
         test("a write without a response has an unknown outcome, a read without one fails as unavailable") {
             val failures =
                 listOf<suspend (HttpExchange) -> Unit>(
--- a/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/HttpPlatform.kt
+++ b/limpetfold-publish/src/main/kotlin/io/limpetfold/publish/HttpPlatform.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.platform.HttpInstanceDirectory
 import io.limpetfold.platform.HttpObjectStore
 import io.limpetfold.platform.PlatformSettings
+import io.limpetfold.store.EraCheckedStore
 
 /** Connects to the platform over HTTP. */
 internal object HttpPlatform {
@@ -16,7 +17,7 @@
         val loops = HttpEventLoops(threads = 1)
         val client = UpstreamClient(UpstreamSettings(), loops, BufferBudget())
         val target = PlatformSettings(HostPort(host, port.toInt()), settings.callTimeout)
-        return Platform(HttpObjectStore(client, target), HttpInstanceDirectory(client, target)) {
+        return Platform(EraCheckedStore(HttpObjectStore(client, target)), HttpInstanceDirectory(client, target)) {
             client.close()
             loops.close()
         }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -68,6 +68,8 @@
 import io.limpetfold.router.operate.RouterView
 import io.limpetfold.router.operate.StatusReporter
 import io.limpetfold.router.settings.RouterSettings
+import io.limpetfold.store.EraCheckedStore
+import io.limpetfold.store.EraListener
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -102,14 +104,18 @@
                 .toInt(),
         )
     private val upstream = UpstreamClient(UpstreamSettings(), eventLoops, buffers)
-    private val store = HttpObjectStore(upstream, settings.platformSettings())
+    private val store: EraCheckedStore =
+        EraCheckedStore(HttpObjectStore(upstream, settings.platformSettings()), EraEvents(), timeSource = monotonic)
     private val directory = HttpInstanceDirectory(upstream, settings.platformSettings())
     private val peers = KtorPeerNetwork(self, FleetKey(settings.peers.key))
 
     private val config: ConfigWatcher = ConfigWatcher(store, peers, monotonic, random)
     private val membership: Membership =
         Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { heartbeat() }
-    private val seatClient: SeatClient = SeatClient(self, store, monotonic) { membership.hasEnded(it) }
+    private val seatClient: SeatClient =
+        SeatClient(self, store, monotonic, era = { store.era }, seatsOfOthers = ::seatsOfOthers) {
+            membership.hasEnded(it)
+        }
     private val budget =
         BudgetAgent(
             self,
@@ -147,7 +153,7 @@
             monotonic,
         )
     private val loadPoller = LoadPoller(upstream, membership, limiter, { config.current })
-    private val claims = ClaimRegistry(self, store, clock, monotonic)
+    private val claims: ClaimRegistry = ClaimRegistry(self, store, clock, monotonic, routers = ::claimingRouters)
     private val journal = RequestJournal(self, zone, peers, ::journalPeers, monotonic)
     private val runs = RunRegistry(self)
     private val bodyBuffer = RequestBodyBuffer(settings.buffers.bodies.bytes)
@@ -252,6 +258,7 @@
             claims.maintain()
             journal.maintain()
         }
+        maintenance.every(MAINTENANCE_INTERVAL, "restored claims") { claims.maintainRestored() }
         maintenance.every(MAINTENANCE_INTERVAL, "status") { statusReporter.maintain() }
     }
 
@@ -414,6 +421,24 @@
         }, { null })
     }
 
+    /** The seats that all other listed routers report; null while one that may run is not heard, or the list is unknown. */
+    private fun seatsOfOthers(): Set<Int>? {
+        val members = membership.members()
+        val heard = members.mapTo(HashSet()) { it.instance }
+        val isComplete = membership.hasDirectory && membership.otherListedRouters().all { it.instance in heard }
+        return if (isComplete) members.mapNotNullTo(HashSet()) { it.seat } else null
+    }
+
+    private fun claimingRouters(): Set<InstanceId>? =
+        if (membership.hasDirectory) {
+            membership.otherListedRouters().mapTo(
+                HashSet(),
+            ) { it.instance } + membership.members().map { it.instance } +
+                self.instance
+        } else {
+            null
+        }
+
     private fun budgetEvents() = BudgetListener { metrics.count(RouterMetrics.BUDGET_EVENTS, it.name) }
 
     private inner class MemberEvents : MembershipListener {
@@ -424,6 +449,16 @@
         override fun onIncarnationEnded(ended: Incarnation) = limiter.onIncarnationEnded(ended)
     }
 
+    private inner class EraEvents : EraListener {
+        override fun onEraChanged(
+            previous: Long,
+            current: Long,
+        ) {
+            LOGGER.warn("router: store.restored previousEra={} era={}", previous, current)
+            claims.onEraChanged(current)
+        }
+    }
+
     private inner class WithdrawalEvents : RolloutListener {
         override fun onWithdrawn(
             verdict: Verdict,
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformObjects.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformObjects.kt
@@ -5,7 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.TreeMap
 
-/** The objects of the platform stand-in; each write gets the next version of the whole store. */
+/** The objects of the platform stand-in; each write gets the next version of the whole store in its era. */
 class PlatformObjects {
     /** An object and the version of its last write. */
     data class Entry(
@@ -25,8 +25,35 @@
         ) : PutResult
     }
 
+    /** The objects at one time, to [restore] them later. */
+    private class Copy(
+        val objects: Map<String, Entry>,
+        val version: Long,
+    )
+
     private val objects = TreeMap<String, Entry>()
     private val version = MutableStateFlow(0L)
+    private var copy = Copy(emptyMap(), 0)
+
+    /** How often the store has been restored from an older copy. */
+    @Volatile
+    var era = 0L
+        private set
+
+    /** Makes the copy that the next [restore] uses; before the first one it is empty. */
+    fun copy() = synchronized(objects) { copy = Copy(objects.toMap(), version.value) }
+
+    /** Begins a new era with the objects of the copy; later objects are gone, and their versions are given out again. */
+    fun restore() =
+        synchronized(objects) {
+            era++
+            objects.clear()
+            objects.putAll(copy.objects)
+            version.value = copy.version
+        }
+
+    /** Returns the result of [operation] and the era in which it took place. */
+    fun <T> withEra(operation: PlatformObjects.() -> T): Pair<T, Long> = synchronized(objects) { operation() to era }
 
     fun get(key: String): Entry? = synchronized(objects) { objects[key] }
 
@@ -59,13 +86,12 @@
                 .sortedBy { it.version } to version.value
         }
 
-    /** Waits up to [waitMillis] for an object under [prefix] with a version above [after], then lists like [list]. */
-    suspend fun watch(
+    /** Waits up to [waitMillis] for an object under [prefix] with a version above [after]. */
+    suspend fun awaitChange(
         prefix: String,
         after: Long,
         waitMillis: Long,
-    ): Pair<List<Entry>, Long> {
+    ) {
         withTimeoutOrNull(waitMillis) { version.first { list(prefix, after).first.isNotEmpty() } }
-        return list(prefix, after)
     }
 }
--- a/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
+++ b/limpetfold-standins/src/main/kotlin/io/limpetfold/standins/PlatformStandin.kt
@@ -16,7 +16,12 @@
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
-/** A stand-in of the platform: object API, instance list, and faults set by `POST /admin/faults`. */
+/**
+ * A stand-in of the platform: object API, instance list, and faults set by `POST /admin/faults`.
+ *
+ * `POST /admin/copy` makes a copy of the objects, and `POST /admin/restore` begins a new era with it. Responses state the
+ * era of the store in `Limpetfold-Store-Era` from the first restore on.
+ */
 class PlatformStandin(
     settings: PlatformStandinSettings = PlatformStandinSettings(),
     time: TimeSource = TimeSource.Monotonic,
@@ -96,8 +101,9 @@
         exchange: HttpExchange,
         key: String,
     ) {
-        val found = objects.get(key) ?: return exchange.fail(404, "not_found", "no such object", "no")
-        exchange.respond(200, JSON_HEADERS.with("ETag", "\"${found.version}\""), found.value.encodeToByteArray())
+        val (stored, era) = objects.withEra { get(key) }
+        val found = stored ?: return exchange.fail(404, "not_found", "no such object", "no")
+        exchange.respond(200, versionHeaders(found.version).withEra(era), found.value.encodeToByteArray())
     }
 
     private suspend fun write(
@@ -114,14 +120,11 @@
         if ((match == null) == !mustNotExist) {
             return exchange.fail(428, "condition_required", "send If-Match or If-None-Match: *", "no")
         }
-        val written = objects.put(key, value, match ?: 0)
+        val (written, era) = objects.withEra { put(key, value, match ?: 0) }
         if (isResponseLost) return closeWithoutResponse(exchange)
         when (written) {
             is PlatformObjects.PutResult.Stored ->
-                exchange.respond(
-                    200,
-                    JSON_HEADERS.with("ETag", "\"${written.version}\""),
-                )
+                exchange.respond(200, versionHeaders(written.version).withEra(era))
             is PlatformObjects.PutResult.Conflict -> {
                 count("conflicts")
                 exchange.fail(
@@ -129,9 +132,7 @@
                     "conflict",
                     "the object has another version",
                     "no",
-                    Headers.of(
-                        "ETag" to "\"${written.current}\"",
-                    ),
+                    Headers.of("ETag" to "\"${written.current}\"").withEra(era),
                 )
             }
         }
@@ -146,15 +147,26 @@
                 ?.toLongOrNull()
                 ?.coerceAtMost(MAX_WAIT_MILLIS) ?: 0
         waitingWatches.incrementAndGet()
-        val (found, position) =
-            try {
-                exchange.cancelOnDisconnect { objects.watch(prefix, after, waitMillis) }
-            } finally {
-                waitingWatches.decrementAndGet()
-            }
-        exchange.respondJson(Page.serializer(), Page(found.map { PageObject(it.key, it.version, it.value) }, position))
+        try {
+            exchange.cancelOnDisconnect { objects.awaitChange(prefix, after, waitMillis) }
+        } finally {
+            waitingWatches.decrementAndGet()
+        }
+        val (listed, era) = objects.withEra { list(prefix, after) }
+        val (found, position) = listed
+        val page = Page(found.map { PageObject(it.key, it.version, it.value) }, position)
+        exchange.respond(
+            200,
+            JSON_HEADERS.withEra(era),
+            JSON.encodeToString(Page.serializer(), page).encodeToByteArray(),
+        )
     }
 
+    private fun versionHeaders(version: Long) = JSON_HEADERS.with("ETag", "\"$version\"")
+
+    private fun Headers.withEra(era: Long): Headers =
+        if (era == 0L) this else with("Limpetfold-Store-Era", era.toString())
+
     private suspend fun admin(exchange: HttpExchange) {
         val path = "${exchange.head.method} ${exchange.head.path}"
         val body = exchange.readBody(MAX_VALUE_BYTES).decodeToString()
@@ -166,6 +178,8 @@
                         JSON.decodeFromString(ListSerializer(ListedInstance.serializer()), body),
                     )
                 "POST /admin/lag" -> instances.lagMillis = JSON.decodeFromString(Lag.serializer(), body).listLagMillis
+                "POST /admin/copy" -> objects.copy()
+                "POST /admin/restore" -> objects.restore()
                 "GET /admin/stats" -> Unit
                 else -> return exchange.fail(404, "not_found", "no such path", "no")
             }
--- a/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
+++ b/limpetfold-standins/src/test/kotlin/io/limpetfold/standins/StandinsTest.kt
@@ -147,6 +147,31 @@
             }
         }
 
+        test("guards against a restore of the platform that keeps later objects, versions or the era") {
+            serve(PlatformStandin()) {
+                call(
+                    "PUT",
+                    "/v1/objects/a/b",
+                    "1",
+                    "If-None-Match" to "*",
+                ).get()!!.headers["Limpetfold-Store-Era"] shouldBe
+                    null
+                call("POST", "/admin/copy")
+                call("PUT", "/v1/objects/a/b", "2", "If-Match" to "\"1\"")
+                call("PUT", "/v1/objects/a/c", "3", "If-None-Match" to "*")
+                call("POST", "/admin/restore")
+                call("GET", "/v1/objects/a/c").get()?.status shouldBe 404
+                val restored = call("GET", "/v1/objects/a/b").get()!!
+                listOf(restored.body, restored.headers["ETag"], restored.headers["Limpetfold-Store-Era"]) shouldBe
+                    listOf("1", "\"1\"", "1")
+                val written = call("PUT", "/v1/objects/a/c", "4", "If-None-Match" to "*").get()!!
+                listOf(written.headers["ETag"], written.headers["Limpetfold-Store-Era"]) shouldBe listOf("\"2\"", "1")
+                val listed = call("GET", "/v1/objects?prefix=a/").get()!!
+                listed.headers["Limpetfold-Store-Era"] shouldBe "1"
+                listed.body shouldContain "\"position\":2"
+            }
+        }
+
         test("the engine streams, resumes, reports the usage of what it generated, and cancels") {
             val engine = EngineStandin(EngineStandinSettings(tokenMillis = 1.0, extraTokens = 2))
             serve(engine) {
