rollout: outcomes and grants of moves that a restore of the store takes back

Cause: an older copy of a move in a later era replaced the known one: a rollback was undone, an earlier move came back, and grants that routers had received were free to be given out again. A write of Completed checked the content only, which an older copy can equal. Change: a router keeps a known outcome and the later move. The controller writes such an outcome again. A router reports lost grants, and the controller then rolls the move back (reason store-restored). Completed is written only over the version to which the routers agreed. The check of the version at Completed has no test of its own.

--- a/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveLine.kt
+++ b/limpetfold-ctl/src/main/kotlin/io/limpetfold/ctl/move/MoveLine.kt
@@ -80,6 +80,7 @@
                 is TakeBackReason.NoProgress -> "only ${reason.outcomes} outcomes"
                 is TakeBackReason.TooLate -> "too late, not heard: ${reason.unheard.joinToString(",")}"
                 TakeBackReason.DeadlinePassed -> "deadline passed"
+                TakeBackReason.StoreRestored -> "grants lost in a restore of the store"
                 is TakeBackReason.Operator -> "by operator ${reason.name}"
             }
     }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -12,6 +12,7 @@
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectStore
+import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
 import io.limpetfold.store.Versioned
@@ -44,6 +45,11 @@
  * - Response to the write of `Completed` lost: [TypedObject] reads the object again; if that fails too, the next round
  *   or the successor reads it. The write is sent early enough to take effect before its limit, and it is never retried
  *   after the limit.
+ * - Store restored from an older copy: an outcome that this router knows is written again. A running move of which any
+ *   router reports lost grants is rolled back, because the sum of the grants no longer bounds its exposure. A move whose
+ *   start is missing from the copy ends at its deadline on the routers that know it.
+ * - Not covered: a restore that takes back grants, while each router that received them is cut off from the controller
+ *   and all others have been restarted; the allotment can then be exceeded by those grants.
  * - Not covered: a pause longer than [MovePlan.WRITE_BOUND] between the last check and the sending of `Completed`,
  *   while no successor writes its token into the move. The write then takes effect late, and routers that switched to
  *   the old version at the deadline switch to the new one.
@@ -79,7 +85,7 @@
                 success = { it },
                 failure = { return listener.onError(it) },
             )
-        if (moves.isEmpty()) return
+        if (restoreOutcomes(moves, fencing) || moves.isEmpty()) return
         readDirectory()
         val responders = collectReports(moves, completing = emptySet())
         val records = moves.mapNotNull { it.value }
@@ -94,6 +100,34 @@
         if (hasChanged) MoveCommands.readMoves(store).get()?.let { collectReports(it, completing = emptySet()) }
     }
 
+    /**
+     * Writes outcomes that this router knows again if a restore of the store took them back; returns whether there are
+     * any.
+     */
+    private suspend fun restoreOutcomes(
+        moves: List<Versioned<MoveRecord>>,
+        fencing: FencingToken,
+    ): Boolean {
+        val stored = moves.mapNotNull { it.value }.associateBy { it.route }
+        val lost =
+            localSelector.moves().filter { known ->
+                known.phase.isFinal && stored[known.route].let { it == null || known.wasTakenBackTo(it) }
+            }
+        for (known in lost) {
+            val next = known.copy(fencing = fencing)
+            TypedObject(store, MoveRecord.key(known.route), MoveRecord.serializer())
+                .update(isApplied = { it == next }) { current ->
+                    val isLost = current == null || known.wasTakenBackTo(current)
+                    val isHeld = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
+                    if (isLost && isHeld) Change.Write(next) else Change.Refuse(Unit)
+                }.fold(
+                    success = { listener.onMoveWritten(next) },
+                    failure = { error -> if (error is UpdateError.Failed) listener.onError(error.error) },
+                )
+        }
+        return lost.isNotEmpty()
+    }
+
     private suspend fun advance(
         move: Versioned<MoveRecord>,
         record: MoveRecord,
@@ -117,7 +151,7 @@
             is MoveDecision.Write -> write(record, decision.next)
             MoveDecision.Complete ->
                 hasAgreement(move, record) &&
-                    write(record, record.copy(phase = MovePhase.Completed))
+                    write(record, record.copy(phase = MovePhase.Completed), move.version)
         }
     }
 
@@ -157,6 +191,7 @@
     private suspend fun write(
         expected: MoveRecord,
         changed: MoveRecord,
+        agreedVersion: ObjectVersion? = null,
     ): Boolean {
         val fencing = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) ?: return false
         // A later holder has changed the move.
@@ -169,14 +204,19 @@
                 changedAtMillis = if (isPhaseNew) clock.millis() else changed.changedAtMillis,
             )
         val updated =
-            TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).update(isApplied = {
-                it == next
-            }) { current ->
+            TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).updateVersioned(isApplied = {
+                it.value == next
+            }) { (current, version) ->
                 // The change may be retried after a delay, so limit and lease are checked on each attempt.
                 val isTooLate =
                     isPhaseNew && next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
+                // After a restore, equal content at another version says nothing about the agreement of the routers.
+                val isAgreed = agreedVersion == null || version == agreedVersion
                 val isAllowed =
-                    current == expected && !isTooLate && lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
+                    current == expected &&
+                        isAgreed &&
+                        !isTooLate &&
+                        lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
                 if (isAllowed) Change.Write(next) else Change.Refuse(Unit)
             }
         return updated.fold(
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveDecider.kt
@@ -50,6 +50,7 @@
     ): TakeBackReason? {
         view.verdict?.let { return TakeBackReason.RouterVerdict(it) }
         view.finding?.let { return TakeBackReason.Evidence(it) }
+        if (view.hasLostGrants) return TakeBackReason.StoreRestored
         if (view.nowMillis >= record.deadlineMillis) return TakeBackReason.DeadlinePassed
         if (view.nowMillis < record.completionLimitMillis) return null
         if (view.outcomes < record.plan.minOutcomes) return TakeBackReason.NoProgress(view.outcomes)
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
@@ -70,6 +70,13 @@
     /** When the move ended; without a final phase, its deadline. */
     val endedAtMillis: Long get() = if (phase.isFinal) changedAtMillis else deadlineMillis
 
+    /**
+     * Whether a restore of the store took this record back, if it holds [stored] now: an earlier move of the route, or
+     * this one before its end.
+     */
+    fun wasTakenBackTo(stored: MoveRecord): Boolean =
+        if (id == stored.id) phase.isFinal && !stored.phase.isFinal else startedAtMillis > stored.startedAtMillis
+
     /** Returns the cumulative number of requests that [router] may send to the new version. */
     fun granted(router: Incarnation): Long = grants[router.key] ?: 0
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveView.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveView.kt
@@ -18,6 +18,9 @@
     /** The verdict of any router; null if there is none. */
     val verdict: Verdict? get() = reports.values.firstNotNullOfOrNull { it.verdict }
 
+    /** Whether the grants in the record are less than what routers have received, so that their sum bounds nothing. */
+    val hasLostGrants: Boolean get() = reports.values.any { it.hasLostGrants }
+
     /** Outcomes of the new version in all steps. */
     val outcomes: Long get() = reports.values.sumOf { it.outcomesByStep.sum() }
 
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -64,6 +64,7 @@
  * @property requestsPerSecond recent demand on the route.
  * @property outcomesByStep outcomes of the new version per step.
  * @property guard outcomes and evidence that this router has recorded of both versions.
+ * @property hasLostGrants whether a restore of the store took back grants that the router had received.
  * @property hasAgreed whether the router agrees to complete the move at [version].
  */
 @Serializable
@@ -78,4 +79,5 @@
     val guard: GuardReport,
     val verdict: Verdict? = null,
     val hasAgreed: Boolean = false,
+    val hasLostGrants: Boolean = false,
 )
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -23,6 +23,9 @@
     /** The object version at which this router agreed to complete the move; a newer version voids the agreement. */
     var agreedVersion: ObjectVersion? = null
 
+    /** Whether a restore of the store took back grants that this router had received. */
+    private var hasLostGrants = false
+
     private val outcomes = LongArray(snapshot.record.plan.steps.size)
     private var newSuccessCount = 0L
     private var usedRequests = 0L
@@ -34,6 +37,9 @@
     val hasAgreed: Boolean get() = agreedVersion == snapshot.version
 
     fun applySnapshot(newer: MoveSnapshot) {
+        hasLostGrants =
+            hasLostGrants ||
+            record.grants.any { (router, count) -> (newer.record.grants[router] ?: 0) < count }
         snapshot = newer
     }
 
@@ -103,6 +109,7 @@
         guard = guard.report,
         verdict = verdict,
         hasAgreed = hasAgreed && verdict == null,
+        hasLostGrants = hasLostGrants,
     )
 
     private companion object {
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/TakeBackReason.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/TakeBackReason.kt
@@ -44,6 +44,11 @@
     @SerialName("deadline-passed")
     data object DeadlinePassed : TakeBackReason
 
+    /** The store was restored from an older copy, so grants are missing from the move object. */
+    @Serializable
+    @SerialName("store-restored")
+    data object StoreRestored : TakeBackReason
+
     /** The operator [name] took the move back. */
     @Serializable
     @SerialName("operator")
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
@@ -25,7 +25,8 @@
 /**
  * Chooses the version of each request on one router, and compares the versions of each running move.
  *
- * The newest object version of a move wins, whether it came from the platform, the controller or a peer.
+ * The newest object version of a move wins, whether it came from the platform, the controller or a peer. After a restore
+ * of the store, a known outcome is kept although the older copy lacks it, and an earlier move does not replace a later one.
  *
  * - Exposure: a request goes to the new version only while this incarnation's grant in the move object is not used up.
  *   Grants are cumulative and their sum never exceeds the allotment in any version of the object, so the bound depends
@@ -255,6 +256,9 @@
                 val known = routes[route]
                 when {
                     known != null && known.snapshot.version >= snapshot.version -> return
+                    known != null &&
+                        known.snapshot.version.era < snapshot.version.era &&
+                        known.record.wasTakenBackTo(snapshot.record) -> return
                     known != null && known.record.id == snapshot.record.id -> known.applySnapshot(snapshot)
                     else -> {
                         routes[route] = RouteMove(snapshot, baselines.remove(route) ?: RouteBaseline(), monotonic)
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/VersionSelectorTest.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.rollout
 
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.get
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -8,12 +9,14 @@
 import io.limpetfold.core.RequestId
 import io.limpetfold.core.RouteId
 import io.limpetfold.core.VersionId
+import io.limpetfold.lease.LeaseClient
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.PeerFault
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
+import kotlinx.collections.immutable.persistentListOf
 import java.time.Duration
 
 class VersionSelectorTest :
@@ -62,6 +65,78 @@
                 }
         }
 
+        test("guards against a restore of the store that undoes a known outcome or hides lost grants") {
+            val fleet = Fleet()
+            val running = fleet.start()
+            val fewer = MoveSnapshot(running.record.copy(grants = mapOf("r0@1" to 4L)), ObjectVersion.of(1, era = 1))
+            val report =
+                fleet.routers[0]
+                    .handleReportQuery(ReportQuery(listOf(fewer)))
+                    .moves
+                    .single()
+            report.hasLostGrants shouldBe true
+            val view = MoveView(fleet.clock.millis(), mapOf(Incarnation(InstanceId("r0"), 1) to report), emptySet())
+            MoveDecider.decide(fewer.record, view) shouldBe
+                MoveDecision.Write(fewer.record.copy(phase = MovePhase.TakenBack(TakeBackReason.StoreRestored)))
+
+            val ended = running.record.copy(phase = MovePhase.TakenBack(TakeBackReason.Operator("ana")))
+            val router = fleet.routers[1]
+            router.handleReportQuery(ReportQuery(listOf(MoveSnapshot(ended, ObjectVersion.of(9)))))
+            val earlier = running.record.copy(id = MoveId("l"), startedAtMillis = ended.startedAtMillis - 1)
+            for ((revision, restored) in listOf(running.record, earlier).withIndex()) {
+                val snapshot = MoveSnapshot(restored, ObjectVersion.of(revision + 1L, era = 1))
+                router.handleReportQuery(ReportQuery(listOf(snapshot)))
+                router.moves() shouldBe listOf(ended)
+            }
+            val later = running.record.copy(id = MoveId("n"), startedAtMillis = ended.startedAtMillis + 1)
+            router.handleReportQuery(ReportQuery(listOf(MoveSnapshot(later, ObjectVersion.of(3, era = 1)))))
+            router.moves() shouldBe listOf(later)
+        }
+
+        test("a controller writes an outcome again that a restore of the store took back") {
+            val fleet = Fleet()
+            val copies = mutableListOf(fleet.store.copy())
+            val commands = MoveCommands(fleet.store, fleet.clock)
+            commands.start(
+                MoveRequest(
+                    MoveId("m"),
+                    route,
+                    old,
+                    new,
+                    "ana",
+                    fleet.clock.instant() + Duration.ofMinutes(5),
+                ),
+            )
+            copies += fleet.store.copy()
+            commands.takeBack(route, MoveId("m"), "ana")
+            val ended = commands.read(route).get()
+            val selector = fleet.routers[0]
+            selector.maintain()
+            for (copy in copies) {
+                fleet.store.restore(copy)
+                val self = Incarnation(InstanceId("r0"), 1)
+                val lease = LeaseClient(fleet.store, self, fleet.clock.monotonic)
+                val controller =
+                    MoveController(
+                        fleet.store,
+                        lease,
+                        selector,
+                        fleet.hub.join(self),
+                        { Ok(persistentListOf()) },
+                        { _, _ -> Ok(Unit) },
+                        fleet.clock,
+                        fleet.clock.monotonic,
+                    )
+                repeat(20) {
+                    fleet.clock.advance(Duration.ofSeconds(1))
+                    lease.maintain()
+                    selector.maintain()
+                    controller.maintain()
+                }
+                commands.read(route).get()?.phase shouldBe ended?.phase
+            }
+        }
+
         test(
             "a configuration published after the end of a move replaces its outcome, and one published before does not",
         ) {
