gateway: list the gauge of the era in the test of the metrics page

Cause: GatewayMetricsPageTest compares the page with the gauges that it lists itself, and failed on limpetfold_store_era of the page. Change: the list has the gauge; the comparison is as strict as before.

--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/observe/GatewayMetricsPageTest.kt
@@ -43,6 +43,7 @@
                 "limpetfold_buffered_bytes",
                 "limpetfold_request_body_bytes",
                 "limpetfold_config_version",
+                "limpetfold_store_era",
                 "limpetfold_routers_heard",
             )
 
