--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 
 /** Synchronises, refills and evicts accounts in the background, and returns their idle tokens. */
 internal class AccountMaintenance(
@@ -16,6 +17,7 @@
     private val refills: AccountRefill,
     private val predecessorSpendLookup: PredecessorSpendLookup,
     private val listener: BudgetListener,
+    private val random: Random,
     private val nowMillis: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
@@ -24,11 +26,42 @@
     /** Evicted accounts whose ledger entry is not closed yet. */
     val closingSlots: MutableSet<AccountSlot> = ConcurrentHashMap.newKeySet()
 
+    /** Evicted accounts whose entry was closed lately; a restore of the store can undo the close. */
+    private val closedSlots = ArrayDeque<AccountSlot>()
+
+    /** Accounts to confirm after a restore of the store. */
+    private val unconfirmedSlots: MutableSet<AccountSlot> = ConcurrentHashMap.newKeySet()
+
     /** The number of accounts evicted so far; it makes the holder number of the next account unique. */
     val evictedCount: Long get() = evictionCounter.get()
 
-    /** Calls the platform for at most [count] workspaces, the least recently synchronised ones first. */
-    suspend fun maintain(count: Int) {
+    /** Makes all accounts confirm their totals, also those that were closed lately. */
+    fun onStoreRestored() {
+        reopenClosed { true }
+        unconfirmedSlots += slots.values.filter { slot -> slot.locked { mayHaveLedgerEntry } }
+        unconfirmedSlots += closingSlots
+    }
+
+    /** Makes the accounts of [workspace] that were closed lately close their entries again. */
+    fun reopenClosed(workspace: WorkspaceId) = reopenClosed { it.workspace == workspace }
+
+    private fun reopenClosed(isSelected: (AccountSlot) -> Boolean) {
+        val selected =
+            synchronized(closedSlots) { closedSlots.filter(isSelected).also { closedSlots.removeAll(it.toSet()) } }
+        selected.forEach { slot -> slot.change { it.closingAgain() } }
+        closingSlots += selected
+        unconfirmedSlots += selected
+    }
+
+    /**
+     * Calls the platform for at most [count] workspaces, the least recently synchronised ones first; after a restore of
+     * the store for [confirmationCount] workspaces in random order, until all are confirmed.
+     */
+    suspend fun maintain(
+        count: Int,
+        confirmationCount: Int,
+    ) {
+        if (unconfirmedSlots.isNotEmpty()) return confirm(confirmationCount)
         val now = nowMillis()
         val due =
             (slots.values + closingSlots)
@@ -38,6 +71,15 @@
         due.forEach { (slot, _) -> if (slot in closingSlots) closeEvicted(slot) else maintain(slot) }
     }
 
+    private suspend fun confirm(count: Int) {
+        val selected = synchronized(random) { unconfirmedSlots.shuffled(random) }.take(count)
+        for (slot in selected) {
+            if (slot in closingSlots) closeEvicted(slot) else ledgerSync.synchronise(slot) { _, _ -> 0 }
+            if (ledgerSync.isPlatformInBackoff) return
+            unconfirmedSlots -= slot
+        }
+    }
+
     private suspend fun maintain(slot: AccountSlot) {
         val outcome =
             ledgerSync.synchronise(slot, isStaleResultAllowed = true) { account, balance ->
@@ -87,7 +129,15 @@
     private suspend fun closeEvicted(slot: AccountSlot) {
         slot.locked { syncedAtMillis = nowMillis() }
         val error = ledgerSync.close(slot)
-        if (error == null) closingSlots -= slot else ledgerSync.recordUnavailable(slot, error.message)
+        if (error == null) keepClosed(slot) else ledgerSync.recordUnavailable(slot, error.message)
+    }
+
+    private fun keepClosed(slot: AccountSlot) {
+        closingSlots -= slot
+        synchronized(closedSlots) {
+            closedSlots.addLast(slot)
+            if (closedSlots.size > MAX_CLOSED_SLOTS) closedSlots.removeFirst()
+        }
     }
 
     /**
@@ -112,4 +162,9 @@
             return
         }
     }
+
+    private companion object {
+        /** More than one process evicts within the age of a copy of the store. */
+        const val MAX_CLOSED_SLOTS = 256
+    }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
@@ -89,9 +89,9 @@
             }
         val failure =
             knownFailure
-                ?: ledgerSync.synchronise(
-                    slot,
-                ) { account, balance -> grantFor(slot, tokens, account, balance) }
+                ?: withheldFailure(
+                    ledgerSync.synchronise(slot) { account, balance -> grantFor(slot, tokens, account, balance) },
+                )
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
         // Concurrent callers may have reserved the grant already. The budget is not insufficient then.
@@ -103,6 +103,14 @@
         return if (failure is RefillFailure.Insufficient) failure.copy(neededTokens = tokens) else failure
     }
 
+    /** The budget is not insufficient while the tokens of a restored ledger are withheld. */
+    private fun withheldFailure(failure: RefillFailure?): RefillFailure? =
+        if (failure is RefillFailure.Insufficient && failure.balance.isRecovering) {
+            RefillFailure.Unavailable("tokens are withheld until all routers have confirmed theirs to the restored store")
+        } else {
+            failure
+        }
+
     /**
      * The tokens to request from the platform: enough for all waiting callers where the free tokens cover them, else
      * for [tokens].
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -2,6 +2,7 @@
 
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.WorkspaceId
+import io.limpetfold.store.ObjectVersion
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CompletableDeferred
@@ -56,6 +57,18 @@
     /** Earlier incarnations of this instance that have an open entry in the ledger as last seen. */
     var predecessors: ImmutableList<Incarnation> = persistentListOf()
 
+    /** [BudgetLedger.reconciledAt] of the last recovery of the ledger that was seen. */
+    var recoverySeen = ObjectVersion.NONE
+        private set
+
+    /** When the recovery [recoverySeen] was first seen. */
+    var recoverySeenAtMillis = 0L
+        private set
+
+    /** Whether the ledger was in recovery as last seen. */
+    var isRecovering = false
+        private set
+
     /** Whether a write, possibly one with an unknown outcome, may have created the entry in the ledger. */
     var mayHaveLedgerEntry = false
 
@@ -71,6 +84,28 @@
         return after
     }
 
+    /** Notes whether [ledger] is in recovery; returns whether a recovery was seen for the first time. */
+    fun observeRecovery(
+        ledger: BudgetLedger,
+        nowMillis: Long,
+    ): Boolean {
+        val (isNew, isEnded) =
+            synchronized(this) {
+                val isNew = ledger.isRecovering && recoverySeen != ledger.reconciledAt
+                val isEnded = isRecovering && !ledger.isRecovering
+                if (isNew) {
+                    recoverySeen = ledger.reconciledAt
+                    recoverySeenAtMillis = nowMillis
+                }
+                isRecovering = ledger.isRecovering
+                if (isEnded) retryAtMillis = nowMillis
+                isNew to isEnded
+            }
+        // Callers that wait for the withheld tokens try again.
+        if (isEnded) changeCount.update { it + 1 }
+        return isNew
+    }
+
     /** Raises the caller count; returns false when the account was evicted before. */
     fun enter(nowMillis: Long): Boolean =
         locked {
@@ -140,7 +175,7 @@
         val isDue = isEvicted || (account.state == AccountState.OPEN && (mayHaveLedgerEntry || isEvictable(nowMillis)))
         if (isDue && syncedAtMillis <= nowMillis - policy.reportInterval.toMillis()) return syncedAtMillis
         val isRefillDue =
-            (isLow(nowMillis) || excessTokens(nowMillis) > 0) &&
+            (isLow(nowMillis) || excessTokens(nowMillis) > 0 || (isRecovering && account.sequence > 0)) &&
                 syncedAtMillis <= nowMillis - policy.refillInterval.toMillis()
         return if (isRefillDue) syncedAtMillis else null
     }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -39,6 +39,8 @@
  * @param paidTotalOf the paid total of a workspace where the configuration sets it; null where top-ups do.
  * @param predecessorSpendLookup finds the spend of earlier incarnations of the instance, with which their entries are closed.
  * They have ended, because a new process of the instance binds the same address.
+ * @param confirmationsPerRound the maximum number of accounts that one round of maintenance confirms after a restore of
+ * the store; the tokens that nobody holds are withheld until all routers have confirmed their accounts.
  */
 class BudgetAgent(
     private val self: Incarnation,
@@ -51,6 +53,7 @@
     private val maxWorkspacesPerRound: Int = 1,
     predecessorSpendLookup: PredecessorSpendLookup = PredecessorSpendLookup.NONE,
     paidTotalOf: (WorkspaceId) -> PaidTotal? = { null },
+    private val confirmationsPerRound: () -> Int = { maxWorkspacesPerRound },
 ) {
     private val start = timeSource.markNow()
     private val slots = ConcurrentHashMap<WorkspaceId, AccountSlot>()
@@ -58,11 +61,12 @@
     @Volatile
     private var isClosed = false
 
-    private val ledgerSync = LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis)
+    private val ledgerSync =
+        LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis) { reopenClosed(it) }
     private val transfers = PeerTransfers(self, peers, random, listener) { slots[it] }
     private val refills = AccountRefill(ledgerSync, transfers, ::nowMillis)
     private val maintenance =
-        AccountMaintenance(slots, store, ledgerSync, refills, predecessorSpendLookup, listener, ::nowMillis)
+        AccountMaintenance(slots, store, ledgerSync, refills, predecessorSpendLookup, listener, random, ::nowMillis)
 
     init {
         require(maxWorkspacesPerRound > 0) { "maxWorkspacesPerRound must be positive" }
@@ -193,6 +197,20 @@
      */
     fun requestLedgerSync() = slots.values.forEach { slot -> slot.locked { syncedAtMillis = NEVER_MILLIS } }
 
+    /**
+     * Ends all backoffs and makes the confirmation of all accounts due, also of those that were closed lately. To be
+     * called when the platform's store was restored from an older copy; does not block.
+     */
+    fun onStoreRestored() {
+        resetPlatformBackoff()
+        requestLedgerSync()
+        maintenance.onStoreRestored()
+    }
+
+    private fun reopenClosed(workspace: WorkspaceId) {
+        maintenance.reopenClosed(workspace)
+    }
+
     /**
      * Synchronises at most `maxWorkspacesPerRound` accounts with their ledgers, the least recently synchronised ones
      * first.
@@ -203,7 +221,7 @@
      */
     suspend fun maintain() {
         if (isClosed) return
-        maintenance.maintain(maxWorkspacesPerRound)
+        maintenance.maintain(maxWorkspacesPerRound, confirmationsPerRound())
     }
 
     /**
@@ -308,7 +326,9 @@
             // a wait.
             if (failure == null && immediateRetries++ < MAX_IMMEDIATE_RETRIES) continue
             if (remainingMillis <= 0) return refused(refusal(slot, tokens, failure))
-            val waitMillis = minOf(remainingMillis, maxOf(1, slot.locked { retryAtMillis } - nowMillis()))
+            // Without a failure there is no time of the next attempt, and without a wait the attempts would be endless.
+            val minWaitMillis = if (failure == null) slot.policy.retryDelay.toMillis() else 1
+            val waitMillis = minOf(remainingMillis, maxOf(minWaitMillis, slot.locked { retryAtMillis } - nowMillis()))
             if (withTimeoutOrNull(waitMillis) { slot.changes.first { it != seenChanges } } == null) {
                 remainingMillis -= waitMillis
             }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetEvent.kt
@@ -21,6 +21,7 @@
                 is LoanWrittenOff -> "loan_written_off"
                 is LoanReleased -> "loan_released"
                 is PredecessorClosed -> "predecessor_closed"
+                is HoldingConfirmed -> "holding_confirmed"
                 is Refused -> "refused"
             }
 
@@ -85,6 +86,20 @@
         val holder: Incarnation,
     ) : BudgetEvent
 
+    /**
+     * A ledger has the totals of this router's account again, after the store was restored from an older copy.
+     *
+     * @property era the era of the store.
+     * @property heldTokens the tokens that the account has got less those sent and returned, spent ones included.
+     * @property withheldTokens the tokens that are not granted until all holders have confirmed their totals.
+     */
+    data class HoldingConfirmed(
+        override val workspace: WorkspaceId,
+        val era: Long,
+        val heldTokens: Long,
+        val withheldTokens: Long,
+    ) : BudgetEvent
+
     /** A reservation was refused. */
     data class Refused(
         val refusal: BudgetRefusal,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.limpetfold.core.Incarnation
+import io.limpetfold.store.ObjectVersion
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
@@ -32,6 +33,15 @@
  * @property endCount the number of holders that were ended by a reclaim.
  * @property writtenOffTokens the part of [settledTokens] that was granted to holders that ended without a report, so
  * that nobody knows how much of it they spent.
+ * @property reconciledAt the version of the restored ledger at which its recovery began; [ObjectVersion.NONE] before
+ * the first restore of the store. It identifies the recovery, because a write of an earlier era that arrives late can
+ * make another one necessary.
+ * @property isRecovering whether some holders may not have confirmed their totals since a restore of the store. Nothing
+ * is granted then.
+ * @property isWithheldLost whether a holder without a report was ended during the recovery, so that nobody knows how
+ * many of the [withheldTokens] it got.
+ * @property closedHolders the last [MAX_CLOSED_HOLDERS] holders whose entries were removed, with their number of
+ * removal. After a restore they tell whether the close of a missing holder is recorded in this ledger.
  */
 @Serializable
 data class BudgetLedger(
@@ -47,9 +57,19 @@
     val endCount: Long = 0,
     val paidVersion: Long = 0,
     val writtenOffTokens: Long = 0,
+    val reconciledAt: ObjectVersion = ObjectVersion.NONE,
+    val isRecovering: Boolean = false,
+    val isWithheldLost: Boolean = false,
+    @Serializable(with = PersistentMapSerializer::class)
+    val closedHolders: PersistentMap<String, Long> = persistentMapOf(),
 ) {
-    /** Tokens paid and neither settled nor granted. */
-    val freeTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
+    /** Tokens paid and neither settled nor granted, less [withheldTokens]. */
+    val freeTokens: Long get() = ungrantedTokens - withheldTokens
+
+    /** Tokens that lost writes may have granted, and payments since the restore. */
+    val withheldTokens: Long get() = if (isRecovering) maxOf(0, ungrantedTokens) else 0
+
+    private val ungrantedTokens: Long get() = paidTokens - settledTokens - holders.values.sumOf { it.grantedTokens }
 
     /** Tokens paid and not reported as spent. */
     val unspentTokens: Long get() =
@@ -65,6 +85,8 @@
             unspentTokens,
             writtenOffTokens,
             others.sumOf { it.demandTokensPerSecond },
+            withheldTokens,
+            isRecovering,
         )
     }
 
@@ -104,18 +126,18 @@
     ): Result<BudgetLedger, LedgerRefusal> {
         val key = holder.key
         val present = holders[key]
-        if (present?.isEnded == true ||
-            (present == null && update.knownSequence > 0)
-        ) {
+        val isUnconfirmed = needsConfirmation(key, update.knownSequence, update.seenReconciledAt)
+        if (present?.isEnded == true || (present == null && update.knownSequence > 0 && !isUnconfirmed)) {
             return Err(LedgerRefusal.HolderEnded(key))
         }
-        if (present != null && present.sequence != update.knownSequence) return Ok(this)
         if (present == null && holders.size >= MAX_HOLDERS) return Err(LedgerRefusal.TooManyHolders)
-        val entry = present ?: HolderEntry(confirmedEnds = endCount)
+        if (isUnconfirmed) return Ok(confirmed(key, update).recoveredIf(update.mayEndRecovery))
+        if (present != null && present.sequence != update.knownSequence) return Ok(this)
+        val entry = present ?: HolderEntry(confirmedEnds = endCount, confirmedAt = reconciledAt)
         val reported =
             copy(holders = holders.put(key, entry)).recorded(key, update).withEntryChanged(key) {
                 it.copy(reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens))
-            }
+            }.recoveredIf(update.mayEndRecovery)
         val grant = grantSize(reported.balanceFor(key)).coerceIn(0, maxOf(0, reported.freeTokens))
         val next =
             reported.withEntryChanged(key) {
@@ -129,10 +151,27 @@
         )
     }
 
-    /** Closes the entry of [holder] at its own request: its spend is settled and the remainder becomes free. */
+    private fun recoveredIf(mayEndRecovery: Boolean): BudgetLedger =
+        if (mayEndRecovery) recoveredIfConfirmed() else this
+
+    /**
+     * Closes the entry of [holder] at its own request: its spend is settled and the remainder becomes free.
+     *
+     * An entry that a restore of the store has lost is settled too, unless [closedHolders] has it.
+     */
     fun close(
         holder: Incarnation,
         update: HolderUpdate,
+    ): BudgetLedger =
+        if (needsConfirmation(holder.key, update.knownSequence, update.seenReconciledAt)) {
+            confirmed(holder.key, update).closeConfirmed(holder, update)
+        } else {
+            closeConfirmed(holder, update)
+        }
+
+    private fun closeConfirmed(
+        holder: Incarnation,
+        update: HolderUpdate,
     ): BudgetLedger {
         val entry = holders[holder.key]
         if (entry == null || entry.isEnded) return this
@@ -149,8 +188,9 @@
                 }.toPersistentMap()
         val recorded = recorded(holder.key, update.copy(sentTokens = sent))
         return recorded
-            .copy(settledTokens = settledTokens + update.spentTokens, holders = recorded.holders.remove(holder.key))
+            .copy(settledTokens = recorded.settledTokens + update.spentTokens, holders = recorded.holders.remove(holder.key))
             .withNegativeRemainder(holder.key, recorded.holders.getValue(holder.key).grantedTokens - update.spentTokens)
+            .withClosedHolders(setOf(holder.key))
             .normalised()
     }
 
@@ -159,7 +199,8 @@
      * [replicatedSpentTokens]. The remainder is freed when every open holder has confirmed its transfers with [holder].
      *
      * With [PredecessorSpendLookup.WHOLE_GRANT] nothing is freed, and transfers to [holder] that are recorded later
-     * count as spent too.
+     * count as spent too. During a recovery the tokens that are withheld at its end are then written off as well, if
+     * [holder] has not confirmed its totals: the lost writes can have granted it no more than these.
      */
     fun reclaim(
         holder: Incarnation,
@@ -183,10 +224,19 @@
                 writtenOffTokens = writtenOffTokens + if (isWrittenOff) spentTokens - entry.reportedSpentTokens else 0,
                 holders = holders.put(holder.key, ended),
                 endCount = endCount + 1,
+                isWithheldLost = isWithheldLost || (isWrittenOff && entry.confirmedAt != reconciledAt),
             ).normalised(),
         )
     }
 
+    private fun withClosedHolders(keys: Set<String>): BudgetLedger {
+        if (keys.isEmpty()) return this
+        val number = (closedHolders.values.maxOrNull() ?: 0) + 1
+        val added = closedHolders.putAll(keys.associateWith { number })
+        val kept = added.entries.sortedByDescending { it.value }.take(MAX_CLOSED_HOLDERS)
+        return copy(closedHolders = kept.associate { it.key to it.value }.toPersistentMap())
+    }
+
     private fun recorded(
         key: String,
         update: HolderUpdate,
@@ -194,16 +244,19 @@
         var next = this
         update.receivedTokens.forEach { (sender, total) -> next = next.withTransferTotal(sender, key, total) }
         update.sentTokens.forEach { (receiver, total) -> next = next.withTransferTotal(key, receiver, total) }
+        // End numbers are given out again after a restore.
+        val seenEnds = if (update.seenReconciledAt == reconciledAt) update.confirmedEnds else 0
         next =
             next.withEntryChanged(key) {
                 val differenceTokens = maxOf(0, update.returnedTokens - it.returnedTokens)
                 it.copy(
                     grantedTokens = it.grantedTokens - differenceTokens,
                     returnedTokens = it.returnedTokens + differenceTokens,
-                    confirmedEnds = maxOf(it.confirmedEnds, update.confirmedEnds),
+                    confirmedEnds = maxOf(it.confirmedEnds, seenEnds),
                 )
             }
-        val closed = update.closedPeers.filter { it !in next.holders }
+        // A peer that has no entry during a recovery may still confirm its totals.
+        val closed = if (isRecovering) emptyList() else update.closedPeers.filter { it !in next.holders }
         val kept =
             closed.fold(
                 next.transfers,
@@ -216,15 +269,19 @@
      *
      * A sender without an entry recorded its final totals when it closed the entry. Tokens sent to a closed receiver
      * become free, because the receiver cannot have accepted them.
+     *
+     * @param isUnknownSenderRecorded whether the total of a sender without an entry is recorded, because a restore of
+     * the store may have lost the entry.
      */
-    private fun withTransferTotal(
+    internal fun withTransferTotal(
         sender: String,
         receiver: String,
         totalTokens: Long,
+        isUnknownSenderRecorded: Boolean = false,
     ): BudgetLedger {
         val name = pairKey(sender, receiver)
         val differenceTokens = totalTokens - (transfers[name] ?: 0)
-        if (differenceTokens <= 0 || sender !in holders) return this
+        if (differenceTokens <= 0 || (sender !in holders && !isUnknownSenderRecorded)) return this
         val moved =
             copy(transfers = transfers.put(name, totalTokens))
                 .withEntryChanged(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
@@ -295,6 +352,7 @@
             this
         } else {
             copy(holders = kept.toPersistentMap(), transfers = pairs.toPersistentMap())
+                .withClosedHolders(holders.keys - kept.keys)
         }
     }
 
@@ -302,6 +360,9 @@
         /** With the largest entries, pairs and identities the object has about 760 KB; the platform's limit is 1 MB. */
         const val MAX_HOLDERS: Int = 600
 
+        /** More than a fleet closes within the age of a copy of the store; about 3 KB. */
+        const val MAX_CLOSED_HOLDERS: Int = 100
+
         /** About 100 KB of identities; at one top-up a day this is almost three years. */
         const val MAX_TOP_UPS: Int = 1_000
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
@@ -13,6 +13,7 @@
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
+import io.limpetfold.store.Versioned
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.toImmutableList
@@ -35,7 +36,7 @@
         topUpId: TopUpId,
         tokens: Long,
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
-        update(workspace, { topUpId.value in it.topUps }) { (it ?: BudgetLedger()).topUp(topUpId, tokens) }
+        update(workspace, { stored -> stored.value?.let { topUpId.value in it.topUps } == true }) { (it ?: BudgetLedger()).topUp(topUpId, tokens) }
 
     /**
      * Ends the entry of [holder], whose process must be known to have ended.
@@ -49,7 +50,7 @@
         holder: Incarnation,
         replicatedSpentTokens: Long,
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
-        update(workspace, { it.holders[holder.key]?.isEnded ?: true }) { ledger ->
+        update(workspace, { isEnded(it, holder.key) }) { ledger ->
             ledger?.reclaim(holder, replicatedSpentTokens) ?: Err(LedgerRefusal.UnknownWorkspace)
         }
 
@@ -92,15 +93,20 @@
             )
         }
 
+    private fun isEnded(
+        stored: Versioned<BudgetLedger>,
+        key: String,
+    ): Boolean = stored.value?.let { it.isReconciled(stored.version) && it.holders[key]?.isEnded ?: true } == true
+
     private suspend fun update(
         workspace: WorkspaceId,
-        isApplied: (BudgetLedger) -> Boolean,
+        isApplied: (Versioned<BudgetLedger>) -> Boolean,
         change: (BudgetLedger?) -> Result<BudgetLedger, LedgerRefusal>,
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
         ledger(workspace)
-            .update(isApplied) { current ->
-                change(current).fold(
-                    success = { if (it == current) Change.Keep else Change.Write(it) },
+            .updateVersioned<LedgerRefusal>({ isApplied(it) }) { stored ->
+                change(stored.value?.reconciled(stored.version)).fold(
+                    success = { if (it == stored.value) Change.Keep else Change.Write(it) },
                     failure = { Change.Refuse(it) },
                 )
             }.map { checkNotNull(it.value) { "an accepted change leaves a ledger" } }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetPolicy.kt
@@ -29,6 +29,8 @@
  * moved to others.
  * @property waitsWhenInsufficient whether a caller waits, up to its maximum wait, when the ledger has too few free
  * tokens.
+ * @property recoveryWait the minimum time between the first sight of a restored ledger and the end of its recovery. A
+ * ledger does not list the holders whose first write the restore lost, so all routers get the time to confirm.
  * @property peersPerAttempt the number of peers asked in one attempt. A caller with a maximum wait above zero continues
  * with further peers as long as each of them sends tokens.
  */
@@ -49,6 +51,7 @@
     val refillBelow: Double = 0.0,
     val refillInterval: Duration = Duration.ofSeconds(1),
     val maxExcessRatio: Double = Double.POSITIVE_INFINITY,
+    val recoveryWait: Duration = Duration.ofSeconds(3),
 ) {
     init {
         require(grantFraction > 0 && grantFraction <= 1) { "grantFraction $grantFraction is not in (0, 1]" }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.budget
 
+import io.limpetfold.store.ObjectVersion
 import kotlinx.serialization.Serializable
 
 /**
@@ -18,6 +19,7 @@
  * what they may hold.
  * @property isWrittenOff the holder was reclaimed without a copy of its spend, so transfers to it recorded later count
  * as spent.
+ * @property confirmedAt the [BudgetLedger.reconciledAt] at which the holder last stated all its totals.
  */
 @Serializable
 data class HolderEntry(
@@ -30,6 +32,7 @@
     val isWrittenOff: Boolean = false,
     val returnedTokens: Long = 0,
     val demandTokensPerSecond: Double = 0.0,
+    val confirmedAt: ObjectVersion = ObjectVersion.NONE,
 ) {
     /** Whether the holder has ended and its remainder is not freed until its peers have confirmed their transfers. */
     val isEnded: Boolean get() = endNumber > 0
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.budget
 
+import io.limpetfold.store.ObjectVersion
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
@@ -18,6 +19,10 @@
  * write by itself.
  * @property closedPeers closed peers with which the holder exchanges no more tokens, so that their totals can be
  * dropped.
+ * @property totals what the holder knows from before a restore of the store.
+ * @property seenReconciledAt [BudgetLedger.reconciledAt] as last seen by the holder.
+ * @property mayEndRecovery whether the holder has seen the recovery of the ledger for so long that holders which the
+ * ledger does not list have had the time to confirm their totals.
  */
 data class HolderUpdate(
     val knownSequence: Long,
@@ -28,4 +33,7 @@
     val confirmedEnds: Long = 0,
     val closedPeers: PersistentSet<String> = persistentSetOf(),
     val demandTokensPerSecond: Double = 0.0,
+    val totals: HolderTotals = HolderTotals(),
+    val seenReconciledAt: ObjectVersion = ObjectVersion.NONE,
+    val mayEndRecovery: Boolean = false,
 )
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -0,0 +1,97 @@
+package io.limpetfold.budget
+
+import io.limpetfold.store.ObjectVersion
+
+/*
+ * The recovery of a ledger after the store was restored from an older copy.
+ *
+ * A restored ledger lacks the last grants, reports and closes. From the first change on, until all open holders have
+ * confirmed their totals, all tokens that no entry has are withheld: they include everything that lost writes can have
+ * granted. Payments are withheld too, because a payment may repeat one that the restore lost and whose tokens were
+ * granted.
+ */
+
+/** The ledger as read at [version]; in recovery if the store was restored since the ledger was last written. */
+internal fun BudgetLedger.reconciled(version: ObjectVersion): BudgetLedger =
+    if (isReconciled(version)) this else copy(reconciledAt = version, isRecovering = true)
+
+/** Whether the ledger, read at [version], was last written in the era of that version. */
+internal fun BudgetLedger.isReconciled(version: ObjectVersion): Boolean = reconciledAt.era >= version.era
+
+/**
+ * Whether the holder with [key] has to confirm its totals: the ledger has its entry or lacks it as of a time before the
+ * restore.
+ */
+internal fun BudgetLedger.needsConfirmation(
+    key: String,
+    knownSequence: Long,
+    seenReconciledAt: ObjectVersion,
+): Boolean {
+    val entry = holders[key]
+    if (entry != null) return !entry.isEnded && entry.confirmedAt != reconciledAt
+    return knownSequence > 0 && seenReconciledAt != reconciledAt && key !in closedHolders
+}
+
+/**
+ * Replaces the entry of the holder with [key] by the holder's own totals, and adds the peers that it knew as open.
+ *
+ * The totals of the holder count even where the entry has larger ones: tokens of a response that the holder never got
+ * are not used. The granted tokens include transfers that peers have recorded and the holder has not seen yet, as
+ * always.
+ */
+internal fun BudgetLedger.confirmed(
+    key: String,
+    update: HolderUpdate,
+): BudgetLedger {
+    val own = update.totals
+    var next = withOpenPeers(own.openPeers)
+    own.receivedTokens.forEach { (sender, total) -> next = next.withTransferTotal(sender, key, total, true) }
+    own.sentTokens.forEach { (receiver, total) -> next = next.withTransferTotal(key, receiver, total, true) }
+    val entry =
+        HolderEntry(
+            grantedTokens = own.grantedTokens + next.unseenTokens(key, own),
+            acquiredTokens = own.acquiredTokens,
+            reportedSpentTokens = update.spentTokens,
+            sequence = update.knownSequence + 1,
+            // End numbers are given out again, so the holder confirms the ends when it has seen this ledger.
+            confirmedEnds = (next.holders.values.filter { it.isEnded }.minOfOrNull { it.endNumber } ?: 1) - 1,
+            returnedTokens = update.returnedTokens,
+            demandTokensPerSecond = update.demandTokensPerSecond,
+            confirmedAt = reconciledAt,
+        )
+    return next.copy(holders = next.holders.put(key, entry))
+}
+
+/** Ends the recovery when all open holders have confirmed their totals. */
+internal fun BudgetLedger.recoveredIfConfirmed(): BudgetLedger {
+    val isConfirmed = holders.values.none { !it.isEnded && it.confirmedAt != reconciledAt }
+    if (!isRecovering || !isConfirmed) return this
+    val lostTokens = if (isWithheldLost) withheldTokens else 0
+    return copy(
+        isRecovering = false,
+        isWithheldLost = false,
+        settledTokens = settledTokens + lostTokens,
+        writtenOffTokens = writtenOffTokens + lostTokens,
+    )
+}
+
+/** The tokens that peers have recorded as sent to the holder with [key] and that it has not seen. */
+private fun BudgetLedger.unseenTokens(
+    key: String,
+    own: HolderTotals,
+): Long =
+    transfers
+        .filterKeys { it.endsWith(BudgetLedger.pairKey("", key)) }
+        .entries
+        .sumOf { (pair, total) ->
+            total - (own.receivedTokens[pair.removeSuffix(BudgetLedger.pairKey("", key))] ?: 0)
+        }
+
+private fun BudgetLedger.withOpenPeers(peers: Collection<String>): BudgetLedger {
+    val added = peers.filter { it !in holders && it !in closedHolders }
+    if (added.isEmpty()) return this
+    return copy(holders = holders.putAll(added.associateWith { HolderEntry(confirmedAt = UNCONFIRMED) }))
+}
+
+/** Differs from the version of each recovery, since a ledger in recovery was read from the store. */
+private val UNCONFIRMED = ObjectVersion.NONE
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -14,7 +14,11 @@
 import kotlinx.coroutines.sync.withLock
 import org.slf4j.LoggerFactory
 
-/** Synchronises accounts with their ledgers in the platform's object store. */
+/**
+ * Synchronises accounts with their ledgers in the platform's object store.
+ *
+ * @param onRecovery called when an account sees the beginning of a recovery of its ledger.
+ */
 internal class LedgerSync(
     private val self: Incarnation,
     private val store: ObjectStore,
@@ -23,6 +27,7 @@
     private val listener: BudgetListener,
     private val isClosed: () -> Boolean,
     private val nowMillis: () -> Long,
+    private val onRecovery: (WorkspaceId) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
 
@@ -61,11 +66,10 @@
                 val snapshot = slot.change { it.withWriteStarted() }
                 var isOwnWriteUnseen = false
                 val written =
-                    ledger(slot).update<LedgerRefusal>({
-                        (it.holders[slot.holder.key]?.sequence ?: 0) >
-                            snapshot.sequence
+                    ledger(slot).updateVersioned<LedgerRefusal>({
+                        isRecorded(it, slot.holder.key, snapshot.sequence)
                     }, isStaleReadAllowed = true, isStaleResultAllowed) { stored ->
-                        val ledger = withPaidTotal(slot.workspace, stored)
+                        val ledger = withPaidTotal(slot.workspace, stored.value?.reconciled(stored.version))
                         if (ledger == null) {
                             Change.Refuse(LedgerRefusal.UnknownWorkspace)
                         } else {
@@ -74,10 +78,10 @@
                             ledger
                                 .update(
                                     slot.holder,
-                                    snapshot.update(),
+                                    snapshot.update().copy(mayEndRecovery = mayEndRecovery(slot, ledger)),
                                 ) { grantSize(snapshot, it) }
                                 .fold(
-                                    success = { if (it === stored) Change.Keep else Change.Write(it) },
+                                    success = { if (it === stored.value) Change.Keep else Change.Write(it) },
                                     failure = { Change.Refuse(it) },
                                 )
                         }
@@ -90,6 +94,26 @@
             null
         }
 
+    private fun isRecorded(
+        stored: Versioned<BudgetLedger>,
+        key: String,
+        knownSequence: Long,
+    ): Boolean {
+        val ledger = stored.value ?: return false
+        val entry = ledger.holders[key] ?: return false
+        return ledger.isReconciled(stored.version) && entry.confirmedAt == ledger.reconciledAt &&
+            entry.sequence > knownSequence
+    }
+
+    private fun mayEndRecovery(
+        slot: AccountSlot,
+        ledger: BudgetLedger,
+    ): Boolean =
+        slot.locked {
+            recoverySeen == ledger.reconciledAt &&
+                nowMillis() - recoverySeenAtMillis >= policy.recoveryWait.toMillis()
+        }
+
     private fun withPaidTotal(
         workspace: WorkspaceId,
         stored: BudgetLedger?,
@@ -109,6 +133,13 @@
         if (after.state == AccountState.ENDED) logEnded(slot)
         val predecessors = predecessorsIn(ledger)
         val balance = ledger.balanceFor(slot.holder.key)
+        if (slot.observeRecovery(ledger, nowMillis())) onRecovery(slot.workspace)
+        if (before.sequence > 0 && before.reconciledAt != after.reconciledAt) {
+            val era = after.reconciledAt.era
+            listener.onEvent(
+                BudgetEvent.HoldingConfirmed(slot.workspace, era, after.grantedTokens, ledger.withheldTokens),
+            )
+        }
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
@@ -171,9 +202,10 @@
             if (slot.locked { mayHaveLedgerEntry }) {
                 val error =
                     ledger(slot)
-                        .update<Nothing>({ it.holders[slot.holder.key]?.isEnded ?: true }) { ledger ->
+                        .updateVersioned<Nothing>({ isClosed(it, slot.holder.key) }) { stored ->
+                            val ledger = stored.value?.reconciled(stored.version)
                             val closed = ledger?.close(slot.holder, account.update())
-                            if (closed == null || closed === ledger) Change.Keep else Change.Write(closed)
+                            if (closed == null || closed === stored.value) Change.Keep else Change.Write(closed)
                         }.fold({ null }, { (it as UpdateError.Failed).error })
                 if (error != null) return error
             }
@@ -181,6 +213,14 @@
             null
         }
 
+    private fun isClosed(
+        stored: Versioned<BudgetLedger>,
+        key: String,
+    ): Boolean {
+        val ledger = stored.value ?: return false
+        return ledger.isReconciled(stored.version) && (key in ledger.closedHolders || ledger.holders[key]?.isEnded == true)
+    }
+
     private fun ledger(slot: AccountSlot) =
         TypedObject(store, BudgetLedgerStore.keyOf(slot.workspace), BudgetLedger.serializer())
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -28,6 +28,9 @@
  * value is the unspent tokens in the ledger or in a later response of the peer.
  * @property closedPeers peers with totals in this account and without an entry in the ledger as last seen.
  * @property closedPeersInWrite the [closedPeers] that the last write contained.
+ * @property droppedPeers the last [MAX_DROPPED_PEERS] peers in [closedPeersNetTokens]. A restored ledger can have their
+ * totals again, which must not be credited twice.
+ * @property reconciledAt [BudgetLedger.reconciledAt] as of the last ledger that had this holder's confirmed entry.
  */
 data class LocalAccount(
     val holder: Incarnation,
@@ -49,6 +52,8 @@
     val openPeers: PersistentMap<String, Long> = persistentMapOf(),
     val closedPeers: PersistentSet<String> = persistentSetOf(),
     val closedPeersInWrite: PersistentSet<String> = persistentSetOf(),
+    val droppedPeers: PersistentMap<String, PeerTotals> = persistentMapOf(),
+    val reconciledAt: ObjectVersion = ObjectVersion.NONE,
 ) {
     /** The tokens granted and received less those sent and returned; includes the spent ones. */
     val grantedTokens: Long
@@ -161,12 +166,27 @@
         unspentTokens: Long,
     ): LocalAccount = if (peer in openPeers) copy(openPeers = openPeers.put(peer, unspentTokens)) else this
 
-    /** Applies [ledger] as read at [version], unless that version is not newer than the one last seen. */
+    /**
+     * Applies [ledger] as read at [version], unless that version is not newer than the one last seen.
+     *
+     * A restored ledger credits nothing before it has the confirmed entry of this holder.
+     */
     fun observe(
         ledger: BudgetLedger,
         version: ObjectVersion,
     ): LocalAccount {
         if (version <= this.version) return this
+        if (!ledger.isReconciled(version) || ledger.needsConfirmation(holder.key, sequence, reconciledAt)) {
+            return copy(version = version)
+        }
+        if (reconciledAt == ledger.reconciledAt) return observeConfirmed(ledger, version)
+        return withDroppedPeers().copy(reconciledAt = ledger.reconciledAt).observeConfirmed(ledger, version)
+    }
+
+    private fun observeConfirmed(
+        ledger: BudgetLedger,
+        version: ObjectVersion,
+    ): LocalAccount {
         val open = ledger.holders.filter { !it.value.isEnded && it.key != holder.key }
         val entry = ledger.holders[holder.key]
         val unspent = open.mapValues { it.value.grantedTokens - it.value.reportedSpentTokens }.toPersistentMap()
@@ -200,6 +220,22 @@
             confirmedEnds = seenEndCount,
             closedPeers = closedPeers,
             demandTokensPerSecond = demand.tokensPerSecond,
+            totals = withDroppedPeers().totals(),
+            seenReconciledAt = reconciledAt,
+        )
+
+    private fun totals() =
+        HolderTotals(grantedTokens, acquiredTokens, receivedTokens, sentTokens, openPeers.keys.toPersistentSet())
+
+    /** Takes the totals of [droppedPeers] up again. */
+    private fun withDroppedPeers(): LocalAccount =
+        copy(
+            receivedTokens = receivedTokens.putAll(droppedPeers.mapValues { it.value.receivedTokens }.filterValues { it > 0 }),
+            sentTokens = sentTokens.putAll(droppedPeers.mapValues { it.value.sentTokens }.filterValues { it > 0 }),
+            closedPeersNetTokens =
+                closedPeersNetTokens - droppedPeers.values.sumOf { it.receivedTokens - it.sentTokens },
+            closedPeersInWrite = persistentSetOf(),
+            droppedPeers = persistentMapOf(),
         )
 
     /** Marks [update] as being written, so that its effect is recognised when the ledger has the next sequence. */
@@ -221,6 +257,10 @@
             )
         }
 
+    /** Makes the close of this account due again, since a restore of the store may have undone it. */
+    internal fun closingAgain(): LocalAccount =
+        if (state == AccountState.CLOSED) copy(state = AccountState.CLOSING) else this
+
     private fun credited(
         sender: String,
         totalTokens: Long,
@@ -240,7 +280,7 @@
         isWriteSeen: Boolean,
     ): LocalAccount {
         val recorded: Collection<String> =
-            if (!isWriteSeen) {
+            if (!isWriteSeen || ledger.isRecovering) {
                 persistentSetOf()
             } else {
                 closedPeersInWrite.filter { peer ->
@@ -249,6 +289,7 @@
                         BudgetLedger.pairKey(holder.key, peer) !in ledger.transfers
                 }
             }
+        val dropped = recorded.associateWith { PeerTotals(receivedTokens[it] ?: 0, sentTokens[it] ?: 0) }
         val folded = recorded.sumOf { (receivedTokens[it] ?: 0) - (sentTokens[it] ?: 0) }
         val received = recorded.fold(receivedTokens) { totals, peer -> totals.remove(peer) }
         val sent = recorded.fold(sentTokens) { totals, peer -> totals.remove(peer) }
@@ -256,6 +297,7 @@
             receivedTokens = received,
             sentTokens = sent,
             closedPeersNetTokens = closedPeersNetTokens + folded,
+            droppedPeers = droppedPeers.putAll(dropped).lastEntries(MAX_DROPPED_PEERS),
             closedPeers = (received.keys + sent.keys).filter { it !in ledger.holders }.toPersistentSet(),
             closedPeersInWrite = if (isWriteSeen) persistentSetOf() else closedPeersInWrite,
         )
@@ -267,5 +309,11 @@
          * A receiver beyond the limit gets no tokens from this holder and asks other peers.
          */
         const val MAX_RECEIVERS: Int = 8
+
+        /** More than the peers that close within the age of a copy of the store. */
+        const val MAX_DROPPED_PEERS: Int = 256
+
+        private fun <V> PersistentMap<String, V>.lastEntries(count: Int): PersistentMap<String, V> =
+            keys.take(maxOf(0, size - count)).fold(this) { kept, key -> kept.remove(key) }
     }
 }
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/PeerTotals.kt
@@ -0,0 +1,7 @@
+package io.limpetfold.budget
+
+/** The final totals of an account with one closed peer. */
+data class PeerTotals(
+    val receivedTokens: Long,
+    val sentTokens: Long,
+)
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/RestoredLedgers.kt
@@ -0,0 +1,65 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.get
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.store.ObjectVersion
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import kotlinx.coroutines.runBlocking
+import kotlin.random.Random
+
+/** Copies of a store and the restores from them, with what was really paid and what no copy tells. */
+internal class RestoredLedgers(
+    private val store: FakeObjectStore,
+) {
+    private val copies = mutableListOf<FakeObjectStore.Copy>()
+    private val writesAtCopy = mutableListOf<Int>()
+    private val paid = mutableMapOf<WorkspaceId, MutableMap<String, Long>>()
+    private val versionsRead = mutableMapOf<WorkspaceId, Int>()
+
+    /** The number of restores so far. */
+    var count = 0
+        private set
+
+    fun keepCopy() {
+        copies += store.copy()
+        writesAtCopy += store.writeCount
+    }
+
+    fun randomCopy(random: Random): Copy? =
+        copies.indices.toList().randomOrNull(random)?.let {
+            Copy(copies[it], store.writeCount - writesAtCopy[it])
+        }
+
+    fun restore(copy: Copy) {
+        store.restore(copy.copy)
+        count++
+    }
+
+    fun executeDelayed() = store.executeDelayed()
+
+    /** The tokens of all top-ups that the store ever acknowledged, whether or not a restore lost them. */
+    fun paidTokens(workspace: WorkspaceId): Long {
+        val history = store.history(BudgetLedgerStore.keyOf(workspace))
+        val topUps = paid.getOrPut(workspace) { mutableMapOf() }
+        history.drop(versionsRead[workspace] ?: 0).forEach { topUps += decode(it).topUps }
+        versionsRead[workspace] = history.size
+        return topUps.values.sum()
+    }
+
+    fun current(workspace: WorkspaceId): Stored? =
+        runBlocking { store.get(BudgetLedgerStore.keyOf(workspace)) }.get()?.let { Stored(decode(it.value), it.version) }
+
+    private fun decode(value: String) = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), value)
+
+    /** @property age the number of writes since the copy. */
+    class Copy(
+        val copy: FakeObjectStore.Copy,
+        val age: Int,
+    )
+
+    class Stored(
+        val value: BudgetLedger,
+        val version: ObjectVersion,
+    )
+}
