--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -5,6 +5,7 @@
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.UpdateError
 import org.slf4j.LoggerFactory
+import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -32,11 +33,16 @@
     /** Accounts to confirm after a restore of the store. */
     private val unconfirmedSlots: MutableSet<AccountSlot> = ConcurrentHashMap.newKeySet()
 
+    /** When to close the [closedSlots] once more after a restore of the store. */
+    @Volatile
+    private var recheckAtMillis = Long.MAX_VALUE
+
     /** The number of accounts evicted so far; it makes the holder number of the next account unique. */
     val evictedCount: Long get() = evictionCounter.get()
 
     /** Makes all accounts confirm their totals, also those that were closed lately. */
     fun onStoreRestored() {
+        recheckAtMillis = nowMillis() + RECHECK_DELAY.toMillis()
         reopenClosed { true }
         unconfirmedSlots += slots.values.filter { slot -> slot.locked { mayHaveLedgerEntry } }
         unconfirmedSlots += closingSlots
@@ -61,8 +67,12 @@
         count: Int,
         confirmationCount: Int,
     ) {
-        if (unconfirmedSlots.isNotEmpty()) return confirm(confirmationCount)
         val now = nowMillis()
+        if (now >= recheckAtMillis) {
+            recheckAtMillis = Long.MAX_VALUE
+            reopenClosed { true }
+        }
+        if (unconfirmedSlots.isNotEmpty()) return confirm(confirmationCount)
         val due =
             (slots.values + closingSlots)
                 .mapNotNull { slot -> slot.locked { lastSyncMillisIfDue(now) }?.let { slot to it } }
@@ -166,5 +176,11 @@
     private companion object {
         /** More than one process evicts within the age of a copy of the store. */
         const val MAX_CLOSED_SLOTS = 256
+
+        /**
+         * A write from before the restore can arrive late and undo a close again. Where the process has an account of
+         * the workspace it sees that; this is for the other workspaces, and longer than any call to the store takes.
+         */
+        val RECHECK_DELAY: Duration = Duration.ofSeconds(15)
     }
 }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -75,17 +75,21 @@
     )
 }
 
-/** The tokens that peers have recorded as sent to the holder with [key] and that it has not seen. */
+/** The net tokens of transfers that peers have recorded and that the totals of the holder with [key] lack. */
 private fun BudgetLedger.unseenTokens(
     key: String,
     own: HolderTotals,
-): Long =
-    transfers
-        .filterKeys { it.endsWith(BudgetLedger.pairKey("", key)) }
-        .entries
-        .sumOf { (pair, total) ->
-            total - (own.receivedTokens[pair.removeSuffix(BudgetLedger.pairKey("", key))] ?: 0)
+): Long {
+    val toHolder = BudgetLedger.pairKey("", key)
+    val fromHolder = BudgetLedger.pairKey(key, "")
+    return transfers.entries.sumOf { (pair, total) ->
+        when {
+            pair.endsWith(toHolder) -> total - (own.receivedTokens[pair.removeSuffix(toHolder)] ?: 0)
+            pair.startsWith(fromHolder) -> (own.sentTokens[pair.removePrefix(fromHolder)] ?: 0) - total
+            else -> 0
         }
+    }
+}
 
 private fun BudgetLedger.withOpenPeers(peers: Collection<String>): BudgetLedger {
     val added = peers.filter { it !in holders && it !in closedHolders }
