--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -76,13 +76,14 @@
         val due =
             (slots.values + closingSlots)
                 .mapNotNull { slot -> slot.locked { lastSyncMillisIfDue(now) }?.let { slot to it } }
-                .sortedBy { (_, lastSyncMillis) -> lastSyncMillis }
+                .sortedWith(compareBy({ it.second }, { it.first.workspace.value }, { it.first.holder }))
                 .take(count)
         due.forEach { (slot, _) -> if (slot in closingSlots) closeEvicted(slot) else maintain(slot) }
     }
 
     private suspend fun confirm(count: Int) {
-        val selected = synchronized(random) { unconfirmedSlots.shuffled(random) }.take(count)
+        val ordered = unconfirmedSlots.sortedWith(compareBy({ it.workspace.value }, { it.holder }))
+        val selected = synchronized(random) { ordered.shuffled(random) }.take(count)
         for (slot in selected) {
             if (slot in closingSlots) closeEvicted(slot) else ledgerSync.synchronise(slot) { _, _ -> 0 }
             if (ledgerSync.isPlatformInBackoff) return
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
@@ -12,7 +12,8 @@
  * @property acquiredTokens cumulative tokens granted by the platform.
  * @property receivedTokens cumulative tokens received from each peer, including peers that closed lately.
  * @property sentTokens cumulative tokens sent to each peer, including peers that closed lately.
- * @property openPeers the other open holders, as last seen.
+ * @property openPeers the other holders that may be open: those with an open entry as last seen, and those with which
+ * this holder has exchanged tokens.
  */
 data class HolderTotals(
     val grantedTokens: Long = 0,
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -220,12 +220,22 @@
             confirmedEnds = seenEndCount,
             closedPeers = closedPeers,
             demandTokensPerSecond = demand.tokensPerSecond,
-            totals = withDroppedPeers().totals(),
+            totals = totals(),
             seenReconciledAt = reconciledAt,
         )
 
-    private fun totals() =
-        HolderTotals(grantedTokens, acquiredTokens, receivedTokens, sentTokens, openPeers.keys.toPersistentSet())
+    private fun totals(): HolderTotals {
+        // Peers exchange tokens with this holder before it sees their entry in the ledger.
+        val peers = openPeers.keys + receivedTokens.keys + sentTokens.keys - droppedPeers.keys
+        val all = withDroppedPeers()
+        return HolderTotals(
+            grantedTokens,
+            acquiredTokens,
+            all.receivedTokens,
+            all.sentTokens,
+            peers.toPersistentSet(),
+        )
+    }
 
     /** Takes the totals of [droppedPeers] up again. */
     private fun withDroppedPeers(): LocalAccount =
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -161,7 +161,9 @@
     /** The tokens really paid, and those of holders that nobody can know of any more. */
     private fun paidTokens(workspace: WorkspaceId): Long =
         restores.paidTokens(workspace) +
-            unknownHolders.filter { it.first == workspace }.sumOf { restores.acquiredTokens(workspace, it.second) }
+            unknownHolders.filter { it.first == workspace }.sumOf { (_, key) ->
+                restores.acquiredTokens(workspace, key) + replicatedSpend(checkNotNull(Incarnation.parse(key)), workspace)
+            }
 
     private fun heldAndUsed(workspace: WorkspaceId): Pair<Long, Long> {
         val held =
@@ -480,7 +482,7 @@
             val ledger = current(workspace)
             val (held, used) = heldAndUsed(workspace)
             check(ledger.freeTokens + held + used == ledger.paidTokens) {
-                "$workspace has free=${ledger.freeTokens} held=$held used=$used of ${ledger.paidTokens} paid; $ledger" + routers.map { it.agent.accounts() }
+                "$workspace has free=${ledger.freeTokens} held=$held used=$used of ${ledger.paidTokens} paid; $ledger"
             }
         }
     }
