--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
@@ -106,7 +106,9 @@
     /** The budget is not insufficient while the tokens of a restored ledger are withheld. */
     private fun withheldFailure(failure: RefillFailure?): RefillFailure? =
         if (failure is RefillFailure.Insufficient && failure.balance.isRecovering) {
-            RefillFailure.Unavailable("tokens are withheld until all routers have confirmed theirs to the restored store")
+            RefillFailure.Unavailable(
+                "tokens are withheld until all routers have confirmed theirs to the restored store",
+            )
         } else {
             failure
         }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -175,11 +175,15 @@
         val isDue = isEvicted || (account.state == AccountState.OPEN && (mayHaveLedgerEntry || isEvictable(nowMillis)))
         if (isDue && syncedAtMillis <= nowMillis - policy.reportInterval.toMillis()) return syncedAtMillis
         val isRefillDue =
-            (isLow(nowMillis) || excessTokens(nowMillis) > 0 || (isRecovering && account.sequence > 0)) &&
+            (isLow(nowMillis) || excessTokens(nowMillis) > 0 || isRecoveryWaitOver(nowMillis)) &&
                 syncedAtMillis <= nowMillis - policy.refillInterval.toMillis()
         return if (isRefillDue) syncedAtMillis else null
     }
 
+    /** Whether holders that the ledger does not list have had the time to confirm their totals. */
+    fun isRecoveryWaitOver(nowMillis: Long): Boolean =
+        isRecovering && nowMillis - recoverySeenAtMillis >= policy.recoveryWait.toMillis()
+
     /**
      * Whether an attempt for [tokens] has to wait for the end of the backoff. An attempt for fewer tokens than the
      * failed one can have another outcome, so it is not delayed.
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -40,8 +40,9 @@
  * is granted then.
  * @property isWithheldLost whether a holder without a report was ended during the recovery, so that nobody knows how
  * many of the [withheldTokens] it got.
- * @property closedHolders the last [MAX_CLOSED_HOLDERS] holders whose entries were removed, with their number of
- * removal. After a restore they tell whether the close of a missing holder is recorded in this ledger.
+ * @property closedHolders the last [MAX_CLOSED_HOLDERS] holders whose entries were removed, oldest first, with the
+ * tokens that were settled for them. After a restore they tell whether the close of a missing holder is recorded in this
+ * ledger.
  */
 @Serializable
 data class BudgetLedger(
@@ -135,9 +136,11 @@
         if (present != null && present.sequence != update.knownSequence) return Ok(this)
         val entry = present ?: HolderEntry(confirmedEnds = endCount, confirmedAt = reconciledAt)
         val reported =
-            copy(holders = holders.put(key, entry)).recorded(key, update).withEntryChanged(key) {
-                it.copy(reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens))
-            }.recoveredIf(update.mayEndRecovery)
+            copy(holders = holders.put(key, entry))
+                .recorded(key, update)
+                .withEntryChanged(key) {
+                    it.copy(reportedSpentTokens = maxOf(it.reportedSpentTokens, update.spentTokens))
+                }.recoveredIf(update.mayEndRecovery)
         val grant = grantSize(reported.balanceFor(key)).coerceIn(0, maxOf(0, reported.freeTokens))
         val next =
             reported.withEntryChanged(key) {
@@ -188,9 +191,13 @@
                 }.toPersistentMap()
         val recorded = recorded(holder.key, update.copy(sentTokens = sent))
         return recorded
-            .copy(settledTokens = recorded.settledTokens + update.spentTokens, holders = recorded.holders.remove(holder.key))
-            .withNegativeRemainder(holder.key, recorded.holders.getValue(holder.key).grantedTokens - update.spentTokens)
-            .withClosedHolders(setOf(holder.key))
+            .copy(
+                settledTokens = recorded.settledTokens + update.spentTokens,
+                holders = recorded.holders.remove(holder.key),
+            ).withNegativeRemainder(
+                holder.key,
+                recorded.holders.getValue(holder.key).grantedTokens - update.spentTokens,
+            ).withClosedHolders(mapOf(holder.key to update.spentTokens))
             .normalised()
     }
 
@@ -229,13 +236,12 @@
         )
     }
 
-    private fun withClosedHolders(keys: Set<String>): BudgetLedger {
-        if (keys.isEmpty()) return this
-        val number = (closedHolders.values.maxOrNull() ?: 0) + 1
-        val added = closedHolders.putAll(keys.associateWith { number })
-        val kept = added.entries.sortedByDescending { it.value }.take(MAX_CLOSED_HOLDERS)
-        return copy(closedHolders = kept.associate { it.key to it.value }.toPersistentMap())
-    }
+    internal fun withClosedHolders(settledTokens: Map<String, Long>): BudgetLedger =
+        if (settledTokens.isEmpty()) {
+            this
+        } else {
+            copy(closedHolders = closedHolders.putAll(settledTokens).lastEntries(MAX_CLOSED_HOLDERS))
+        }
 
     private fun recorded(
         key: String,
@@ -285,13 +291,17 @@
         val moved =
             copy(transfers = transfers.put(name, totalTokens))
                 .withEntryChanged(sender) { it.copy(grantedTokens = it.grantedTokens - differenceTokens) }
-        if (holders[receiver]?.isWrittenOff == true) return moved.writtenOff(differenceTokens)
+        if (holders[receiver]?.isWrittenOff == true) return moved.writtenOff(receiver, differenceTokens)
         return moved
             .withEntryChanged(receiver) { it.copy(grantedTokens = it.grantedTokens + differenceTokens) }
     }
 
-    private fun writtenOff(tokens: Long): BudgetLedger =
+    private fun writtenOff(
+        key: String,
+        tokens: Long,
+    ): BudgetLedger =
         copy(settledTokens = settledTokens + tokens, writtenOffTokens = writtenOffTokens + tokens)
+            .withEntryChanged(key) { it.copy(reportedSpentTokens = it.reportedSpentTokens + tokens) }
 
     private fun withEntryChanged(
         key: String,
@@ -352,7 +362,12 @@
             this
         } else {
             copy(holders = kept.toPersistentMap(), transfers = pairs.toPersistentMap())
-                .withClosedHolders(holders.keys - kept.keys)
+                .withClosedHolders(
+                    (holders - kept.keys)
+                        .filterKeys {
+                            it !in closedHolders
+                        }.mapValues { it.value.reportedSpentTokens },
+                )
         }
     }
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
@@ -36,7 +36,12 @@
         topUpId: TopUpId,
         tokens: Long,
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
-        update(workspace, { stored -> stored.value?.let { topUpId.value in it.topUps } == true }) { (it ?: BudgetLedger()).topUp(topUpId, tokens) }
+        update(workspace, { stored -> stored.value?.let { topUpId.value in it.topUps } == true }) {
+            (
+                it
+                    ?: BudgetLedger()
+            ).topUp(topUpId, tokens)
+        }
 
     /**
      * Ends the entry of [holder], whose process must be known to have ended.
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
@@ -14,6 +14,7 @@
  * @property sentTokens cumulative tokens sent to each peer, including peers that closed lately.
  * @property openPeers the other holders that may be open: those with an open entry as last seen, and those with which
  * this holder has exchanged tokens.
+ * @property closedHolders the holders that were closed, with the tokens settled for them, as last seen.
  */
 data class HolderTotals(
     val grantedTokens: Long = 0,
@@ -21,4 +22,5 @@
     val receivedTokens: PersistentMap<String, Long> = persistentMapOf(),
     val sentTokens: PersistentMap<String, Long> = persistentMapOf(),
     val openPeers: PersistentSet<String> = persistentSetOf(),
+    val closedHolders: PersistentMap<String, Long> = persistentMapOf(),
 )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.budget
 
 import io.limpetfold.store.ObjectVersion
+import kotlinx.collections.immutable.PersistentMap
 
 /*
  * The recovery of a ledger after the store was restored from an older copy.
@@ -44,7 +45,7 @@
     update: HolderUpdate,
 ): BudgetLedger {
     val own = update.totals
-    var next = withOpenPeers(own.openPeers)
+    var next = withClosedPeers(own.closedHolders).withOpenPeers(own.openPeers)
     own.receivedTokens.forEach { (sender, total) -> next = next.withTransferTotal(sender, key, total, true) }
     own.sentTokens.forEach { (receiver, total) -> next = next.withTransferTotal(key, receiver, total, true) }
     val entry =
@@ -54,7 +55,12 @@
             reportedSpentTokens = update.spentTokens,
             sequence = update.knownSequence + 1,
             // End numbers are given out again, so the holder confirms the ends when it has seen this ledger.
-            confirmedEnds = (next.holders.values.filter { it.isEnded }.minOfOrNull { it.endNumber } ?: 1) - 1,
+            confirmedEnds =
+                (
+                    next.holders.values
+                        .filter { it.isEnded }
+                        .minOfOrNull { it.endNumber } ?: 1
+                ) - 1,
             returnedTokens = update.returnedTokens,
             demandTokensPerSecond = update.demandTokensPerSecond,
             confirmedAt = reconciledAt,
@@ -91,11 +97,30 @@
     }
 }
 
+/**
+ * Closes the holders again whose closes the restore has lost, with the tokens [settled] for them.
+ *
+ * A close is final, so a holder that was once seen as closed can have got nothing since.
+ */
+private fun BudgetLedger.withClosedPeers(settled: Map<String, Long>): BudgetLedger {
+    val lost = settled.filterKeys { it !in closedHolders && !isKnownSinceRestore(it) }
+    if (lost.isEmpty()) return this
+    val kept = lost.keys.fold(holders) { entries, key -> entries.remove(key) }
+    return copy(settledTokens = settledTokens + lost.values.sum(), holders = kept).withClosedHolders(lost)
+}
+
+private fun BudgetLedger.isKnownSinceRestore(key: String): Boolean =
+    holders[key]?.let { it.isEnded || it.confirmedAt == reconciledAt } == true
+
 private fun BudgetLedger.withOpenPeers(peers: Collection<String>): BudgetLedger {
     val added = peers.filter { it !in holders && it !in closedHolders }
     if (added.isEmpty()) return this
     return copy(holders = holders.putAll(added.associateWith { HolderEntry(confirmedAt = UNCONFIRMED) }))
 }
 
+/** The last [count] entries in the order in which they were added. */
+internal fun <V> PersistentMap<String, V>.lastEntries(count: Int): PersistentMap<String, V> =
+    keys.take(maxOf(0, size - count)).fold(this) { kept, key -> kept.remove(key) }
+
 /** Differs from the version of each recovery, since a ledger in recovery was read from the store. */
 private val UNCONFIRMED = ObjectVersion.NONE
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -101,18 +101,15 @@
     ): Boolean {
         val ledger = stored.value ?: return false
         val entry = ledger.holders[key] ?: return false
-        return ledger.isReconciled(stored.version) && entry.confirmedAt == ledger.reconciledAt &&
+        return ledger.isReconciled(stored.version) &&
+            entry.confirmedAt == ledger.reconciledAt &&
             entry.sequence > knownSequence
     }
 
     private fun mayEndRecovery(
         slot: AccountSlot,
         ledger: BudgetLedger,
-    ): Boolean =
-        slot.locked {
-            recoverySeen == ledger.reconciledAt &&
-                nowMillis() - recoverySeenAtMillis >= policy.recoveryWait.toMillis()
-        }
+    ): Boolean = slot.locked { recoverySeen == ledger.reconciledAt && isRecoveryWaitOver(nowMillis()) }
 
     private fun withPaidTotal(
         workspace: WorkspaceId,
@@ -218,7 +215,8 @@
         key: String,
     ): Boolean {
         val ledger = stored.value ?: return false
-        return ledger.isReconciled(stored.version) && (key in ledger.closedHolders || ledger.holders[key]?.isEnded == true)
+        return ledger.isReconciled(stored.version) &&
+            (key in ledger.closedHolders || ledger.holders[key]?.isEnded == true)
     }
 
     private fun ledger(slot: AccountSlot) =
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -30,6 +30,7 @@
  * @property closedPeersInWrite the [closedPeers] that the last write contained.
  * @property droppedPeers the last [MAX_DROPPED_PEERS] peers in [closedPeersNetTokens]. A restored ledger can have their
  * totals again, which must not be credited twice.
+ * @property closedHolders [BudgetLedger.closedHolders] as last seen.
  * @property reconciledAt [BudgetLedger.reconciledAt] as of the last ledger that had this holder's confirmed entry.
  */
 data class LocalAccount(
@@ -53,6 +54,7 @@
     val closedPeers: PersistentSet<String> = persistentSetOf(),
     val closedPeersInWrite: PersistentSet<String> = persistentSetOf(),
     val droppedPeers: PersistentMap<String, PeerTotals> = persistentMapOf(),
+    val closedHolders: PersistentMap<String, Long> = persistentMapOf(),
     val reconciledAt: ObjectVersion = ObjectVersion.NONE,
 ) {
     /** The tokens granted and received less those sent and returned; includes the spent ones. */
@@ -190,7 +192,13 @@
         val open = ledger.holders.filter { !it.value.isEnded && it.key != holder.key }
         val entry = ledger.holders[holder.key]
         val unspent = open.mapValues { it.value.grantedTokens - it.value.reportedSpentTokens }.toPersistentMap()
-        val seen = copy(version = version, seenEndCount = ledger.endCount, openPeers = unspent)
+        val seen =
+            copy(
+                version = version,
+                seenEndCount = ledger.endCount,
+                openPeers = unspent,
+                closedHolders = ledger.closedHolders,
+            )
         if (entry == null || entry.isEnded) {
             val isOwnEnd = state == AccountState.CLOSING || state == AccountState.CLOSED
             return if (sequence == 0L || isOwnEnd) seen else seen.copy(state = AccountState.ENDED)
@@ -234,13 +242,20 @@
             all.receivedTokens,
             all.sentTokens,
             peers.toPersistentSet(),
+            closedHolders,
         )
     }
 
     /** Takes the totals of [droppedPeers] up again. */
     private fun withDroppedPeers(): LocalAccount =
         copy(
-            receivedTokens = receivedTokens.putAll(droppedPeers.mapValues { it.value.receivedTokens }.filterValues { it > 0 }),
+            receivedTokens =
+                receivedTokens.putAll(
+                    droppedPeers.mapValues { it.value.receivedTokens }.filterValues {
+                        it >
+                            0
+                    },
+                ),
             sentTokens = sentTokens.putAll(droppedPeers.mapValues { it.value.sentTokens }.filterValues { it > 0 }),
             closedPeersNetTokens =
                 closedPeersNetTokens - droppedPeers.values.sumOf { it.receivedTokens - it.sentTokens },
@@ -322,8 +337,5 @@
 
         /** More than the peers that close within the age of a copy of the store. */
         const val MAX_DROPPED_PEERS: Int = 256
-
-        private fun <V> PersistentMap<String, V>.lastEntries(count: Int): PersistentMap<String, V> =
-            keys.take(maxOf(0, size - count)).fold(this) { kept, key -> kept.remove(key) }
     }
 }
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -162,7 +162,8 @@
     private fun paidTokens(workspace: WorkspaceId): Long =
         restores.paidTokens(workspace) +
             unknownHolders.filter { it.first == workspace }.sumOf { (_, key) ->
-                restores.acquiredTokens(workspace, key) + replicatedSpend(checkNotNull(Incarnation.parse(key)), workspace)
+                restores.acquiredTokens(workspace, key) +
+                    replicatedSpend(checkNotNull(Incarnation.parse(key)), workspace)
             }
 
     private fun heldAndUsed(workspace: WorkspaceId): Pair<Long, Long> {
@@ -223,7 +224,10 @@
                 restores.paidTokens(workspace)
                 restores.missingHolders(workspace).map { workspace to it }
             }
-        val owners = missing.associateWith { (_, key) -> routers.find { it.opened(checkNotNull(Incarnation.parse(key))) } }
+        val owners =
+            missing.associateWith { (_, key) ->
+                routers.find { it.opened(checkNotNull(Incarnation.parse(key))) }
+            }
         unknownHolders += owners.filterValues { it == null }.keys
         val running = owners.values.filterNotNull().toSet()
         if (running.isEmpty()) return
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/RestoredLedgers.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/RestoredLedgers.kt
@@ -28,9 +28,14 @@
     }
 
     fun randomCopy(random: Random): Copy? =
-        copies.indices.toList().randomOrNull(random)?.let {
-            Copy(copies[it], store.writeCount - writesAtCopy[it])
-        }
+        copies.indices
+            .toList()
+            .takeLast(
+                if (random.nextBoolean()) RECENT_COPIES else copies.size,
+            ).randomOrNull(random)
+            ?.let {
+                Copy(copies[it], store.writeCount - writesAtCopy[it])
+            }
 
     fun restore(copy: Copy) {
         store.restore(copy.copy)
@@ -71,10 +76,18 @@
     }
 
     fun current(workspace: WorkspaceId): Stored? =
-        runBlocking { store.get(BudgetLedgerStore.keyOf(workspace)) }.get()?.let { Stored(decode(it.value), it.version) }
+        runBlocking {
+            store.get(
+                BudgetLedgerStore.keyOf(workspace),
+            )
+        }.get()?.let { Stored(decode(it.value), it.version) }
 
     private fun decode(value: String) = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), value)
 
+    private companion object {
+        const val RECENT_COPIES = 4
+    }
+
     /** @property age the number of writes since the copy. */
     class Copy(
         val copy: FakeObjectStore.Copy,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -175,6 +175,7 @@
             maxWorkspacesPerRound = MAX_WORKSPACES_PER_ROUND,
             predecessorSpendLookup = { _, _ -> PredecessorSpendLookup.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
+            confirmationsPerRound = { maxOf(1, CONFIRMATIONS_PER_ROUND / maxOf(1, lenderSelector.holderCount)) },
         )
     private val lender = TokenLender(budget, budgetObserver)
     private val tokens = TokenBorrower(self, budget, peers, lenderSelector, listener = budgetObserver)
@@ -358,7 +359,10 @@
     private fun onEraChanged(
         previous: Long,
         current: Long,
-    ) = log.warn("store.restored", "before" to previous, "era" to current)
+    ) {
+        log.warn("store.restored", "before" to previous, "era" to current)
+        budget.onStoreRestored()
+    }
 
     private fun onRoutingChanged(
         previous: RoutingTable?,
@@ -448,6 +452,12 @@
         /** Lenders respond within a few milliseconds; tokens that are not returned in time count as spent. */
         val LOAN_RETURN_TIMEOUT: Duration = Duration.ofMillis(200)
         val READINESS_CHECK_INTERVAL: Duration = Duration.ofMillis(10)
+
+        /**
+         * The accounts that all routers together confirm in a round after a restore of the store. At two rounds a second
+         * these are 80 writes a second, a fifth of the smallest known limit of the platform.
+         */
+        const val CONFIRMATIONS_PER_ROUND = 40
         val DEFAULT_INTERVAL: Duration = Duration.ofMillis(500)
         val SHORT_INTERVAL: Duration = Duration.ofMillis(250)
         val LOAN_INTERVAL: Duration = Duration.ofSeconds(1)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/observe/BudgetObserver.kt
@@ -44,6 +44,14 @@
                 )
             is BudgetEvent.LoanReleased ->
                 logTransfer("budget.loan_released", event, event.borrower, event.tokens)
+            is BudgetEvent.HoldingConfirmed ->
+                log.warn(
+                    "budget.confirmed",
+                    "workspace" to event.workspace,
+                    "era" to event.era,
+                    "tokens" to event.heldTokens,
+                    "withheld" to event.withheldTokens,
+                )
             is BudgetEvent.Refused ->
                 log.info(
                     "budget.refused",
