rollout: ignore orders read before a restore that is known

Cause: a listing of an earlier era that arrives late could replace or remove the order that the restored store holds. Change: orders of an earlier era than the known one and listings from before the last reading of an order have no effect.

--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
@@ -45,11 +45,12 @@
 
     /**
      * Applies an order as read from the store; a changed target starts a new move. An order that was known before a
-     * restore of the store continues its move.
+     * restore of the store continues its move; one that was read before a restore that is known has no effect.
      */
     fun applyOrder(order: MoveOrder) {
         recordWithdrawals()
         val known = moves[order.service]
+        if (known != null && order.objectVersion.era < known.order.objectVersion.era) return
         if (known == null || isOther(order, known.order)) {
             startOrResume(order)
         } else {
@@ -92,7 +93,8 @@
 
     /**
      * Records that a listing as of [position] lacks the order of [service]. The move is discarded, but if the order was
-     * read before a restore of the store, only when the order is still missing after [MISSING_RETENTION].
+     * read before a restore of the store, only when the order is still missing after [MISSING_RETENTION]. A listing from
+     * before the last reading of the order has no effect.
      *
      * @return whether the move was discarded.
      */
@@ -101,6 +103,8 @@
         position: ObjectVersion,
     ): Boolean {
         val move = moves[service] ?: return true
+        val isOutdated = position < move.order.objectVersion
+        if (isOutdated) return false
         val isRestored = position.era > move.order.objectVersion.era
         if (isRestored) move.onMissing(now()) else removeOrder(service)
         return !isRestored
