--- a/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
+++ b/limpetfold-platform/src/test/kotlin/io/limpetfold/platform/HttpObjectStoreTest.kt
@@ -85,11 +85,11 @@
         test("versions carry the era of the response") {
             withPlatform({ exchange ->
                 val isListing = exchange.head.path == "/v1/objects"
-                val body = if (isListing) """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}""" else "{}"
+                val listing = """{"objects":[{"key":"a/b","version":3,"value":"{}"}],"position":5}"""
                 exchange.respond(
                     if (exchange.head.headers["If-Match"] == null) 200 else 412,
                     Headers.of("ETag" to "\"7\"", "Limpetfold-Store-Era" to "2"),
-                    body.encodeToByteArray(),
+                    (if (isListing) listing else "{}").encodeToByteArray(),
                 )
             }) { store, _ ->
                 val version = ObjectVersion.of(7, era = 2)
