--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -128,9 +128,8 @@
         val key = holder.key
         val present = holders[key]
         val isUnconfirmed = needsConfirmation(key, update.knownSequence, update.seenReconciledAt)
-        if (present?.isEnded == true || (present == null && update.knownSequence > 0 && !isUnconfirmed)) {
-            return Err(LedgerRefusal.HolderEnded(key))
-        }
+        val isRemoved = present == null && update.knownSequence > 0 && !isUnconfirmed
+        if (isRemoved || present?.isEnded == true) return Err(LedgerRefusal.HolderEnded(key))
         if (present == null && holders.size >= MAX_HOLDERS) return Err(LedgerRefusal.TooManyHolders)
         if (isUnconfirmed) return Ok(confirmed(key, update).recoveredIf(update.mayEndRecovery))
         if (present != null && present.sequence != update.knownSequence) return Ok(this)
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetLedgerTest.kt
@@ -120,6 +120,13 @@
             account.observe(ended, version(2)).receive(A.key, 15).grantedTokens shouldBe 50
         }
 
+        test("guards against freed tokens when the close of a sender records its transfer to a written-off holder") {
+            val ended = registered(100, A, B).reclaim(A, PredecessorSpendLookup.WHOLE_GRANT).get().shouldNotBeNull()
+            val closed = ended.close(B, HolderUpdate(1, sentTokens = persistentMapOf(A.key to 15L), confirmedEnds = 1))
+            closed.settledTokens shouldBe 65
+            closed.freeTokens shouldBe 35
+        }
+
         test(
             "tokens sent to a holder that was reclaimed without a copy of its spend are not freed, also if the transfer is recorded later",
         ) {
--- /dev/null
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
@@ -0,0 +1,106 @@
+package io.limpetfold.budget
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.limpetfold.core.Incarnation
+import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RequestId
+import io.limpetfold.core.WorkspaceId
+import io.limpetfold.store.EraCheckedStore
+import io.limpetfold.store.TypedObject
+import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.TestClock
+import java.time.Duration
+
+class BudgetRestoreTest :
+    FunSpec({
+        test(
+            "guards against refills in a loop, and against refusals for budget, while a restored ledger withholds tokens",
+        ) {
+            val fleet = RestoredFleet()
+            val agent = fleet.agent("a")
+            agent.reserve(WORKSPACE, RequestId("r-1"), 100, Duration.ZERO).get().shouldNotBeNull()
+            val copy = fleet.store.copy()
+            agent.reserve(WORKSPACE, RequestId("r-2"), 500, Duration.ZERO).get().shouldNotBeNull()
+            fleet.store.restore(copy)
+
+            val before = fleet.store.callCount
+            repeat(20) {
+                agent
+                    .reserve(WORKSPACE, RequestId("r-3"), 900, Duration.ZERO)
+                    .getError()
+                    .shouldBeInstanceOf<BudgetRefusal.PlatformUnavailable>()
+            }
+            fleet.store.callCount - before shouldBeLessThan 10
+            fleet.events
+                .filterIsInstance<BudgetEvent.HoldingConfirmed>()
+                .single()
+                .era shouldBe 1
+        }
+
+        test("guards against withheld tokens that no holder frees after a restore") {
+            val fleet = RestoredFleet()
+            val copy = fleet.store.copy()
+            val agent = fleet.agent("a")
+            val other = fleet.agent("b")
+            agent.reserve(WORKSPACE, RequestId("r-1"), 300, Duration.ZERO).get().shouldNotBeNull()
+            other.reserve(WORKSPACE, RequestId("r-2"), 200, Duration.ZERO).get().shouldNotBeNull()
+            fleet.store.restore(copy)
+            // A ledger that no router has an entry of is found by the routers that still hold its tokens.
+            listOf(agent, other).forEach {
+                it.onStoreRestored()
+                it.maintain()
+            }
+            fleet.clock.advance(BudgetPolicy.exposure.recoveryWait)
+            agent.maintain()
+            val ledger = BudgetLedgerStore(fleet.store).read(WORKSPACE).get().shouldNotBeNull()
+            ledger.isRecovering shouldBe false
+            ledger.holders.size shouldBe 2
+            ledger.freeTokens shouldBe PAID_TOKENS - agent.heldTokens() - other.heldTokens()
+        }
+
+        test("guards against ledgers of an earlier program that cannot be read") {
+            val stored = """{"paidTokens":100,"holders":{"a@1":{"grantedTokens":40,"sequence":2}}}"""
+            val ledger = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), stored)
+            ledger.freeTokens shouldBe 60
+            ledger.withheldTokens shouldBe 0
+        }
+    })
+
+private class RestoredFleet {
+    val clock = TestClock()
+    val store = FakeObjectStore()
+    val events = mutableListOf<BudgetEvent>()
+    private val hub = FakePeerHub()
+
+    init {
+        kotlinx.coroutines.runBlocking {
+            BudgetLedgerStore(
+                store,
+            ).topUp(WORKSPACE, TopUpId("2026-01-01/t"), PAID_TOKENS)
+        }
+    }
+
+    fun agent(instance: String): BudgetAgent {
+        val self = Incarnation(InstanceId(instance), 1)
+        return BudgetAgent(
+            self,
+            EraCheckedStore(store, timeSource = clock.monotonic),
+            hub.join(self),
+            { BudgetPolicy.exposure },
+            clock.monotonic,
+            listener = { events += it },
+        )
+    }
+}
+
+private fun BudgetAgent.heldTokens(): Long = accounts().sumOf { it.grantedTokens }
+
+private const val PAID_TOKENS = 1_000L
+private val WORKSPACE = WorkspaceId("bonsai-hall")
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -186,6 +186,9 @@
         return held to used
     }
 
+    /** Whether a write takes effect a little later. With restores, [isWriteDelayed] replaces these. */
+    private fun isWriteLate() = !hasRestores && isUnstable && !isHealed && random.nextInt(12) == 0
+
     private fun isWriteDelayed() = hasRestores && !isHealed && !isCalm && restoreRandom.nextInt(DELAYED_ONE_IN) == 0
 
     private fun actOnCopies() {
@@ -605,7 +608,7 @@
             expected: ObjectVersion,
         ): Result<ObjectVersion, StoreError> =
             interleaved {
-                if (!hasRestores && isUnstable && !isHealed && random.nextInt(12) == 0) {
+                if (isWriteLate()) {
                     operators.scope.launch { this@BudgetSchedule.store.put(key, value, expected) }
                     Err(StoreError.OutcomeUnknown("late write"))
                 } else {
