--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/WithdrawnVersionsTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/timed/WithdrawnVersionsTest.kt
@@ -21,12 +21,13 @@
             status: MoveStatus? = null,
             service: String = "app",
             previous: PreviousMove? = null,
+            era: Long = 0,
         ) = MoveOrder(
             service,
             VersionId(target),
             Duration.ofSeconds(12),
             status,
-            ObjectVersion.of(position),
+            ObjectVersion.of(position, era),
             previous,
         )
 
@@ -76,6 +77,14 @@
             behind.withdrawnVersions("app") shouldBe emptySet()
         }
 
+        test("guards against a response of before a restore that arrives late and replaces or removes the order") {
+            val known = withTakenBack()
+            known.applyOrder(order("v3", 2, era = 1))
+            known.applyOrder(order("v2", 7))
+            known.onOrderMissing("app", ObjectVersion.of(8)) shouldBe false
+            known.choose("app")?.target shouldBe VersionId("v3")
+        }
+
         test("guards against the second withdrawal of a version that is taken for its first") {
             val known = withTakenBack()
             known.applyOrder(order("v3", 3))
