budget: a ledger that a restore lost as a whole is recovered like any other

A stop while the ledger was missing reported no spend. Cause: a new ledger counted as complete, although an absent object has no version that tells whether it was lost. Change: a missing ledger is first written without entries; the version of that write decides whether its holders confirm their totals before anything is granted. A close creates it too. Measured: the two new tests of BudgetRestoreTest failed before (tokens granted again to the other router after 3 s; settled null instead of 600) and pass.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -64,7 +64,7 @@
                     syncedAtMillis = nowMillis()
                 }
                 val snapshot = slot.change { it.withWriteStarted() }
-                var isOwnWriteUnseen = false
+                var isRepeatNeeded = false
                 val written =
                     ledger(slot).updateVersioned<LedgerRefusal>({
                         isRecorded(it, slot.holder.key, snapshot.sequence)
@@ -72,8 +72,11 @@
                         val ledger = withPaidTotal(slot.workspace, stored.value?.reconciled(stored.version))
                         if (ledger == null) {
                             Change.Refuse(LedgerRefusal.UnknownWorkspace)
+                        } else if (stored.value == null) {
+                            isRepeatNeeded = true
+                            Change.Write(ledger)
                         } else {
-                            isOwnWriteUnseen =
+                            isRepeatNeeded =
                                 (ledger.holders[slot.holder.key]?.sequence ?: snapshot.sequence) != snapshot.sequence
                             ledger
                                 .update(
@@ -87,9 +90,9 @@
                         }
                     }
                 val failure = written.fold({ applyLedger(slot, it) }, { failureOf(slot, it) })
-                // The ledger held an earlier write whose response was lost. It is credited now; the second round writes
-                // the rest.
-                if (round > 0 || failure !is RefillFailure.Insufficient || !isOwnWriteUnseen) return failure
+                // The ledger was created, or held an earlier write whose response was lost, which is credited now. The
+                // second round writes the rest.
+                if (round > 0 || failure !is RefillFailure.Insufficient || !isRepeatNeeded) return failure
             }
             null
         }
@@ -111,6 +114,12 @@
         ledger: BudgetLedger,
     ): Boolean = slot.locked { recoverySeen == ledger.reconciledAt && isRecoveryWaitOver(nowMillis()) }
 
+    /**
+     * The ledger with the paid total of the configuration; a new one without entries where [stored] is null.
+     *
+     * A new ledger is written before anything is granted from it: its version tells whether a restore of the store may
+     * have lost an earlier one, whose holders then confirm their totals first.
+     */
     private fun withPaidTotal(
         workspace: WorkspaceId,
         stored: BudgetLedger?,
@@ -196,20 +205,34 @@
         slot.platformAccess.withLock {
             val account = slot.locked { account }
             if (account.state != AccountState.CLOSING) return null
-            if (slot.locked { mayHaveLedgerEntry }) {
-                val error =
-                    ledger(slot)
-                        .updateVersioned<Nothing>({ isClosed(it, slot.holder.key) }) { stored ->
-                            val ledger = stored.value?.reconciled(stored.version)
-                            val closed = ledger?.close(slot.holder, account.update())
-                            if (closed == null || closed === stored.value) Change.Keep else Change.Write(closed)
-                        }.fold({ null }, { (it as UpdateError.Failed).error })
-                if (error != null) return error
-            }
+            if (slot.locked { mayHaveLedgerEntry }) closeEntry(slot, account)?.let { return it }
             slot.change { it.copy(state = AccountState.CLOSED) }
             null
         }
 
+    private suspend fun closeEntry(
+        slot: AccountSlot,
+        account: LocalAccount,
+    ): StoreError? {
+        val closed =
+            ledger(slot).updateVersioned<Nothing>({ isClosed(it, slot.holder.key) }) { stored ->
+                val ledger = stored.value?.reconciled(stored.version)
+                val closed = ledger?.close(slot.holder, account.update())
+                if (closed == null || closed === stored.value) Change.Keep else Change.Write(closed)
+            }
+        val isLedgerLost = account.sequence > 0 && closed.fold({ it.value == null }, { false })
+        if (isLedgerLost) return createLedger(slot) ?: closeEntry(slot, account)
+        return closed.fold({ null }, { (it as UpdateError.Failed).error })
+    }
+
+    /** Creates a ledger that a restore of the store has lost, so that the spend of an account can be settled in it. */
+    private suspend fun createLedger(slot: AccountSlot): StoreError? =
+        ledger(slot)
+            .update<Nothing>({ true }) { ledger ->
+                val created = withPaidTotal(slot.workspace, BudgetLedger())
+                if (ledger != null || created == null) Change.Keep else Change.Write(created)
+            }.fold({ null }, { (it as UpdateError.Failed).error })
+
     private fun isClosed(
         stored: Versioned<BudgetLedger>,
         key: String,
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
@@ -65,6 +65,39 @@
             ledger.freeTokens shouldBe PAID_TOKENS - agent.heldTokens() - other.heldTokens()
         }
 
+        test("guards against tokens that are granted again where the copy lacks the whole ledger") {
+            val fleet = RestoredFleet(isPaidByConfiguration = true)
+            val copy = fleet.store.copy()
+            val agent = fleet.agent("a")
+            agent.reserve(WORKSPACE, RequestId("r-1"), 600, Duration.ZERO).get().shouldNotBeNull()
+            fleet.store.restore(copy)
+            val other = fleet.agent("b")
+            repeat(8) {
+                listOf(other, agent).forEach {
+                    it.onStoreRestored()
+                    it.maintain()
+                }
+                fleet.clock.advance(Duration.ofSeconds(1))
+                other.reserve(WORKSPACE, RequestId("r-2-$it"), 500, Duration.ZERO).get() shouldBe null
+            }
+            other.reserve(WORKSPACE, RequestId("r-3"), 400, Duration.ZERO).get().shouldNotBeNull()
+            agent
+                .accounts()
+                .single()
+                .state shouldBe AccountState.OPEN
+        }
+
+        test("guards against the spend of a router that stops while the restored store lacks the whole ledger") {
+            val fleet = RestoredFleet(isPaidByConfiguration = true)
+            val copy = fleet.store.copy()
+            val agent = fleet.agent("a")
+            val reservation = agent.reserve(WORKSPACE, RequestId("r-1"), 600, Duration.ZERO).get().shouldNotBeNull()
+            agent.settle(reservation, 600)
+            fleet.store.restore(copy)
+            agent.close().getError() shouldBe null
+            BudgetLedgerStore(fleet.store).read(WORKSPACE).get()?.settledTokens shouldBe 600
+        }
+
         test("guards against ledgers of an earlier program that cannot be read") {
             val stored = """{"paidTokens":100,"holders":{"a@1":{"grantedTokens":40,"sequence":2}}}"""
             val ledger = TypedObject.JSON.decodeFromString(BudgetLedger.serializer(), stored)
@@ -73,17 +106,21 @@
         }
     })
 
-private class RestoredFleet {
+private class RestoredFleet(
+    private val isPaidByConfiguration: Boolean = false,
+) {
     val clock = TestClock()
     val store = FakeObjectStore()
     val events = mutableListOf<BudgetEvent>()
     private val hub = FakePeerHub()
 
     init {
-        kotlinx.coroutines.runBlocking {
-            BudgetLedgerStore(
-                store,
-            ).topUp(WORKSPACE, TopUpId("2026-01-01/t"), PAID_TOKENS)
+        if (!isPaidByConfiguration) {
+            kotlinx.coroutines.runBlocking {
+                BudgetLedgerStore(
+                    store,
+                ).topUp(WORKSPACE, TopUpId("2026-01-01/t"), PAID_TOKENS)
+            }
         }
     }
 
@@ -96,6 +133,7 @@
             { BudgetPolicy.exposure },
             clock.monotonic,
             listener = { events += it },
+            paidTotalOf = { PaidTotal(PAID_TOKENS, version = 1).takeIf { isPaidByConfiguration } },
         )
     }
 }
