--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -470,6 +470,7 @@
         ) {
             LOGGER.warn("router: store.restored previousEra={} era={}", previous, current)
             claims.onEraChanged(current)
+            budget.onStoreRestored()
         }
     }
 
