--- a/limpetfold-core/src/main/kotlin/io/limpetfold/core/RunUntilTerminated.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/core/RunUntilTerminated.kt
@@ -24,7 +24,7 @@
     runBlocking {
         try {
             start()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             // Fails if the shutdown has begun; the process then ends by it.
             runCatching { Runtime.getRuntime().removeShutdownHook(hook) }
             throw e
