budget: closes of long ago are not settled again after a restore

Change: only closes of the last minute are repeated; copies are seconds old. Not covered by a test of its own; the budget tests pass.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -27,7 +27,7 @@
     /** Evicted accounts whose ledger entry is not closed yet. */
     val closingSlots: MutableSet<AccountSlot> = ConcurrentHashMap.newKeySet()
 
-    /** Evicted accounts whose entry was closed lately; a restore of the store can undo the close. */
+    /** Evicted accounts whose entry was closed within [COPY_AGE_MAX]; a restore of the store can undo the close. */
     private val closedSlots = ArrayDeque<AccountSlot>()
 
     /** Accounts to confirm after a restore of the store. */
@@ -53,7 +53,10 @@
 
     private fun reopenClosed(isSelected: (AccountSlot) -> Boolean) {
         val selected =
-            synchronized(closedSlots) { closedSlots.filter(isSelected).also { closedSlots.removeAll(it.toSet()) } }
+            synchronized(closedSlots) {
+                dropOldClosed()
+                closedSlots.filter(isSelected).also { closedSlots.removeAll(it.toSet()) }
+            }
         selected.forEach { slot -> slot.change { it.closingAgain() } }
         closingSlots += selected
         unconfirmedSlots += selected
@@ -147,10 +150,17 @@
         closingSlots -= slot
         synchronized(closedSlots) {
             closedSlots.addLast(slot)
-            if (closedSlots.size > MAX_CLOSED_SLOTS) closedSlots.removeFirst()
+            dropOldClosed()
         }
     }
 
+    /** An account that was closed long ago must not be settled again, because its ledger has forgotten it by then. */
+    private fun dropOldClosed() {
+        val closedAfterMillis = nowMillis() - COPY_AGE_MAX.toMillis()
+        closedSlots.removeAll { slot -> slot.locked { syncedAtMillis } < closedAfterMillis }
+        if (closedSlots.size > MAX_CLOSED_SLOTS) closedSlots.removeFirst()
+    }
+
     /**
      * Closes at most one entry, which bounds the writes of a round; the next synchronisation finds the other entries
      * again.
@@ -175,7 +185,10 @@
     }
 
     private companion object {
-        /** More than one process evicts within the age of a copy of the store. */
+        /** Copies from which the platform restores its store are seconds old. */
+        val COPY_AGE_MAX: Duration = Duration.ofSeconds(60)
+
+        /** More than one process evicts within [COPY_AGE_MAX]. */
         const val MAX_CLOSED_SLOTS = 256
 
         /**
