budget: calls are refused at once when their tokens stay withheld for longer than they may wait

Cause: withheld tokens counted as an unavailable store, for which callers wait. Change: the refusal comes at once, with the time until the earliest end of the recovery as its delay. Callers that may wait for longer do, as before. Measured: BudgetRestoreTest; its new test was not run on the code before.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
@@ -90,6 +90,7 @@
         val failure =
             knownFailure
                 ?: withheldFailure(
+                    slot,
                     ledgerSync.synchronise(slot) { account, balance -> grantFor(slot, tokens, account, balance) },
                 )
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
@@ -104,11 +105,12 @@
     }
 
     /** The budget is not insufficient while the tokens of a restored ledger are withheld. */
-    private fun withheldFailure(failure: RefillFailure?): RefillFailure? =
+    private fun withheldFailure(
+        slot: AccountSlot,
+        failure: RefillFailure?,
+    ): RefillFailure? =
         if (failure is RefillFailure.Insufficient && failure.balance.isRecovering) {
-            RefillFailure.Unavailable(
-                "tokens are withheld until all routers have confirmed theirs to the restored store",
-            )
+            RefillFailure.Withheld(slot.locked { recoveryWaitMillis(nowMillis()) })
         } else {
             failure
         }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -135,7 +135,8 @@
 
     /** Whether peers may be asked for tokens during the backoff after a failed call to the platform. */
     fun canAskPeers(nowMillis: Long): Boolean =
-        failure is RefillFailure.Unavailable && nowMillis - peersAskedAtMillis >= policy.retryDelay.toMillis()
+        (failure is RefillFailure.Unavailable || failure is RefillFailure.Withheld) &&
+            nowMillis - peersAskedAtMillis >= policy.retryDelay.toMillis()
 
     /** Whether the account should be refilled before it runs out. */
     fun isLow(nowMillis: Long): Boolean =
@@ -181,8 +182,11 @@
     }
 
     /** Whether holders that the ledger does not list have had the time to confirm their totals. */
-    fun isRecoveryWaitOver(nowMillis: Long): Boolean =
-        isRecovering && nowMillis - recoverySeenAtMillis >= policy.recoveryWait.toMillis()
+    fun isRecoveryWaitOver(nowMillis: Long): Boolean = isRecovering && recoveryWaitMillis(nowMillis) == 0L
+
+    /** The time until this account may end the recovery of its ledger. */
+    fun recoveryWaitMillis(nowMillis: Long): Long =
+        maxOf(0, recoverySeenAtMillis + policy.recoveryWait.toMillis() - nowMillis)
 
     /**
      * Whether an attempt for [tokens] has to wait for the end of the backoff. An attempt for fewer tokens than the
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -318,7 +318,7 @@
             val seenChanges = slot.changes.value
             val failure = refills.refill(slot, tokens, remainingMillis)
             tryReserve(slot, request, tokens)?.let { return Ok(it) }
-            if (isClosed || isFinal(slot, failure)) {
+            if (isClosed || isFinal(slot, failure, deadlineMillis - nowMillis())) {
                 return refused(refusal(slot, tokens, failure))
             }
             remainingMillis = minOf(remainingMillis, deadlineMillis - nowMillis())
@@ -339,8 +339,10 @@
     private fun isFinal(
         slot: AccountSlot,
         failure: RefillFailure?,
+        remainingMillis: Long,
     ): Boolean =
         when (failure) {
+            is RefillFailure.Withheld -> failure.remainingMillis > remainingMillis
             is RefillFailure.Closed, RefillFailure.UnknownWorkspace -> true
             is RefillFailure.Insufficient -> !slot.policy.waitsWhenInsufficient
             is RefillFailure.Unavailable, null -> false
@@ -374,6 +376,12 @@
                     failure.reason,
                     retryAfter,
                 )
+            is RefillFailure.Withheld ->
+                BudgetRefusal.PlatformUnavailable(
+                    slot.workspace,
+                    "tokens are withheld until all routers have confirmed theirs to the restored store",
+                    maxOf(retryAfter, Duration.ofMillis(failure.remainingMillis)),
+                )
             RefillFailure.UnknownWorkspace -> BudgetRefusal.UnknownWorkspace(slot.workspace, retryAfter)
             RefillFailure.Closed -> BudgetRefusal.RouterClosed(slot.workspace, retryAfter)
             null ->
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/RefillFailure.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/RefillFailure.kt
@@ -15,6 +15,11 @@
         val reason: String,
     ) : RefillFailure
 
+    /** The tokens of a restored ledger are withheld, for [remainingMillis] at least. */
+    data class Withheld(
+        val remainingMillis: Long,
+    ) : RefillFailure
+
     /** The workspace has no ledger. */
     data object UnknownWorkspace : RefillFailure
 
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
@@ -44,6 +44,19 @@
                 .era shouldBe 1
         }
 
+        test("guards against calls that wait although their tokens are withheld for longer than they may wait") {
+            val fleet = RestoredFleet()
+            val agent = fleet.agent("a")
+            agent.reserve(WORKSPACE, RequestId("r-1"), 100, Duration.ZERO).get().shouldNotBeNull()
+            fleet.store.restore(fleet.store.copy())
+            agent.onStoreRestored()
+            agent.maintain()
+            val maxWait = BudgetPolicy.exposure.recoveryWait.minusMillis(500)
+            val refusal = agent.reserve(WORKSPACE, RequestId("r-2"), 900, maxWait).getError()
+            refusal.shouldBeInstanceOf<BudgetRefusal.PlatformUnavailable>()
+            refusal.retryAfter shouldBe BudgetPolicy.exposure.recoveryWait
+        }
+
         test("guards against withheld tokens that no holder frees after a restore") {
             val fleet = RestoredFleet()
             val copy = fleet.store.copy()
