--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestoreTest.kt
@@ -100,6 +100,33 @@
                 .state shouldBe AccountState.OPEN
         }
 
+        test(
+            "guards against tokens that are granted again while the store does not reach a holder that the copy lacks",
+        ) {
+            val fleet = RestoredFleet()
+            val agent = fleet.agent("a")
+            agent.reserve(WORKSPACE, RequestId("r-1"), 100, Duration.ZERO).get().shouldNotBeNull()
+            val copy = fleet.store.copy()
+            val cutOff = fleet.agent("c")
+            val spentTokens =
+                cutOff
+                    .reserve(
+                        WORKSPACE,
+                        RequestId("r-2"),
+                        600,
+                        Duration.ZERO,
+                    ).get()
+                    .shouldNotBeNull()
+                    .tokens
+            fleet.store.restore(copy)
+            agent.onStoreRestored()
+            repeat(8) {
+                agent.maintain()
+                fleet.clock.advance(Duration.ofSeconds(1))
+            }
+            agent.reserve(WORKSPACE, RequestId("r-3"), PAID_TOKENS - spentTokens, Duration.ZERO).get() shouldBe null
+        }
+
         test("guards against the spend of a router that stops while the restored store lacks the whole ledger") {
             val fleet = RestoredFleet(isPaidByConfiguration = true)
             val copy = fleet.store.copy()
