directory: an entry counts as written again only above all revisions seen of it

Cause: revisions of two eras were compared with the version that was listed last. The first list of a restored store lowered that version, so the second restore, from a newer copy, looked like a write: an entry rewritten at 250, drained or removed at 300, listed at 100 by a copy of 240 and at 250 by a copy of 290 was usable again at once. Change: the directory keeps the highest revision that it has seen of an entry or of its removal in any era, across its starts, for as long as the endpoint or its removal is remembered. An entry of a list counts as written again above that revision, or if its revision follows the directory's position in the same era. Each change of a watch counts as a write. ObjectVersion.isWrittenAfter, whose KDoc held for one restore only, is replaced by EndpointDirectory.isWrittenAgain. The highest revision is kept over all starts of an id rather than for each, so that an earlier start in a copy can't exceed a later one with low revisions.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/EndpointDirectory.kt
@@ -13,7 +13,9 @@
  *
  * A list of a later era than [position] comes from a store that was restored from an older copy. An endpoint that is
  * missing from it, because it registered after the copy was made, has the same grace. What was known to be draining or
- * removed is not undone by the copy, but only by an entry of another start, or by one that was written since.
+ * removed is not undone by the copy, but only by an entry of a later start, or by one that was written since. After several
+ * restores a copy may be newer than the one before it, so revisions are compared with the highest that was seen of the
+ * endpoint's entry in any era.
  */
 class EndpointDirectory(
     private val policy: DirectoryPolicy = DirectoryPolicy(),
@@ -21,6 +23,7 @@
     private class Entry(
         val endpoint: Endpoint,
         val warmAt: Duration,
+        val highestRevision: Long,
         var expiry: Expiry? = null,
     )
 
@@ -62,15 +65,16 @@
     ): DirectoryChange? {
         if (listPosition < position) return null
         val isFirstOfEra = isInitialized && listPosition.era > position.era
+        val previous = position
         position = listPosition
         val (withheld, present) =
             endpoints
                 .map { it.orWrittenAt(listPosition) }
-                .filterNot(::isOfEarlierStart)
-                .partition { removed.withhold(it, now) }
+                .filterNot { isOfEarlierStart(it, previous) }
+                .partition { !isWrittenAgain(it, previous) && removed.withhold(it, now) }
         removed.retainWithheld(withheld.mapTo(HashSet()) { it.id }::contains)
         val added = present.count { it.id !in entries }
-        val stillDraining = present.count { put(it, now) }
+        val stillDraining = present.count { put(it, isWrittenAgain(it, previous), now) }
         val ids = present.mapTo(HashSet()) { it.id }
         val missing = entries.values.filter { it.endpoint.id !in ids }
         // An entry whose expiry has begun keeps it: a further list of the same store says nothing new about it.
@@ -78,7 +82,10 @@
         return DirectoryChange(added, missing.size, withheld.size, stillDraining)
     }
 
-    /** Applies changes up to [changePosition]; changes older than [position] are ignored. */
+    /**
+     * Applies changes up to [changePosition], which must follow a list of the same era: each entry in them was written
+     * again. Changes older than [position] are ignored.
+     */
     fun applyChanges(
         endpoints: List<Endpoint>,
         removed: Collection<EndpointId>,
@@ -88,8 +95,7 @@
         if (changePosition < position) return
         position = changePosition
         for (endpoint in endpoints) {
-            this.removed.forget(endpoint.id)
-            put(endpoint.orWrittenAt(changePosition), now)
+            put(endpoint.orWrittenAt(changePosition), isWrittenAgain = true, now)
         }
         for (id in removed) {
             this.removed.dropWithheld(id)
@@ -140,7 +146,7 @@
         entries.values.removeIf { entry ->
             entry.isExpired(now).also { if (it) recordRemoval(entry, checkNotNull(entry.expiry).missingAt, now) }
         }
-        removed.takeDue(now).forEach { put(it, now) }
+        removed.due(now).forEach { put(it, isWrittenAgain = false, now) }
     }
 
     /**
@@ -149,19 +155,23 @@
      */
     private fun put(
         endpoint: Endpoint,
+        isWrittenAgain: Boolean,
         now: Duration,
     ): Boolean {
+        val highestRevision = maxOf(endpoint.entryVersion.revision, highestRevision(endpoint.id) ?: 0)
+        removed.forget(endpoint.id)
         val warmAt = now + Duration.ofMillis(endpoint.coldMillis)
         val known = entries[endpoint.id]?.takeIf { it.endpoint.startedAtMillis == endpoint.startedAtMillis }
         val isStillDraining =
             known != null &&
                 known.endpoint.isDraining &&
                 !endpoint.isDraining &&
-                !endpoint.entryVersion.isWrittenAfter(known.endpoint.entryVersion)
+                !isWrittenAgain
         entries[endpoint.id] =
             Entry(
                 if (isStillDraining) endpoint.copy(isDraining = true) else endpoint,
                 if (known == null) warmAt else minOf(known.warmAt, warmAt),
+                highestRevision,
             )
         return isStillDraining
     }
@@ -185,15 +195,34 @@
         entry: Entry,
         version: ObjectVersion,
         now: Duration,
-    ) = removed.record(entry.endpoint, version, now)
+    ) = removed.record(entry.endpoint, maxOf(entry.highestRevision, version.revision), now)
 
     /** Whether the entry in an older copy is of a process that a later one has replaced. */
-    private fun isOfEarlierStart(listed: Endpoint): Boolean {
+    private fun isOfEarlierStart(
+        listed: Endpoint,
+        previous: ObjectVersion,
+    ): Boolean {
         val known = entries[listed.id]?.endpoint ?: return false
-        return listed.startedAtMillis < known.startedAtMillis &&
-            !listed.entryVersion.isWrittenAfter(known.entryVersion)
+        return listed.startedAtMillis < known.startedAtMillis && !isWrittenAgain(listed, previous)
     }
 
+    /**
+     * Whether the entry of [listed] is known to be written after everything that was seen of it before its list, which
+     * follows [previous]: its revision is above [previous] in the same era, or above all that were seen of the entry in
+     * any era. The latter errs towards false, since a write of a later era may have a lower revision.
+     */
+    private fun isWrittenAgain(
+        listed: Endpoint,
+        previous: ObjectVersion,
+    ): Boolean {
+        val version = listed.entryVersion
+        return (version.era == previous.era && version > previous) ||
+            version.revision > (highestRevision(listed.id) ?: -1)
+    }
+
+    /** The highest revision seen of the entry of [id], its removals included, in any era and of any start. */
+    private fun highestRevision(id: EndpointId): Long? = entries[id]?.highestRevision ?: removed.highestRevision(id)
+
     private fun Entry.isExpired(now: Duration) = expiry.let { it != null && it.at <= now }
 
     private fun Endpoint.orWrittenAt(version: ObjectVersion) =
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/RemovedEndpoints.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/RemovedEndpoints.kt
@@ -1,7 +1,6 @@
 package io.limpetfold.directory
 
 import io.limpetfold.core.EndpointId
-import io.limpetfold.store.ObjectVersion
 import java.time.Duration
 
 /**
@@ -13,7 +12,7 @@
 ) {
     private class Removal(
         val startedAtMillis: Long,
-        val version: ObjectVersion,
+        val highestRevision: Long,
         val at: Duration,
     )
 
@@ -25,32 +24,32 @@
     private val removals = LinkedHashMap<EndpointId, Removal>()
     private val withheld = LinkedHashMap<EndpointId, Withheld>()
 
-    /** Records that the store had no entry of [endpoint] as of [version]. */
+    /** Records that the store has no entry of [endpoint], of which [highestRevision] is the highest known revision. */
     fun record(
         endpoint: Endpoint,
-        version: ObjectVersion,
+        highestRevision: Long,
         now: Duration,
     ) {
         removals.remove(endpoint.id)
-        removals[endpoint.id] = Removal(endpoint.startedAtMillis, version, now)
+        removals[endpoint.id] = Removal(endpoint.startedAtMillis, highestRevision, now)
         if (removals.size > policy.maxRemovals) removals.remove(removals.keys.first())
     }
 
-    /** Withholds [listed] and returns true if its entry was removed and not written again since. */
+    /** The highest revision known of [id], its removal included, in any era; null if no removal of it is known. */
+    fun highestRevision(id: EndpointId): Long? = removals[id]?.highestRevision
+
+    /** Withholds [listed], whose entry was not written again, and returns true if its removal is remembered. */
     fun withhold(
         listed: Endpoint,
         now: Duration,
     ): Boolean {
-        if (!isOutdated(listed, now)) {
-            forget(listed.id)
-            return false
-        }
+        if (!isRemoved(listed, now)) return false
         val until = withheld[listed.id]?.until ?: (now + policy.withheldTime)
         withheld[listed.id] = Withheld(listed, until)
         return true
     }
 
-    /** Forgets what is known of [id], because its entry was written again. */
+    /** Forgets what is known of [id], because its entry is in use again. */
     fun forget(id: EndpointId) {
         removals.remove(id)
         withheld.remove(id)
@@ -66,29 +65,17 @@
         withheld.keys.removeIf { !isListed(it) }
     }
 
-    /** Returns and forgets the withheld endpoints whose time has ended. */
-    fun takeDue(now: Duration): List<Endpoint> {
+    /** Returns the withheld endpoints whose time has ended. */
+    fun due(now: Duration): List<Endpoint> {
         if (withheld.isEmpty()) return emptyList()
-        val due = withheld.values.filter { it.until <= now }.map { it.endpoint }
-        due.forEach { forget(it.id) }
-        return due
+        return withheld.values.filter { it.until <= now }.map { it.endpoint }
     }
 
-    private fun isOutdated(
+    private fun isRemoved(
         listed: Endpoint,
         now: Duration,
     ): Boolean {
         val removal = removals[listed.id] ?: return false
-        if (removal.startedAtMillis < listed.startedAtMillis || now - removal.at >= policy.removalMemory) return false
-        val listedBefore = withheld[listed.id]?.endpoint?.entryVersion
-        return !listed.entryVersion.isWrittenAfter(removal.version) &&
-            (listedBefore == null || !listed.entryVersion.isWrittenAfter(listedBefore))
+        return removal.startedAtMillis >= listed.startedAtMillis && now - removal.at < policy.removalMemory
     }
 }
-
-/**
- * Whether an entry at this version was written after [known], also if the store was restored in between: an older copy
- * holds no revision above those that were seen before, so only a later write has one.
- */
-internal fun ObjectVersion.isWrittenAfter(known: ObjectVersion): Boolean =
-    if (era == known.era) this > known else revision > known.revision
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
@@ -1,20 +1,16 @@
 package io.limpetfold.directory
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.limpetfold.core.EndpointId
 import io.limpetfold.core.ZoneId
 import io.limpetfold.store.ObjectVersion
 import java.time.Duration
+import kotlin.random.Random
 
 class EndpointDirectoryTest :
     FunSpec({
-        fun endpoint(
-            id: String,
-            isDraining: Boolean = false,
-            startedAtMillis: Long = 1,
-        ) = Endpoint(EndpointId(id), startedAtMillis, "s", "10.0.0.1", 80, ZoneId("z"), "v1", 8, isDraining)
-
         fun EndpointDirectory.usableIds(now: Duration) = usable("s", now).map { it.id.value }
 
         test("guards against new calls to an endpoint that is draining, or was removed while the store was available") {
@@ -129,6 +125,30 @@
             }
         }
 
+        test("guards against a draining or removed endpoint that the second of two restores makes usable again") {
+            val ready = endpoint("a")
+            val known =
+                listOf(
+                    listOf(endpoint("a", isDraining = true).at(300)) to emptyList(),
+                    emptyList<Endpoint>() to listOf(ready.id),
+                )
+            for ((written, removed) in known) {
+                val directory = EndpointDirectory()
+                directory.applyList(listOf(ready.at(100)), ObjectVersion.of(200), seconds(1))
+                directory.applyChanges(listOf(ready.at(250)), emptyList(), ObjectVersion.of(250), seconds(2))
+                directory.applyChanges(written, removed, ObjectVersion.of(300), seconds(3))
+                directory.applyList(listOf(ready.at(100, 1)), era1(240), seconds(4))
+                directory.applyList(listOf(ready.at(250, 2)), ObjectVersion.of(290, 2), seconds(6))
+                directory.usableIds(seconds(6)) shouldBe emptyList()
+                directory.applyChanges(listOf(ready.at(291, 2)), emptyList(), ObjectVersion.of(291, 2), seconds(7))
+                directory.usableIds(seconds(7)) shouldBe listOf("a")
+            }
+        }
+
+        test("guards against an endpoint that any schedule of writes and restores makes usable without a write") {
+            for (seed in 0 until 500) withClue("seed $seed") { runRestores(Random(seed)) }
+        }
+
         test(
             "guards against losing endpoints that the copy of a restored store lacks, and against keeping them for good",
         ) {
@@ -172,5 +192,50 @@
     }) {
     private companion object {
         fun seconds(value: Long): Duration = Duration.ofSeconds(value)
+
+        /** Restores the store from copies of any age; an endpoint that left is usable only after a change of its entry. */
+        fun runRestores(random: Random) {
+            val directory = EndpointDirectory()
+            val now = seconds(1)
+            var entries = emptyMap<EndpointId, Endpoint>()
+            var position = ObjectVersion.of(1)
+            val copies = mutableListOf(entries to position.revision)
+            val usable = mutableSetOf<EndpointId>()
+            directory.applyList(emptyList(), position, now)
+            repeat(40) {
+                if (random.nextInt(4) == 0) {
+                    val era = position.era + 1
+                    val (copied, revision) = copies.random(random)
+                    position = ObjectVersion.of(revision, era)
+                    entries = copied.mapValues { (_, it) -> it.copy(entryVersion = it.entryVersion.inEra(era)) }
+                    usable -= entries.filterValues { it.isDraining }.keys
+                    directory.applyList(entries.values.toList(), position, now)
+                } else {
+                    position = ObjectVersion.of(position.revision + 1, position.era)
+                    val id = EndpointId("e${random.nextInt(3)}")
+                    if (id in entries && random.nextInt(3) == 0) {
+                        entries = entries - id
+                        usable -= id
+                        directory.applyChanges(emptyList(), listOf(id), position, now)
+                    } else {
+                        val isDraining = random.nextInt(3) == 0
+                        val written = endpoint(id.value, isDraining).copy(entryVersion = position)
+                        entries = entries + (id to written)
+                        if (isDraining) usable -= id else usable += id
+                        directory.applyChanges(listOf(written), emptyList(), position, now)
+                    }
+                }
+                copies += entries to position.revision
+                directory.usable("s", now).mapTo(HashSet()) { it.id } shouldBe usable
+            }
+        }
+
+        fun ObjectVersion.inEra(era: Long) = ObjectVersion.of(revision, era)
+
+        fun endpoint(
+            id: String,
+            isDraining: Boolean = false,
+            startedAtMillis: Long = 1,
+        ) = Endpoint(EndpointId(id), startedAtMillis, "s", "10.0.0.1", 80, ZoneId("z"), "v1", 8, isDraining)
     }
 }
