directory: withhold a removed endpoint anew after each restore

Cause: the time of a withheld entry went on across a further restore. The store drops the entry of an endpoint that is gone only some seconds after a restore, so after restores in close succession the endpoint was used before that. Change: withheldTime counts from the first list of each era. An endpoint that is alive and writes nothing stays unused longer when the store is restored often. Measured: the new test of EndpointDirectoryTest failed before (1 of 13: used 9 s after the second restore).

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/DirectoryPolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/DirectoryPolicy.kt
@@ -10,8 +10,9 @@
  * @property removalMemory how long a removal is remembered, in case the store comes back from a copy that is older.
  * @property maxRemovals the number of removals that are remembered; the oldest are dropped first.
  * @property withheldTime how long an entry that a restored store lists again although it was removed stays unused if
- * it is not written again. The store removes the entries of endpoints that are gone after a few seconds of silence, so
- * one that is still listed belongs to a live endpoint whose entry has not changed.
+ * it is not written again, counted from the first list of each era. The store removes the entries of endpoints that are
+ * gone after a few seconds of silence, so one that is still listed belongs to a live endpoint whose entry has not
+ * changed.
  */
 data class DirectoryPolicy(
     val returnGrace: Duration = RETURN_GRACE,
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/RemovedEndpoints.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/directory/RemovedEndpoints.kt
@@ -44,7 +44,9 @@
         now: Duration,
     ): Boolean {
         if (!isRemoved(listed, now)) return false
-        val until = withheld[listed.id]?.until ?: (now + policy.withheldTime)
+        // A store that is restored again waits anew before it drops the entry of an endpoint that is gone.
+        val known = withheld[listed.id]?.takeIf { it.endpoint.entryVersion.era == listed.entryVersion.era }
+        val until = known?.until ?: (now + policy.withheldTime)
         withheld[listed.id] = Withheld(listed, until)
         return true
     }
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/directory/EndpointDirectoryTest.kt
@@ -145,6 +145,16 @@
             }
         }
 
+        test("guards against the use of a removed endpoint before a store restored again had time to drop its entry") {
+            val directory = EndpointDirectory()
+            directory.applyList(listOf(endpoint("a").at(300)), ObjectVersion.of(400), seconds(1))
+            directory.applyChanges(emptyList(), listOf(EndpointId("a")), ObjectVersion.of(500), seconds(2))
+            directory.applyList(listOf(endpoint("a").at(300, 1)), era1(320), seconds(3))
+            directory.applyList(listOf(endpoint("a").at(300, 2)), ObjectVersion.of(320, 2), seconds(12))
+            directory.usableIds(seconds(21)) shouldBe emptyList()
+            directory.usableIds(seconds(22)) shouldBe listOf("a")
+        }
+
         test("guards against an endpoint that any schedule of writes and restores makes usable without a write") {
             for (seed in 0 until 500) withClue("seed $seed") { runRestores(Random(seed)) }
         }
