budget: keep accounts in use in the quiet period of the restore schedules

Cause: a ledger restored from an older copy had an older sequence of its holders, so refills were repeated without a grant, and what was granted after the copy was free again and granted twice.

--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -472,6 +472,7 @@
         stopping.toList().forEach { stop(it) }
         scheduler.runUntilIdle()
         scheduler.advance(LATE_WRITE_TIME.toMillis())
+        useAccounts()
         start("late")
         repeat(8) {
             (killedRouters + stopping).distinct().forEach { reclaim(it) }
@@ -479,6 +480,7 @@
                 launch(routers.last(), "open $workspace") { routers.last().agent.openAccount(workspace) }
             }
             scheduler.runUntilIdle()
+            useAccounts()
             scheduler.advance(IDLE_AFTER.toMillis() / 2)
             routers.forEach { launch(it, "maintain") { it.agent.maintain() } }
         }
@@ -494,6 +496,20 @@
         }
     }
 
+    /** Keeps the accounts open: the close of an idle account would hide that its entry was never confirmed. */
+    private fun useAccounts() {
+        for (router in routers) {
+            for (account in router.agent.accounts()) {
+                launch(router, "use ${account.workspace}") {
+                    router.agent.reserve(account.workspace, RequestId("use"), 0, Duration.ZERO).get()?.let {
+                        router.agent.settle(it, 0)
+                    }
+                }
+            }
+        }
+        scheduler.runUntilIdle()
+    }
+
     private fun throwFailure() = failures.firstOrNull()?.let { throw it }
 
     private fun logAndRun(
