--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -57,7 +57,7 @@
     /** Earlier incarnations of this instance that have an open entry in the ledger as last seen. */
     var predecessors: ImmutableList<Incarnation> = persistentListOf()
 
-    /** [BudgetLedger.reconciledAt] of the last recovery of the ledger that was seen. */
+    /** [BudgetLedger.recoveryBegunAt] of the last recovery of the ledger that was seen. */
     var recoverySeen = ObjectVersion.NONE
         private set
 
@@ -91,10 +91,10 @@
     ): Boolean {
         val (isNew, isEnded) =
             synchronized(this) {
-                val isNew = ledger.isRecovering && recoverySeen != ledger.reconciledAt
+                val isNew = ledger.isRecovering && recoverySeen != ledger.recoveryBegunAt
                 val isEnded = isRecovering && !ledger.isRecovering
                 if (isNew) {
-                    recoverySeen = ledger.reconciledAt
+                    recoverySeen = ledger.recoveryBegunAt
                     recoverySeenAtMillis = nowMillis
                 }
                 isRecovering = ledger.isRecovering
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -33,7 +33,7 @@
  * @property endCount the number of holders that were ended by a reclaim.
  * @property writtenOffTokens the part of [settledTokens] that was granted to holders that ended without a report, so
  * that nobody knows how much of it they spent.
- * @property reconciledAt the version of the restored ledger at which its recovery began; [ObjectVersion.NONE] before
+ * @property recoveryBegunAt the version of the restored ledger at which its recovery began; [ObjectVersion.NONE] before
  * the first restore of the store. It identifies the recovery, because a write of an earlier era that arrives late can
  * make another one necessary.
  * @property isRecovering whether some holders may not have confirmed their totals since a restore of the store. Nothing
@@ -58,7 +58,7 @@
     val endCount: Long = 0,
     val paidVersion: Long = 0,
     val writtenOffTokens: Long = 0,
-    val reconciledAt: ObjectVersion = ObjectVersion.NONE,
+    val recoveryBegunAt: ObjectVersion = ObjectVersion.NONE,
     val isRecovering: Boolean = false,
     val isWithheldLost: Boolean = false,
     @Serializable(with = PersistentMapSerializer::class)
@@ -127,13 +127,13 @@
     ): Result<BudgetLedger, LedgerRefusal> {
         val key = holder.key
         val present = holders[key]
-        val isUnconfirmed = needsConfirmation(key, update.knownSequence, update.seenReconciledAt)
+        val isUnconfirmed = needsConfirmation(key, update.knownSequence, update.seenRecoveryBegunAt)
         val isRemoved = present == null && update.knownSequence > 0 && !isUnconfirmed
         if (isRemoved || present?.isEnded == true) return Err(LedgerRefusal.HolderEnded(key))
         if (present == null && holders.size >= MAX_HOLDERS) return Err(LedgerRefusal.TooManyHolders)
         if (isUnconfirmed) return Ok(confirmed(key, update).recoveredIf(update.mayEndRecovery))
         if (present != null && present.sequence != update.knownSequence) return Ok(this)
-        val entry = present ?: HolderEntry(confirmedEnds = endCount, confirmedAt = reconciledAt)
+        val entry = present ?: HolderEntry(confirmedEnds = endCount, confirmedAt = recoveryBegunAt)
         val reported =
             copy(holders = holders.put(key, entry))
                 .recorded(key, update)
@@ -165,7 +165,7 @@
         holder: Incarnation,
         update: HolderUpdate,
     ): BudgetLedger =
-        if (needsConfirmation(holder.key, update.knownSequence, update.seenReconciledAt)) {
+        if (needsConfirmation(holder.key, update.knownSequence, update.seenRecoveryBegunAt)) {
             confirmed(holder.key, update).closeConfirmed(holder, update)
         } else {
             closeConfirmed(holder, update)
@@ -230,7 +230,7 @@
                 writtenOffTokens = writtenOffTokens + if (isWrittenOff) spentTokens - entry.reportedSpentTokens else 0,
                 holders = holders.put(holder.key, ended),
                 endCount = endCount + 1,
-                isWithheldLost = isWithheldLost || (isWrittenOff && entry.confirmedAt != reconciledAt),
+                isWithheldLost = isWithheldLost || (isWrittenOff && entry.confirmedAt != recoveryBegunAt),
             ).normalised(),
         )
     }
@@ -250,7 +250,7 @@
         update.receivedTokens.forEach { (sender, total) -> next = next.withTransferTotal(sender, key, total) }
         update.sentTokens.forEach { (receiver, total) -> next = next.withTransferTotal(key, receiver, total) }
         // End numbers are given out again after a restore.
-        val seenEnds = if (update.seenReconciledAt == reconciledAt) update.confirmedEnds else 0
+        val seenEnds = if (update.seenRecoveryBegunAt == recoveryBegunAt) update.confirmedEnds else 0
         next =
             next.withEntryChanged(key) {
                 val differenceTokens = maxOf(0, update.returnedTokens - it.returnedTokens)
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
@@ -101,7 +101,7 @@
     private fun isEnded(
         stored: Versioned<BudgetLedger>,
         key: String,
-    ): Boolean = stored.value?.let { it.isReconciled(stored.version) && it.holders[key]?.isEnded ?: true } == true
+    ): Boolean = stored.value?.let { it.isWrittenInEraOf(stored.version) && it.holders[key]?.isEnded ?: true } == true
 
     private suspend fun update(
         workspace: WorkspaceId,
@@ -110,7 +110,7 @@
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
         ledger(workspace)
             .updateVersioned<LedgerRefusal>({ isApplied(it) }) { stored ->
-                change(stored.value?.reconciled(stored.version)).fold(
+                change(stored.value?.asReadAt(stored.version)).fold(
                     success = { if (it == stored.value) Change.Keep else Change.Write(it) },
                     failure = { Change.Refuse(it) },
                 )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderEntry.kt
@@ -19,7 +19,7 @@
  * what they may hold.
  * @property isWrittenOff the holder was reclaimed without a copy of its spend, so transfers to it recorded later count
  * as spent.
- * @property confirmedAt the [BudgetLedger.reconciledAt] at which the holder last stated all its totals.
+ * @property confirmedAt the [BudgetLedger.recoveryBegunAt] at which the holder last stated all its totals.
  */
 @Serializable
 data class HolderEntry(
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
@@ -20,7 +20,7 @@
  * @property closedPeers closed peers with which the holder exchanges no more tokens, so that their totals can be
  * dropped.
  * @property totals what the holder knows from before a restore of the store.
- * @property seenReconciledAt [BudgetLedger.reconciledAt] as last seen by the holder.
+ * @property seenRecoveryBegunAt [BudgetLedger.recoveryBegunAt] as last seen by the holder.
  * @property mayEndRecovery whether the holder has seen the recovery of the ledger for so long that holders which the
  * ledger does not list have had the time to confirm their totals.
  */
@@ -34,6 +34,6 @@
     val closedPeers: PersistentSet<String> = persistentSetOf(),
     val demandTokensPerSecond: Double = 0.0,
     val totals: HolderTotals = HolderTotals(),
-    val seenReconciledAt: ObjectVersion = ObjectVersion.NONE,
+    val seenRecoveryBegunAt: ObjectVersion = ObjectVersion.NONE,
     val mayEndRecovery: Boolean = false,
 )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -13,11 +13,11 @@
  */
 
 /** The ledger as read at [version]; in recovery if the store was restored since the ledger was last written. */
-internal fun BudgetLedger.reconciled(version: ObjectVersion): BudgetLedger =
-    if (isReconciled(version)) this else copy(reconciledAt = version, isRecovering = true)
+internal fun BudgetLedger.asReadAt(version: ObjectVersion): BudgetLedger =
+    if (isWrittenInEraOf(version)) this else copy(recoveryBegunAt = version, isRecovering = true)
 
 /** Whether the ledger, read at [version], was last written in the era of that version. */
-internal fun BudgetLedger.isReconciled(version: ObjectVersion): Boolean = reconciledAt.era >= version.era
+internal fun BudgetLedger.isWrittenInEraOf(version: ObjectVersion): Boolean = recoveryBegunAt.era >= version.era
 
 /**
  * Whether the holder with [key] has to confirm its totals: the ledger has its entry or lacks it as of a time before the
@@ -26,11 +26,11 @@
 internal fun BudgetLedger.needsConfirmation(
     key: String,
     knownSequence: Long,
-    seenReconciledAt: ObjectVersion,
+    seenRecoveryBegunAt: ObjectVersion,
 ): Boolean {
     val entry = holders[key]
-    if (entry != null) return !entry.isEnded && entry.confirmedAt != reconciledAt
-    return knownSequence > 0 && seenReconciledAt != reconciledAt && key !in closedHolders
+    if (entry != null) return !entry.isEnded && entry.confirmedAt != recoveryBegunAt
+    return knownSequence > 0 && seenRecoveryBegunAt != recoveryBegunAt && key !in closedHolders
 }
 
 /**
@@ -63,14 +63,14 @@
                 ) - 1,
             returnedTokens = update.returnedTokens,
             demandTokensPerSecond = update.demandTokensPerSecond,
-            confirmedAt = reconciledAt,
+            confirmedAt = recoveryBegunAt,
         )
     return next.copy(holders = next.holders.put(key, entry))
 }
 
 /** Ends the recovery when all open holders have confirmed their totals. */
 internal fun BudgetLedger.recoveredIfConfirmed(): BudgetLedger {
-    val isConfirmed = holders.values.none { !it.isEnded && it.confirmedAt != reconciledAt }
+    val isConfirmed = holders.values.none { !it.isEnded && it.confirmedAt != recoveryBegunAt }
     if (!isRecovering || !isConfirmed) return this
     val lostTokens = if (isWithheldLost) withheldTokens else 0
     return copy(
@@ -110,7 +110,7 @@
 }
 
 private fun BudgetLedger.isKnownSinceRestore(key: String): Boolean =
-    holders[key]?.let { it.isEnded || it.confirmedAt == reconciledAt } == true
+    holders[key]?.let { it.isEnded || it.confirmedAt == recoveryBegunAt } == true
 
 private fun BudgetLedger.withOpenPeers(peers: Collection<String>): BudgetLedger {
     val added = peers.filter { it !in holders && it !in closedHolders }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -69,7 +69,7 @@
                     ledger(slot).updateVersioned<LedgerRefusal>({
                         isRecorded(it, slot.holder.key, snapshot.sequence)
                     }, isStaleReadAllowed = true, isStaleResultAllowed) { stored ->
-                        val ledger = withPaidTotal(slot.workspace, stored.value?.reconciled(stored.version))
+                        val ledger = withPaidTotal(slot.workspace, stored.value?.asReadAt(stored.version))
                         if (ledger == null) {
                             Change.Refuse(LedgerRefusal.UnknownWorkspace)
                         } else if (stored.value == null) {
@@ -104,15 +104,15 @@
     ): Boolean {
         val ledger = stored.value ?: return false
         val entry = ledger.holders[key] ?: return false
-        return ledger.isReconciled(stored.version) &&
-            entry.confirmedAt == ledger.reconciledAt &&
+        return ledger.isWrittenInEraOf(stored.version) &&
+            entry.confirmedAt == ledger.recoveryBegunAt &&
             entry.sequence > knownSequence
     }
 
     private fun mayEndRecovery(
         slot: AccountSlot,
         ledger: BudgetLedger,
-    ): Boolean = slot.locked { recoverySeen == ledger.reconciledAt && isRecoveryWaitOver(nowMillis()) }
+    ): Boolean = slot.locked { recoverySeen == ledger.recoveryBegunAt && isRecoveryWaitOver(nowMillis()) }
 
     /**
      * The ledger with the paid total of the configuration; a new one without entries where [stored] is null.
@@ -140,8 +140,8 @@
         val predecessors = predecessorsIn(ledger)
         val balance = ledger.balanceFor(slot.holder.key)
         if (slot.observeRecovery(ledger, nowMillis())) onRecovery(slot.workspace)
-        if (before.sequence > 0 && before.reconciledAt != after.reconciledAt) {
-            val era = after.reconciledAt.era
+        if (before.sequence > 0 && before.recoveryBegunAt != after.recoveryBegunAt) {
+            val era = after.recoveryBegunAt.era
             listener.onEvent(
                 BudgetEvent.HoldingConfirmed(slot.workspace, era, after.grantedTokens, ledger.withheldTokens),
             )
@@ -216,7 +216,7 @@
     ): StoreError? {
         val closed =
             ledger(slot).updateVersioned<Nothing>({ isClosed(it, slot.holder.key) }) { stored ->
-                val ledger = stored.value?.reconciled(stored.version)
+                val ledger = stored.value?.asReadAt(stored.version)
                 val closed = ledger?.close(slot.holder, account.update())
                 if (closed == null || closed === stored.value) Change.Keep else Change.Write(closed)
             }
@@ -238,7 +238,7 @@
         key: String,
     ): Boolean {
         val ledger = stored.value ?: return false
-        return ledger.isReconciled(stored.version) &&
+        return ledger.isWrittenInEraOf(stored.version) &&
             (key in ledger.closedHolders || ledger.holders[key]?.isEnded == true)
     }
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -31,7 +31,7 @@
  * @property droppedPeers the last [MAX_DROPPED_PEERS] peers in [closedPeersNetTokens]. A restored ledger can have their
  * totals again, which must not be credited twice.
  * @property closedHolders [BudgetLedger.closedHolders] as last seen.
- * @property reconciledAt [BudgetLedger.reconciledAt] as of the last ledger that had this holder's confirmed entry.
+ * @property recoveryBegunAt [BudgetLedger.recoveryBegunAt] as of the last ledger that had this holder's confirmed entry.
  */
 data class LocalAccount(
     val holder: Incarnation,
@@ -55,7 +55,7 @@
     val closedPeersInWrite: PersistentSet<String> = persistentSetOf(),
     val droppedPeers: PersistentMap<String, PeerTotals> = persistentMapOf(),
     val closedHolders: PersistentMap<String, Long> = persistentMapOf(),
-    val reconciledAt: ObjectVersion = ObjectVersion.NONE,
+    val recoveryBegunAt: ObjectVersion = ObjectVersion.NONE,
 ) {
     /** The tokens granted and received less those sent and returned; includes the spent ones. */
     val grantedTokens: Long
@@ -178,11 +178,11 @@
         version: ObjectVersion,
     ): LocalAccount {
         if (version <= this.version) return this
-        if (!ledger.isReconciled(version) || ledger.needsConfirmation(holder.key, sequence, reconciledAt)) {
+        if (!ledger.isWrittenInEraOf(version) || ledger.needsConfirmation(holder.key, sequence, recoveryBegunAt)) {
             return copy(version = version)
         }
-        if (reconciledAt == ledger.reconciledAt) return observeConfirmed(ledger, version)
-        return withDroppedPeers().copy(reconciledAt = ledger.reconciledAt).observeConfirmed(ledger, version)
+        if (recoveryBegunAt == ledger.recoveryBegunAt) return observeConfirmed(ledger, version)
+        return withDroppedPeers().copy(recoveryBegunAt = ledger.recoveryBegunAt).observeConfirmed(ledger, version)
     }
 
     private fun observeConfirmed(
@@ -229,7 +229,7 @@
             closedPeers = closedPeers,
             demandTokensPerSecond = demand.tokensPerSecond,
             totals = totals(),
-            seenReconciledAt = reconciledAt,
+            seenRecoveryBegunAt = recoveryBegunAt,
         )
 
     private fun totals(): HolderTotals {
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -150,7 +150,7 @@
     private fun checkRestored(workspace: WorkspaceId) {
         val paid = paidTokens(workspace)
         val stored = restores.current(workspace) ?: return
-        val canGrant = stored.value.isReconciled(stored.version) && !stored.value.isRecovering
+        val canGrant = stored.value.isWrittenInEraOf(stored.version) && !stored.value.isRecovering
         val free = if (canGrant) maxOf(0, stored.value.freeTokens) else 0
         val (held, used) = heldAndUsed(workspace)
         check(free + held + used <= paid) {
