budget, core: plain expressions and usual words in the recovery of ledgers

Read through as a newcomer: three expressions that the formatter had split over many lines are named values or a function now, and comments say recently and reported. No change of behaviour.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -40,7 +40,7 @@
     /** The number of accounts evicted so far; it makes the holder number of the next account unique. */
     val evictedCount: Long get() = evictionCounter.get()
 
-    /** Makes all accounts confirm their totals, also those that were closed lately. */
+    /** Makes all accounts confirm their totals, also those that were closed recently. */
     fun onStoreRestored() {
         recheckAtMillis = nowMillis() + RECHECK_DELAY.toMillis()
         reopenClosed { true }
@@ -48,7 +48,7 @@
         unconfirmedSlots += closingSlots
     }
 
-    /** Makes the accounts of [workspace] that were closed lately close their entries again. */
+    /** Makes the accounts of [workspace] that were closed recently close their entries again. */
     fun reopenClosed(workspace: WorkspaceId) = reopenClosed { it.workspace == workspace }
 
     private fun reopenClosed(isSelected: (AccountSlot) -> Boolean) {
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -198,7 +198,7 @@
     fun requestLedgerSync() = slots.values.forEach { slot -> slot.locked { syncedAtMillis = NEVER_MILLIS } }
 
     /**
-     * Ends all backoffs and makes the confirmation of all accounts due, also of those that were closed lately. To be
+     * Ends all backoffs and makes the confirmation of all accounts due, also of those that were closed recently. To be
      * called when the platform's store was restored from an older copy; does not block.
      */
     fun onStoreRestored() {
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedgerStore.kt
@@ -37,10 +37,8 @@
         tokens: Long,
     ): Result<BudgetLedger, UpdateError<LedgerRefusal>> =
         update(workspace, { stored -> stored.value?.let { topUpId.value in it.topUps } == true }) {
-            (
-                it
-                    ?: BudgetLedger()
-            ).topUp(topUpId, tokens)
+            val ledger = it ?: BudgetLedger()
+            ledger.topUp(topUpId, tokens)
         }
 
     /**
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderTotals.kt
@@ -10,8 +10,8 @@
  *
  * @property grantedTokens the tokens granted and received less those sent and returned.
  * @property acquiredTokens cumulative tokens granted by the platform.
- * @property receivedTokens cumulative tokens received from each peer, including peers that closed lately.
- * @property sentTokens cumulative tokens sent to each peer, including peers that closed lately.
+ * @property receivedTokens cumulative tokens received from each peer, including peers that closed recently.
+ * @property sentTokens cumulative tokens sent to each peer, including peers that closed recently.
  * @property openPeers the other holders that may be open: those with an open entry as last seen, and those with which
  * this holder has exchanged tokens.
  * @property closedHolders the holders that were closed, with the tokens settled for them, as last seen.
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -54,13 +54,7 @@
             acquiredTokens = own.acquiredTokens,
             reportedSpentTokens = update.spentTokens,
             sequence = update.knownSequence + 1,
-            // End numbers are given out again, so the holder confirms the ends when it has seen this ledger.
-            confirmedEnds =
-                (
-                    next.holders.values
-                        .filter { it.isEnded }
-                        .minOfOrNull { it.endNumber } ?: 1
-                ) - 1,
+            confirmedEnds = next.lowestEndNumber() - 1,
             returnedTokens = update.returnedTokens,
             demandTokensPerSecond = update.demandTokensPerSecond,
             confirmedAt = recoveryBegunAt,
@@ -68,6 +62,15 @@
     return next.copy(holders = next.holders.put(key, entry))
 }
 
+/**
+ * The lowest end number of an ended holder. End numbers are given out again after a restore, so a holder confirms the ends
+ * only when it has seen the restored ledger.
+ */
+private fun BudgetLedger.lowestEndNumber(): Long {
+    val ended = holders.values.filter { it.isEnded }
+    return ended.minOfOrNull { it.endNumber } ?: 1
+}
+
 /** Ends the recovery when all open holders have confirmed their totals. */
 internal fun BudgetLedger.recoveredIfConfirmed(): BudgetLedger {
     val isConfirmed = holders.values.none { !it.isEnded && it.confirmedAt != recoveryBegunAt }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -247,21 +247,18 @@
     }
 
     /** Takes the totals of [droppedPeers] up again. */
-    private fun withDroppedPeers(): LocalAccount =
-        copy(
-            receivedTokens =
-                receivedTokens.putAll(
-                    droppedPeers.mapValues { it.value.receivedTokens }.filterValues {
-                        it >
-                            0
-                    },
-                ),
-            sentTokens = sentTokens.putAll(droppedPeers.mapValues { it.value.sentTokens }.filterValues { it > 0 }),
+    private fun withDroppedPeers(): LocalAccount {
+        val received = droppedPeers.mapValues { it.value.receivedTokens }.filterValues { it > 0 }
+        val sent = droppedPeers.mapValues { it.value.sentTokens }.filterValues { it > 0 }
+        return copy(
+            receivedTokens = receivedTokens.putAll(received),
+            sentTokens = sentTokens.putAll(sent),
             closedPeersNetTokens =
                 closedPeersNetTokens - droppedPeers.values.sumOf { it.receivedTokens - it.sentTokens },
             closedPeersInWrite = persistentSetOf(),
             droppedPeers = persistentMapOf(),
         )
+    }
 
     /** Marks [update] as being written, so that its effect is recognised when the ledger has the next sequence. */
     fun withWriteStarted(): LocalAccount = copy(closedPeersInWrite = closedPeers)
--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
@@ -34,7 +34,7 @@
     @Volatile
     private var exactReadsUntil = Duration.ZERO
 
-    /** The latest era that a response or a peer told of; 0 before the first. */
+    /** The latest era that a response or a peer reported; 0 before the first. */
     val era: Long get() = maxOf(0, knownEra.get())
 
     /**
