gateway: a stopped router gives back its connections and threads

Callers see nothing, because a router's process ends after its stop.

Cause: Gateway.stop() closed neither its peer network nor its client and event loop. Each stopped router kept a selector that occupies a thread of Dispatchers.IO; after 64 of them in the process of the tests, every call of the soak waited up to 1 s for a thread.

Change: stop() closes them, and further calls of stop() wait for the end of the first. The body is split by step.

Measured: StoppedRouterTest failed before ("condition not met in time: the threads of the router end") and passes.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -84,6 +84,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.time.Duration
 import java.time.InstantSource
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
@@ -196,6 +197,8 @@
     private val work = PeriodicWork(scope, random, log)
 
     private val startEnded = Job()
+    private val hasStopBegun = AtomicBoolean()
+    private val stopEnded = Job()
 
     @Volatile
     private var hasNewMembers = false
@@ -239,10 +242,25 @@
 
     /**
      * Shuts down gracefully: reports not ready, waits for running calls, returns loans and grants, and closes the
-     * listeners last. While [start] is running, this waits for it, so that all that it opens is closed.
+     * listeners last. While [start] is running, this waits for it, so that all that it opens is closed. Further calls
+     * wait for the end of the first.
      */
     suspend fun stop() {
-        log.info("router.stopping", "running" to callerServer.runningCount)
+        if (hasStopBegun.getAndSet(true)) return stopEnded.join()
+        try {
+            log.info("router.stopping", "running" to callerServer.runningCount)
+            val isIdle = drain()
+            returnTokens()
+            callerServer.awaitIdle(FINAL_RESPONSE_TIMEOUT)
+            close()
+            log.info("router.stopped", "idle" to isIdle)
+        } finally {
+            stopEnded.complete()
+        }
+    }
+
+    /** Waits for running calls and refuses further ones; returns whether all ended in time. */
+    private suspend fun drain(): Boolean {
         shutdown.start()
         readiness = Readiness.STOPPING
         callerServer.beginDrain()
@@ -258,14 +276,22 @@
         callerServer.awaitIdle(shutdown.timeLeft)
         shutdown.endDrain()
         callerServer.awaitIdle(FINAL_RESPONSE_TIMEOUT)
+        return isIdle
+    }
+
+    private suspend fun returnTokens() {
         withTimeoutOrNull(LOAN_RETURN_TIMEOUT.toMillis()) { tokens.close() }
         budget.close().getError()?.let { log.warn("budget.not_returned", "reason" to it.message) }
-        callerServer.awaitIdle(FINAL_RESPONSE_TIMEOUT)
+    }
+
+    private suspend fun close() {
         callerServer.close()
         readinessServer.close()
         metricsServer.close()
         scope.cancel()
-        log.info("router.stopped", "idle" to isIdle)
+        peers.close()
+        client.close()
+        loops.close()
     }
 
     private fun registerGauges() {
