http: check right before the write whether a request may still be sent

Callers and endpoints saw: a call whose caller had left, or whose endpoint was leaving, was written all the same when its connection took long to open or its event loop was late. Cause: UpstreamClient checked the caller before it handed the request to the event loop of the connection, and nothing after that. Change: a SendCheck runs in the same step on the event loop as the write. A request that is withdrawn there is NotSent, and its connection goes back to the pool. The end of the calling coroutine is checked there in any case.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -52,15 +52,33 @@
         scheduleTick()
     }
 
+    /** The result of [start]. */
+    sealed interface Start {
+        class Started(
+            val exchange: ClientExchange,
+        ) : Start
+
+        /** No byte was written; the connection can't be used any more. */
+        data object Unusable : Start
+
+        /** No byte was written, because of [reason]; the connection can be used for another request. */
+        class Withdrawn(
+            val reason: String,
+        ) : Start
+    }
+
     /**
-     * Starts [request], or returns null without writing a byte if the connection is no longer usable.
+     * Starts [request] if the connection is still usable and [check] does not withdraw it.
      *
-     * The check and the write run in one step on the event loop. A connection that the endpoint closes before that step
+     * The checks and the write run in one step on the event loop. A connection that the endpoint closes before that step
      * is thus detected, and the request can go out on another one.
      */
-    suspend fun start(request: UpstreamRequest): ClientExchange? {
-        val started = CompletableDeferred<ClientExchange?>()
-        channel.eventLoop().execute { started.complete(startOnEventLoop(request)) }
+    suspend fun start(
+        request: UpstreamRequest,
+        check: SendCheck,
+    ): Start {
+        val started = CompletableDeferred<Start>()
+        channel.eventLoop().execute { started.complete(startOnEventLoop(request, check)) }
         return withContext(NonCancellable) { started.await() }
     }
 
@@ -181,12 +199,16 @@
         if (exchange == null) channel.close()
     }
 
-    private fun startOnEventLoop(request: UpstreamRequest): ClientExchange? {
-        if (!isUsable || !channel.isActive || exchange != null) return null
+    private fun startOnEventLoop(
+        request: UpstreamRequest,
+        check: SendCheck,
+    ): Start {
+        if (!isUsable || !channel.isActive || exchange != null) return Start.Unusable
         if (System.nanoTime() - activityNanos > keepAliveLimit.toNanos()) {
             discard()
-            return null
+            return Start.Unusable
         }
+        check.withdrawal()?.let { return Start.Withdrawn(it) }
         val started = ClientExchange(request, this, channel, budget, settings.requestIdHeader)
         exchange = started
         correlation.onRequest()
@@ -204,7 +226,7 @@
                 if (it.isSuccess) onRequestWritten()
             }
         }
-        return started
+        return Start.Started(started)
     }
 
     private fun onRequestWritten() {
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -56,13 +57,21 @@
     /** The number of open connections to [address], idle ones included. */
     fun openConnections(address: HostPort): Int = pool.openCount(address)
 
-    /** Sends [request] and waits for the head of its response. Read the response to its end or close it. */
+    /**
+     * Sends [request] and waits for the head of its response. Read the response to its end or close it.
+     *
+     * If [check] withdraws the request right before it is written, the result is [UpstreamError.NotSent] with
+     * [UpstreamError.Reason.WITHDRAWN].
+     */
     suspend fun send(
         address: HostPort,
         request: UpstreamRequest,
+        check: SendCheck = SendCheck.NONE,
     ): Result<UpstreamResponse, UpstreamError> {
         validationError(request)?.let { return Err(UpstreamError.NotSent(UpstreamError.Reason.INVALID_REQUEST, it)) }
         val sent = splitLargeBody(request)
+        val job = currentCoroutineContext()[Job]
+        val checkOfRunning = SendCheck { if (job?.isActive == false) "the call has ended" else check.withdrawal() }
         while (true) {
             val connection =
                 when (val acquisition = pool.acquire(address)) {
@@ -77,9 +86,16 @@
                 }
             if (!currentCoroutineContext().isActive) pool.onIdle(connection)
             currentCoroutineContext().ensureActive()
-            // An unusable connection has written nothing, so the request can safely go out on another one.
-            val exchange = connection.start(sent) ?: continue
-            return awaitResponse(connection, exchange)
+            when (val start = connection.start(sent, checkOfRunning)) {
+                is ClientConnection.Start.Started -> return awaitResponse(connection, start.exchange)
+                is ClientConnection.Start.Withdrawn -> {
+                    pool.onIdle(connection)
+                    currentCoroutineContext().ensureActive()
+                    return notSent(UpstreamError.Reason.WITHDRAWN, start.reason)
+                }
+                // An unusable connection has written nothing, so the request can safely go out on another one.
+                ClientConnection.Start.Unusable -> Unit
+            }
         }
     }
 
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamError.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamError.kt
@@ -21,6 +21,9 @@
         IDENTITY_MISMATCH,
         REQUEST_BODY_FAILED,
         CANCELLED,
+
+        /** A [SendCheck] withdrew the request. */
+        WITHDRAWN,
     }
 
     /** No byte of the request was written. */
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/call/Forwarder.kt
@@ -146,6 +146,7 @@
             UpstreamError.Reason.INVALID_REQUEST,
             UpstreamError.Reason.REQUEST_BODY_FAILED,
             UpstreamError.Reason.CANCELLED,
+            UpstreamError.Reason.WITHDRAWN,
             -> attempt.resources.discardUnsent()
             else ->
                 attempt.resources.release(
