gateway: check the choice of an endpoint again right before a call is written

Callers saw: calls sent after their time had run out. Cause, of the part between the choice and the first byte: an endpoint was chosen, and then the call waited for a connection (up to 300 ms, and longer if the event loop is late) and for its turn on the event loop. What the router learned in that time, that the endpoint leaves, that its version or a part of the prompt was withdrawn, or that the time of the call ran out, was not looked at again; and the endpoint was told the time that had been left at the choice. Change: the same conditions are checked in the step that writes the call. A call that is withdrawn there was not sent, so it is no attempt and no failure of the endpoint: the dispatcher chooses again, or refuses with the reason that is true then. A choice older than 250 ms is made again too, after the event loop has read what is ready; two times at most for one call, so that a router that is always late sends it in the end.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -10,17 +10,14 @@
 import io.limpetfold.dispatch.FleetRetryBudget
 import io.limpetfold.dispatch.FleetRetryBudgetPolicy
 import io.limpetfold.dispatch.PickRequest
-import io.limpetfold.dispatch.VersionPreference
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.gateway.codec.CallCodec
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.UpstreamResponse
 import io.limpetfold.quarantine.PromptPartQuarantine
-import io.limpetfold.rollout.MoveSide
-import io.limpetfold.rollout.VersionObservation
-import io.limpetfold.rollout.timed.TimedVersionChoice
 import io.limpetfold.rollout.timed.TimedVersionSelector
 import io.limpetfold.routing.CallKind
+import kotlinx.coroutines.delay
 import java.time.Duration
 
 /**
@@ -52,6 +49,7 @@
     ) {
         private val retryBudget = retryBudgets.getOrPut(call.service) { FleetRetryBudget(retryBudgetPolicy) }
         private val relay = StreamRelay(clock, codec, policy)
+        private val choiceAge = ChoiceAge(clock, policy)
         private val triedEndpoints = mutableSetOf<EndpointId>()
         private var sentCount = 0
         private var connectFailures = 0
@@ -79,6 +77,7 @@
                 when (val result = attempt.run()) {
                     is SendResult.Delivered -> return CallEnd.Completed(result.status)
                     is SendResult.NotSent -> if (++connectFailures > policy.maxConnectFailures) return noEndpoint()
+                    is SendResult.Withdrawn -> readPending(attempt)
                     is SendResult.NotRun -> if (!acquireRetry()) return notRun()
                     is SendResult.Unknown -> if (!call.route.isRetryable || !acquireRetry()) return unknownOutcome()
                     is SendResult.Interrupted -> if (!canResume() || !acquireRetry()) return truncated(result.reason)
@@ -87,6 +86,26 @@
             }
         }
 
+        /**
+         * Lets the event loop read what is ready before the next choice, and offers the call to the endpoint of
+         * [withdrawn] again if it may still be used: nothing was sent.
+         */
+        private suspend fun readPending(withdrawn: Attempt) {
+            triedEndpoints -= withdrawn.state.endpoint.id
+            delay(policy.pendingReadTime.toMillis())
+        }
+
+        /** Returns why a call that was to go to the endpoint of [state] may no longer be written there, or null. */
+        private fun withdrawal(state: EndpointState): String? {
+            val now = clock.now()
+            return when {
+                call.deadline - now < policy.minAttemptTime -> "too little time is left"
+                quarantine.blocks(call.headers.prompt, now) -> "a part of its prompt is quarantined"
+                !picker.isInUse(state, pickRequest(), now) -> "the endpoint is no longer in use"
+                else -> choiceAge.withdrawal()
+            }
+        }
+
         private fun takeSuccessor(): Attempt? = successor.also { successor = null }
 
         private fun pickUntried(): EndpointState? = picker.pick(pickRequest(), clock.now())
@@ -96,7 +115,7 @@
                 call.headers.prompt
                     ?.affinityKey
                     ?.takeIf { call.route.hasAffinity }
-            val versions = call.move?.let(::preferenceOf)
+            val versions = call.move?.preference
             return PickRequest(
                 call.service,
                 affinityKey,
@@ -125,6 +144,7 @@
 
             init {
                 triedEndpoints += state.endpoint.id
+                choiceAge.onChosen()
                 call.attempts += "${state.endpoint.id}(load=${state.inFlight})"
                 picker.onCallStarted(state)
                 versionSelector.onCallStarted(move)
@@ -177,11 +197,12 @@
             private suspend fun open(): SendResult? {
                 var opened: EndpointSender.Opened? = null
                 try {
-                    opened = sender.open(call, state, relay)
+                    opened = sender.open(call, state, relay) { withdrawal(state) }
                     response = (opened as? EndpointSender.Opened.Responding)?.response
                     return (opened as? EndpointSender.Opened.Ended)?.result
                 } finally {
-                    if ((opened as? EndpointSender.Opened.Ended)?.result !is SendResult.NotSent) onSent()
+                    val result = (opened as? EndpointSender.Opened.Ended)?.result
+                    if (result !is SendResult.NotSent && result !is SendResult.Withdrawn) onSent()
                 }
             }
 
@@ -198,7 +219,11 @@
             private fun end(result: SendResult?) {
                 val outcome = result?.callOutcome ?: CallOutcome.UNKNOWN
                 picker.onCallEnded(state, outcome, clock.now())
-                versionSelector.onCallEnded(move, call.route.route, observationOf(outcome, call, sentAt))
+                versionSelector.onCallEnded(
+                    move,
+                    call.route.route,
+                    versionObservationOf(outcome, call, sentAt, clock.now()),
+                )
                 if (result == null) return
                 call.attemptOutcomes += result.logText
                 recordEvidence(state, result)
@@ -320,34 +345,4 @@
             return CallEnd.Truncated(reason)
         }
     }
-
-    /**
-     * Returns what an attempt shows about the version of its endpoint; null if the endpoint rejected the call or the
-     * outcome is unknown.
-     */
-    private fun observationOf(
-        outcome: CallOutcome,
-        call: AdmittedCall,
-        sentAt: Duration,
-    ): VersionObservation? =
-        when (outcome) {
-            CallOutcome.SUCCEEDED ->
-                if (call.route.kind == CallKind.STREAM) {
-                    VersionObservation(
-                        isSuccess = true,
-                        firstToken = call.firstByteAt?.let { it - sentAt }?.takeIf { !it.isNegative },
-                    )
-                } else {
-                    VersionObservation(isSuccess = true, latency = clock.now() - sentAt)
-                }
-            CallOutcome.FAILED, CallOutcome.UNREACHABLE -> VersionObservation(isSuccess = false)
-            CallOutcome.REJECTED, CallOutcome.UNKNOWN -> null
-        }
-
-    private fun preferenceOf(choice: TimedVersionChoice) =
-        VersionPreference(
-            choice.target.value,
-            isTargetPreferred = choice.side == MoveSide.NEW,
-            isFallbackAllowed = choice.side == MoveSide.NEW || !choice.isWithdrawn,
-        )
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -12,6 +12,11 @@
  * @property maxBudgetWait maximum wait for tokens of a budget.
  * @property minAttemptTime minimum remaining time for which a call is still sent to an endpoint.
  * @property maxConnectFailures number of unreachable endpoints that are tolerated before a call is refused.
+ * @property maxChoiceAge how long after the choice of an endpoint a call may still be written there. Opening a connection
+ * takes a few milliseconds on a router that gets the processor; after this time the endpoint is chosen again, since it would
+ * be told that much more time than the call has left.
+ * @property maxOutdatedChoices how often the endpoint of one call is chosen again for that reason.
+ * @property pendingReadTime how long a call that was withdrawn waits for the event loop to read what has arrived.
  * @property firstEventTimeout a resumable stream without an event yet, whose endpoint sent no byte on any connection for
  * this long, is sent to another endpoint if one can take it.
  * @property stallTimeout a resumable stream whose endpoint sent no byte on any connection for this long is resumed at
@@ -26,6 +31,9 @@
     val maxBudgetWait: Duration = MAX_BUDGET_WAIT,
     val minAttemptTime: Duration = Duration.ofMillis(20),
     val maxConnectFailures: Int = 4,
+    val maxChoiceAge: Duration = MAX_CHOICE_AGE,
+    val maxOutdatedChoices: Int = 2,
+    val pendingReadTime: Duration = Duration.ofMillis(5),
     val firstEventTimeout: Duration = FIRST_EVENT_TIMEOUT,
     val stallTimeout: Duration = STALL_TIMEOUT,
     val retryAfterMin: Duration = Duration.ofMillis(60),
@@ -38,6 +46,8 @@
         val MAX_BUDGET_WAIT: Duration = Duration.ofMillis(600)
         val FIRST_EVENT_TIMEOUT: Duration = Duration.ofMillis(700)
 
+        val MAX_CHOICE_AGE: Duration = Duration.ofMillis(250)
+
         /** Leaves half a second to resume a stream before the most impatient callers give it up. */
         val STALL_TIMEOUT: Duration = Duration.ofMillis(1_500)
         val RETRY_AFTER_MAX: Duration = Duration.ofMillis(250)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -10,6 +10,7 @@
 import io.limpetfold.http.HttpExchange
 import io.limpetfold.http.RequestIdEcho
 import io.limpetfold.http.ResponseHead
+import io.limpetfold.http.SendCheck
 import io.limpetfold.http.UpstreamBody
 import io.limpetfold.http.UpstreamClient
 import io.limpetfold.http.UpstreamError
@@ -41,12 +42,14 @@
 
     /**
      * Sends [call] to the endpoint of [state] and waits for the head of its response; [relay] knows which events of a
-     * stream the caller already received from earlier attempts.
+     * stream the caller already received from earlier attempts. [check] decides right before the call is written whether
+     * it still goes to this endpoint.
      */
     suspend fun open(
         call: AdmittedCall,
         state: EndpointState,
         relay: StreamRelay,
+        check: SendCheck,
     ): Opened {
         val endpoint = state.endpoint
         val request = upstreamRequest(call, state, relay)
@@ -54,7 +57,7 @@
         // Set before the call is sent, because a cancellation while the response is awaited leaves the outcome unknown.
         call.mayHaveRun = true
         val response =
-            client.send(HostPort(endpoint.host, endpoint.port), request).getOrElse { error ->
+            client.send(HostPort(endpoint.host, endpoint.port), request, check).getOrElse { error ->
                 if (error is UpstreamError.NotSent) call.mayHaveRun = mayHaveRunBefore
                 return Opened.Ended(failed(error))
             }
@@ -99,10 +102,10 @@
     }
 
     private fun failed(error: UpstreamError): SendResult =
-        if (error is UpstreamError.NotSent) {
-            SendResult.NotSent(describe(error))
-        } else {
-            SendResult.Unknown(describe(error), error.isConnectionLost)
+        when {
+            error.reason == UpstreamError.Reason.WITHDRAWN -> SendResult.Withdrawn(error.message)
+            error is UpstreamError.NotSent -> SendResult.NotSent(describe(error))
+            else -> SendResult.Unknown(describe(error), error.isConnectionLost)
         }
 
     /** The response is not the one that the endpoint made for this call, because of [reason]. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResult.kt
@@ -15,6 +15,11 @@
         val reason: String,
     ) : SendResult
 
+    /** No byte of the call was written, because it no longer goes to this endpoint; says nothing about the endpoint. */
+    data class Withdrawn(
+        val reason: String,
+    ) : SendResult
+
     /** The endpoint proved that it did not run the call. */
     data class NotRun(
         val status: Int,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResults.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/SendResults.kt
@@ -10,6 +10,7 @@
         when (this) {
             is SendResult.Delivered -> if (status >= SERVER_ERROR) CallOutcome.FAILED else CallOutcome.SUCCEEDED
             is SendResult.NotRun -> CallOutcome.REJECTED
+            is SendResult.Withdrawn -> CallOutcome.UNKNOWN
             is SendResult.NotSent,
             is SendResult.Unknown,
             is SendResult.Interrupted,
@@ -24,6 +25,7 @@
         when (this) {
             is SendResult.Delivered -> "delivered $status"
             is SendResult.NotSent -> "not sent: $reason"
+            is SendResult.Withdrawn -> "withdrawn: $reason"
             is SendResult.NotRun -> "not run $status"
             is SendResult.Unknown -> "unknown: $reason"
             is SendResult.Interrupted -> "interrupted: $reason"
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/FeedPoliciesTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/operate/FeedPoliciesTest.kt
@@ -3,11 +3,15 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.limpetfold.replication.RelayPolicy
 import java.time.Duration
 
 /** A connection, and the response of a slow store to the repeated watch. */
 private val RECONNECT_TIME: Duration = Duration.ofMillis(290)
 
+/** For which a router may wait between the choice of an endpoint and the first byte of a call that it sends there. */
+private val HOLD_TIME: Duration = Duration.ofMillis(500)
+
 class FeedPoliciesTest :
     FunSpec({
         test("guards against a feed that notices a silent connection only after the time in which it must be current") {
@@ -28,6 +32,20 @@
             }
         }
 
+        test("guards against a relay that stops responding and delays a change beyond the time in which it must be known") {
+            for (seconds in 3L..10L) {
+                val contactTime = Duration.ofSeconds(seconds)
+                val policy = FleetPolicies.largeFleetFeedPolicy(contactTime)
+                withClue("contact time $contactTime, $policy") {
+                    val askedStoreAfter = policy.pauseAfterChange + policy.watchWait + RelayPolicy().responseMargin
+                    val feedGivesUpAfter = policy.pauseAfterChange + policy.watchWait + policy.responseMargin
+                    // The store is asked within the same watch, and its response still counts.
+                    askedStoreAfter + RECONNECT_TIME.dividedBy(2) shouldBeLessThan feedGivesUpAfter
+                    askedStoreAfter + RECONNECT_TIME + HOLD_TIME shouldBeLessThan contactTime
+                }
+            }
+        }
+
         test("guards against orders that are unseen for seconds after an outage of the store has ended") {
             val contactTime = Duration.ofSeconds(3)
             val policy = FleetPolicies.feedPolicy(contactTime, Duration.ZERO)
