--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -25,6 +26,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import java.time.Duration
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -45,24 +47,32 @@
 ) : AutoCloseable {
     private val pool = ConnectionPool(settings.maxConnectionsPerAddress, listener)
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val connectTimeouts = ConnectTimeouts(settings)
     private val bootstrap =
         Bootstrap()
             .group(loops.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.toMillis().toInt())
             .option(ChannelOption.RECVBUF_ALLOCATOR, HttpServer.receiveAllocator(budget))
 
     /** The number of open connections to [address], idle ones included. */
     fun openConnections(address: HostPort): Int = pool.openCount(address)
 
-    /** Sends [request] and waits for the head of its response. Read the response to its end or close it. */
+    /**
+     * Sends [request] and waits for the head of its response. Read the response to its end or close it.
+     *
+     * If [check] withdraws the request right before it is written, the result is [UpstreamError.NotSent] with
+     * [UpstreamError.Reason.WITHDRAWN].
+     */
     suspend fun send(
         address: HostPort,
         request: UpstreamRequest,
+        check: SendCheck = SendCheck.NONE,
     ): Result<UpstreamResponse, UpstreamError> {
         validationError(request)?.let { return Err(UpstreamError.NotSent(UpstreamError.Reason.INVALID_REQUEST, it)) }
         val sent = splitLargeBody(request)
+        val job = currentCoroutineContext()[Job]
+        val checkOfRunning = SendCheck { if (job?.isActive == false) "the call has ended" else check.withdrawal() }
         while (true) {
             val connection =
                 when (val acquisition = pool.acquire(address)) {
@@ -77,9 +87,16 @@
                 }
             if (!currentCoroutineContext().isActive) pool.onIdle(connection)
             currentCoroutineContext().ensureActive()
-            // An unusable connection has written nothing, so the request can safely go out on another one.
-            val exchange = connection.start(sent) ?: continue
-            return awaitResponse(connection, exchange)
+            when (val start = connection.start(sent, checkOfRunning)) {
+                is ClientConnection.Start.Started -> return awaitResponse(connection, start.exchange)
+                is ClientConnection.Start.Withdrawn -> {
+                    pool.onIdle(connection)
+                    currentCoroutineContext().ensureActive()
+                    return notSent(UpstreamError.Reason.WITHDRAWN, start.reason)
+                }
+                // An unusable connection has written nothing, so the request can safely go out on another one.
+                ClientConnection.Start.Unusable -> Unit
+            }
         }
     }
 
@@ -140,9 +157,12 @@
 
     private suspend fun connect(address: HostPort): Result<ClientConnection, UpstreamError> {
         val created = AtomicReference<ClientConnection>()
+        val startNanos = System.nanoTime()
+        val timeoutMillis = connectTimeouts.timeout(address).toMillis().toInt()
         val future =
             bootstrap
                 .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
@@ -158,12 +178,14 @@
             pool.connectFailed(address)
             val reason =
                 if (failure is ConnectTimeoutException) {
+                    connectTimeouts.onTimeout(address)
                     UpstreamError.Reason.CONNECT_TIMEOUT
                 } else {
                     UpstreamError.Reason.REFUSED
                 }
             return notSent(reason, "no connection to $address: ${failure.message}")
         }
+        connectTimeouts.onOpened(address, Duration.ofNanos(System.nanoTime() - startNanos))
         val connection = created.get()
         if (!pool.connected(connection)) {
             connection.discard()
