request: keep claims at peers, so that a restored store gets them again when their router has ended

Cause: nobody else knew of the claim, and the next incarnation of the router counted as one that had written its claims again. Change: the claims of a batch go to up to 3 peers while the shard is written, and a call is forwarded only after min(2, other listed routers) of them confirmed. A peer writes what it keeps into restored shards. It refuses claims of an earlier era than it knows, because it may have written the shard of that era without them. A record can hold several attempts now: a peer can't tell which of them was granted, so the key stays claimed until all are given up or one has completed. A planned stop hands its claims over (handOver). Why it works: a shard of a new era is complete only after all listed routers have written it, so the claim is lost only if the router and all peers that confirmed ended before.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/peer/PeerError.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/peer/PeerError.kt
@@ -29,6 +29,9 @@
         val peer: InstanceId,
         val reason: String,
     ) : PeerError {
+        /** Whether the peer has no handler for the topic, as a router of a version without it. */
+        val isTopicUnknown: Boolean get() = reason.startsWith("no handler for ")
+
         override val message
             get() =
                 "peer $peer rejected the message ($reason); check that all routers have the same version"
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimEras.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimEras.kt
@@ -9,6 +9,7 @@
     private val timeSource: TimeSource,
 ) {
     private var learnedAt: TimeMark = timeSource.markNow()
+    private var latestResponse: EraResponse? = null
 
     @Volatile
     var current = 0L
@@ -22,5 +23,28 @@
         if (era <= current) return
         current = era
         learnedAt = timeSource.markNow()
+        latestResponse = null
     }
+
+    /** The store responded in [era] to a call that began at [sentAt]. */
+    @Synchronized
+    fun onResponse(
+        era: Long,
+        sentAt: TimeMark,
+    ) {
+        val known = latestResponse?.sentAt
+        if (era == current && (known == null || sentAt.elapsedNow() < known.elapsedNow())) {
+            latestResponse = EraResponse(era, sentAt)
+        }
+    }
+
+    /** The response in the present era whose call began last, or null without one. */
+    @Synchronized
+    fun latestResponse(): EraResponse? = latestResponse
+
+    /** A response of the store in [era] to a call that began at [sentAt]. */
+    class EraResponse(
+        val era: Long,
+        val sentAt: TimeMark,
+    )
 }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimError.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimError.kt
@@ -27,6 +27,14 @@
         override val message get() = "claims of shard $shard are being written again after a restore of the platform"
     }
 
+    /** Too few other routers confirmed that they keep a copy of the claim; it is given up. */
+    data class CopiesMissing(
+        override val retryAfter: Duration,
+    ) : ClaimError {
+        override val message
+            get() = "too few other routers keep a copy of the claim; check the connections between the routers"
+    }
+
     /** The platform did not store the claim. */
     data class PlatformUnavailable(
         val reason: String,
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
@@ -17,6 +17,8 @@
  * @property unavailableRetryAfter retry hint for the caller when the platform is unavailable.
  * @property lateWriteWindow how long a write with an unknown outcome may still take effect; until then the removal of a
  * disowned claim is repeated.
+ * @property maxWriteDuration the longest time from the message to the peers to the response of the store; a claim that
+ * took longer is given up, because the peers count the time for which they keep it from its receipt.
  * @property maxCopyAge how old the copy may be from which the store is restored; a router remembers its claims for this
  * long, to write them again.
  * @property restoreRetryAfter retry hint for the caller while claims are written again after a restore of the store.
@@ -37,6 +39,7 @@
     val maxDisownedClaims: Int = 10_000,
     val maxCopyAge: Duration = FIVE_MINUTES,
     val restoreRetryAfter: Duration = Duration.ofSeconds(2),
+    val maxWriteDuration: Duration = Duration.ofSeconds(10),
 ) {
     init {
         require(maxForwardAge < retention) { "maxForwardAge must be shorter than retention" }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
@@ -48,11 +48,13 @@
  * A store that is restored from an older copy lacks the claims since. Each shard names the era in which it was written.
  * In a later era it is incomplete until all [routers] have written the claims again that they remember; until then keys
  * without a record are refused as not run. A late write that puts a shard of an earlier era in place makes it incomplete
- * again. What remains: the claims that a router was granted since the copy are lost if it ended before it wrote them
- * again, so a call that it forwarded can be forwarded again. The same holds for a router that is missing from [routers]
- * while it runs, and for copies older than [ClaimPolicy.maxCopyAge].
+ * again. With [witnesses], a call is forwarded only after peers keep its claim, and they write it again if this router
+ * has ended. What remains: a claim is lost if its router and all those peers ended between its write and the time at
+ * which they would have written it again, so a call that was forwarded can be forwarded again. The same holds for a
+ * router that is missing from [routers] while it runs, and for copies older than [ClaimPolicy.maxCopyAge].
  *
  * @param routers the instances that may have claimed keys, null while they are unknown.
+ * @param witnesses the peers that keep this router's claims; without them its claims since a copy are lost if it ends.
  */
 class ClaimRegistry(
     private val self: Incarnation,
@@ -62,10 +64,14 @@
     private val policy: ClaimPolicy = ClaimPolicy(),
     private val listener: ClaimListener = ClaimListener.NONE,
     private val routers: () -> Set<InstanceId>? = { setOf(self.instance) },
+    private val witnesses: ClaimWitnesses? = null,
 ) {
     private val eras = ClaimEras(timeSource)
     private val writers =
-        List(ClaimKey.SHARD_COUNT) { ShardWriter(it, store, clock, policy, listener, timeSource, eras) }
+        List(ClaimKey.SHARD_COUNT) {
+            val peerCopies = witnesses?.let { peers -> PeerCopies { copies -> copyTo(peers, copies) } }
+            ShardWriter(it, store, clock, policy, listener, timeSource, eras, peerCopies)
+        }
 
     /** The era in which each shard was last seen complete. */
     private val completeEras = LongArray(ClaimKey.SHARD_COUNT)
@@ -74,6 +80,10 @@
     /** Claims of this process that may be stored and must never be forwarded, by token, oldest first. */
     private val disowned = LinkedHashMap<String, DisownedClaim>()
 
+    init {
+        witnesses?.registerHandler(::keep)
+    }
+
     /**
      * Claims [idempotencyKey] for a call, waiting up to [maxWait].
      *
@@ -103,8 +113,18 @@
             success = { written ->
                 val record = written.shard.records[key.hash]
                 when {
-                    record?.token != token -> decideByRecord(key, record, written)
-                    written.isComplete ->
+                    record?.isHeldOnlyBy(token) != true -> {
+                        giveUp(token, key, record)
+                        decideByRecord(key, record, written)
+                    }
+                    !written.isComplete ->
+                        Err(handleWriteError(StoreError.OutcomeUnknown("the store was restored"), token, key))
+                    !written.hasCopies -> {
+                        disown(token, key)
+                        remove(token, key)
+                        Err(ClaimError.CopiesMissing(policy.unavailableRetryAfter))
+                    }
+                    else ->
                         Ok(
                             ClaimDecision.Granted(
                                 Claim(
@@ -119,7 +139,6 @@
                                 ),
                             ),
                         )
-                    else -> Err(handleWriteError(StoreError.OutcomeUnknown("the store was restored"), token, key))
                 }
             },
             failure = { Err(handleWriteError(it, token, key)) },
@@ -140,6 +159,7 @@
     ): Result<Unit, StoreError> {
         check(claim.tryMarkCompleted()) { "claim $claim was not forwarded; release it instead of completing it" }
         response.body?.takeIf { it.length <= policy.maxBodyChars }?.let { storeBody(claim, response.contentType, it) }
+        witnesses?.onEnded(ClaimOutcome(claim.key.shard, claim.token, response.status))
         return writers[claim.key.shard]
             .submit(ShardOperation.Complete(claim.key.hash, claim.token, response.status))
             .map { }
@@ -160,8 +180,11 @@
         remove(claim.token, claim.key)
     }
 
-    /** Removes disowned claims of this process from the store; call it periodically. */
+    /** Removes disowned claims of this process from the store, and drops old claims of others; call it periodically. */
     suspend fun maintain() {
+        witnesses?.sendOutcomes(others(), eras::observe)
+        // One read is enough, because its response counts for all shards.
+        writers.filter { it.expireWitnessed() }.firstOrNull()?.readEra()
         val pending = synchronized(disowned) { disowned.entries.map { it.key to it.value.key } }
         coroutineScope {
             for ((token, key) in pending) launch { remove(token, key) }
@@ -185,10 +208,45 @@
         val required = routers()?.mapTo(HashSet()) { it.value }
         for ((shard, writer) in writers.withIndex()) {
             if (completeEras[shard] == era && !isLateWritePossible) continue
-            if (writer.restore(self.instance.value, required)) completeEras[shard] = era
+            if (writer.restore(self.instance, required)) completeEras[shard] = era
         }
     }
 
+    /**
+     * Lets peers keep what this process would write again after a restore; call it before a planned stop. Returns
+     * whether enough of them do.
+     */
+    suspend fun handOver(): Boolean {
+        val peers = witnesses ?: return false
+        // Peers take no claims of an earlier era, because they may have written their own again already.
+        maintainRestored()
+        val chunks = writers.flatMap { it.copies() }.chunked(MAX_COPIES)
+        return chunks.map { copyTo(peers, it) }.all { it }
+    }
+
+    private suspend fun copyTo(
+        peers: ClaimWitnesses,
+        copies: List<ClaimCopy>,
+    ): Boolean = peers.copy(copies, others(), eras::observe)
+
+    private fun others(): Set<InstanceId>? = routers()?.minus(self.instance)
+
+    private fun keep(message: ClaimCopies): ClaimCopiesReply {
+        for (outcome in message.outcomes) writers.getOrNull(outcome.shard)?.onPeerClaimEnded(outcome)
+        val keptCount = message.claims.count { writers.getOrNull(it.shard)?.keep(it) == true }
+        return ClaimCopiesReply(eras.current, keptCount == message.claims.size)
+    }
+
+    /** The attempt [token] was not granted; [record] is what the store has of the key. */
+    private fun giveUp(
+        token: String,
+        key: ClaimKey,
+        record: ClaimRecord?,
+    ) {
+        val isStored = record != null && token in record.tokens
+        if (isStored) disown(token, key) else witnesses?.onEnded(ClaimOutcome(key.shard, token))
+    }
+
     private suspend fun remove(
         token: String,
         key: ClaimKey,
@@ -264,6 +322,7 @@
         token: String,
         key: ClaimKey,
     ) = synchronized(disowned) {
+        witnesses?.onEnded(ClaimOutcome(key.shard, token))
         disowned[token] = DisownedClaim(key, timeSource.markNow())
         if (disowned.size > policy.maxDisownedClaims) disowned.remove(disowned.keys.first())
     }
@@ -276,5 +335,8 @@
     private companion object {
         /** Base 36 keeps the tokens short and so the shards small. */
         const val RADIX = 36
+
+        /** Keeps a message at about 150 kB. */
+        const val MAX_COPIES = 1_000
     }
 }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/RecentClaims.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/RecentClaims.kt
@@ -21,6 +21,11 @@
     @Synchronized
     fun records(): Map<String, ClaimRecord> = claims.mapValues { it.value.record }
 
+    /** The records of shard [shard] as a peer may keep them. */
+    @Synchronized
+    fun copies(shard: Int): List<ClaimCopy> =
+        claims.map { (hash, claim) -> ClaimCopy(shard, hash, claim.record, claim.era) }
+
     /** Takes note of what is about to be written; an outcome is kept even if its write fails. */
     @Synchronized
     fun onSubmitted(operation: ShardOperation) {
@@ -43,7 +48,7 @@
         now: TimeMark,
     ) {
         for (operation in operations) {
-            val record = shard.records[operation.hash]?.takeIf { it.token == operation.token } ?: continue
+            val record = shard.records[operation.hash]?.takeIf { it.isHeldOnlyBy(operation.token) } ?: continue
             if (operation !is ShardOperation.Remove) claims[operation.hash] = RecentClaim(record, era, now)
         }
         val callDuration = sentAt.elapsedNow()
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
@@ -31,28 +31,25 @@
     }
 
     /**
-     * Adds [own] records to a shard that a restore of the store has taken back, on behalf of [instance].
+     * Adds the claims of a router to a shard that a restore of the store has taken back.
      *
-     * They replace others: in an incomplete shard no other router can have been granted a key since the restore, and
-     * what the copy has is older.
-     *
-     * @param required the instances that may have claimed since the copy was made, null while they are unknown.
+     * Its own records replace others: in an incomplete shard no other router can have been granted a key since the restore, and
+     * what the copy has is older. A peer of another router can't tell which of several claims of a key was granted, so
+     * what it keeps is added to what is stored.
      */
     fun restore(
         current: ClaimShard?,
-        own: Map<String, ClaimRecord>,
-        instance: String,
-        required: Set<String>?,
+        claims: RestoredClaims,
         nowMillis: Long,
         policy: ClaimPolicy,
         era: Long,
     ): Change<ClaimShard, Nothing> {
         val shard = current ?: ClaimShard(era = era)
         if (shard.isCompleteIn(era)) return Change.Keep
-        val restoredBy = (if (shard.era == era) shard.restoredBy else emptySet()) + instance
-        val isComplete = required != null && restoredBy.containsAll(required)
+        val restoredBy = (if (shard.era == era) shard.restoredBy else emptySet()) + claims.instance.value
+        val isComplete = claims.required != null && restoredBy.containsAll(claims.required)
         if (shard.era == era && restoredBy == shard.restoredBy && !isComplete) return Change.Keep
-        val records = unexpired(shard.records + own, nowMillis, policy)
+        val records = unexpired(claims.addTo(unexpired(shard.records, nowMillis, policy)), nowMillis, policy)
         return Change.Write(ClaimShard(records, era, isComplete, if (isComplete) emptySet() else restoredBy))
     }
 
@@ -73,22 +70,29 @@
         val found = records[operation.hash]
         return when (operation) {
             is ShardOperation.Acquire -> {
-                val isFree = found == null || (found.isUnfinished && operation.isDisowned(found.token))
+                val isFree = found == null || (found.isUnfinished && found.tokens.all(operation.isDisowned))
                 val hasRoom = found != null || records.size < policy.maxClaimsPerShard
                 (isFree && hasRoom).also {
                     if (it) records[operation.hash] = ClaimRecord(operation.token, operation.claimedAtMillis)
                 }
             }
-            is ShardOperation.Complete -> {
-                val isOwnUnfinished = found?.token == operation.token && found.isUnfinished
-                if (isOwnUnfinished) records[operation.hash] = found.copy(status = operation.status)
-                isOwnUnfinished
-            }
-            is ShardOperation.Remove -> {
-                val isOwnUnfinished = found?.token == operation.token && found.isUnfinished
-                if (isOwnUnfinished) records -= operation.hash
-                isOwnUnfinished
-            }
+            is ShardOperation.Complete ->
+                replaceOwn(records, operation) {
+                    ClaimRecord(operation.token, it.claimedAtMillis, operation.status)
+                }
+            is ShardOperation.Remove -> replaceOwn(records, operation) { it.without(operation.token) }
         }
     }
+
+    /** Replaces or removes an unfinished record that the attempt of [operation] may hold; returns whether it found one. */
+    private fun replaceOwn(
+        records: MutableMap<String, ClaimRecord>,
+        operation: ShardOperation,
+        change: (ClaimRecord) -> ClaimRecord?,
+    ): Boolean {
+        val found = records[operation.hash]?.takeIf { it.isUnfinished && operation.token in it.tokens } ?: return false
+        val next = change(found)
+        if (next == null) records -= operation.hash else records[operation.hash] = next
+        return true
+    }
 }
