rollout: keep outcomes and the exposure bound of moves across restores of the store

Callers saw: after a restore of the store, routers of one fleet could follow different outcomes of a move for good, a move that a router knew as rolled back could go on, and grants that the copy lacked were granted again.

Cause: only the router that holds the lease compared what it knew with the store. A running move was continued unless a reachable router reported lost grants; routers that were cut off or killed reported none.

Change: the record of a running move names the era in which its write was based (`era`). In a later era it allows no exposure, and the controller rolls it back once all listed routers have told what they know, or after the propagation bound. Reports carry moves that a router read before the restore, so that any reachable router's outcome is written again. Of two outcomes of one move the rollback holds. A known move whose start is lost is rolled back.

Why it works: grants of one era are given out along one history of the object, whose sum is bounded; no era continues the history of another.

--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveCommands.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import io.limpetfold.core.RouteId
@@ -32,6 +33,8 @@
         val now = clock.instant()
         val duration = Duration.between(now, request.deadline)
         validationError(request, duration)?.let { return Err(MoveError.Invalid(it)) }
+        val position = store.list(MoveRecord.key(request.route).path).map { it.position }
+        val era = position.getOrElse { return Err(MoveError.Store(it)) }.era
         val record =
             MoveRecord(
                 id = request.id,
@@ -45,6 +48,7 @@
                 phase = MovePhase.Running(0),
                 changedBy = request.operator,
                 changedAtMillis = now.toEpochMilli(),
+                era = era,
             )
         return update(request.route, isApplied = { it.id == request.id }) { current ->
             when {
@@ -83,7 +87,7 @@
     /** Reads the latest move of each route. */
     suspend fun list(): Result<ImmutableList<MoveRecord>, MoveError> =
         readMoves(store)
-            .map { moves -> moves.mapNotNull { it.value }.toImmutableList() }
+            .map { read -> read.moves.mapNotNull { it.value }.toImmutableList() }
             .mapError { MoveError.Store(it) }
 
     private suspend fun update(
@@ -132,16 +136,18 @@
          */
         suspend fun readMoves(store: ObjectStore) =
             store.list(MoveRecord.PREFIX).map { page ->
-                page.objects.mapNotNull { stored ->
-                    try {
-                        Versioned(
-                            TypedObject.JSON.decodeFromString(MoveRecord.serializer(), stored.value),
-                            stored.version,
-                        )
-                    } catch (_: SerializationException) {
-                        null
+                val moves =
+                    page.objects.mapNotNull { stored ->
+                        try {
+                            Versioned(
+                                TypedObject.JSON.decodeFromString(MoveRecord.serializer(), stored.value),
+                                stored.version,
+                            )
+                        } catch (_: SerializationException) {
+                            null
+                        }
                     }
-                }
+                StoredMoves(moves, page.position.era)
             }
     }
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -12,7 +12,6 @@
 import io.limpetfold.peer.PeerNetwork
 import io.limpetfold.store.Change
 import io.limpetfold.store.ObjectStore
-import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.TypedObject
 import io.limpetfold.store.UpdateError
 import io.limpetfold.store.Versioned
@@ -45,11 +44,10 @@
  * - Response to the write of `Completed` lost: [TypedObject] reads the object again; if that fails too, the next round
  *   or the successor reads it. The write is sent early enough to take effect before its limit, and it is never retried
  *   after the limit.
- * - Store restored from an older copy: an outcome that this router knows is written again. A running move of which any
- *   router reports lost grants is rolled back, because the sum of the grants no longer bounds its exposure. A move whose
- *   start is missing from the copy ends at its deadline on the routers that know it.
- * - Not covered: a restore that takes back grants, while each router that received them is cut off from the controller
- *   and all others have been restarted; the allotment can then be exceeded by those grants.
+ * - Store restored from an older copy: an outcome that this router or any reachable one knows is written again. A
+ *   running move is rolled back, because the sum of the grants no longer bounds its exposure: routers that are cut off or
+ *   were killed may have used grants that the copy lacks. Each write names the era in which it was based, so a late write
+ *   of an earlier era gives no exposure either. A known move whose start is lost is rolled back.
  * - Not covered: a pause longer than [MovePlan.WRITE_BOUND] between the last check and the sending of `Completed`,
  *   while no successor writes its token into the move. The write then takes effect late, and routers that switched to
  *   the old version at the deadline switch to the new one.
@@ -71,6 +69,7 @@
     private val reports = HashMap<MoveId, MutableMap<Incarnation, MoveReport>>()
     private val pooledEvidence = HashMap<MoveId, PooledEvidence>()
     private val lastSeen = HashMap<Incarnation, TimeMark>()
+    private val restoredSince = HashMap<Pair<MoveId, Long>, TimeMark>()
     private val sentOrders = HashSet<Pair<MoveId, MovePhase>>()
     private var listedRouters: Set<InstanceId>? = null
     private var term: FencingToken? = null
@@ -80,14 +79,17 @@
         val fencing = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND)
         if (fencing != term) beginTerm(fencing)
         if (fencing == null) return
-        val moves =
+        val stored =
             MoveCommands.readMoves(store).fold(
                 success = { it },
                 failure = { return listener.onError(it) },
             )
-        if (restoreOutcomes(moves, fencing) || moves.isEmpty()) return
+        val moves = stored.moves
+        // Routers may know moves that a restored store lacks.
+        if (restoreMoves(stored, fencing) || (moves.isEmpty() && stored.era == 0L)) return
         readDirectory()
-        val responders = collectReports(moves, completing = emptySet())
+        val responders = collectReports(stored, completing = emptySet())
+        if (restoreMoves(stored, fencing)) return
         val records = moves.mapNotNull { it.value }
         reports.keys.retainAll(records.mapTo(HashSet()) { it.id })
         pooledEvidence.keys.retainAll(reports.keys)
@@ -95,29 +97,28 @@
         for (move in moves) {
             val record = move.value ?: continue
             hasChanged = advance(move, record, responders, fencing) || hasChanged
-            if (record.phase.isFinal) processOutcome(record, responders, records, fencing)
+            if (record.phase.isFinal) processOutcome(move, record, responders, records, fencing)
         }
         if (hasChanged) MoveCommands.readMoves(store).get()?.let { collectReports(it, completing = emptySet()) }
     }
 
-    /**
-     * Writes outcomes that this router knows again if a restore of the store took them back; returns whether there are
-     * any.
-     */
-    private suspend fun restoreOutcomes(
-        moves: List<Versioned<MoveRecord>>,
+    /** Writes moves again that a restore of the store took back; returns whether there are any. */
+    private suspend fun restoreMoves(
+        stored: StoredMoves,
         fencing: FencingToken,
     ): Boolean {
-        val stored = moves.mapNotNull { it.value }.associateBy { it.route }
-        val lost =
-            localSelector.moves().filter { known ->
-                known.phase.isFinal && stored[known.route].let { it == null || known.wasTakenBackTo(it) }
-            }
-        for (known in lost) {
-            val next = known.copy(fencing = fencing)
-            TypedObject(store, MoveRecord.key(known.route), MoveRecord.serializer())
+        val lost = LostMoves.find(localSelector.snapshots(), stored)
+        for (record in lost) {
+            val next =
+                record.copy(
+                    fencing = maxOf(record.fencing, fencing),
+                    changedBy = if (record.phase.isFinal) record.changedBy else "controller $fencing",
+                    unconfirmed = null,
+                    era = stored.era,
+                )
+            TypedObject(store, MoveRecord.key(record.route), MoveRecord.serializer())
                 .update(isApplied = { it == next }) { current ->
-                    val isLost = current == null || known.wasTakenBackTo(current)
+                    val isLost = LostMoves.toWrite(record, current) != null
                     val isHeld = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
                     if (isLost && isHeld) Change.Write(next) else Change.Refuse(Unit)
                 }.fold(
@@ -128,6 +129,24 @@
         return lost.isNotEmpty()
     }
 
+    /**
+     * Rolls back a running move of a restored store, because its grants no longer bound its exposure. Until all listed
+     * routers have responded, one of them may know an outcome, for which it waits up to the propagation bound.
+     */
+    private suspend fun rollBackRestored(
+        move: Versioned<MoveRecord>,
+        record: MoveRecord,
+        responders: Set<Incarnation>,
+    ): Boolean {
+        val since = restoredSince.getOrPut(record.id to move.version.era) { monotonic.markNow() }
+        val instances = responders.mapTo(HashSet()) { it.instance }
+        val hasWaited =
+            since.elapsedNow() >= MovePlan.PROPAGATION_BOUND.toKotlinDuration() ||
+                clock.millis() >= record.completionLimitMillis
+        if (!hasWaited && listedRouters?.let { instances.containsAll(it) } != true) return false
+        return write(move, record, record.copy(phase = MovePhase.TakenBack(TakeBackReason.StoreRestored)))
+    }
+
     private suspend fun advance(
         move: Versioned<MoveRecord>,
         record: MoveRecord,
@@ -135,7 +154,8 @@
         fencing: FencingToken,
     ): Boolean {
         if (record.phase.isFinal) return false
-        if (record.fencing < fencing) return write(record, record.copy(fencing = fencing))
+        if (MoveSnapshot(record, move.version).isRestored) return rollBackRestored(move, record, responders)
+        if (record.fencing < fencing) return write(move, record, record.copy(fencing = fencing))
         val latestReports = reports[record.id].orEmpty()
         val evidence = pooledEvidence.getOrPut(record.id) { PooledEvidence(record.plan) }
         evidence.add(latestReports.mapValues { it.value.guard })
@@ -148,10 +168,10 @@
             )
         return when (val decision = MoveDecider.decide(record, view)) {
             MoveDecision.Keep -> false
-            is MoveDecision.Write -> write(record, decision.next)
+            is MoveDecision.Write -> write(move, record, decision.next)
             MoveDecision.Complete ->
                 hasAgreement(move, record) &&
-                    write(record, record.copy(phase = MovePhase.Completed), move.version)
+                    write(move, record, record.copy(phase = MovePhase.Completed), isAgreementNeeded = true)
         }
     }
 
@@ -160,7 +180,7 @@
         move: Versioned<MoveRecord>,
         record: MoveRecord,
     ): Boolean {
-        val responders = collectReports(listOf(move), completing = setOf(record.id))
+        val responders = collectReports(StoredMoves(listOf(move), move.version.era), completing = setOf(record.id))
         val latestReports = reports[record.id].orEmpty()
         return record.grants.keys.mapNotNull(Incarnation::parse).all { router ->
             val report = latestReports[router]
@@ -188,10 +208,16 @@
         return !isListed && sinceLastSeen >= policy.listLag.toKotlinDuration()
     }
 
+    /**
+     * Writes [changed] in place of [expected], which was read as [move].
+     *
+     * @param isAgreementNeeded whether the routers have agreed to the change at the version of [move].
+     */
     private suspend fun write(
+        move: Versioned<MoveRecord>,
         expected: MoveRecord,
         changed: MoveRecord,
-        agreedVersion: ObjectVersion? = null,
+        isAgreementNeeded: Boolean = false,
     ): Boolean {
         val fencing = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) ?: return false
         // A later holder has changed the move.
@@ -202,6 +228,7 @@
                 fencing = fencing,
                 changedBy = if (isPhaseNew) "controller $fencing" else changed.changedBy,
                 changedAtMillis = if (isPhaseNew) clock.millis() else changed.changedAtMillis,
+                era = move.version.era,
             )
         val updated =
             TypedObject(store, MoveRecord.key(expected.route), MoveRecord.serializer()).updateVersioned(isApplied = {
@@ -210,11 +237,13 @@
                 // The change may be retried after a delay, so limit and lease are checked on each attempt.
                 val isTooLate =
                     isPhaseNew && next.phase is MovePhase.Completed && clock.millis() >= expected.completionLimitMillis
-                // After a restore, equal content at another version says nothing about the agreement of the routers.
-                val isAgreed = agreedVersion == null || version == agreedVersion
+                // After a restore, equal content at another version says nothing about the agreement of the routers,
+                // nor about grants that followed it.
+                val isSameVersion =
+                    if (isAgreementNeeded) version == move.version else version.era == move.version.era
                 val isAllowed =
                     current == expected &&
-                        isAgreed &&
+                        isSameVersion &&
                         !isTooLate &&
                         lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
                 if (isAllowed) Change.Write(next) else Change.Refuse(Unit)
@@ -233,6 +262,7 @@
 
     /** Stores which routers have not confirmed the final phase, and sends the endpoint order that follows from it. */
     private suspend fun processOutcome(
+        move: Versioned<MoveRecord>,
         record: MoveRecord,
         responders: Set<Incarnation>,
         all: List<MoveRecord>,
@@ -250,7 +280,7 @@
                 }.keys
         val expected = listedRouters.orEmpty() + responders.map { it.instance }
         val unconfirmed = (expected - confirmed).sorted()
-        if (unconfirmed != record.unconfirmed) write(record, record.copy(unconfirmed = unconfirmed))
+        if (unconfirmed != record.unconfirmed) write(move, record, record.copy(unconfirmed = unconfirmed))
         val order =
             when (record.phase) {
                 is MovePhase.Running -> return
@@ -284,15 +314,16 @@
 
     /** Requests reports from this router and all connected ones; returns the incarnations that responded. */
     private suspend fun collectReports(
-        moves: List<Versioned<MoveRecord>>,
+        stored: StoredMoves,
         completing: Set<MoveId>,
     ): Set<Incarnation> {
         val query =
             ReportQuery(
-                moves.mapNotNull { move ->
+                stored.moves.mapNotNull { move ->
                     move.value?.let { MoveSnapshot(it, move.version) }
                 },
                 completing,
+                stored.era,
             )
         val responses =
             coroutineScope {
@@ -304,6 +335,7 @@
             } + localSelector.handleReportQuery(query)
         for (response in responses) {
             lastSeen[response.router] = monotonic.markNow()
+            localSelector.applyLostMoves(response.lostMoves)
             response.moves.forEach { reports.getOrPut(it.move) { HashMap() }[response.router] = it }
         }
         return responses.mapTo(HashSet()) { it.router }
@@ -324,6 +356,7 @@
         reports.clear()
         pooledEvidence.clear()
         lastSeen.clear()
+        restoredSince.clear()
         sentOrders.clear()
     }
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
@@ -22,6 +22,8 @@
  * @property grants cumulative number of requests that each router incarnation may send to the new version; the grant
  *   of a terminated router still counts.
  * @property changedBy operator or controller that wrote the current phase, at [changedAtMillis].
+ * @property era the era of the store in which the write of the running phase was based; in a later era the store may lack
+ *   writes that followed, so that [grants] bounds nothing.
  * @property unconfirmed routers that have not confirmed the final phase; null until a controller has checked.
  */
 @Serializable
@@ -44,6 +46,7 @@
     val stepAllottedRequests: Long = allottedRequests,
     val grants: Map<String, Long> = emptyMap(),
     val unconfirmed: List<InstanceId>? = null,
+    val era: Long = 0,
 ) {
     /** The time from which `Completed` is no longer written. */
     val completionLimitMillis: Long
@@ -72,10 +75,14 @@
 
     /**
      * Whether a restore of the store took this record back, if it holds [stored] now: an earlier move of the route, or
-     * this one before its end.
+     * this one before its end or with a completion in place of this rollback.
      */
     fun wasTakenBackTo(stored: MoveRecord): Boolean =
-        if (id == stored.id) phase.isFinal && !stored.phase.isFinal else startedAtMillis > stored.startedAtMillis
+        when {
+            id != stored.id -> startedAtMillis > stored.startedAtMillis
+            phase is MovePhase.TakenBack -> stored.phase !is MovePhase.TakenBack
+            else -> phase.isFinal && !stored.phase.isFinal
+        }
 
     /** Returns the cumulative number of requests that [router] may send to the new version. */
     fun granted(router: Incarnation): Long = grants[router.key] ?: 0
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -27,7 +27,14 @@
 data class MoveSnapshot(
     val record: MoveRecord,
     val version: ObjectVersion,
-)
+) {
+    /** Whether the store was restored since the running phase was written, so that later writes may be missing. */
+    val isRestored: Boolean get() = record.phase is MovePhase.Running && record.era < version.era
+
+    /** Whether a restore of the store took this back, if the store holds [stored] now. */
+    internal fun wasTakenBackTo(stored: MoveSnapshot): Boolean =
+        version.era < stored.version.era && record.wasTakenBackTo(stored.record)
+}
 
 /** The moves and verdicts known to a router. */
 @Serializable
@@ -41,18 +48,25 @@
  *
  * @property completing moves that the controller is about to complete at the version in [moves]; a router without a
  *   verdict agrees, and then raises none until it receives a newer version of the move.
+ * @property era the era of the store in which [moves] were read.
  */
 @Serializable
 data class ReportQuery(
     val moves: List<MoveSnapshot>,
     val completing: Set<MoveId> = emptySet(),
+    val era: Long = 0,
 )
 
-/** A router's response to a [ReportQuery]. */
+/**
+ * A router's response to a [ReportQuery].
+ *
+ * @property lostMoves moves that the router read before a restore of the store and that the queried ones do not replace.
+ */
 @Serializable
 data class RouterReport(
     val router: Incarnation,
     val moves: List<MoveReport>,
+    val lostMoves: List<MoveSnapshot> = emptyList(),
 )
 
 /**
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RouteMove.kt
@@ -40,6 +40,8 @@
         hasLostGrants =
             hasLostGrants ||
             record.grants.any { (router, count) -> (newer.record.grants[router] ?: 0) < count }
+        // The completion that this router agreed to may still reach the restored store.
+        if (hasAgreed && newer.isRestored) agreedVersion = newer.version
         snapshot = newer
     }
 
@@ -60,11 +62,17 @@
         return if (elapsed < RATE_WINDOW && lastRate > 0) lastRate else current
     }
 
-    /** Returns whether the grant and the in-flight limit allow one more request to the new version. */
+    /**
+     * Returns whether the grant and the in-flight limit allow one more request to the new version. Grants of a restored
+     * record may be given out again, so they allow none.
+     */
     fun hasExposure(
         self: Incarnation,
         initialInFlightLimit: Int,
-    ): Boolean = usedRequests < record.granted(self) && pendingNewCount < initialInFlightLimit + newSuccessCount
+    ): Boolean =
+        !snapshot.isRestored &&
+            usedRequests < record.granted(self) &&
+            pendingNewCount < initialInFlightLimit + newSuccessCount
 
     fun open(choice: VersionChoice) {
         pending[choice] = monotonic.markNow()
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
@@ -159,9 +159,9 @@
         sendVerdicts()
         if (polledAt?.let { it.elapsedNow() < pollInterval } == true) return
         MoveCommands.readMoves(store).fold(
-            success = { moves ->
+            success = { read ->
                 polledAt = monotonic.markNow()
-                moves.forEach { move -> move.value?.let { applySnapshot(MoveSnapshot(it, move.version)) } }
+                read.moves.forEach { move -> move.value?.let { applySnapshot(MoveSnapshot(it, move.version)) } }
             },
             failure = {
                 listener.onError(it)
@@ -209,10 +209,29 @@
                 val canAgree = queried.record.id in query.completing && move.snapshot.version == queried.version
                 if (canAgree && verdicts[queried.record.id] == null) move.agreedVersion = queried.version
             }
-            RouterReport(self, routes.values.map { it.report(effectivePhase(it), verdicts[it.record.id]) })
+            RouterReport(
+                self,
+                routes.values.map { it.report(effectivePhase(it), verdicts[it.record.id]) },
+                routes.values.map { it.snapshot }.filter { it.version.era < query.era },
+            )
         }
     }
 
+    /** Applies moves that another router read before a restore of the store, unless a known one replaces them. */
+    internal fun applyLostMoves(lost: List<MoveSnapshot>) =
+        lost.forEach { snapshot ->
+            val isLost =
+                synchronized(lock) {
+                    val known = routes[snapshot.record.route]?.snapshot
+                    val isLater = known != null && snapshot.version > known.version
+                    (known == null || isLater || snapshot.wasTakenBackTo(known)).also { if (it) store(snapshot) }
+                }
+            if (isLost) listener.onMoveSeen(snapshot.record)
+        }
+
+    /** Returns the latest known move of each route with the object version at which it was read. */
+    internal fun snapshots(): List<MoveSnapshot> = synchronized(lock) { routes.values.map { it.snapshot } }
+
     private fun effectivePhase(move: RouteMove): MovePhase {
         val phase = move.record.phaseAt(clock.millis())
         val verdict = verdicts[move.record.id]
@@ -256,13 +275,8 @@
                 val known = routes[route]
                 when {
                     known != null && known.snapshot.version >= snapshot.version -> return
-                    known != null &&
-                        known.snapshot.version.era < snapshot.version.era &&
-                        known.record.wasTakenBackTo(snapshot.record) -> return
-                    known != null && known.record.id == snapshot.record.id -> known.applySnapshot(snapshot)
-                    else -> {
-                        routes[route] = RouteMove(snapshot, baselines.remove(route) ?: RouteBaseline(), monotonic)
-                    }
+                    known != null && known.snapshot.wasTakenBackTo(snapshot) -> return
+                    else -> store(snapshot)
                 }
                 if (snapshot.record.phase.isFinal) acknowledgedBy.remove(snapshot.record.id)
                 raiseVerdictIfWorse(routes.getValue(route))
@@ -271,6 +285,16 @@
         newVerdict?.let { listener.onWithdrawn(it, isLocal = true) }
     }
 
+    private fun store(snapshot: MoveSnapshot) {
+        val route = snapshot.record.route
+        val known = routes[route]
+        if (known?.record?.id == snapshot.record.id) {
+            known.applySnapshot(snapshot)
+        } else {
+            routes[route] = RouteMove(snapshot, baselines.remove(route) ?: RouteBaseline(), monotonic)
+        }
+    }
+
     /** Raises a verdict if the guard found the new version worse, unless this router agreed to complete the move. */
     private fun raiseVerdictIfWorse(move: RouteMove): Verdict? {
         val record = move.record
