budget: name holders that a restored ledger lacks by their announced ceilings

Callers saw: after a restore of the store a workspace could be overspent. A holder whose first entry was made after the copy, and that could not reach the store for recoveryWait, was known to nobody, so its tokens were granted again.

Cause: a holder was named only by itself or by holders that had seen its entry in the ledger.

Change: before an account acquires tokens it announces a ceiling on its acquired tokens to up to three routers, and its grants end at the acknowledged ceiling. In a recovery each router names the holders that announced to it in the last 90 s; one without an account of the workspace opens it for that. An entry then exists before tokens are, at a router that can confirm, so the recovery waits for the holder. A witness with an entry counts only while the ledger has the entry, because a recovery waits for such an entry.

Tests: BudgetRestorePropertyTest no longer makes each running holder confirm at a restore: half of the routers, at random, confirm, the others stay paused or cut off. A holder is left out of the bound only if the ledger lacks it at the end of the recovery, and the schedule checks that no router with an entry knows of it. BudgetAgentTest counts requests of transfers in its set-up in place of calls of connectedPeers, which announcements make too.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountMaintenance.kt
@@ -15,11 +15,13 @@
     private val slots: ConcurrentHashMap<WorkspaceId, AccountSlot>,
     private val store: ObjectStore,
     private val ledgerSync: LedgerSync,
+    private val ceilingSync: CeilingSync,
     private val refills: AccountRefill,
     private val predecessorSpendLookup: PredecessorSpendLookup,
     private val listener: BudgetListener,
     private val random: Random,
     private val nowMillis: () -> Long,
+    private val openWitnessed: () -> Collection<AccountSlot>,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
     private val evictionCounter = AtomicLong()
@@ -27,7 +29,7 @@
     /** Evicted accounts whose ledger entry is not closed yet. */
     val closingSlots: MutableSet<AccountSlot> = ConcurrentHashMap.newKeySet()
 
-    /** Evicted accounts whose entry was closed within [COPY_AGE_MAX]; a restore of the store can undo the close. */
+    /** Evicted accounts whose entry was closed within [CLOSED_SLOTS_KEPT]; a restore of the store can undo the close. */
     private val closedSlots = ArrayDeque<AccountSlot>()
 
     /** Accounts to confirm after a restore of the store. */
@@ -46,6 +48,7 @@
         reopenClosed { true }
         unconfirmedSlots += slots.values.filter { slot -> slot.locked { mayHaveLedgerEntry } }
         unconfirmedSlots += closingSlots
+        unconfirmedSlots += openWitnessed()
     }
 
     /** Makes the accounts of [workspace] that were closed recently close their entries again. */
@@ -82,6 +85,7 @@
                 .sortedWith(compareBy({ it.second }, { it.first.workspace.value }, { it.first.holder }))
                 .take(count)
         due.forEach { (slot, _) -> if (slot in closingSlots) closeEvicted(slot) else maintain(slot) }
+        ceilingSync.raiseLow(slots.values)
     }
 
     private suspend fun confirm(count: Int) {
@@ -96,7 +100,7 @@
 
     private suspend fun maintain(slot: AccountSlot) {
         val outcome =
-            ledgerSync.synchronise(slot, isStaleResultAllowed = true) { account, balance ->
+            ceilingSync.synchronise(slot, 0, isStaleResultAllowed = true) { account, balance ->
                 if (slot.isLow(nowMillis())) refills.grantFor(slot, 0, account, balance) else 0
             }
         // During an outage of the platform, idle tokens stay in the account, where peers can request them.
@@ -156,7 +160,7 @@
 
     /** An account that was closed long ago must not be settled again, because its ledger has forgotten it by then. */
     private fun dropOldClosed() {
-        val closedAfterMillis = nowMillis() - COPY_AGE_MAX.toMillis()
+        val closedAfterMillis = nowMillis() - CLOSED_SLOTS_KEPT.toMillis()
         closedSlots.removeAll { slot -> slot.locked { syncedAtMillis } < closedAfterMillis }
         if (closedSlots.size > MAX_CLOSED_SLOTS) closedSlots.removeFirst()
     }
@@ -188,7 +192,10 @@
         /** Copies from which the platform restores its store are seconds old. */
         val COPY_AGE_MAX: Duration = Duration.ofSeconds(60)
 
-        /** More than one process evicts within [COPY_AGE_MAX]. */
+        /** Longer than witnesses name the holders of closed accounts as possibly open. */
+        val CLOSED_SLOTS_KEPT: Duration = CeilingRecords.RECENT.plus(COPY_AGE_MAX)
+
+        /** More than one process evicts within [CLOSED_SLOTS_KEPT]. */
         const val MAX_CLOSED_SLOTS = 256
 
         /**
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountRefill.kt
@@ -8,6 +8,7 @@
  */
 internal class AccountRefill(
     private val ledgerSync: LedgerSync,
+    private val ceilingSync: CeilingSync,
     private val transfers: PeerTransfers,
     private val nowMillis: () -> Long,
 ) {
@@ -91,7 +92,9 @@
             knownFailure
                 ?: withheldFailure(
                     slot,
-                    ledgerSync.synchronise(slot) { account, balance -> grantFor(slot, tokens, account, balance) },
+                    ceilingSync.synchronise(slot, tokens) { account, balance ->
+                        grantFor(slot, tokens, account, balance)
+                    },
                 )
         if (failure is RefillFailure.Closed || failure is RefillFailure.UnknownWorkspace) return failure
         if (slot.locked { account.availableTokens } >= tokens) return null
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/AccountSlot.kt
@@ -45,6 +45,18 @@
 
     /** The tokens that the account should hold without any demand, computed from the ledger as last seen. */
     var minHeldTokens = 0L
+
+    /** The unspent tokens of the ledger as last seen; [Long.MAX_VALUE] when they are not known. */
+    var unspentTokensSeen = Long.MAX_VALUE
+
+    /** The ceilings of the account that other routers have acknowledged. */
+    var ceilings = CeilingAcknowledgements()
+
+    /** The grant that the account last requested, whether or not the ceiling limited it. */
+    var wantedGrantTokens = 0L
+
+    /** [wantedGrantTokens] if the ceiling limited the last grant, else 0. */
+    var limitedGrantTokens = 0L
     var syncedAtMillis = 0L
     var usedAtMillis = 0L
 
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetAgent.kt
@@ -41,6 +41,8 @@
  * They have ended, because a new process of the instance binds the same address.
  * @param confirmationsPerRound the maximum number of accounts that one round of maintenance confirms after a restore of
  * the store; the tokens that nobody holds are withheld until all routers have confirmed their accounts.
+ * @param witnessCandidates the routers to which the accounts announce how many tokens they may acquire, so that these
+ * are known after a restore of the store.
  */
 class BudgetAgent(
     private val self: Incarnation,
@@ -54,6 +56,7 @@
     predecessorSpendLookup: PredecessorSpendLookup = PredecessorSpendLookup.NONE,
     paidTotalOf: (WorkspaceId) -> PaidTotal? = { null },
     private val confirmationsPerRound: () -> Int = { maxWorkspacesPerRound },
+    witnessCandidates: WitnessCandidates = WitnessCandidates.connectedTo(peers),
 ) {
     private val start = timeSource.markNow()
     private val slots = ConcurrentHashMap<WorkspaceId, AccountSlot>()
@@ -61,16 +64,41 @@
     @Volatile
     private var isClosed = false
 
+    private val ceilingRecords = CeilingRecords(::nowMillis)
+    private val announcer = CeilingAnnouncer(self, peers, witnessCandidates, ::nowMillis)
     private val ledgerSync =
-        LedgerSync(self, store, policyOf, paidTotalOf, listener, { isClosed }, ::nowMillis) { reopenClosed(it) }
+        LedgerSync(
+            self,
+            store,
+            policyOf,
+            paidTotalOf,
+            listener,
+            { isClosed },
+            ::nowMillis,
+            announcer::headroomTokens,
+            ceilingRecords::witnessed,
+        ) { reopenClosed(it) }
+    private val ceilingSync = CeilingSync(ledgerSync, announcer)
     private val transfers = PeerTransfers(self, peers, random, listener) { slots[it] }
-    private val refills = AccountRefill(ledgerSync, transfers, ::nowMillis)
+    private val refills = AccountRefill(ledgerSync, ceilingSync, transfers, ::nowMillis)
     private val maintenance =
-        AccountMaintenance(slots, store, ledgerSync, refills, predecessorSpendLookup, listener, random, ::nowMillis)
+        AccountMaintenance(
+            slots,
+            store,
+            ledgerSync,
+            ceilingSync,
+            refills,
+            predecessorSpendLookup,
+            listener,
+            random,
+            ::nowMillis,
+            ::openWitnessed,
+        )
 
     init {
         require(maxWorkspacesPerRound > 0) { "maxWorkspacesPerRound must be positive" }
         peers.registerHandler(TRANSFER_TOPIC) { from, message -> transfers.handleRequest(from, message) }
+        peers.registerHandler(CEILING_TOPIC) { from, message -> acknowledge(from, message) }
     }
 
     /**
@@ -122,7 +150,7 @@
         val slot = enter(workspace) ?: return false
         return try {
             if (slot.locked { account.sequence } > 0) return true
-            ledgerSync.synchronise(slot) { account, balance -> refills.grantFor(slot, 0, account, balance) }
+            ceilingSync.synchronise(slot, 0) { account, balance -> refills.grantFor(slot, 0, account, balance) }
             slot.locked { account.sequence } > 0
         } finally {
             slot.leave(nowMillis())
@@ -207,6 +235,21 @@
         maintenance.onStoreRestored()
     }
 
+    private fun acknowledge(
+        from: Incarnation,
+        message: CeilingAnnouncement,
+    ): CeilingReply {
+        val holder = slots[message.workspace]?.let { slot -> slot.locked { account.takeIf { it.isOpenInLedger } } }
+        val isRecorded = !isClosed && ceilingRecords.record(from, message)
+        return CeilingReply(self, holder?.holder?.key, isRecorded)
+    }
+
+    /** Opens the accounts of the workspaces with holders that only this router may know. */
+    private fun openWitnessed(): Collection<AccountSlot> =
+        ceilingRecords.recentWorkspaces().mapNotNull { workspace ->
+            enter(workspace)?.also { it.leave(nowMillis()) }
+        }
+
     private fun reopenClosed(workspace: WorkspaceId) {
         maintenance.reopenClosed(workspace)
     }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/BudgetLedger.kt
@@ -125,7 +125,15 @@
         update: HolderUpdate,
         grantSize: (LedgerBalance) -> Long = { 0 },
     ): Result<BudgetLedger, LedgerRefusal> {
-        val key = holder.key
+        val named = if (isRecovering) withWitnessed(update.witnessed) else this
+        return named.updateEntry(holder.key, update, grantSize)
+    }
+
+    private fun updateEntry(
+        key: String,
+        update: HolderUpdate,
+        grantSize: (LedgerBalance) -> Long,
+    ): Result<BudgetLedger, LedgerRefusal> {
         val present = holders[key]
         val isUnconfirmed = needsConfirmation(key, update.knownSequence, update.seenRecoveryBegunAt)
         val isRemoved = present == null && update.knownSequence > 0 && !isUnconfirmed
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/HolderUpdate.kt
@@ -20,6 +20,7 @@
  * @property closedPeers closed peers with which the holder exchanges no more tokens, so that their totals can be
  * dropped.
  * @property totals what the holder knows from before a restore of the store.
+ * @property witnessed what the holder's router knows of other holders; recorded during a recovery only.
  * @property seenRecoveryBegunAt [BudgetLedger.recoveryBegunAt] as last seen by the holder.
  * @property mayEndRecovery whether the holder has seen the recovery of the ledger for so long that holders which the
  * ledger does not list have had the time to confirm their totals.
@@ -34,6 +35,7 @@
     val closedPeers: PersistentSet<String> = persistentSetOf(),
     val demandTokensPerSecond: Double = 0.0,
     val totals: HolderTotals = HolderTotals(),
+    val witnessed: WitnessedHolders = WitnessedHolders(),
     val seenRecoveryBegunAt: ObjectVersion = ObjectVersion.NONE,
     val mayEndRecovery: Boolean = false,
 )
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerRecovery.kt
@@ -45,7 +45,7 @@
     update: HolderUpdate,
 ): BudgetLedger {
     val own = update.totals
-    var next = withClosedPeers(own.closedHolders).withOpenPeers(own.openPeers)
+    var next = withClosedPeers(own.closedHolders).withOpenPeers(own.openPeers).withWitnessed(update.witnessed)
     own.receivedTokens.forEach { (sender, total) -> next = next.withTransferTotal(sender, key, total, true) }
     own.sentTokens.forEach { (receiver, total) -> next = next.withTransferTotal(key, receiver, total, true) }
     val entry =
@@ -121,6 +121,10 @@
     return copy(holders = holders.putAll(added.associateWith { HolderEntry(confirmedAt = UNCONFIRMED) }))
 }
 
+/** Adds entries for the holders that only a router to which they announced their ceilings knows of. */
+internal fun BudgetLedger.withWitnessed(witnessed: WitnessedHolders): BudgetLedger =
+    withOpenPeers(witnessed.recentHolders)
+
 /** The last [count] entries in the order in which they were added. */
 internal fun <V> PersistentMap<String, V>.lastEntries(count: Int): PersistentMap<String, V> =
     keys.take(maxOf(0, size - count)).fold(this) { kept, key -> kept.remove(key) }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LedgerSync.kt
@@ -17,6 +17,8 @@
 /**
  * Synchronises accounts with their ledgers in the platform's object store.
  *
+ * @param headroomOf the tokens that an account may acquire from a ledger within its ceiling.
+ * @param witnessedOf the holders of a workspace that announced their ceilings to this router.
  * @param onRecovery called when an account sees the beginning of a recovery of its ledger.
  */
 internal class LedgerSync(
@@ -27,6 +29,8 @@
     private val listener: BudgetListener,
     private val isClosed: () -> Boolean,
     private val nowMillis: () -> Long,
+    private val headroomOf: (AccountSlot, BudgetLedger) -> Long,
+    private val witnessedOf: (WorkspaceId) -> WitnessedHolders,
     private val onRecovery: (WorkspaceId) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(BudgetAgent::class.java)
@@ -62,6 +66,7 @@
                 slot.locked {
                     mayHaveLedgerEntry = true
                     syncedAtMillis = nowMillis()
+                    limitedGrantTokens = 0
                 }
                 val snapshot = slot.change { it.withWriteStarted() }
                 var isRepeatNeeded = false
@@ -79,11 +84,9 @@
                             isRepeatNeeded =
                                 (ledger.holders[slot.holder.key]?.sequence ?: snapshot.sequence) != snapshot.sequence
                             ledger
-                                .update(
-                                    slot.holder,
-                                    snapshot.update().copy(mayEndRecovery = mayEndRecovery(slot, ledger)),
-                                ) { grantSize(snapshot, it) }
-                                .fold(
+                                .update(slot.holder, updateOf(slot, snapshot, ledger)) { balance ->
+                                    limitedGrant(slot, ledger, grantSize(snapshot, balance))
+                                }.fold(
                                     success = { if (it === stored.value) Change.Keep else Change.Write(it) },
                                     failure = { Change.Refuse(it) },
                                 )
@@ -97,6 +100,30 @@
             null
         }
 
+    private fun updateOf(
+        slot: AccountSlot,
+        account: LocalAccount,
+        ledger: BudgetLedger,
+    ): HolderUpdate =
+        account.update().copy(
+            mayEndRecovery = mayEndRecovery(slot, ledger),
+            witnessed = witnessedOf(slot.workspace),
+        )
+
+    /** The part of [wantedTokens] that the ceiling of the account allows. */
+    private fun limitedGrant(
+        slot: AccountSlot,
+        ledger: BudgetLedger,
+        wantedTokens: Long,
+    ): Long {
+        val headroomTokens = headroomOf(slot, ledger)
+        slot.locked {
+            wantedGrantTokens = wantedTokens
+            limitedGrantTokens = if (wantedTokens > headroomTokens) wantedTokens else 0
+        }
+        return minOf(wantedTokens, headroomTokens)
+    }
+
     private fun isRecorded(
         stored: Versioned<BudgetLedger>,
         key: String,
@@ -149,6 +176,7 @@
         slot.locked {
             this.predecessors = predecessors
             freeTokensSeen = maxOf(0, ledger.freeTokens)
+            unspentTokensSeen = maxOf(0, ledger.unspentTokens)
             maxHeldTokens = policy.maxHeldTokens(after, balance)
             minHeldTokens = (maxOf(0, ledger.freeTokens) * policy.minAccountFraction).toLong()
         }
@@ -217,7 +245,7 @@
         val closed =
             ledger(slot).updateVersioned<Nothing>({ isClosed(it, slot.holder.key) }) { stored ->
                 val ledger = stored.value?.asReadAt(stored.version)
-                val closed = ledger?.close(slot.holder, account.update())
+                val closed = ledger?.close(slot.holder, updateOf(slot, account, ledger))
                 if (closed == null || closed === stored.value) Change.Keep else Change.Write(closed)
             }
         val isLedgerLost = account.sequence > 0 && closed.fold({ it.value == null }, { false })
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/LocalAccount.kt
@@ -66,6 +66,9 @@
     /** The tokens that can be reserved, sent or returned now. */
     val availableTokens: Long get() = grantedTokens - spentTokens - reservedTokens
 
+    /** Whether the account is open and had an entry in the ledger as last seen. */
+    val isOpenInLedger: Boolean get() = state == AccountState.OPEN && sequence > 0
+
     /** Adds [tokens] to the demand, whether or not they are then reserved. */
     fun withDemand(
         tokens: Long,
--- /dev/null
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/WitnessCandidates.kt
@@ -0,0 +1,24 @@
+package io.limpetfold.budget
+
+import io.limpetfold.core.InstanceId
+import io.limpetfold.peer.PeerNetwork
+
+/**
+ * The routers that can remember the ceilings of this router's accounts.
+ *
+ * @property hasOtherRouters whether there are other routers, reachable or not; without any, accounts have no ceilings.
+ * @property preferredFirst the other routers that run as far as this router knows, in the order of preference.
+ */
+class WitnessCandidates(
+    val hasOtherRouters: () -> Boolean,
+    val preferredFirst: () -> List<InstanceId>,
+) {
+    companion object {
+        /** All routers that are connected to this one; a router that is cut off from all others has no ceilings. */
+        fun connectedTo(peers: PeerNetwork): WitnessCandidates =
+            WitnessCandidates(
+                { peers.connectedPeers().isNotEmpty() },
+                { peers.connectedPeers().sortedBy { it.value } },
+            )
+    }
+}
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetAgentTest.kt
@@ -532,9 +532,8 @@
             b.reserve(30).getError().shouldBeInstanceOf<BudgetRefusal.InsufficientBudget>()
             clock.advance(Duration.ofSeconds(3))
             fault = { StoreFault.UNAVAILABLE }
-            var calls = 0
-            // The first call checks whether the peer is reachable.
-            hub.fault = { _, _ -> if (calls++ > 0) PeerFault.REPLY_LOST else PeerFault.NONE }
+            val asked = hub.askCount(TRANSFER_TOPIC)
+            hub.fault = { _, _ -> if (hub.askCount(TRANSFER_TOPIC) > asked) PeerFault.REPLY_LOST else PeerFault.NONE }
             b.reserve(30).getError().shouldBeInstanceOf<BudgetRefusal.PlatformUnavailable>()
             a.accounts().single().grantedTokens shouldBe 70
             return a to b
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestorePropertyTest.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetRestorePropertyTest.kt
@@ -2,7 +2,10 @@
 
 import io.kotest.core.spec.style.FunSpec
 
-/** Guards against overspend by grants and reports that a restore of the store from an older copy has lost. */
+/**
+ * Guards against overspend by grants and reports that a restore of the store from an older copy has lost, also of
+ * routers that are killed or cut off around it.
+ */
 class BudgetRestorePropertyTest :
     FunSpec({
         for (seeds in seedParts()) {
--- a/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
+++ b/limpetfold-budget/src/test/kotlin/io/limpetfold/budget/BudgetSchedule.kt
@@ -158,9 +158,9 @@
         }
     }
 
-    /** The tokens really paid, and those of holders that nobody can know of any more. */
+    /** The tokens really paid, and those of holders that nobody could name in a recovery. */
     private fun paidTokens(workspace: WorkspaceId): Long =
-        restores.paidTokens(workspace) +
+        restores.paidTokens(workspace).also { findUnknownHolders(workspace) } +
             unknownHolders.filter { it.first == workspace }.sumOf { (_, key) ->
                 restores.acquiredTokens(workspace, key) +
                     replicatedSpend(checkNotNull(Incarnation.parse(key)), workspace)
@@ -205,37 +205,24 @@
         if (restores.executeDelayed()) {
             log += "  it took effect"
             delayedWrites++
-            findMissingHolders()
+            confirmSome()
         }
     }
 
     private fun restore(copy: RestoredLedgers.Copy) {
         WORKSPACES.forEach { restores.paidTokens(it) }
         logAndRun("restore the copy of ${copy.age} writes ago") { restores.restore(copy) }
-        findMissingHolders()
+        confirmSome()
     }
 
     /**
-     * The limit of the recovery: nobody knows the grants of a holder whose first entry was lost and that ended, so they
-     * are not counted as overspend. Of a running holder, the process confirms before the wait of the others is over.
+     * Some running routers confirm at once, as they do within the wait of a recovery. The others are cut off from the
+     * store or paused for as long as the schedule goes on without them.
      */
-    private fun findMissingHolders() {
-        // Operators find their entries in the ledger again.
-        killedRouters += stopping - killedRouters.toSet()
-        val missing =
-            WORKSPACES.flatMap { workspace ->
-                restores.paidTokens(workspace)
-                restores.missingHolders(workspace).map { workspace to it }
-            }
-        val owners =
-            missing.associateWith { (_, key) ->
-                routers.find { it.opened(checkNotNull(Incarnation.parse(key))) }
-            }
-        unknownHolders += owners.filterValues { it == null }.keys
-        val running = owners.values.filterNotNull().toSet()
-        if (running.isEmpty()) return
+    private fun confirmSome() {
+        val confirming = routers.filter { restoreRandom.nextBoolean() }
         isCalm = true
-        for (router in running) {
+        for (router in confirming) {
             router.dispatcher.isPaused = false
             router.agent.onStoreRestored()
             launch(router, "confirm") { repeat(2) { router.agent.maintain() } }
@@ -243,11 +230,29 @@
         scheduler.runUntilIdle()
         isCalm = false
         throwFailure()
-        // A ledger that the copy lacks can confirm nothing.
-        unknownHolders += missing.filter { (workspace, key) -> key in restores.missingHolders(workspace) }
-        log += "  confirmed ${owners.filterValues { it != null }.keys}"
     }
 
+    /**
+     * The limit of the recovery: a holder that the ledger lacks at its end. No router with an entry knows of it then:
+     * the routers that do have ended, or could not reach the store in time and had no entry either.
+     */
+    private fun findUnknownHolders(workspace: WorkspaceId) {
+        val stored = restores.current(workspace) ?: return
+        if (restores.count == 0 || stored.value.isRecovering || !stored.value.isWrittenInEraOf(stored.version)) return
+        val confirmed =
+            routers.filter { router ->
+                stored.value.holders.keys
+                    .any { router.opened(holderOf(it)) }
+            }
+        for (holder in restores.missingHolders(workspace)) {
+            if (!unknownHolders.add(workspace to holder)) continue
+            val knowing = confirmed.filter { it.opened(holderOf(holder)) || workspace to holder in it.witnessed }
+            check(knowing.isEmpty()) { "$workspace lacks $holder, which ${knowing.map { it.self }} know" }
+        }
+    }
+
+    private fun holderOf(key: String) = checkNotNull(Incarnation.parse(key))
+
     private fun act() {
         val router = routers.randomOrNull(random)
         when (random.nextInt(if (hasManyKills) 28 else 24)) {
@@ -375,7 +380,7 @@
 
     private val stopping = mutableListOf<Router>()
 
-    /** Holders of ended processes that the restored store has no entry of, by workspace. */
+    /** Holders that a restored ledger lacked at the end of its recovery, by workspace. */
     val unknownHolders = mutableSetOf<Pair<WorkspaceId, String>>()
 
     /** The number of restores so far. */
@@ -480,12 +485,14 @@
                 launch(routers.last(), "open $workspace") { routers.last().agent.openAccount(workspace) }
             }
             scheduler.runUntilIdle()
+            WORKSPACES.forEach { paidTokens(it) }
             useAccounts()
             scheduler.advance(IDLE_AFTER.toMillis() / 2)
             routers.forEach { launch(it, "maintain") { it.agent.maintain() } }
         }
         scheduler.runUntilIdle()
         throwFailure()
+        WORKSPACES.forEach { paidTokens(it) }
         if (unknownHolders.isNotEmpty()) return
         WORKSPACES.forEach { workspace ->
             val ledger = current(workspace)
@@ -575,11 +582,21 @@
                 // The two final rounds must reach every account, including evicted ones whose entry is not closed yet.
                 maxWorkspacesPerRound = Int.MAX_VALUE,
                 predecessorSpendLookup = ::findPredecessorSpend,
+                witnessCandidates = witnessesOf(self),
             )
 
+        /** The holders whose ceilings this router has acknowledged, by workspace. */
+        val witnessed = mutableSetOf<Pair<WorkspaceId, String>>()
+
         override fun onStoreRestored() = agent.onStoreRestored()
     }
 
+    /** Cut off and paused routers count as running, so an account needs their acknowledgements too. */
+    private fun witnessesOf(self: Incarnation): WitnessCandidates {
+        val running = { routers.map { it.self.instance }.filter { it != self.instance } }
+        return WitnessCandidates({ running().isNotEmpty() }, running)
+    }
+
     private open inner class Member(
         val self: Incarnation,
     ) {
@@ -664,7 +681,8 @@
             yield()
             if (router.isDead || router.dispatcher.isPaused) throw DeadRouterException()
             handler.handle(from, message).also {
-                val mayDie = hasManyKills && !isHealed && !isCalm && router in routers
+                if (message is CeilingAnnouncement) router.witnessed += message.workspace to message.holder.key
+                val mayDie = hasManyKills && !isHealed && !isCalm && router in routers && message is TransferRequest
                 if (mayDie && random.nextInt(6) == 0) dieWhileReplying(from)
                 repeat(random.nextInt(if (random.nextInt(4) == 0) 60 else 4)) { yield() }
             }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import io.limpetfold.budget.BudgetAgent
 import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpendLookup
+import io.limpetfold.budget.WitnessCandidates
 import io.limpetfold.budget.loan.TokenBorrower
 import io.limpetfold.budget.loan.TokenLender
 import io.limpetfold.core.Incarnation
@@ -178,6 +179,11 @@
             predecessorSpendLookup = { _, _ -> PredecessorSpendLookup.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
             confirmationsPerRound = { maxOf(1, CONFIRMATIONS_PER_ROUND / maxOf(1, lenderSelector.holderCount)) },
+            witnessCandidates =
+                WitnessCandidates(
+                    { membership.otherListedRouters().isNotEmpty() },
+                    { membership.runningRouters(settings.zone) },
+                ),
         )
     private val lender = TokenLender(budget, budgetObserver)
     private val tokens = TokenBorrower(self, budget, peers, lenderSelector, listener = budgetObserver)
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/Membership.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.onSuccess
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RendezvousHash
 import io.limpetfold.core.ZoneId
 import io.limpetfold.peer.InstanceDirectory
 import io.limpetfold.peer.ListedInstance
@@ -66,6 +67,17 @@
     /** The other routers whose last heartbeat is within the timeout, ordered by instance. */
     fun members(): ImmutableList<Member> = synchronized(this) { table.reachable }
 
+    /**
+     * The other routers that run as far as is known, connected ones without a heartbeat included: those of other zones
+     * than [zone] first, and those that are draining last.
+     */
+    fun runningRouters(zone: ZoneId): List<InstanceId> {
+        val known = members().associateBy { it.instance }
+        return RendezvousHash
+            .rank(self.value, known.keys + peers.connectedPeers()) { it.value }
+            .sortedWith(compareBy({ known[it]?.isDraining == true }, { known[it]?.zone == zone }))
+    }
+
     /** All listed routers except this one, reachable or not; unreachable ones may still run. */
     fun otherListedRouters(): ImmutableList<ListedInstance> =
         synchronized(this) { routers().filter { it.instance != self }.toImmutableList() }
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -7,6 +7,7 @@
 import io.limpetfold.budget.BudgetPolicy
 import io.limpetfold.budget.PredecessorSpendLookup
 import io.limpetfold.budget.PromptEstimator
+import io.limpetfold.budget.WitnessCandidates
 import io.limpetfold.burn.SloBurnCounter
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.config.ConfigWatcher
@@ -127,6 +128,11 @@
             random,
             budgetEvents(),
             predecessorSpendLookup = ::predecessorSpend,
+            witnessCandidates =
+                WitnessCandidates(
+                    { membership.otherListedRouters().isNotEmpty() },
+                    { membership.runningRouters(zone) },
+                ),
         )
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, HttpEndpointProbe(upstream, ::addressOf))
