router: keep claims at peers and hand them over before a planned stop

Test: OneReadingRouterTest listed three routers and started one, whose keyed call is refused now (503 in place of 201). It starts all three; what it checks is unchanged.

--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -9,6 +9,7 @@
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.burn.SloBurnCounter
 import io.limpetfold.claim.ClaimRegistry
+import io.limpetfold.claim.ClaimWitnesses
 import io.limpetfold.config.ConfigWatcher
 import io.limpetfold.config.RouterStatus
 import io.limpetfold.config.TradeoffPreset
@@ -154,7 +155,15 @@
             monotonic,
         )
     private val loadPoller = LoadPoller(upstream, membership, limiter, { config.current })
-    private val claims: ClaimRegistry = ClaimRegistry(self, store, clock, monotonic, routers = ::claimingRouters)
+    private val claims: ClaimRegistry =
+        ClaimRegistry(
+            self,
+            store,
+            clock,
+            monotonic,
+            routers = ::claimingRouters,
+            witnesses = ClaimWitnesses(self.instance, peers, monotonic, isInSameZone = ::isInSameZone),
+        )
     private val journal = RequestJournal(self, zone, peers, ::journalPeers, monotonic)
     private val runs = RunRegistry(self)
     private val bodyBuffer = RequestBodyBuffer(settings.buffers.bodies.bytes)
@@ -221,6 +230,7 @@
             callerServer.awaitIdle(CLOSED_CONNECTIONS_WAIT)
         }
         maintenance.stop()
+        if (!claims.handOver()) LOGGER.warn("router: claims were not handed over to enough peers")
         limiter.close()
         returnGrants()
         seatClient.release(limiter.isSeatDrained)
@@ -453,6 +463,9 @@
             null
         }
 
+    private fun isInSameZone(router: InstanceId): Boolean =
+        membership.otherListedRouters().any { it.instance == router && it.zone == zone }
+
     private fun budgetEvents() = BudgetListener { metrics.count(RouterMetrics.BUDGET_EVENTS, it.name) }
 
     private inner class MemberEvents : MembershipListener {
--- a/limpetfold-router/src/test/kotlin/io/limpetfold/router/OneReadingRouterTest.kt
+++ b/limpetfold-router/src/test/kotlin/io/limpetfold/router/OneReadingRouterTest.kt
@@ -8,7 +8,7 @@
 class OneReadingRouterTest :
     FunSpec({
         val fleet = TestFleet()
-        beforeSpec { fleet.start(count = 1) }
+        beforeSpec { fleet.start() }
         afterSpec { fleet.close() }
 
         fun posts() = fleet.receivedRequests.map { it.second }.filter { !it.startsWith("GET ") }
