request: tests of claims that arrive at a peer while it restores a shard

In the schedules a router seldom finished a restore, since it goes through 64 shards in steps of a few calls. With killed routers the steps are longer now, and some messages between peers take as long as many shards.

--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
@@ -115,6 +115,9 @@
         private val listed = instances.toMutableSet()
         private val running = HashSet<Incarnation>()
         private var step = 0
+
+        /** After a restore a router goes through all shards, which takes some hundred calls to the store. */
+        private val longestStep = if (hasRestores && hasKills) LONG_STEP else SHORT_STEP
         private var isDown = false
         val log = mutableListOf<String>()
         val counts = HashMap<String, Int>()
@@ -297,7 +300,7 @@
                     }
                     findLost()
                 }
-                repeat(random.nextInt(6)) { yield() }
+                repeat(random.nextInt(longestStep)) { yield() }
             }
             routers.filterNotNull().forEach {
                 it.scope.coroutineContext.job
@@ -413,6 +416,8 @@
         const val RESTORE_STEPS = 120
         const val ROUTERS = 3
         const val FEWEST_ROUTERS = 2
+        const val SHORT_STEP = 6
+        const val LONG_STEP = 80
         const val KEYS = 3
 
         /** Above the numbers of routers that start again at once. */
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/SchedulePeers.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/SchedulePeers.kt
@@ -62,7 +62,8 @@
             message: Q,
             timeout: Duration,
         ): Result<A, PeerError> {
-            repeat(random.nextInt(4)) { yield() }
+            // Long enough that the peer may write many shards again before a message arrives.
+            repeat(random.nextInt(if (random.nextInt(4) == 0) 300 else 4)) { yield() }
             val fault = random.nextInt(24)
             if (fault == 0) return Err(PeerError.Timeout(to, timeout))
             if (fault == 1) {
