request: tell when the body of a completed call can't be stored

Callers saw: a duplicate of a completed call got its status without the body, and nothing told why. Cause: ClaimRegistry.storeBody ignored the result of the write. Change: ClaimListener.onBodyNotStored, which limpetfold-router logs. The status is recorded as before, because a duplicate is better served by it than by nothing. Measured: ClaimRegistryTest passes; its new test does not compile without the event.

--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimListener.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimListener.kt
@@ -16,6 +16,12 @@
         error: StoreError,
     ) = Unit
 
+    /** The body of a completed call could not be written; its duplicates get the status only. */
+    fun onBodyNotStored(
+        shard: Int,
+        error: StoreError,
+    ) = Unit
+
     /** A call was not forwarded because its claim was too old, for example after a pause of the process. */
     fun onForwardTooLate() = Unit
 
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RequestId
@@ -15,6 +16,7 @@
 import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
+import io.limpetfold.store.UpdateError
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -149,7 +151,8 @@
      * Records the response of a forwarded call; after an error the key stays unfinished and this may be called again.
      *
      * The body is written first, so that a crash between the two writes never leaves a completed record without its
-     * body.
+     * body. When the body can't be stored, the status is recorded all the same and
+     * [ClaimListener.onBodyNotStored] tells why, because a duplicate is better served by the status than by nothing.
      *
      * @throws IllegalStateException when the call was not forwarded.
      */
@@ -293,12 +296,13 @@
     ) {
         val now = clock.millis()
         val added = mapOf(claim.key.hash to ClaimBody(claim.token, now, contentType, body))
-        bodiesObject(claim.key.shard).update<Nothing>(
-            isApplied = { it.bodies[claim.key.hash]?.token == claim.token },
-        ) {
-            val oldestMillis = now - policy.retention.toMillis()
-            Change.Write((it ?: ClaimBodies()).withAdded(added, oldestMillis, policy.maxBodiesBytes))
-        }
+        bodiesObject(claim.key.shard)
+            .update<Nothing>(isApplied = { it.bodies[claim.key.hash]?.token == claim.token }) {
+                val oldestMillis = now - policy.retention.toMillis()
+                Change.Write((it ?: ClaimBodies()).withAdded(added, oldestMillis, policy.maxBodiesBytes))
+            }.onFailure {
+                if (it is UpdateError.Failed) listener.onBodyNotStored(claim.key.shard, it.error)
+            }
     }
 
     private fun bodiesObject(shard: Int) = TypedObject(store, ObjectKey("claim-body/$shard"), ClaimBodies.serializer())
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
@@ -14,6 +14,7 @@
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.request.Ran
 import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.StoreCall
@@ -74,6 +75,32 @@
             registry(store, "b").claim("k").get().shouldBeInstanceOf<ClaimDecision.Granted>()
         }
 
+        test("guards against a body that is not stored unnoticed: its duplicates get the status only") {
+            val store = FakeObjectStore()
+            val failures = mutableListOf<StoreError>()
+            val listener =
+                object : ClaimListener {
+                    override fun onBodyNotStored(
+                        shard: Int,
+                        error: StoreError,
+                    ) {
+                        failures += error
+                    }
+                }
+            val faulty =
+                store.withFaults {
+                    val isBody = it is StoreCall.Put && it.key.path.startsWith("claim-body/")
+                    if (isBody) StoreFault.UNAVAILABLE else StoreFault.NONE
+                }
+            val self = Incarnation(InstanceId("a"), 1)
+            val router = ClaimRegistry(self, faulty, clock, clock.monotonic, listener = listener)
+            val claim = (router.claim("k").get() as ClaimDecision.Granted).claim
+            claim.tryMarkForwarded() shouldBe true
+            router.complete(claim, RecordedResponse(201, body = "{}")).isOk shouldBe true
+            failures.size shouldBe 1
+            registry(store, "b").claim("k").get() shouldBe ClaimDecision.Finished(RecordedResponse(201))
+        }
+
         test("concurrent claims of one shard share a write") {
             val store = FakeObjectStore()
             val router = registry(store, "a")
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -8,6 +8,7 @@
 import io.limpetfold.budget.PredecessorSpendLookup
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.burn.SloBurnCounter
+import io.limpetfold.claim.ClaimListener
 import io.limpetfold.claim.ClaimRegistry
 import io.limpetfold.claim.ClaimWitnesses
 import io.limpetfold.config.ConfigWatcher
@@ -71,6 +72,7 @@
 import io.limpetfold.router.settings.RouterSettings
 import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.EraListener
+import io.limpetfold.store.StoreError
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -161,6 +163,7 @@
             store,
             clock,
             monotonic,
+            listener = ClaimEvents(),
             routers = ::claimingRouters,
             witnesses = ClaimWitnesses(self.instance, peers, monotonic, isInSameZone = ::isInSameZone),
         )
@@ -487,6 +490,13 @@
         }
     }
 
+    private class ClaimEvents : ClaimListener {
+        override fun onBodyNotStored(
+            shard: Int,
+            error: StoreError,
+        ) = LOGGER.warn("router: a claimed response was not kept shard={} cause=\"{}\"", shard, error.message)
+    }
+
     private inner class WithdrawalEvents : RolloutListener {
         override fun onWithdrawn(
             verdict: Verdict,
