request: an expired claim does not replace a newer one of its key in a restored store

Cause: a router remembers its claims until the store responds for their shard, so one may have expired. Written again, it replaced the claim that another router had made of the key since; then it was dropped as expired, and the key was free. Change: expired claims are left out before they are merged, not after it. A claim that has not expired by a slower clock takes the later time of both. Measured: the new test of ClaimRegistryTest was red (Granted in place of Unfinished), and passes.

--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRecord.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRecord.kt
@@ -38,14 +38,16 @@
      * A completed call was forwarded, so no other attempt was. Otherwise any of the attempts can have been, and the key
      * stays claimed until all of them are given up.
      */
-    fun mergedWith(kept: ClaimRecord): ClaimRecord {
-        val latestMillis = maxOf(claimedAtMillis, kept.claimedAtMillis)
-        return when {
-            !isUnfinished -> copy(claimedAtMillis = latestMillis)
-            !kept.isUnfinished -> kept.copy(claimedAtMillis = latestMillis)
-            else -> copy(claimedAtMillis = latestMillis, otherTokens = tokens + kept.tokens - token)
+    fun mergedWith(kept: ClaimRecord): ClaimRecord =
+        when {
+            !isUnfinished -> notBefore(kept)
+            !kept.isUnfinished -> kept.notBefore(this)
+            else -> notBefore(kept).copy(otherTokens = tokens + kept.tokens - token)
         }
-    }
+
+    /** This record, which expires no earlier than [other]. */
+    fun notBefore(other: ClaimRecord): ClaimRecord =
+        copy(claimedAtMillis = maxOf(claimedAtMillis, other.claimedAtMillis))
 
     /** The record without the attempt [given], or null if no other may hold the key. */
     fun without(given: String): ClaimRecord? {
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/RestoredClaims.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/RestoredClaims.kt
@@ -15,10 +15,26 @@
     val kept: List<WitnessedClaim>,
     val required: Set<String>?,
 ) {
-    /** Returns [stored] with these claims. */
-    fun addTo(stored: Map<String, ClaimRecord>): Map<String, ClaimRecord> {
+    /**
+     * Returns [stored] with those of these claims that [isHeld], that is, that have not expired.
+     *
+     * By a slower clock, an own claim may not have expired whose key another router has claimed since. So the key stays
+     * claimed for as long as the later of them.
+     */
+    fun addTo(
+        stored: Map<String, ClaimRecord>,
+        isHeld: (ClaimRecord) -> Boolean,
+    ): Map<String, ClaimRecord> {
         val merged = HashMap(stored)
-        for (claim in kept) merged.merge(claim.hash, claim.record, ClaimRecord::mergedWith)
-        return merged + own
+        for (claim in kept) if (isHeld(claim.record)) merged.merge(claim.hash, claim.record, ClaimRecord::mergedWith)
+        for ((hash, record) in own) {
+            if (isHeld(
+                    record,
+                )
+            ) {
+                merged.merge(hash, record) { found, added -> added.notBefore(found) }
+            }
+        }
+        return merged
     }
 }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ShardChange.kt
@@ -49,7 +49,8 @@
         val restoredBy = (if (shard.era == era) shard.restoredBy else emptySet()) + claims.instance.value
         val isComplete = claims.required != null && restoredBy.containsAll(claims.required)
         if (shard.era == era && restoredBy == shard.restoredBy && !isComplete) return Change.Keep
-        val records = unexpired(claims.addTo(unexpired(shard.records, nowMillis, policy)), nowMillis, policy)
+        val oldestMillis = nowMillis - policy.retention.toMillis()
+        val records = claims.addTo(unexpired(shard.records, nowMillis, policy)) { it.claimedAtMillis > oldestMillis }
         return Change.Write(ClaimShard(records, era, isComplete, if (isComplete) emptySet() else restoredBy))
     }
 
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
@@ -101,6 +101,24 @@
             registry(store, "b").claim("k").get() shouldBe ClaimDecision.Finished(RecordedResponse(201))
         }
 
+        test("guards against a claim that an expired one of its key replaces after a restore of the store") {
+            val store = FakeObjectStore()
+            val names = listOf("a", "b").map { InstanceId(it) }.toSet()
+            val (a, b) =
+                names.map { name ->
+                    ClaimRegistry(Incarnation(name, 1), store, clock, clock.monotonic, routers = { names })
+                }
+            a.claim("k").get().shouldBeInstanceOf<ClaimDecision.Granted>()
+            clock.advance(Duration.ofHours(25))
+            b.claim("k").get().shouldBeInstanceOf<ClaimDecision.Granted>()
+            store.restore(store.copy())
+            for (router in listOf(b, a)) {
+                router.onEraChanged(1)
+                router.maintainRestored()
+            }
+            a.claim("k").get().shouldBeInstanceOf<ClaimDecision.Unfinished>()
+        }
+
         test("concurrent claims of one shard share a write") {
             val store = FakeObjectStore()
             val router = registry(store, "a")
