--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -9,7 +9,9 @@
 import io.limpetfold.budget.PromptEstimator
 import io.limpetfold.budget.WitnessCandidates
 import io.limpetfold.burn.SloBurnCounter
+import io.limpetfold.claim.ClaimListener
 import io.limpetfold.claim.ClaimRegistry
+import io.limpetfold.claim.ClaimWitnesses
 import io.limpetfold.config.ConfigWatcher
 import io.limpetfold.config.RouterStatus
 import io.limpetfold.config.TradeoffPreset
@@ -71,6 +73,7 @@
 import io.limpetfold.router.settings.RouterSettings
 import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.EraListener
+import io.limpetfold.store.StoreError
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -160,7 +163,16 @@
             monotonic,
         )
     private val loadPoller = LoadPoller(upstream, membership, limiter, { config.current })
-    private val claims: ClaimRegistry = ClaimRegistry(self, store, clock, monotonic, routers = ::claimingRouters)
+    private val claims: ClaimRegistry =
+        ClaimRegistry(
+            self,
+            store,
+            clock,
+            monotonic,
+            listener = ClaimEvents(),
+            routers = ::claimingRouters,
+            witnesses = ClaimWitnesses(self.instance, peers, monotonic, isInSameZone = ::isInSameZone),
+        )
     private val journal = RequestJournal(self, zone, peers, ::journalPeers, monotonic)
     private val runs = RunRegistry(self)
     private val bodyBuffer = RequestBodyBuffer(settings.buffers.bodies.bytes)
@@ -227,6 +239,7 @@
             callerServer.awaitIdle(CLOSED_CONNECTIONS_WAIT)
         }
         maintenance.stop()
+        if (!claims.handOver()) LOGGER.warn("router: claims were not handed over to enough peers")
         limiter.close()
         returnGrants()
         seatClient.release(limiter.isSeatDrained)
@@ -459,6 +472,9 @@
             null
         }
 
+    private fun isInSameZone(router: InstanceId): Boolean =
+        membership.otherListedRouters().any { it.instance == router && it.zone == zone }
+
     private fun budgetEvents() = BudgetListener { metrics.count(RouterMetrics.BUDGET_EVENTS, it.name) }
 
     private inner class MemberEvents : MembershipListener {
@@ -480,6 +496,13 @@
         }
     }
 
+    private class ClaimEvents : ClaimListener {
+        override fun onBodyNotStored(
+            shard: Int,
+            error: StoreError,
+        ) = LOGGER.warn("router: a claimed response was not kept shard={} cause=\"{}\"", shard, error.message)
+    }
+
     private inner class WithdrawalEvents : RolloutListener {
         override fun onWithdrawn(
             verdict: Verdict,
