gateway: a call counts as possibly run only from the step that writes it

Callers saw: 504 or 502, the call may have run, for a call whose time or whose router's stop ended it while its connection to an endpoint opened. Nothing had been sent, and such an answer tells the caller not to repeat a call that must not run twice. Cause: the call was marked before the connection was asked for. Change: the check in the step that writes the call sets the mark; a call that ends before is withdrawn there and never sent, so 503 is true.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -54,11 +54,11 @@
         val endpoint = state.endpoint
         val request = upstreamRequest(call, state, relay)
         val mayHaveRunBefore = call.mayHaveRun
-        // Set before the call is sent, because a cancellation while the response is awaited leaves the outcome unknown.
-        call.mayHaveRun = true
+        // Set in the step that writes the call: one that ends before was not sent and never will be, and one that is
+        // cancelled while its response is awaited has an unknown outcome.
+        val checkAndMark = SendCheck { check.withdrawal().also { if (it == null) call.mayHaveRun = true } }
         val response =
-            client.send(HostPort(endpoint.host, endpoint.port), request, check).getOrElse { error ->
-                if (error is UpstreamError.NotSent) call.mayHaveRun = mayHaveRunBefore
+            client.send(HostPort(endpoint.host, endpoint.port), request, checkAndMark).getOrElse { error ->
                 return Opened.Ended(failed(error))
             }
         state.onBytesReceived(clock.now())
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/DispatchFixture.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/DispatchFixture.kt
@@ -113,7 +113,11 @@
     }
 
     /** Dispatches a call that may be sent to one endpoint only, and that has [timeout]. */
-    suspend fun call(timeout: Duration = Duration.ofSeconds(2)): CallEnd {
+    suspend fun call(timeout: Duration = Duration.ofSeconds(2)): CallEnd = dispatch(admit(timeout))
+
+    suspend fun dispatch(call: AdmittedCall): CallEnd = dispatcher.dispatch(SilentExchange(call.head), call)
+
+    fun admit(timeout: Duration = Duration.ofSeconds(2)): AdmittedCall {
         val route =
             ForwardingRoute(
                 RouteId("book"),
@@ -133,8 +137,7 @@
         val headers = codec.decode(head)
         val table = RoutingTable(1, persistentListOf(route), persistentListOf(), KeyRequirement.None)
         val now = clock.now()
-        val call = AdmittedCall(head, headers, RequestId("r-1"), table, route, null, SERVICE, now, now + timeout)
-        return dispatcher.dispatch(SilentExchange(head), call)
+        return AdmittedCall(head, headers, RequestId("r-1"), table, route, null, SERVICE, now, now + timeout)
     }
 
     /** Runs [test] on the event loop of the router: while [test] does not suspend, no connection opens. */
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/HeldCallTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/HeldCallTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
 import java.time.Duration
 import kotlin.time.AbstractLongTimeSource
 import kotlin.time.Duration.Companion.milliseconds
@@ -55,6 +56,20 @@
             }
         }
 
+        test("guards against a call that counts as possibly run because it ended while its connection opened") {
+            DispatchFixture(TestTimeSource()).use { path ->
+                val call = path.admit()
+                path.onLoop {
+                    path.change(path.endpoint("i-1"))
+                    val dispatch = launch(start = CoroutineStart.UNDISPATCHED) { path.dispatch(call) }
+                    dispatch.cancel()
+                    dispatch.join()
+                }
+                call.mayHaveRun shouldBe false
+                path.runs shouldContainExactly emptyList()
+            }
+        }
+
         test("guards against an endpoint that is told more time than is left after a wait for the processor") {
             val time = TestTimeSource()
             DispatchFixture(time).use { path ->
