Revert "http, platform: give a slow connection to the store more time after one was given up"

So connections are not slow there: for a second or two none opens, and a longer wait only makes attempts fewer.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -26,7 +26,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
-import java.time.Duration
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -47,12 +46,12 @@
 ) : AutoCloseable {
     private val pool = ConnectionPool(settings.maxConnectionsPerAddress, listener)
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val connectTimeouts = ConnectTimeouts(settings)
     private val bootstrap =
         Bootstrap()
             .group(loops.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.toMillis().toInt())
             .option(ChannelOption.RECVBUF_ALLOCATOR, HttpServer.receiveAllocator(budget))
 
     /** The number of open connections to [address], idle ones included. */
@@ -157,12 +156,9 @@
 
     private suspend fun connect(address: HostPort): Result<ClientConnection, UpstreamError> {
         val created = AtomicReference<ClientConnection>()
-        val startNanos = System.nanoTime()
-        val timeoutMillis = connectTimeouts.timeout(address).toMillis().toInt()
         val future =
             bootstrap
                 .clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
@@ -178,14 +174,12 @@
             pool.connectFailed(address)
             val reason =
                 if (failure is ConnectTimeoutException) {
-                    connectTimeouts.onTimeout(address)
                     UpstreamError.Reason.CONNECT_TIMEOUT
                 } else {
                     UpstreamError.Reason.REFUSED
                 }
             return notSent(reason, "no connection to $address: ${failure.message}")
         }
-        connectTimeouts.onOpened(address, Duration.ofNanos(System.nanoTime() - startNanos))
         val connection = created.get()
         if (!pool.connected(connection)) {
             connection.discard()
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
@@ -5,8 +5,6 @@
 /**
  * Timeouts and limits of an [UpstreamClient].
  *
- * @property connectTimeout maximum time in which a connection opens.
- * @property maxConnectTimeout the same for an address after a connection to it did not open in time.
  * @property firstByteTimeout maximum time from the end of the request to the head of the response.
  * @property idleTimeout maximum time in which the endpoint neither reads nor sends a byte while the client waits for
  * it.
@@ -22,7 +20,6 @@
  */
 data class UpstreamSettings(
     val connectTimeout: Duration = Duration.ofSeconds(1),
-    val maxConnectTimeout: Duration = connectTimeout,
     val firstByteTimeout: Duration = DEFAULT_TIMEOUT,
     val idleTimeout: Duration = DEFAULT_TIMEOUT,
     val pooledIdleTimeout: Duration = DEFAULT_TIMEOUT,
