http: a send check that fails ends its request and does not leave it waiting

Found by a review, by reading; no caller has seen it: an exception of a SendCheck on the event loop left the sender waiting without end, outside the reach of a cancellation, with its connection and its slot. Change: the exception reaches the sender, and the connection, to which nothing was written, is closed.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -78,7 +78,15 @@
         check: SendCheck,
     ): Start {
         val started = CompletableDeferred<Start>()
-        channel.eventLoop().execute { started.complete(startOnEventLoop(request, check)) }
+        channel.eventLoop().execute {
+            try {
+                started.complete(startOnEventLoop(request, check))
+            } catch (e: Exception) {
+                // The check failed before anything was written; the caller must not wait for ever.
+                discard()
+                started.completeExceptionally(e)
+            }
+        }
         return withContext(NonCancellable) { started.await() }
     }
 
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/WithdrawnRequestTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/WithdrawnRequestTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
@@ -59,6 +60,17 @@
             }
         }
 
+        test("guards against a request that waits for ever because its check failed") {
+            onLoop { client, endpoint, targets ->
+                shouldThrow<IllegalStateException> {
+                    client.send(endpoint.address, UpstreamRequest("GET", "/1")) { error("the check fails") }
+                }
+                client.get(endpoint.address, "/2") shouldBe "done"
+                targets shouldContainExactly listOf("/2")
+                client.openConnections(endpoint.address) shouldBe 1
+            }
+        }
+
         test("guards against a request that is written on a pooled connection after its caller has left") {
             onLoop { client, endpoint, targets ->
                 client.get(endpoint.address, "/1") shouldBe "done"
