dispatch: a chosen endpoint is compared with those that the call may still get

Cause: the choice is made among the endpoints that the call has not tried, and its check before the write looked at all of them. In a move between versions, a call whose new endpoint had refused the connection chose an old one, found that the new version is preferred, and chose again until its time ran out. The same held for the old side. Change: EndpointPicker.isInUse leaves tried endpoints out as pick does. Measured: EndpointPickerTest, both sides in one new case: red before (expected true but was false), green now (13 of 13).

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -39,20 +39,28 @@
 
     /**
      * Whether the endpoint of [state], which was chosen for [request], may still get that call: it has not left, paused or
-     * been replaced since, and its version is not withdrawn.
+     * been replaced since, and its version is not withdrawn. Endpoints that were tried before count as little as in [pick],
+     * since the preferred version may be used up.
      */
     fun isInUse(
         state: EndpointState,
         request: PickRequest,
         now: Duration,
-    ): Boolean = state in ofVersion(usable(request.service, request.avoidedVersions, now), request.versions, now)
+    ): Boolean {
+        val usable = usable(request.service, request.avoidedVersions, now)
+        val candidates = usable.filter { it === state || it.endpoint.id !in request.excluded }
+        return state in ofVersion(candidates, request.versions, now)
+    }
 
     /** Whether the endpoint of [state] may still take the call of [request], which may have been sent to it before. */
     fun mayTake(
         state: EndpointState,
         request: PickRequest,
         now: Duration,
-    ): Boolean = isInUse(state, request, now) && state.ejectedUntil <= now
+    ): Boolean {
+        val usable = usable(request.service, request.avoidedVersions, now)
+        return state in ofVersion(usable, request.versions, now) && state.ejectedUntil <= now
+    }
 
     /**
      * When the first endpoint of [service] ends its pause, if all endpoints that may be used asked for one; null if one
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/EndpointPickerTest.kt
@@ -159,6 +159,23 @@
             picker.pick(request, NOW)?.endpoint?.id shouldBe withdrawn.id
         }
 
+        test("guards against a call that is never sent because an endpoint that it tried would be preferred") {
+            val directory = directory(2)
+            val new = directory.all(NOW).first().copy(id = EndpointId("new"), version = "v2")
+            directory.applyChanges(listOf(new), emptyList(), ObjectVersion.of(2), NOW)
+            val picker = picker(directory)
+            val old = setOf(EndpointId("i-1"), EndpointId("i-2"))
+            for ((tried, isTargetPreferred) in listOf(setOf(new.id) to true, old to false)) {
+                val versions = VersionPreference("v2", isTargetPreferred, isFallbackAllowed = true)
+                val request = PickRequest("s", null, excluded = tried, versions = versions)
+                val chosen = picker.pick(request, NOW).shouldNotBeNull()
+                val excluded = tried + chosen.endpoint.id
+                picker.isInUse(chosen, request.copy(excluded = excluded), NOW) shouldBe true
+                picker.onLeaving(chosen, NOW)
+                picker.isInUse(chosen, request.copy(excluded = excluded), NOW) shouldBe false
+            }
+        }
+
         test(
             "guards against calls to an unreachable endpoint, and against refusing calls when all endpoints are ejected",
         ) {
