gateway: bound withdrawals of a call, and keep the retry of an offer that was withdrawn

Cause: only choices that were too old were bounded. An offer of a silent stream that was withdrawn before it was sent used up its retry and its endpoint. A call that was cancelled before its first byte counted as a first attempt in the retry budget. Change: after 8 withdrawals a call is refused as not run, or ends as unknown if an earlier attempt may have run it. An offer that was withdrawn leaves its endpoint and its retry to the next one. Attempts count from the step that writes them. The bound and the offer have no test of their own.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -53,6 +53,7 @@
         private val triedEndpoints = mutableSetOf<EndpointId>()
         private var sentCount = 0
         private var connectFailures = 0
+        private var withdrawals = 0
 
         /** The attempt that has taken the stream of the running one over; it runs next. */
         private var successor: Attempt? = null
@@ -76,8 +77,8 @@
                     }
                 when (val result = attempt.run()) {
                     is SendResult.Delivered -> return CallEnd.Completed(result.status)
-                    is SendResult.NotSent -> if (++connectFailures > policy.maxConnectFailures) return noEndpoint()
-                    is SendResult.Withdrawn -> readPending(attempt)
+                    is SendResult.NotSent, is SendResult.Withdrawn ->
+                        if (!mayChooseAgain(attempt)) return noEndpoint()
                     is SendResult.NotRun -> if (!acquireRetry()) return notRun()
                     is SendResult.Unknown -> if (!call.route.isRetryable || !acquireRetry()) return unknownOutcome()
                     is SendResult.Interrupted -> if (!canResume() || !acquireRetry()) return truncated(result.reason)
@@ -87,12 +88,15 @@
         }
 
         /**
-         * Lets the event loop read what is ready before the next choice, and offers the call to the endpoint of
-         * [withdrawn] again if it may still be used: nothing was sent.
+         * Whether another endpoint may be chosen after [unsent], which sent nothing. After a withdrawal the event loop
+         * reads what is ready first, and the same endpoint may be chosen again if it may still be used.
          */
-        private suspend fun readPending(withdrawn: Attempt) {
-            triedEndpoints -= withdrawn.state.endpoint.id
+        private suspend fun mayChooseAgain(unsent: Attempt): Boolean {
+            if (!unsent.isWithdrawn) return ++connectFailures <= policy.maxConnectFailures
+            triedEndpoints -= unsent.state.endpoint.id
+            if (++withdrawals > policy.maxWithdrawals) return false
             delay(policy.pendingReadTime.toMillis())
+            return true
         }
 
         /** Returns why a call that was to go to the endpoint of [state] may no longer be written there, or null. */
@@ -141,6 +145,11 @@
             private val move = call.move?.withServedVersion(VersionId(state.endpoint.version))
             private val sentAt = clock.now()
             private var response: UpstreamResponse? = null
+            private var isSent = false
+
+            /** Whether the attempt ended because its call was withdrawn before it was written. */
+            var isWithdrawn = false
+                private set
 
             init {
                 triedEndpoints += state.endpoint.id
@@ -197,12 +206,11 @@
             private suspend fun open(): SendResult? {
                 var opened: EndpointSender.Opened? = null
                 try {
-                    opened = sender.open(call, state, relay) { withdrawal(state) }
+                    opened = sender.open(call, state, relay) { withdrawal(state).also { isSent = it == null } }
                     response = (opened as? EndpointSender.Opened.Responding)?.response
                     return (opened as? EndpointSender.Opened.Ended)?.result
                 } finally {
-                    val result = (opened as? EndpointSender.Opened.Ended)?.result
-                    if (result !is SendResult.NotSent && result !is SendResult.Withdrawn) onSent()
+                    if (isSent) onSent()
                 }
             }
 
@@ -226,7 +234,8 @@
                 )
                 if (result == null) return
                 call.attemptOutcomes += result.logText
-                recordEvidence(state, result)
+                isWithdrawn = result is SendResult.Withdrawn
+                call.headers.prompt?.let { quarantine.record(state.endpoint.id, it, result, clock.now()) }
             }
         }
 
@@ -242,6 +251,9 @@
             private var silentEndpoint: EndpointState? = null
             private var hasPostponed = false
 
+            /** Whether a retry was acquired for an offer that was not sent; the next one uses it. */
+            private var hasUnusedRetry = false
+
             override val isPossible: Boolean
                 get() =
                     (!relay.hasStarted || canResume()) &&
@@ -252,16 +264,28 @@
             override suspend fun offer(): Boolean {
                 val repeated = repeatedEndpoint()
                 val candidate = untriedEndpoint() ?: repeated ?: return false
-                if (repeated == null && !acquireRetry()) return false
+                if (repeated == null && !hasUnusedRetry && !acquireRetry()) return false
                 silentEndpoint = null
                 asked = candidate
                 askedAt = clock.now()
+                hasUnusedRetry = false
                 val attempt = Attempt(candidate)
                 val isAccepted = attempt.offerStream()
                 if (isAccepted) successor = attempt
+                if (attempt.isWithdrawn) onWithdrawn(candidate, repeated)
                 return isAccepted
             }
 
+            /** An offer that was withdrawn before it was sent leaves the endpoint and the retry to the next one. */
+            private fun onWithdrawn(
+                candidate: EndpointState,
+                repeated: EndpointState?,
+            ) {
+                if (repeated == null) hasUnusedRetry = true
+                silentEndpoint = repeated
+                if (candidate !== repeated) triedEndpoints -= candidate.endpoint.id
+            }
+
             override fun postpone(): Boolean {
                 val endpoint = asked ?: return false
                 val isSilent = endpoint.lastByteAt <= askedAt
@@ -301,18 +325,6 @@
 
         private fun acquireFromBudget() = retryBudget.tryAcquire(routerCount(), clock.now())
 
-        /** What [result] shows about the parts of the prompt. */
-        private fun recordEvidence(
-            state: EndpointState,
-            result: SendResult,
-        ) {
-            val prompt = call.headers.prompt ?: return
-            when {
-                result.isConnectionLost -> quarantine.onConnectionLost(state.endpoint.id, prompt, clock.now())
-                result.callOutcome == CallOutcome.SUCCEEDED -> quarantine.onAnswered(prompt, clock.now())
-            }
-        }
-
         private fun quarantined(): CallEnd =
             if (call.mayHaveRun) unknownOutcome() else CallEnd.Refused(RefusalReason.PROMPT_PART_QUARANTINED)
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallPolicy.kt
@@ -16,6 +16,7 @@
  * takes a few milliseconds on a router that gets the processor; after this time the endpoint is chosen again, since it would
  * be told that much more time than the call has left.
  * @property maxOutdatedChoices how often the endpoint of one call is chosen again for that reason.
+ * @property maxWithdrawals how often one call is withdrawn for any reason before it is refused as not run.
  * @property pendingReadTime how long a call that was withdrawn waits for the event loop to read what has arrived.
  * @property firstEventTimeout a resumable stream without an event yet, whose endpoint sent no byte on any connection for
  * this long, is sent to another endpoint if one can take it.
@@ -33,6 +34,7 @@
     val maxConnectFailures: Int = 4,
     val maxChoiceAge: Duration = MAX_CHOICE_AGE,
     val maxOutdatedChoices: Int = 2,
+    val maxWithdrawals: Int = 8,
     val pendingReadTime: Duration = Duration.ofMillis(5),
     val firstEventTimeout: Duration = FIRST_EVENT_TIMEOUT,
     val stallTimeout: Duration = STALL_TIMEOUT,
