platform, core: do not use a response of the store whose era can't be told

Callers saw: a response of the users' store without a valid era counted for the latest known one, also when it was the first after a restore; a write of a ledger could count as done although it reached an older copy. `HttpObjectStore` read it as era 0, and an ETag beyond all revisions or negative ended the call with an exception. A watch from the beginning accepted a page of an earlier era.

Once the store has stated an era, a read without a valid one fails as unavailable and a write has an unknown outcome. Until then a missing header means era 0, an invalid one is not used. `EraCheckedStore` ends a watch whose page is of an earlier era than known.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/store/EraCheckedStore.kt
@@ -85,7 +85,7 @@
         return store.watch(prefix, after, wait).andThen { page ->
             observe(page.position)
             val isContinued = after == ObjectVersion.NONE || page.position.era == after.era
-            if (isContinued) Ok(page) else Err(StoreError.HistoryExpired)
+            if (isContinued && page.position.era >= era) Ok(page) else Err(StoreError.HistoryExpired)
         }
     }
 
--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -21,20 +21,22 @@
 /**
  * The platform's object API over HTTP.
  *
- * Versions carry the era that the platform states in the header `Limpetfold-Store-Era`, 0 without it. Conditions state
- * revisions only, so wrap it with [io.limpetfold.store.EraCheckedStore] to write across restores.
+ * Versions carry the era that the platform states in the header `Limpetfold-Store-Era`, 0 until it has stated one. A
+ * response whose era can't be told is not used. Conditions state revisions only, so wrap it with [io.limpetfold.store.EraCheckedStore] to write across restores.
  */
 class HttpObjectStore(
     client: UpstreamClient,
     settings: PlatformSettings,
 ) : ObjectStore {
     private val platformClient = PlatformClient(client, settings)
+    private val eraReader = StoreEraReader(ERA_HEADER)
 
     override suspend fun get(key: ObjectKey): Result<StoredObject?, StoreError> {
         val response = platformClient.read("/v1/objects/$key").getOrElse { return Err(it) }
         if (response.head.status == NOT_FOUND) return Ok(null)
         if (response.head.status != OK) return Err(rejected(response))
-        val version = version(response) ?: return Err(StoreError.Rejected("$key: the answer has no ETag"))
+        val era = eraReader.eraOf(response) ?: return Err(UNKNOWN_ERA)
+        val version = version(response, era) ?: return Err(StoreError.Rejected("$key: the answer has no valid ETag"))
         return Ok(StoredObject(key, version, response.body))
     }
 
@@ -58,8 +60,9 @@
         val response = platformClient.write(request).getOrElse { return Err(it) }
         return when (response.head.status) {
             OK, CREATED, NO_CONTENT ->
-                // The write took effect, but without an ETag its version is unknown: the caller has to read it.
-                version(response)?.let { Ok(it) } ?: Err(StoreError.OutcomeUnknown("$key: the answer has no ETag"))
+                // The write took effect, but without an ETag or an era its version is unknown: the caller has to read it.
+                version(response)?.let { Ok(it) }
+                    ?: Err(StoreError.OutcomeUnknown("$key: the answer has no valid ETag or era"))
             PRECONDITION_FAILED -> Err(StoreError.Conflict(key, version(response) ?: ObjectVersion.NONE))
             TOO_LARGE -> Err(StoreError.TooLarge(bytes.size))
             else -> Err(rejected(response))
@@ -82,23 +85,26 @@
     ): Result<ObjectPage, StoreError> {
         val response = platformClient.read("/v1/objects?$query", wait).getOrElse { return Err(it) }
         if (response.head.status != OK) return Err(rejected(response))
+        val era = eraReader.eraOf(response) ?: return Err(UNKNOWN_ERA)
         return try {
-            Ok(JSON.decodeFromString(WirePage.serializer(), response.body).toPage(era(response)))
+            Ok(JSON.decodeFromString(WirePage.serializer(), response.body).toPage(era))
         } catch (e: IllegalArgumentException) {
             Err(StoreError.Rejected("the listing does not decode: ${e.message?.take(MAX_DETAIL_CHARS)}"))
         }
     }
 
     private fun version(response: PlatformClient.Response): ObjectVersion? =
+        eraReader.eraOf(response)?.let { version(response, it) }
+
+    private fun version(
+        response: PlatformClient.Response,
+        era: Long,
+    ): ObjectVersion? =
         response.head.headers["ETag"]
             ?.removeSurrounding("\"")
             ?.toLongOrNull()
-            ?.let { ObjectVersion.of(it, era(response)) }
-
-    private fun era(response: PlatformClient.Response): Long =
-        response.head.headers[ERA_HEADER]
-            ?.toLongOrNull()
-            ?.takeIf { it in 0..ObjectVersion.MAX_ERA } ?: 0
+            ?.takeIf { it in 0..ObjectVersion.MAX_REVISION }
+            ?.let { ObjectVersion.of(it, era) }
 
     private fun rejected(response: PlatformClient.Response) = StoreError.Rejected("status ${response.head.status}")
 
@@ -106,6 +112,7 @@
 
     private companion object {
         const val ERA_HEADER = "Limpetfold-Store-Era"
+        val UNKNOWN_ERA = StoreError.Unavailable("the response has no valid era")
         const val OK = 200
         const val CREATED = 201
         const val NO_CONTENT = 204
