gateway: tell the outcome of a timed move to the other routers once it is stored

Callers saw: a move that was reported as completed was taken back after a restore of the store, if the router that had stored the outcome was killed before the others read it.

Cause: the other routers learned of an outcome from the watch only.

Change: the router that has stored an outcome sends its report to all members at once; they keep the outcome and write it again.

Remains: the writer is killed before its message is sent, or got no response to its write.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/TimedMoveCoordinator.kt
@@ -91,7 +91,10 @@
         when {
             versionSelector.hasRunningMoves -> {
                 exchangeReports(members)
-                versionSelector.decide(members.mapTo(HashSet()) { it.incarnation }).forEach { reportStatus(it) }
+                versionSelector
+                    .decide(
+                        members.mapTo(HashSet()) { it.incarnation },
+                    ).forEach { reportStatus(it, members) }
             }
             versionSelector.isWithdrawnVersionPresent -> tellTrials(members)
         }
@@ -107,14 +110,25 @@
 
     /** Returns the members that responded. */
     private suspend fun exchangeReports(members: List<Member>): List<Incarnation> =
+        send(reports(versionSelector.reports()), members)
+
+    private suspend fun send(
+        message: MoveReports,
+        members: List<Member>,
+    ): List<Incarnation> =
         coroutineScope {
-            val message = reports(versionSelector.reports())
             members
                 .map { member -> async { member.incarnation.takeIf { exchange(member.instance, message) } } }
                 .awaitAll()
                 .filterNotNull()
         }
 
+    /** Tells an outcome that was just stored, so that it stays known if this router and the store lose it. */
+    private suspend fun tellOutcome(
+        order: MoveOrder,
+        members: List<Member>,
+    ) = versionSelector.outcomeReport(order)?.let { send(reports(listOf(it)), members) }
+
     private suspend fun exchange(
         peer: InstanceId,
         message: MoveReports,
@@ -131,12 +145,16 @@
         versionSelector.applyTrials(message.trials)
     }
 
-    private suspend fun reportStatus(decision: TimedMoveDecision) {
+    private suspend fun reportStatus(
+        decision: TimedMoveDecision,
+        members: List<Member>,
+    ) {
         val order = decision.order
         val key = keysByService[order.service] ?: return
         store.putStatus(key, codec.encodeStatus(order, decision.status), order.objectVersion).fold(
             success = { position ->
                 versionSelector.applyOrder(order.copy(status = decision.status, objectVersion = position))
+                if (decision.status.isFinal) tellOutcome(order, members)
                 log.info(
                     "move.reported",
                     "service" to order.service,
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestoredMoveFleet.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestoredMoveFleet.kt
@@ -95,6 +95,23 @@
             routers.forEach { it.maintain() }
         }
 
+    /**
+     * Runs until a router knows that it has stored the outcome of the last order, which no other has read; returns its
+     * index, or null if another one could read the outcome before.
+     */
+    suspend fun runUntilStored(): Int? {
+        while (true) {
+            nowMillis += STEP_MILLIS
+            repeat(CALLS_PER_STEP) { call() }
+            routers.forEach { it.follow() }
+            if (storedStatus()?.isFinal == true) return null
+            for ((index, router) in routers.withIndex()) {
+                router.maintain()
+                if (storedStatus()?.isFinal == true) return index.takeIf { !router.selector.hasRunningMoves }
+            }
+        }
+    }
+
     suspend fun storedStatus(): MoveStatus? = memory.get(KEY).get()?.let { PlainOrders.decode(it).get()?.status }
 
     fun outcome(target: String): MoveStatus? = outcomes[target]
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestoredMoveTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/RestoredMoveTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainOnly
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -51,6 +52,33 @@
             }
         }
 
+        test("guards against an outcome that is lost in a restore together with the router that has just stored it") {
+            var checkedCount = 0
+            for (seed in 1..SEEDS) {
+                val random = Random(seed)
+                val badTargets = mutableSetOf<String>()
+                val fleet = RestoredMoveFleet(Random(seed + SEEDS), badTargets)
+                withClue("seed $seed") {
+                    fleet.run(3_000)
+                    fleet.order("v2")
+                    fleet.run(random.nextLong(1_000, 6_000))
+                    val copy = fleet.copy()
+                    val writer = fleet.runUntilStored()
+                    if (writer != null) {
+                        val stored = fleet.storedStatus()
+                        // The routers that are left would decide otherwise now.
+                        badTargets += "v2"
+                        fleet.restart(writer)
+                        fleet.restore(copy)
+                        fleet.run(RestoredMoveFleet.DURATION_MILLIS)
+                        fleet.storedStatus() shouldBe stored
+                        checkedCount++
+                    }
+                }
+            }
+            checkedCount shouldBeGreaterThan SEEDS / 2
+        }
+
         test(
             "guards against a replaced order that comes back and begins a new trial of a version that was taken back",
         ) {
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/timed/TimedVersionSelector.kt
@@ -197,6 +197,9 @@
         return own + others.mapNotNull { wanted -> decidedMove(wanted.service, wanted.target)?.report(now()) }
     }
 
+    /** Returns the report of the move of [order], to be sent to the other routers as soon as its outcome is stored. */
+    fun outcomeReport(order: MoveOrder): TimedMoveReport? = decidedMove(order.service, order.target)?.report(now())
+
     private fun decidedMove(
         service: String,
         target: VersionId,
