rollout: one failing write holds up no other move; records without an era

Change: only the route of a move that is written again is left out of a round. `MoveRecord.era` is null in records of earlier versions, which are rolled back on lost grants only. Without moves, routers are asked until all listed ones have responded in the era. `wasTakenBackTo` is renamed to `isRevertedByRestoreTo`, since no rollback is meant.

Tests: without restores, the check that no move starts while another runs is as strict again as before, which had let final records pass.

--- a/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
+++ b/limpetfold-platform/src/main/kotlin/io/limpetfold/platform/HttpObjectStore.kt
@@ -22,7 +22,7 @@
  * The platform's object API over HTTP.
  *
  * Versions carry the era that the platform states in the header `Limpetfold-Store-Era`, 0 until it has stated one. A
- * response whose era can't be told is not used. Conditions state revisions only, so wrap it with [io.limpetfold.store.EraCheckedStore] to write across restores.
+ * response whose era is unknown is not used. Conditions state revisions only, so wrap it with [io.limpetfold.store.EraCheckedStore] to write across restores.
  */
 class HttpObjectStore(
     client: UpstreamClient,
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveController.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.get
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
+import io.limpetfold.core.RouteId
 import io.limpetfold.core.VersionId
 import io.limpetfold.lease.FencingToken
 import io.limpetfold.lease.LeaseClient
@@ -70,6 +71,9 @@
     private val pooledEvidence = HashMap<MoveId, PooledEvidence>()
     private val lastSeen = HashMap<Incarnation, TimeMark>()
     private val restoredSince = HashMap<Pair<MoveId, Long>, TimeMark>()
+
+    /** The latest era in which all listed routers have told which moves the store lacks; a store begins with era 0. */
+    private var checkedEra = 0L
     private val sentOrders = HashSet<Pair<MoveId, MovePhase>>()
     private var listedRouters: Set<InstanceId>? = null
     private var term: FencingToken? = null
@@ -85,29 +89,31 @@
                 failure = { return listener.onError(it) },
             )
         val moves = stored.moves
-        // Routers may know moves that a restored store lacks.
-        if (restoreMoves(stored, fencing) || (moves.isEmpty() && stored.era == 0L)) return
+        val hasMoves = moves.isNotEmpty() || localSelector.moves().isNotEmpty()
+        if (!hasMoves && stored.era <= checkedEra) return
         readDirectory()
         val responders = collectReports(stored, completing = emptySet())
-        if (restoreMoves(stored, fencing)) return
+        // Routers may know moves that a restored store lacks, until all of them were asked in its era.
+        if (haveAllResponded(responders)) checkedEra = stored.era
+        val restoredRoutes = restoreMoves(stored, fencing)
         val records = moves.mapNotNull { it.value }
         reports.keys.retainAll(records.mapTo(HashSet()) { it.id })
         pooledEvidence.keys.retainAll(reports.keys)
         var hasChanged = false
         for (move in moves) {
-            val record = move.value ?: continue
+            val record = move.value?.takeIf { it.route !in restoredRoutes } ?: continue
             hasChanged = advance(move, record, responders, fencing) || hasChanged
             if (record.phase.isFinal) processOutcome(move, record, responders, records, fencing)
         }
         if (hasChanged) MoveCommands.readMoves(store).get()?.let { collectReports(it, completing = emptySet()) }
     }
 
-    /** Writes moves again that a restore of the store took back; returns whether there are any. */
+    /** Writes moves again that a restore of the store took back; returns the routes of all such moves. */
     private suspend fun restoreMoves(
         stored: StoredMoves,
         fencing: FencingToken,
-    ): Boolean {
-        val lost = LostMoves.find(localSelector.snapshots(), stored)
+    ): Set<RouteId> {
+        val lost = MovesToRestore.find(localSelector.snapshots(), stored)
         for (record in lost) {
             val next =
                 record.copy(
@@ -118,7 +124,7 @@
                 )
             TypedObject(store, MoveRecord.key(record.route), MoveRecord.serializer())
                 .update(isApplied = { it == next }) { current ->
-                    val isLost = LostMoves.toWrite(record, current) != null
+                    val isLost = MovesToRestore.toWrite(record, current) != null
                     val isHeld = lease.fencingTokenIfHeld(MovePlan.WRITE_BOUND) == fencing
                     if (isLost && isHeld) Change.Write(next) else Change.Refuse(Unit)
                 }.fold(
@@ -126,7 +132,7 @@
                     failure = { error -> if (error is UpdateError.Failed) listener.onError(error.error) },
                 )
         }
-        return lost.isNotEmpty()
+        return lost.mapTo(HashSet()) { it.route }
     }
 
     /**
@@ -139,14 +145,18 @@
         responders: Set<Incarnation>,
     ): Boolean {
         val since = restoredSince.getOrPut(record.id to move.version.era) { monotonic.markNow() }
-        val instances = responders.mapTo(HashSet()) { it.instance }
         val hasWaited =
             since.elapsedNow() >= MovePlan.PROPAGATION_BOUND.toKotlinDuration() ||
                 clock.millis() >= record.completionLimitMillis
-        if (!hasWaited && listedRouters?.let { instances.containsAll(it) } != true) return false
+        if (!hasWaited && !haveAllResponded(responders)) return false
         return write(move, record, record.copy(phase = MovePhase.TakenBack(TakeBackReason.StoreRestored)))
     }
 
+    private fun haveAllResponded(responders: Set<Incarnation>): Boolean {
+        val instances = responders.mapTo(HashSet()) { it.instance }
+        return listedRouters?.let { instances.containsAll(it) } == true
+    }
+
     private suspend fun advance(
         move: Versioned<MoveRecord>,
         record: MoveRecord,
@@ -357,6 +367,7 @@
         pooledEvidence.clear()
         lastSeen.clear()
         restoredSince.clear()
+        checkedEra = 0
         sentOrders.clear()
     }
 }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MoveRecord.kt
@@ -23,7 +23,7 @@
  *   of a terminated router still counts.
  * @property changedBy operator or controller that wrote the current phase, at [changedAtMillis].
  * @property era the era of the store in which the write of the running phase was based; in a later era the store may lack
- *   writes that followed, so that [grants] bounds nothing.
+ *   writes that followed, so that [grants] bounds nothing. Null in records of earlier versions of the program.
  * @property unconfirmed routers that have not confirmed the final phase; null until a controller has checked.
  */
 @Serializable
@@ -46,7 +46,7 @@
     val stepAllottedRequests: Long = allottedRequests,
     val grants: Map<String, Long> = emptyMap(),
     val unconfirmed: List<InstanceId>? = null,
-    val era: Long = 0,
+    val era: Long? = null,
 ) {
     /** The time from which `Completed` is no longer written. */
     val completionLimitMillis: Long
@@ -77,7 +77,7 @@
      * Whether a restore of the store took this record back, if it holds [stored] now: an earlier move of the route, or
      * this one before its end or with a completion in place of this rollback.
      */
-    fun wasTakenBackTo(stored: MoveRecord): Boolean =
+    fun isRevertedByRestoreTo(stored: MoveRecord): Boolean =
         when {
             id != stored.id -> startedAtMillis > stored.startedAtMillis
             phase is MovePhase.TakenBack -> stored.phase !is MovePhase.TakenBack
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/LostMoves.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/MovesToRestore.kt
@@ -1,7 +1,7 @@
 package io.limpetfold.rollout
 
 /** Finds moves that a restore of the store took back, and how they end. Pure. */
-internal object LostMoves {
+internal object MovesToRestore {
     /**
      * Returns the records to write again of the [known] moves that [stored] lacks.
      *
@@ -24,7 +24,7 @@
         stored: MoveRecord?,
     ): MoveRecord? =
         when {
-            stored != null && !known.wasTakenBackTo(stored) -> null
+            stored != null && !known.isRevertedByRestoreTo(stored) -> null
             known.phase.isFinal -> known
             else -> known.copy(phase = MovePhase.TakenBack(TakeBackReason.StoreRestored))
         }
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/RolloutTopics.kt
@@ -29,11 +29,11 @@
     val version: ObjectVersion,
 ) {
     /** Whether the store was restored since the running phase was written, so that later writes may be missing. */
-    val isRestored: Boolean get() = record.phase is MovePhase.Running && record.era < version.era
+    val isRestored: Boolean get() = record.phase is MovePhase.Running && record.era?.let { it < version.era } == true
 
     /** Whether a restore of the store took this back, if the store holds [stored] now. */
-    internal fun wasTakenBackTo(stored: MoveSnapshot): Boolean =
-        version.era < stored.version.era && record.wasTakenBackTo(stored.record)
+    internal fun isRevertedByRestoreTo(stored: MoveSnapshot): Boolean =
+        version.era < stored.version.era && record.isRevertedByRestoreTo(stored.record)
 }
 
 /** The moves and verdicts known to a router. */
--- a/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
+++ b/limpetfold-rollout/src/main/kotlin/io/limpetfold/rollout/VersionSelector.kt
@@ -224,7 +224,7 @@
                 synchronized(lock) {
                     val known = routes[snapshot.record.route]?.snapshot
                     val isLater = known != null && snapshot.version > known.version
-                    (known == null || isLater || snapshot.wasTakenBackTo(known)).also { if (it) store(snapshot) }
+                    (known == null || isLater || snapshot.isRevertedByRestoreTo(known)).also { if (it) store(snapshot) }
                 }
             if (isLost) listener.onMoveSeen(snapshot.record)
         }
@@ -275,7 +275,7 @@
                 val known = routes[route]
                 when {
                     known != null && known.snapshot.version >= snapshot.version -> return
-                    known != null && known.snapshot.wasTakenBackTo(snapshot) -> return
+                    known != null && known.snapshot.isRevertedByRestoreTo(snapshot) -> return
                     else -> store(snapshot)
                 }
                 if (snapshot.record.phase.isFinal) acknowledgedBy.remove(snapshot.record.id)
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/MoveFleet.kt
@@ -262,7 +262,8 @@
         next: MoveRecord,
     ) {
         if (last.id != next.id) {
-            val isStart = !next.phase.isFinal
+            // After a restore, an outcome may be written again over an earlier move that the copy shows as running.
+            val isStart = restores == null || !next.phase.isFinal
             if (isStart && !last.phaseAt(nowMillis).isFinal) fail("${next.id} started while ${last.id} was running")
             return
         }
@@ -275,6 +276,13 @@
             fail("${last.id} left ${last.phase} for ${next.phase}")
         }
         if (next.fencing < last.fencing) fail("fencing token decreased")
+        checkCompletion(last, next)
+    }
+
+    private fun checkCompletion(
+        last: MoveRecord,
+        next: MoveRecord,
+    ) {
         val limit = next.deadlineMillis - MovePlan.PROPAGATION_BOUND.toMillis()
         // A completion that a restore took back is written again at any time.
         val wasCompleted = history.dropLast(1).any { it.second.id == next.id && it.second.phase is MovePhase.Completed }
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/RestoredCompletionTest.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/RestoredCompletionTest.kt
@@ -74,6 +74,14 @@
                 ?.value
                 ?.phase shouldBe MovePhase.TakenBack(TakeBackReason.StoreRestored)
         }
+
+        // A program of an earlier version writes no era.
+        test("guards against a move that is rolled back because its record names no era") {
+            val record = record(0)
+            MoveSnapshot(record, ObjectVersion.of(1, era = 2)).isRestored shouldBe false
+            MoveSnapshot(record.copy(era = 1), ObjectVersion.of(1, era = 2)).isRestored shouldBe true
+            MoveSnapshot(record.copy(era = 2), ObjectVersion.of(1, era = 2)).isRestored shouldBe false
+        }
     }) {
     private companion object {
         val ROUTE = RouteId("plan")
--- a/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/StoreRestores.kt
+++ b/limpetfold-rollout/src/test/kotlin/io/limpetfold/rollout/StoreRestores.kt
@@ -9,15 +9,15 @@
     private val store: FakeObjectStore,
 ) {
     private val copies = ArrayDeque<FakeObjectStore.Copy>()
-    private var carriedWrites = 0
+    private var writesFromLastTick = 0
 
     /** Whether restores and late writes still occur. */
     var isActive = true
 
     fun onTick() {
-        repeat(carriedWrites) { store.executeDelayed() }
+        repeat(writesFromLastTick) { store.executeDelayed() }
         while (store.delayedCount > 0 && random.nextBoolean()) store.executeDelayed()
-        carriedWrites = store.delayedCount
+        writesFromLastTick = store.delayedCount
         copies.addLast(store.copy())
         if (copies.size > MAX_COPIES) copies.removeFirst()
     }
