budget: grants do not wait for routers that can't acknowledge a ceiling

Found by review of, by reading: a router that reached no other one got no grants beyond its acknowledged ceiling, and none at all after a start, although the store was well; in a fleet of two to four one router that did not reply was enough. Callers were refused for that without any restore.

Change: routers that did not acknowledge within the time of a peer message don't count for 2 s, and without any other router that can be a witness an account has no ceiling. One announcement asks at most 6 routers, three at a time, so a call waits for at most two peer timeouts.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
@@ -26,8 +26,8 @@
     /** When routers of an earlier version said that they do not know the topic. */
     private val unableAtMillis = ConcurrentHashMap<InstanceId, Long>()
 
-    /** Routers that did not reply to the last announcement; they are asked last. */
-    private val silent: MutableSet<InstanceId> = ConcurrentHashMap.newKeySet()
+    /** When routers did not acknowledge an announcement. */
+    private val silentAtMillis = ConcurrentHashMap<InstanceId, Long>()
 
     /** The tokens that [slot] may acquire from [ledger] besides those that it has acquired. */
     fun headroomTokens(
@@ -77,21 +77,20 @@
         val message = CeilingAnnouncement(slot.workspace, slot.holder, ceilingTokens)
         peers.ask(witness, CEILING_TOPIC, message, slot.policy.peerTimeout).fold(
             success = { reply ->
-                silent -= witness
                 if (reply.isRecorded) {
+                    silentAtMillis -= witness
                     slot.locked { ceilings = ceilings.plus(witness, reply, ceilingTokens, nowMillis()) }
+                } else {
+                    silentAtMillis[witness] = nowMillis()
                 }
             },
             failure = { error ->
-                silent += witness
-                if (error.isTopicUnknown()) unableAtMillis[witness] = nowMillis()
+                val rejections = if (error is PeerError.Rejected && error.isTopicUnknown) unableAtMillis else silentAtMillis
+                rejections[witness] = nowMillis()
             },
         )
     }
 
-    private fun PeerError.isTopicUnknown() =
-        this is PeerError.Rejected && reason == "no handler for ${CEILING_TOPIC.name}"
-
     private fun AccountSlot.headroomTokens(isOpen: (String) -> Boolean): Long {
         val count = requiredWitnesses()
         if (count == 0) return Long.MAX_VALUE
@@ -128,7 +127,7 @@
         val holders = account.openPeers.keys.mapNotNullTo(HashSet()) { Incarnation.parse(it)?.instance }
         return able()
             .filter { !hasAcknowledged(it, ceilingTokens) }
-            .sortedBy { (if (it in silent) 2 else 0) + (if (it in holders) 0 else 1) }
+            .sortedBy { if (it in holders) 0 else 1 }
     }
 
     private fun AccountSlot.hasAcknowledged(
@@ -141,19 +140,21 @@
             (known.holder == null || isOpen(known.holder))
     }
 
-    private fun able(): List<InstanceId> {
-        val now = nowMillis()
-        return candidates.preferredFirst().filter { witness ->
-            val isUnable = unableAtMillis[witness]?.let { now - it < UNABLE.toMillis() } == true
-            witness != self.instance && !isUnable
+    private fun able(): List<InstanceId> =
+        candidates.preferredFirst().filter { witness ->
+            witness != self.instance && !unableAtMillis.has(witness, UNABLE) && !silentAtMillis.has(witness, SILENT)
         }
-    }
 
-    /** Routers of earlier versions can't be witnesses; a fleet of only such routers sets no ceilings. */
-    private fun requiredWitnesses(): Int {
-        val isCutOff = candidates.preferredFirst().isEmpty() && candidates.hasOtherRouters()
-        return if (isCutOff) 1 else minOf(MAX_WITNESSES, able().size)
-    }
+    private fun Map<InstanceId, Long>.has(
+        witness: InstanceId,
+        validity: Duration,
+    ): Boolean = this[witness]?.let { nowMillis() - it < validity.toMillis() } == true
+
+    /**
+     * Callers don't wait for routers that can't reply: without any other router that can be a witness there is no
+     * ceiling, and a recovery may not know of this holder.
+     */
+    private fun requiredWitnesses(): Int = minOf(MAX_WITNESSES, able().size)
 
     /** The next grant as far as it is known. */
     private fun AccountSlot.nextGrantTokens(tokens: Long): Long =
@@ -169,8 +170,8 @@
         /** So many routers can end around a restore before nobody knows the ceiling of one of them. */
         const val MAX_WITNESSES = 3
 
-        /** Bounds the messages of one announcement while routers do not reply. */
-        const val MAX_ASKED = 8
+        /** Bounds the messages of one announcement, and the time that a call waits, while routers do not reply. */
+        const val MAX_ASKED = 6
 
         const val RESERVATIONS = 4L
 
@@ -183,6 +184,9 @@
         /** A witness without an entry that was started again since has forgotten the ceiling. */
         val REFRESH: Duration = Duration.ofSeconds(30)
 
+        /** After this time a router that did not acknowledge is asked again. */
+        val SILENT: Duration = Duration.ofSeconds(2)
+
         /** After this time a router of an earlier version may have been replaced. */
         val UNABLE: Duration = Duration.ofSeconds(60)
     }
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/WitnessCandidates.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/WitnessCandidates.kt
@@ -4,21 +4,16 @@
 import io.limpetfold.peer.PeerNetwork
 
 /**
- * The routers that can remember the ceilings of this router's accounts.
+ * The routers that can remember the ceilings of this router's accounts; without any, accounts have no ceilings.
  *
- * @property hasOtherRouters whether there are other routers, reachable or not; without any, accounts have no ceilings.
  * @property preferredFirst the other routers that run as far as this router knows, in the order of preference.
  */
 class WitnessCandidates(
-    val hasOtherRouters: () -> Boolean,
     val preferredFirst: () -> List<InstanceId>,
 ) {
     companion object {
-        /** All routers that are connected to this one; a router that is cut off from all others has no ceilings. */
+        /** All routers that are connected to this one. */
         fun connectedTo(peers: PeerNetwork): WitnessCandidates =
-            WitnessCandidates(
-                { peers.connectedPeers().isNotEmpty() },
-                { peers.connectedPeers().sortedBy { it.value } },
-            )
+            WitnessCandidates { peers.connectedPeers().sortedBy { it.value } }
     }
 }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -180,11 +180,7 @@
             predecessorSpendLookup = { _, _ -> PredecessorSpendLookup.WHOLE_GRANT },
             paidTotalOf = ::paidTotalOf,
             confirmationsPerRound = { maxOf(1, CONFIRMATIONS_PER_ROUND / maxOf(1, lenderSelector.holderCount)) },
-            witnessCandidates =
-                WitnessCandidates(
-                    { membership.otherListedRouters().isNotEmpty() },
-                    { membership.runningRouters(settings.zone) },
-                ),
+            witnessCandidates = WitnessCandidates { membership.runningRouters(settings.zone) },
         )
     private val lender = TokenLender(budget, budgetObserver)
     private val tokens = TokenBorrower(self, budget, peers, lenderSelector, listener = budgetObserver)
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -131,11 +131,7 @@
             random,
             budgetEvents(),
             predecessorSpendLookup = ::predecessorSpend,
-            witnessCandidates =
-                WitnessCandidates(
-                    { membership.otherListedRouters().isNotEmpty() },
-                    { membership.runningRouters(zone) },
-                ),
+            witnessCandidates = WitnessCandidates { membership.runningRouters(zone) },
         )
     private val limiter =
         EndpointLimiter(self, zone, peers, monotonic, random, HttpEndpointProbe(upstream, ::addressOf))
