request, router: a planned stop returns grants first and limits its handover of claims

Cause: handOver wrote 64 shards one after the other, each for up to 2 s, before the grants were returned. With a store that does not respond after a restore this could outlast the time of a stop, and a killed router strands its grants. Change: grants are returned first; the writes and the copies to peers take at most 1 s each, and the copies are sent even if the writes took too long. Measured: the new test of ClaimRegistryTest got no result in 30 s, and passes.

--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimPolicy.kt
@@ -19,6 +19,8 @@
  * disowned claim is repeated.
  * @property maxWriteDuration the longest time from the message to the peers to the response of the store; a claim that
  * took longer is given up, because the peers count the time for which they keep it from its receipt.
+ * @property handOverTimeout how long the parts of a handover before a planned stop may take: writing the claims again
+ * after a restore, and the copies to peers.
  * @property maxCopyAge how old the copy may be from which the store is restored; a router remembers its claims for this
  * long, to write them again.
  * @property restoreRetryAfter retry hint for the caller while claims are written again after a restore of the store.
@@ -40,6 +42,7 @@
     val maxCopyAge: Duration = FIVE_MINUTES,
     val restoreRetryAfter: Duration = Duration.ofSeconds(2),
     val maxWriteDuration: Duration = Duration.ofSeconds(10),
+    val handOverTimeout: Duration = Duration.ofSeconds(1),
 ) {
     init {
         require(maxForwardAge < retention) { "maxForwardAge must be shorter than retention" }
--- a/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
+++ b/limpetfold-request/src/main/kotlin/io/limpetfold/claim/ClaimRegistry.kt
@@ -217,14 +217,15 @@
 
     /**
      * Lets peers keep what this process would write again after a restore; call it before a planned stop. Returns
-     * whether enough of them do.
+     * whether enough of them do. Takes at most twice [ClaimPolicy.handOverTimeout], whatever the store and the peers do.
      */
     suspend fun handOver(): Boolean {
         val peers = witnesses ?: return false
         // Peers take no claims of an earlier era, because they may have written their own again already.
-        maintainRestored()
+        val maxMillis = policy.handOverTimeout.toMillis()
+        withTimeoutOrNull(maxMillis) { maintainRestored() }
         val chunks = writers.flatMap { it.copies() }.chunked(MAX_COPIES)
-        return chunks.map { copyTo(peers, it) }.all { it }
+        return withTimeoutOrNull(maxMillis) { chunks.map { copyTo(peers, it) }.all { it } } ?: false
     }
 
     private suspend fun copyTo(
--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimRegistryTest.kt
@@ -14,16 +14,21 @@
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.request.Ran
 import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectStore
 import io.limpetfold.store.StoreError
 import io.limpetfold.store.TypedObject
 import io.limpetfold.testing.FakeObjectStore
+import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.StoreCall
 import io.limpetfold.testing.StoreFault
 import io.limpetfold.testing.TestClock
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
 import java.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 class ClaimRegistryTest :
     FunSpec({
@@ -119,6 +124,18 @@
             a.claim("k").get().shouldBeInstanceOf<ClaimDecision.Unfinished>()
         }
 
+        test("guards against a stop that waits for each shard of a store that does not respond") {
+            val store =
+                object : ObjectStore by FakeObjectStore() {
+                    override suspend fun get(key: ObjectKey) = awaitCancellation()
+                }
+            val self = Incarnation(InstanceId("a"), 1)
+            val witnesses = ClaimWitnesses(self.instance, FakePeerHub().join(self))
+            val router = ClaimRegistry(self, store, clock, clock.monotonic, witnesses = witnesses)
+            router.onEraChanged(1)
+            withTimeoutOrNull(30.seconds) { router.handOver() } shouldBe true
+        }
+
         test("concurrent claims of one shard share a write") {
             val store = FakeObjectStore()
             val router = registry(store, "a")
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -233,9 +233,9 @@
             callerServer.awaitIdle(CLOSED_CONNECTIONS_WAIT)
         }
         maintenance.stop()
-        if (!claims.handOver()) LOGGER.warn("router: claims were not handed over to enough peers")
         limiter.close()
         returnGrants()
+        if (!claims.handOver()) LOGGER.warn("router: claims were not handed over to enough peers")
         seatClient.release(limiter.isSeatDrained)
         leaseClient.release()
         statusReporter.reportNow()
