--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
@@ -85,7 +85,14 @@
                 }
             },
             failure = { error ->
-                val rejections = if (error is PeerError.Rejected && error.isTopicUnknown) unableAtMillis else silentAtMillis
+                val rejections =
+                    if (error is PeerError.Rejected &&
+                        error.isTopicUnknown
+                    ) {
+                        unableAtMillis
+                    } else {
+                        silentAtMillis
+                    }
                 rejections[witness] = nowMillis()
             },
         )
