gateway, router: gauges and what is known of other routers have files of their own

The gauges of the gateway are in GatewayGauges, as those of the router are in RouterGauges; what the router knows of the other routers is in OtherRouters. No change of behaviour: metrics keep their names and texts. CeilingAnnouncer: availableWitnesses and isRecent in place of able and has.

Measured: StoppedRouterTest, OneReadingRouterTest, SeatClientTest, BudgetRestoreTest, HeldCallTest and the tests of metrics pass.

--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
@@ -122,17 +122,17 @@
     private fun AccountSlot.isOpen(holder: String) = account.sequence == 0L || holder in account.openPeers
 
     private fun AccountSlot.isRefreshDue(): Boolean =
-        able().count { ceilings.of(it)?.isRecent() == true } < requiredWitnesses()
+        availableWitnesses().count { ceilings.of(it)?.isRecent() == true } < requiredWitnesses()
 
     private fun Acknowledgement.isRecent() = atMillis >= nowMillis() - REFRESH.toMillis()
 
     private fun AccountSlot.acknowledgedCount(ceilingTokens: Long): Int =
-        able().count { hasAcknowledged(it, ceilingTokens) }
+        availableWitnesses().count { hasAcknowledged(it, ceilingTokens) }
 
     /** The holders of the workspace first, because a recovery waits for them. */
     private fun AccountSlot.notAcknowledged(ceilingTokens: Long): List<InstanceId> {
         val holders = account.openPeers.keys.mapNotNullTo(HashSet()) { Incarnation.parse(it)?.instance }
-        return able()
+        return availableWitnesses()
             .filter { !hasAcknowledged(it, ceilingTokens) }
             .sortedBy { if (it in holders) 0 else 1 }
     }
@@ -147,12 +147,14 @@
             (known.holder == null || isOpen(known.holder))
     }
 
-    private fun able(): List<InstanceId> =
+    private fun availableWitnesses(): List<InstanceId> =
         candidates.preferredFirst().filter { witness ->
-            witness != self.instance && !unableAtMillis.has(witness, UNABLE) && !silentAtMillis.has(witness, SILENT)
+            witness != self.instance &&
+                !unableAtMillis.isRecent(witness, UNABLE) &&
+                !silentAtMillis.isRecent(witness, SILENT)
         }
 
-    private fun Map<InstanceId, Long>.has(
+    private fun Map<InstanceId, Long>.isRecent(
         witness: InstanceId,
         validity: Duration,
     ): Boolean = this[witness]?.let { nowMillis() - it < validity.toMillis() } == true
@@ -161,7 +163,7 @@
      * Callers don't wait for routers that can't reply: without any other router that can be a witness there is no
      * ceiling, and a recovery may not know of this holder.
      */
-    private fun requiredWitnesses(): Int = minOf(MAX_WITNESSES, able().size)
+    private fun requiredWitnesses(): Int = minOf(MAX_WITNESSES, availableWitnesses().size)
 
     /** The next grant as far as it is known. */
     private fun AccountSlot.nextGrantTokens(tokens: Long): Long =
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -32,6 +32,7 @@
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.gateway.observe.EndpointConnectionObserver
 import io.limpetfold.gateway.observe.EndpointNoticeObserver
+import io.limpetfold.gateway.observe.GatewayGauges
 import io.limpetfold.gateway.observe.GatewayMetrics
 import io.limpetfold.gateway.observe.QuarantineObserver
 import io.limpetfold.gateway.operate.BudgetAccountWarmer
@@ -225,7 +226,7 @@
         tokens.register()
         quarantineSync.register()
         watchedStore.register()
-        registerGauges()
+        gauges().registerIn(metrics)
         readinessServer.start()
         callerServer.start()
         startFeeds()
@@ -296,37 +297,18 @@
         loops.close()
     }
 
-    private fun registerGauges() {
-        metrics.gauge("limpetfold_calls_running", "Calls being handled") { callerServer.runningCount.toDouble() }
-        metrics.gauge("limpetfold_config_version", "Version of the configuration in force") {
-            (
-                routing.current?.version
-                    ?: 0
-            ).toDouble()
-        }
-        metrics.gauge("limpetfold_store_era", "How often the store has come back from an older copy") {
-            store.era.toDouble()
-        }
-        metrics.gauge(
-            "limpetfold_routers_heard",
-            "Other routers heard a moment ago",
-        ) { membership.members().size.toDouble() }
-        metrics.gauge("limpetfold_budget_held_tokens", "Tokens held and neither spent nor reserved") {
-            budget.accounts().sumOf { it.availableTokens }.toDouble()
-        }
-        metrics.gauge("limpetfold_quarantined_prompt_parts", "Prompt parts whose calls are refused") {
-            quarantine.quarantinedParts(monotonic.now()).size.toDouble()
-        }
-        metrics.gauge(
-            "limpetfold_quarantine_unsaved",
-            "1 while the store lacks what this router knows of the quarantine",
-        ) { if (quarantineRecord.isBehind) 1.0 else 0.0 }
-        metrics.gauge(
-            "limpetfold_request_body_bytes",
-            "Reserved for request bodies",
-        ) { bodyBudget.usedBytes.toDouble() }
-        metrics.gauge("limpetfold_buffered_bytes", "Bytes held for slow readers") { buffers.usedBytes.toDouble() }
-    }
+    private fun gauges() =
+        GatewayGauges(
+            runningCalls = { callerServer.runningCount },
+            configVersion = { routing.current?.version ?: 0 },
+            storeEra = { store.era },
+            heardRouters = { membership.members().size },
+            heldTokens = { budget.accounts().sumOf { it.availableTokens } },
+            quarantinedPromptParts = { quarantine.quarantinedParts(monotonic.now()).size },
+            isQuarantineUnsaved = { quarantineRecord.isBehind },
+            requestBodyBytes = { bodyBudget.usedBytes },
+            bufferedBytes = { buffers.usedBytes },
+        )
 
     private fun startFeeds() {
         val configPrefix = settings.configKey.path.substringBeforeLast('/') + "/"
--- a/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
+++ b/limpetfold-router/src/main/kotlin/io/limpetfold/router/Router.kt
@@ -66,6 +66,7 @@
 import io.limpetfold.router.operate.LoadPoller
 import io.limpetfold.router.operate.Maintenance
 import io.limpetfold.router.operate.OperatorsApi
+import io.limpetfold.router.operate.OtherRouters
 import io.limpetfold.router.operate.Readiness
 import io.limpetfold.router.operate.RouterProcessProbe
 import io.limpetfold.router.operate.RouterView
@@ -117,8 +118,9 @@
     private val config: ConfigWatcher = ConfigWatcher(store, peers, monotonic, random)
     private val membership: Membership =
         Membership(self.instance, directory, peers, monotonic, listener = MemberEvents()) { heartbeat() }
+    private val otherRouters = OtherRouters(self.instance, zone, membership)
     private val seatClient: SeatClient =
-        SeatClient(self, store, monotonic, era = { store.era }, seatsOfOthers = ::seatsOfOthers) {
+        SeatClient(self, store, monotonic, era = { store.era }, seatsOfOthers = otherRouters::seats) {
             membership.hasEnded(it)
         }
     private val budget =
@@ -166,8 +168,8 @@
             clock,
             monotonic,
             listener = ClaimEvents(),
-            routers = ::claimingRouters,
-            witnesses = ClaimWitnesses(self.instance, peers, monotonic, isInSameZone = ::isInSameZone),
+            routers = otherRouters::claiming,
+            witnesses = ClaimWitnesses(self.instance, peers, monotonic, isInSameZone = otherRouters::isInSameZone),
         )
     private val journal = RequestJournal(self, zone, peers, ::journalPeers, monotonic)
     private val runs = RunRegistry(self)
@@ -441,36 +443,13 @@
         holder: Incarnation,
         workspace: WorkspaceId,
     ): Long? {
-        val others =
-            (membership.otherListedRouters().map { it.instance } + membership.members().map { it.instance })
-                .toSet()
+        val others = otherRouters.listedOrHeard()
         if (others.isEmpty() || !peers.connectedPeers().containsAll(others)) return null
         return journal.replicatedSpendFromAll(others, holder, workspace).fold({
             it ?: PredecessorSpendLookup.WHOLE_GRANT
         }, { null })
     }
 
-    /** The seats that all other listed routers report; null while one that may run is not heard, or the list is unknown. */
-    private fun seatsOfOthers(): Set<Int>? {
-        val members = membership.members()
-        val heard = members.mapTo(HashSet()) { it.instance }
-        val isComplete = membership.hasDirectory && membership.otherListedRouters().all { it.instance in heard }
-        return if (isComplete) members.mapNotNullTo(HashSet()) { it.seat } else null
-    }
-
-    private fun claimingRouters(): Set<InstanceId>? =
-        if (membership.hasDirectory) {
-            membership.otherListedRouters().mapTo(
-                HashSet(),
-            ) { it.instance } + membership.members().map { it.instance } +
-                self.instance
-        } else {
-            null
-        }
-
-    private fun isInSameZone(router: InstanceId): Boolean =
-        membership.otherListedRouters().any { it.instance == router && it.zone == zone }
-
     private fun budgetEvents() = BudgetListener { metrics.count(RouterMetrics.BUDGET_EVENTS, it.name) }
 
     private inner class MemberEvents : MembershipListener {
