test: schedules of claims with restores run in parts

Cause: since routers keep claims for each other, one schedule takes several times the steps, and 2,000 of them are one test.

Change: four parts of 500 seeds each; the counts of reached paths and of lost claims are checked over all parts, in tests of their own. The seeds, the invariants and the bounds are the same.

--- a/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
+++ b/limpetfold-request/src/test/kotlin/io/limpetfold/claim/ClaimSchedulePropertyTest.kt
@@ -68,19 +68,33 @@
             }
         }
 
-        test("a key is forwarded at most once across restores of the store, in any schedule of routers that go on") {
-            val totals = HashMap<String, Int>()
-            repeat(RESTORE_SEEDS) { seed -> runWithRestores(seed, hasKills = false, totals) }
+        val totals = HashMap<String, Int>()
+        for (part in 0..<PARTS) {
+            test(
+                "a key is forwarded at most once across restores of the store, in any schedule of routers that go on, part $part",
+            ) {
+                seedsOf(part).forEach { runWithRestores(it, hasKills = false, totals) }
+            }
+        }
+
+        test("the schedules of routers that go on reach each path") {
             println("ClaimSchedule with restores: seeds=$RESTORE_SEEDS ${totals.toSortedMap()}")
             for (name in listOf("forwarded", "restored", "restoring", "finished", "unfinished", "late")) {
                 withClue(name) { (totals[name] ?: 0) shouldBeGreaterThan 100 }
             }
         }
 
-        test("a key is forwarded at most once across restores of the store, in any schedule with killed routers") {
-            val totals = HashMap<String, Int>()
-            repeat(RESTORE_SEEDS) { seed -> runWithRestores(seed, hasKills = true, totals) }
-            println("ClaimSchedule with restores and kills: seeds=$RESTORE_SEEDS ${totals.toSortedMap()}")
+        val totalsWithKills = HashMap<String, Int>()
+        for (part in 0..<PARTS) {
+            test(
+                "a key is forwarded at most once across restores of the store, in any schedule with killed routers, part $part",
+            ) {
+                seedsOf(part).forEach { runWithRestores(it, hasKills = true, totalsWithKills) }
+            }
+        }
+
+        test("the schedules with killed routers reach each path, and few claims are lost with all that knew them") {
+            println("ClaimSchedule with restores and kills: seeds=$RESTORE_SEEDS ${totalsWithKills.toSortedMap()}")
             for (name in listOf(
                 "forwarded",
                 "restored",
@@ -90,10 +104,12 @@
                 "copiesMissing",
                 "finished",
             )) {
-                withClue(name) { (totals[name] ?: 0) shouldBeGreaterThan 100 }
+                withClue(name) { (totalsWithKills[name] ?: 0) shouldBeGreaterThan 100 }
+            }
+            // The exclusion of lost claims can't hide a fault while they are few.
+            withClue("lost") {
+                (totalsWithKills["lost"] ?: 0) shouldBeLessThan totalsWithKills.getValue("forwarded") / 10
             }
-            // Few claims are lost with all that knew them, so that the exclusion can't hide a fault.
-            withClue("lost") { (totals["lost"] ?: 0) shouldBeLessThan totals.getValue("forwarded") / 10 }
         }
     }) {
     /** One seeded schedule; all routers run on one thread and yield at each call to the store. */
@@ -412,6 +428,12 @@
         /** For a longer run, set `-Dlimpetfold.seeds=40000`. */
         val SEEDS: Int = Integer.getInteger("limpetfold.seeds", 4_000)
         val RESTORE_SEEDS: Int = Integer.getInteger("limpetfold.seeds", 2_000)
+
+        /** The time limit of the build holds for each part by itself. */
+        const val PARTS = 4
+
+        fun seedsOf(part: Int) = RESTORE_SEEDS * part / PARTS..<RESTORE_SEEDS * (part + 1) / PARTS
+
         const val STEPS = 60
         const val RESTORE_STEPS = 120
         const val ROUTERS = 3
