--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAcknowledgements.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAcknowledgements.kt
@@ -21,9 +21,14 @@
         return CeilingAcknowledgements(byWitness.put(witness, next))
     }
 
-    /** The number of witnesses for which [isValid] holds. */
-    fun count(isValid: (InstanceId, Acknowledgement) -> Boolean): Int =
-        byWitness.count { (witness, acknowledgement) -> isValid(witness, acknowledgement) }
+    /** The ceiling that [count] of the witnesses for which [isValid] holds have acknowledged. */
+    fun ceilingTokens(
+        count: Int,
+        isValid: (InstanceId, Acknowledgement) -> Boolean,
+    ): Long {
+        val valid = byWitness.filter { (witness, acknowledgement) -> isValid(witness, acknowledgement) }.values
+        return valid.map { it.ceilingTokens }.sortedDescending().getOrElse(count - 1) { 0 }
+    }
 
     /** The acknowledgement of [witness]; null if it gave none. */
     fun of(witness: InstanceId): Acknowledgement? = byWitness[witness]
--- a/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
+++ b/limpetfold-budget/src/main/kotlin/io/limpetfold/budget/CeilingAnnouncer.kt
@@ -98,14 +98,15 @@
         )
     }
 
-    /**
-     * An acknowledgement of an earlier, lower ceiling is enough: a recovery needs to know of the holder, and does not use
-     * the ceiling.
-     */
     private fun AccountSlot.headroomTokens(isOpen: (String) -> Boolean): Long {
+        val count = requiredWitnesses()
+        if (count == 0) return Long.MAX_VALUE
         val reachable = candidates.preferredFirst()
-        val knownCount = ceilings.count { witness, known -> known.isValid(witness, reachable, isOpen) }
-        return if (knownCount >= requiredWitnesses()) Long.MAX_VALUE else 0
+        val ceilingTokens =
+            ceilings.ceilingTokens(
+                count,
+            ) { witness, known -> known.isValid(witness, reachable, isOpen) }
+        return maxOf(0, ceilingTokens - account.acquiredTokens)
     }
 
     /**
