replication: relays send long values compressed, once for all followers

Cause: a relay sent the whole value, about 1 MB, to each of the 17 to 20 routers of its zone, over a link of 10 Mbit/s. That takes over ten seconds, in which nothing else leaves the relay. The followers gave the relay up after the wait of their watch, asked the store, and their watches there ended without a response in 2,200 ms because the late replies still filled their own links. Class of fault: work of one router that grows with the size of its group times the size of a value.

Ruled out: the decoding of the table, which does not stand still long enough in the logs; the store, which answers others meanwhile.

A request says whether its sender reads it, so routers of the version before get what they got.

Test: RelayedObjectStoreTest, "guards against a large configuration that takes up the link of a relay for longer than a change may take", with links of 10 Mbit/s. Red with plain values (the relay's link is still busy 3 s after the change), green now.

--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectHistory.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectHistory.kt
@@ -22,6 +22,9 @@
     private val removals = LinkedHashMap<ObjectKey, ObjectVersion>()
     private var completeFrom = ObjectVersion.NONE
 
+    /** The keys of the objects. */
+    val keys: Set<ObjectKey> get() = objects.keys
+
     /** The version up to which the history is complete. */
     var position: ObjectVersion = ObjectVersion.NONE
         private set
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectReplica.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/ObjectReplica.kt
@@ -16,6 +16,7 @@
  */
 internal class ObjectReplica {
     private val history = ObjectHistory()
+    private val compressedValues = CompressedValues()
     private val updates = MutableStateFlow(0L)
     private var currentUntil: Duration? = null
 
@@ -51,6 +52,7 @@
     suspend fun awaitChanges(
         after: ObjectVersion,
         maxWait: Duration,
+        acceptsCompressed: Boolean,
         knownEra: () -> Long,
         now: () -> Duration,
     ): RelayReply {
@@ -61,7 +63,9 @@
         if (!isCurrent(now()) || history.position.era < knownEra()) {
             return RelayReply(RelayOutcome.NOT_CURRENT, ObjectVersion.of(0, knownEra()))
         }
-        return history.changesAfter(after)?.let { RelayReply.of(it) }
+        return history.changesAfter(after)?.let { page ->
+            RelayReply.of(page) { if (acceptsCompressed) compressedValues.of(it) else null }
+        }
             ?: RelayReply(RelayOutcome.HISTORY_EXPIRED, history.position)
     }
 
@@ -79,6 +83,7 @@
         change: () -> Unit,
     ) {
         change()
+        compressedValues.retain(history.keys)
         this.currentUntil = currentUntil
         updates.value++
     }
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayMessages.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayMessages.kt
@@ -8,12 +8,18 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.Serializable
 
-/** Asks a relay for the changes under [prefix] after [after], and to wait up to [waitMillis] for one. */
+/**
+ * Asks a relay for the changes under [prefix] after [after], and to wait up to [waitMillis] for one.
+ *
+ * @property acceptsCompressed whether the asker reads [RelayedObject.compressedValue]; false in requests of earlier
+ * versions.
+ */
 @Serializable
 internal data class RelayRequest(
     val prefix: String,
     val after: ObjectVersion,
     val waitMillis: Long,
+    val acceptsCompressed: Boolean = false,
 )
 
 /**
@@ -36,22 +42,24 @@
             else -> RelayOutcome.NOT_CURRENT
         }
 
-    /** The page that a watch of the store would have returned. */
-    fun toPage() =
-        ObjectPage(
-            objects.map { StoredObject(it.key, it.version, it.value, it.status) }.toImmutableList(),
-            position,
-            removed.toImmutableList(),
-        )
+    /** The page that a watch of the store would have returned; null if a value of it is damaged. */
+    fun toPage(): ObjectPage? {
+        val stored = objects.mapNotNull { it.toStored() }
+        if (stored.size < objects.size) return null
+        return ObjectPage(stored.toImmutableList(), position, removed.toImmutableList())
+    }
 
     companion object {
-        fun of(page: ObjectPage) =
-            RelayReply(
-                RelayOutcome.CHANGES,
-                page.position,
-                page.objects.map { RelayedObject(it.key, it.version, it.value, it.status) },
-                page.removed,
-            )
+        /** The reply with [page]; [compressed] returns the compressed value of an object, or null to send it as it is. */
+        fun of(
+            page: ObjectPage,
+            compressed: (StoredObject) -> CompressedText?,
+        ) = RelayReply(
+            RelayOutcome.CHANGES,
+            page.position,
+            page.objects.map { RelayedObject.of(it, compressed(it)) },
+            page.removed,
+        )
     }
 }
 
@@ -67,13 +75,37 @@
     HISTORY_EXPIRED,
 }
 
-/** A [StoredObject] in a peer message. */
+/**
+ * A [StoredObject] in a peer message.
+ *
+ * @property value empty if [compressedValue] is set.
+ */
 @Serializable
-internal data class RelayedObject(
+internal class RelayedObject(
     val key: ObjectKey,
     val version: ObjectVersion,
     val value: String,
     val status: String? = null,
-)
+    val compressedValue: CompressedText? = null,
+) {
+    /** Returns null if the compressed value is damaged. */
+    fun toStored(): StoredObject? {
+        val text = if (compressedValue == null) value else compressedValue.text() ?: return null
+        return StoredObject(key, version, text, status)
+    }
+
+    companion object {
+        fun of(
+            stored: StoredObject,
+            compressed: CompressedText?,
+        ) = RelayedObject(
+            stored.key,
+            stored.version,
+            if (compressed == null) stored.value else "",
+            stored.status,
+            compressed,
+        )
+    }
+}
 
 internal val RELAY_TOPIC = PeerTopic("replication.watch", RelayRequest.serializer(), RelayReply.serializer())
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/RelayedObjectStore.kt
@@ -94,19 +94,18 @@
         for (relay in availableRelays()) {
             val remaining = end - now()
             if (remaining <= Duration.ZERO) return null
-            val request = RelayRequest(prefix, after, remaining.toMillis())
+            val request = RelayRequest(prefix, after, remaining.toMillis(), acceptsCompressed = true)
             val reply = peers.ask(relay, RELAY_TOPIC, request, remaining + policy.responseMargin).get()
             reply?.position?.let(store::onVersionTold)
-            when (reply?.outcomeFor(after)) {
-                RelayOutcome.CHANGES -> {
-                    val page = reply.toPage()
-                    replica.onChanged(after, page, currentUntil = null)
-                    onSource(prefix, replica, relay)
-                    return page
-                }
-                RelayOutcome.HISTORY_EXPIRED -> return null
-                RelayOutcome.NOT_CURRENT, null -> suspend(relay)
+            val outcome = reply?.outcomeFor(after)
+            if (outcome == RelayOutcome.HISTORY_EXPIRED) return null
+            val page = if (outcome == RelayOutcome.CHANGES) reply.toPage() else null
+            if (page != null) {
+                replica.onChanged(after, page, currentUntil = null)
+                onSource(prefix, replica, relay)
+                return page
             }
+            suspend(relay)
         }
         return null
     }
@@ -137,7 +136,7 @@
         val replica = replicas[request.prefix] ?: return RelayReply(RelayOutcome.NOT_CURRENT)
         replica.askedAt = now()
         val maxWait = Duration.ofMillis(request.waitMillis.coerceIn(0, MAX_WAIT_MILLIS))
-        return replica.awaitChanges(request.after, maxWait, store::era, ::now)
+        return replica.awaitChanges(request.after, maxWait, request.acceptsCompressed, store::era, ::now)
     }
 
     private fun replicaOf(prefix: String) = replicas.getOrPut(prefix) { ObjectReplica() }
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayFleet.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayFleet.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.onSuccess
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.InstanceId
 import io.limpetfold.core.RendezvousHash
@@ -25,14 +26,22 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
 import java.time.Duration
 import kotlin.random.Random
 
-/** Routers in zones that follow one prefix of a store, each through a [RelayedObjectStore], in virtual time. */
+/**
+ * Routers in zones that follow one prefix of a store, each through a [RelayedObjectStore], in virtual time.
+ *
+ * @param linkMbps how fast each router sends replies, one after the other; null for no limit.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 internal class RelayFleet(
     seed: Int,
     routerCount: Int,
     zoneCount: Int,
+    private val linkMbps: Double? = null,
 ) {
     val random = Random(seed)
     val store = WatchingStore()
@@ -47,6 +56,7 @@
         }
     val routers = (0 until routerCount).map { Router(InstanceId("10.0.0.$it"), "z${it % zoneCount}") }
     private val network = CoroutineScope(SupervisorJob() + scheduler.RouterDispatcher())
+    private val linkFreeAtMillis = HashMap<InstanceId, Long>()
     var nowMillis = 0L
         private set
 
@@ -74,6 +84,9 @@
         private var incarnation = 0L
         private var currentEra: () -> Long = { 0 }
 
+        /** Whether replies of this router are still on their way. */
+        val isLinkBusy: Boolean get() = (linkFreeAtMillis[id] ?: 0) > nowMillis
+
         /** The latest era of the store that this router knows. */
         val era: Long get() = currentEra()
         private val dispatcher = scheduler.RouterDispatcher()
@@ -171,13 +184,27 @@
             val reply =
                 network.async {
                     delay(MESSAGE_MILLIS)
-                    delegate.ask(to, topic, message, timeout)
+                    delegate
+                        .ask(to, topic, message, timeout)
+                        .onSuccess { delay(transferMillis(to, Cbor.encodeToByteArray(topic.replySerializer, it).size)) }
                 }
             return withTimeoutOrNull(timeout.toMillis()) { reply.await() } ?: Err(PeerError.Timeout(to, timeout))
         }
     }
 
+    /** How long a reply of [bytes] from [sender] takes, behind those that it began to send before. */
+    private fun transferMillis(
+        sender: InstanceId,
+        bytes: Int,
+    ): Long {
+        if (linkMbps == null) return 0
+        val end = maxOf(linkFreeAtMillis[sender] ?: 0, nowMillis) + (bytes * BITS_PER_BYTE / linkMbps).toLong()
+        linkFreeAtMillis[sender] = end
+        return end - nowMillis
+    }
+
     companion object {
+        private const val BITS_PER_BYTE = 8 / 1_000.0
         const val PREFIX = "servers/"
         const val STEP_MILLIS = 5L
         private const val MESSAGE_MILLIS = 2L
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.maps.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import io.limpetfold.store.ObjectKey
+import kotlin.random.Random
 
 /** The oldest copy that the store of a schedule comes back from, in changes. */
 private const val MAX_COPIES = 6
@@ -14,6 +15,16 @@
 /** The shortest time in which deployments require a change to be in force. */
 private const val CHANGE_BOUND_MILLIS = 3_000L
 
+/** A configuration of 2,000 routes with names and paths of their own, as JSON of about 700 kB. */
+private fun largeConfiguration(random: Random): String =
+    (1..2_000).joinToString(",", "{\"version\":63,\"routes\":[", "]}") {
+        """{"name":"r-${random.nextInt().toString(36)}","host":"ficu95.example","pathPrefix":"/${random
+            .nextLong()
+            .toString(36)}/","routeType":"streaming","timeoutMs":4000,"goalMs":615,"priority":1,""" +
+            """"trafficSplit":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],""" +
+            """"maxAttempts":1,"public":false,"sessionAffinity":true,"streamResume":false,"gapTargetMs":400}"""
+    }
+
 /** Load patterns: many routers that start together, and many routers that follow a store whose objects change. */
 class RelayedObjectStoreTest :
     FunSpec({
@@ -35,6 +46,19 @@
             fleet.routers.forEach { it.seen shouldContainExactly fleet.store.current() }
         }
 
+        test(
+            "guards against a large configuration that takes up the link of a relay for longer than a change may take",
+        ) {
+            val fleet = RelayFleet(seed = 5, routerCount = 20, zoneCount = 1, linkMbps = 10.0)
+            fleet.store.write(key(1), "ready")
+            fleet.routers.forEach { it.start() }
+            fleet.advance(SETTLE_MILLIS)
+            fleet.store.write(key(1), largeConfiguration(fleet.random))
+            fleet.advance(CHANGE_BOUND_MILLIS)
+            fleet.routers.count { it.seen == fleet.store.current() } shouldBe 20
+            fleet.routers.count { it.isLinkBusy } shouldBe 0
+        }
+
         test("guards against a change that reaches a router late while relays are killed, frozen or cut off") {
             repeat(30) { seed ->
                 withClue("seed $seed") { runSchedule(seed, CHANGE_BOUND_MILLIS) }
