membership: the routers with the widest links lead their zones

Cause: the leaders of a zone, which pass on each change and lend tokens, were chosen by a hash alone, so most of them were instances with 10 Mbit/s while others of the zone had 200.

Change: a router's entry in the store states the capacity of its link, from the settings; leaders are those with the widest links, and the hash decides among equal ones.

Test: MembershipTest, "guards against a large fleet whose changes pass through the narrowest links"; red by construction before, as an entry had no capacity.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
@@ -28,11 +28,7 @@
     fun setSeedRouters() =
         membership.setSeedRouters(
             settings.seedHosts.filter { it != settings.instance.value }.map {
-                listedInstance(
-                    InstanceId(it),
-                    it,
-                    SEED_VERSION,
-                )
+                listedInstance(InstanceId(it), it, SEED_VERSION, linkMbps = 0.0)
             },
         )
 
@@ -48,7 +44,7 @@
      * started at the same time.
      */
     suspend fun register() {
-        val own = listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION)
+        val own = ownEntry()
         while (true) {
             val failure = instances.register(own).fold({ null }, { it.toString() }) ?: break
             log.warn("router.not_listed", "reason" to failure)
@@ -68,7 +64,7 @@
         val renewal = ++renewals
         val spread = RENEWAL_SPREAD_PER_ROUTER.multipliedBy(membership.routerCount.toLong()) + RENEWAL_SPREAD_MIN
         delay(random.nextLong(spread.toMillis()))
-        val own = listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION)
+        val own = ownEntry()
         // A later restore starts a renewal of its own.
         while (renewal == renewals) {
             val failure = instances.renew(own).fold({ null }, { it.toString() }) ?: break
@@ -78,10 +74,14 @@
         membership.requestDirectoryRefresh()
     }
 
+    private fun ownEntry() =
+        listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION, settings.linkMbps)
+
     private fun listedInstance(
         instance: InstanceId,
         host: String,
         version: VersionId,
+        linkMbps: Double,
     ) = ListedInstance(
         instance,
         ListedInstance.ROUTER_SERVICE,
@@ -89,6 +89,7 @@
         settings.zone,
         host,
         settings.peerListenAddress.port,
+        linkMbps = linkMbps,
     )
 
     private companion object {
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -139,6 +139,21 @@
             reached shouldHaveSize routers.size
         }
 
+        test("guards against a large fleet whose changes pass through the narrowest links") {
+            val listed =
+                (1..40).map {
+                    val linkMbps = if (it % 10 == 0) 200.0 else 10.0
+                    listedRouter(InstanceId("router-$it"), ZoneId("z${it % 2}")).copy(linkMbps = linkMbps)
+                }
+            val leaders = listed.flatMap { PeerSelection.groupLeaders(it.instance, it.zone, listed) }.distinct()
+            leaders shouldHaveSize 2 * 4
+            leaders shouldContainAll listOf(10, 20, 30, 40).map { InstanceId("router-$it") }
+            listed
+                .filter { it.zone == ZoneId("z0") }
+                .map { PeerSelection.groupLeaders(it.instance, it.zone, listed) }
+                .distinct() shouldHaveSize 1
+        }
+
         test(
             "guards against heartbeats in both directions and list reads that grow with the connections of a large fleet",
         ) {
