gateway: a router waits for its watch before it fetches a configuration from a peer

Cause: as soon as a heartbeat told of a newer configuration, a router asked the first member that had it, every 500 ms, while the watch was bringing the same value. In a large fleet all routers asked the same member, which sent about 1 MB to each; a reply that took longer than 500 ms was sent in vain and asked for again.

Change: while the store responds, a router that is behind waits one round; then it asks a random member of those with the newest version, and the reply is compressed. A router without the store asks at once, as before.

Test: PeerSyncTest, "guards against a large configuration that each router fetches from one peer beside its watch"; before the change each of the 19 routers asks in the first round.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -167,7 +167,7 @@
     private val registration: FleetRegistration =
         FleetRegistration(settings, instances, membership, peers, random, log)
     private val sync =
-        PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher, store::onVersionTold)
+        PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher, random, store::onVersionTold)
     private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
         BudgetAgent(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -4,21 +4,29 @@
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.peer.PeerTopic
 import io.limpetfold.quarantine.QuarantineReport
+import io.limpetfold.replication.CompressedText
 import io.limpetfold.rollout.timed.TimedMoveReport
 import io.limpetfold.rollout.timed.VersionTrial
 import io.limpetfold.store.ObjectVersion
 import kotlinx.serialization.Serializable
 
-/** Requests a configuration newer than [knownVersion] from a peer. */
+/**
+ * Requests a configuration newer than [knownVersion] from a peer.
+ *
+ * @property acceptsCompressed whether the asker reads [RoutingReply.compressedText]; false in requests of earlier
+ * versions.
+ */
 @Serializable
 internal data class RoutingRequest(
     val knownVersion: Long,
+    val acceptsCompressed: Boolean = false,
 )
 
-/** The peer's configuration in its stored form; [text] is null if the peer has no newer one. */
+/** The peer's configuration in its stored form, as one of the two texts; both are null if the peer has no newer one. */
 @Serializable
-internal data class RoutingReply(
+internal class RoutingReply(
     val text: String?,
+    val compressedText: CompressedText? = null,
 )
 
 /** Requests the endpoint list of a peer if it is newer than [knownPosition]. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
@@ -9,12 +9,13 @@
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.withContext
 import java.time.Duration
+import kotlin.random.Random
 
 /**
  * Copies configuration and endpoint list between routers, so that a router that can't reach the store still gets
  * updates.
  *
- * Heartbeats carry the versions of each peer; only the peer with the newest version is asked.
+ * Heartbeats carry the versions of each peer; only a peer with the newest version is asked.
  */
 class PeerSync(
     private val peers: PeerNetwork,
@@ -23,13 +24,17 @@
     private val directoryUpdater: EndpointDirectoryUpdater,
     private val clock: MonotonicClock,
     private val dispatcher: CoroutineDispatcher,
+    private val random: Random = Random.Default,
     private val onVersionTold: (ObjectVersion) -> Unit,
 ) {
+    /** The version that was in force when a newer one was last heard of; null before the first time. */
+    private var awaitedFrom: Long? = null
+
     /** Registers the handlers of the topics; must be called before the peer network starts. */
     fun register() {
         peers.registerHandler(ROUTING_TOPIC) { _, request ->
             withContext(dispatcher) {
-                RoutingReply(routing.storedText.takeIf { (routing.current?.version ?: 0) > request.knownVersion })
+                routingReply(request)
             }
         }
         peers.registerHandler(ENDPOINTS_TOPIC) { _, request ->
@@ -50,12 +55,27 @@
         if (!directoryUpdater.isStoreAvailable) fetchEndpoints(members)
     }
 
+    private fun routingReply(request: RoutingRequest): RoutingReply {
+        if ((routing.current?.version ?: 0) <= request.knownVersion) return RoutingReply(text = null)
+        val compressed = if (request.acceptsCompressed) routing.compressedText.value else null
+        return if (compressed == null) RoutingReply(routing.storedText) else RoutingReply(text = null, compressed)
+    }
+
+    /**
+     * Fetches the newest configuration from a member that has it. While the store responds, a router waits a round for
+     * the watch that brings it too; all routers of a large fleet would otherwise fetch it twice, from the same member.
+     */
     private suspend fun fetchRouting(members: List<Member>) {
         val known = routing.current?.version ?: 0
-        val newest = members.maxByOrNull { it.generation } ?: return
-        if (newest.generation <= known) return
-        val reply = peers.ask(newest.instance, ROUTING_TOPIC, RoutingRequest(known), PEER_TIMEOUT).get()
-        reply?.text?.let { routing.applyIfNewer(it, "peer ${newest.instance}") }
+        val newestVersion = members.maxOfOrNull { it.generation } ?: return
+        if (newestVersion <= known) return
+        val isExpected = routing.isStoreAvailable && awaitedFrom != known
+        awaitedFrom = known
+        if (isExpected) return
+        val source = members.filter { it.generation == newestVersion }.random(random).instance
+        val request = RoutingRequest(known, acceptsCompressed = true)
+        val reply = peers.ask(source, ROUTING_TOPIC, request, PEER_TIMEOUT).get() ?: return
+        (reply.compressedText?.text() ?: reply.text)?.let { routing.applyIfNewer(it, "peer $source") }
     }
 
     private suspend fun fetchEndpoints(members: List<Member>) {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import io.limpetfold.gateway.observe.DecisionLog
+import io.limpetfold.replication.CompressedText
 import io.limpetfold.routing.KeyRequirement
 import io.limpetfold.routing.RoutingTable
 import io.limpetfold.routing.RoutingTableDecoder
@@ -34,6 +35,10 @@
     var storedText: String? = null
         private set
 
+    /** [storedText] compressed, which is made once for all peers; null if it is short. */
+    var compressedText: Lazy<CompressedText?> = lazyOf(null)
+        private set
+
     private val storeState = DependencyState("store.config", log)
 
     /** Whether the store responded to the last call of this feed; false before the first call. */
@@ -78,6 +83,7 @@
         }
         current = table
         storedText = stored
+        compressedText = lazy(LazyThreadSafetyMode.NONE) { CompressedText.ofLong(stored) }
         log.info(
             "config.accepted",
             "version" to table.version,
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/PeerSyncTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/PeerSyncTest.kt
@@ -1,6 +1,5 @@
 package io.limpetfold.gateway.state
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
@@ -17,15 +16,21 @@
 import io.limpetfold.gateway.codec.EndpointDecoder
 import io.limpetfold.gateway.observe.DecisionLog
 import io.limpetfold.membership.Member
+import io.limpetfold.routing.KeyRequirement
+import io.limpetfold.routing.RoutingTable
+import io.limpetfold.routing.RoutingTableDecoder
 import io.limpetfold.store.EraCheckedStore
 import io.limpetfold.store.ObjectKey
+import io.limpetfold.store.ObjectPage
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.store.StoreError
 import io.limpetfold.testing.FakeObjectStore
 import io.limpetfold.testing.FakePeerHub
 import io.limpetfold.testing.StoreFault
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.Dispatchers
 import java.time.Duration
+import kotlin.random.Random
 
 class PeerSyncTest :
     FunSpec({
@@ -59,6 +64,33 @@
             cut.directory.position shouldBe ObjectVersion.of(1, era = 1)
             cut.directory.listed(Duration.ZERO).map { it.id.value } shouldBe listOf("i-2")
         }
+
+        test("guards against a large configuration that each router fetches from one peer beside its watch") {
+            val hub = FakePeerHub()
+            val newest = Router("10.0.0.1", hub) {}
+            val version8 = "8" + " ".repeat(500_000)
+            newest.routing.applyIfNewer(version8, "store")
+            val others = (2..20).map { Router("10.0.0.$it", hub) {} }
+            others.forEach { it.routing.onChanged(NO_CHANGE) }
+
+            others.forEach { it.sync.maintain(listOf(newest.member())) }
+            hub.askCount(ROUTING_TOPIC) shouldBe 0
+
+            others.forEach { it.sync.maintain(listOf(newest.member())) }
+            others.map { it.routing.current?.version }.distinct() shouldBe listOf(8L)
+            others.last().routing.storedText shouldBe version8
+        }
+
+        test("guards against a router that is cut from the store and waits for a watch that brings no configuration") {
+            val hub = FakePeerHub()
+            val newest = Router("10.0.0.1", hub) {}
+            newest.routing.applyIfNewer("8", "store")
+            val cut = Router("10.0.0.2", hub) {}
+            cut.routing.onFailed(StoreError.Unavailable("cut"))
+
+            cut.sync.maintain(listOf(newest.member()))
+            cut.routing.current?.version shouldBe 8L
+        }
     }) {
     private class Router(
         private val address: String,
@@ -69,19 +101,25 @@
         private val peers = hub.join(self)
         private val log = DecisionLog("test")
         private val clock = MonotonicClock()
-        private val routing = RoutingTableReplica(ObjectKey("config/main"), { Err("unused") }, log) { _, _ -> }
+        val routing = RoutingTableReplica(ObjectKey("config/main"), VERSION_ONLY, log) { _, _ -> }
         val directory = EndpointDirectory()
         val updater = EndpointDirectoryUpdater(directory, DECODER, clock, log)
-        val sync = PeerSync(peers, routing, directory, updater, clock, Dispatchers.Unconfined, onVersionTold)
+        val sync = PeerSync(peers, routing, directory, updater, clock, Dispatchers.Unconfined, Random(1), onVersionTold)
 
         init {
             sync.register()
         }
 
-        fun member() = Member(self, ZoneId("z"), 0, null, isDraining = false, directory.position)
+        fun member() =
+            Member(self, ZoneId("z"), routing.current?.version ?: 0, null, isDraining = false, directory.position)
     }
 
     private companion object {
+        val NO_CHANGE = ObjectPage(persistentListOf(), ObjectVersion.of(1))
+        val VERSION_ONLY =
+            RoutingTableDecoder {
+                Ok(RoutingTable(it.trim().toLong(), persistentListOf(), persistentListOf(), KeyRequirement.None))
+            }
         val DECODER =
             EndpointDecoder {
                 val id = EndpointId(it.key.path.substringAfter('/'))
