gateway, dispatch: routers share the calls that an endpoint says it takes

Cause: the field that names the limit was read by nothing. Class of fault: what an endpoint says of itself has no effect.

Change: a limit holds for all routers together, and no message is exchanged for a call. In a fleet of k routers the limit of N calls a second is divided among the 4 + 2N routers that rendezvous hashing ranks first for the endpoint; each paces its calls evenly. Since each may send its first call at any time, the number of sharers bounds the sum in any four seconds by 6N + 4. The others have a tenth of the limit together. Dividing it among all routers would let the first calls of 82 routers exceed it. A call takes its place in the step that writes it, so retries, resumed streams and calls that waited count. A response without the field ends the limit if its call was sent after the limit was named. Routers tell each other of limits that begin and end, because most of them call a limited endpoint too seldom to see it. A call that no endpoint may get is refused at once with the time of the next one.

Ruled out: a limit for each router by itself (N calls a second from each of 8), and tokens handed out by one router, which would be a message before each call and a new part that can fail.

Test: CallLimitPropertyTest (300 fleets of 1 to 100 routers, limits of 0.1 to 25 calls a second), EndpointNoticesTest, CallLimitSyncTest.

--- /dev/null
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
@@ -0,0 +1,79 @@
+package io.limpetfold.dispatch
+
+import java.time.Duration
+import kotlin.random.Random
+
+/**
+ * Paces the calls to endpoints that take a limited number of calls a second from all routers together. Not safe for
+ * concurrent use.
+ */
+class EndpointCallLimits(
+    private val share: CallShare = CallShare.WHOLE,
+    private val random: Random = Random.Default,
+) {
+    /** Increases with each statement of an endpoint that differs enough from the last one to be told to other routers. */
+    var revision: Long = 0
+        private set
+
+    /**
+     * Applies what the endpoint of [state] said at [statement]; an older statement than the known one has no effect.
+     * Returns whether the endpoint is limited from now on and was not before, or the other way round.
+     */
+    fun apply(
+        state: EndpointState,
+        statement: CallLimitStatement,
+        now: Duration,
+    ): Boolean {
+        val known = state.callLimit
+        if (known != null && statement.statedAt <= known.statedAt) return false
+        state.callLimit = statement
+        val callsPerSecond = statement.callsPerSecond
+        val wasLimited = known?.callsPerSecond != null
+        if (callsPerSecond != null && !wasLimited) {
+            // Routers that learn of a limit at the same time do not all send their first call at the same time.
+            state.nextCallAt = now + interval(state, callsPerSecond).share(random.nextDouble())
+        }
+        val isChanged = (callsPerSecond != null) != wasLimited
+        if (isChanged || isFarFrom(callsPerSecond, known?.callsPerSecond)) revision++
+        return isChanged
+    }
+
+    /** Acquires one call to the endpoint of [state]; false if this router has to wait until [EndpointState.availableAt]. */
+    fun tryAcquire(
+        state: EndpointState,
+        now: Duration,
+    ): Boolean {
+        val callsPerSecond = state.callLimit?.callsPerSecond ?: return true
+        if (state.nextCallAt > now) return false
+        state.nextCallAt = now + interval(state, callsPerSecond)
+        return true
+    }
+
+    private fun interval(
+        state: EndpointState,
+        callsPerSecond: Double,
+    ): Duration {
+        val rate = maxOf(callsPerSecond, MIN_CALLS_PER_SECOND) * USED_PART
+        return Duration.ofNanos((NANOS_PER_SECOND / (rate * share.of(state.endpoint.id, callsPerSecond))).toLong())
+    }
+
+    private fun isFarFrom(
+        current: Double?,
+        known: Double?,
+    ): Boolean = current != null && known != null && (current > known * TOLD_RATIO || current * TOLD_RATIO < known)
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+
+        /** Calls with which routers notice that an endpoint which takes none has begun to take calls again. */
+        const val MIN_CALLS_PER_SECOND = 0.1
+
+        /** The rest is for calls of routers that do not know of the limit yet. */
+        const val USED_PART = 0.9
+
+        /** The ratio of two limits from which on the other routers are told of the later one. */
+        const val TOLD_RATIO = 1.25
+
+        fun Duration.share(part: Double): Duration = Duration.ofNanos((toNanos() * part).toLong())
+    }
+}
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -20,7 +20,11 @@
     private val zone: ZoneId,
     private val policy: PickerPolicy = PickerPolicy(),
     private val random: Random = Random.Default,
+    share: CallShare = CallShare.WHOLE,
 ) {
+    /** The limits that endpoints stated, with the pace of this router. */
+    val callLimits = EndpointCallLimits(share, random)
+
     private val states = HashMap<EndpointId, EndpointState>()
 
     /** Returns an endpoint for [request], or null when no endpoint may be used. */
@@ -63,14 +67,15 @@
     }
 
     /**
-     * When the first endpoint of [service] ends its pause, if all endpoints that may be used asked for one; null if one
-     * takes calls now or none may be used. [avoidedVersions] are those of [PickRequest].
+     * When the first endpoint of [service] takes a call again, if all endpoints that may be used asked for a pause or have
+     * a limit that is used up; null if one takes calls now or none may be used. [avoidedVersions] are those of
+     * [PickRequest].
      */
     fun resumesAt(
         service: String,
         now: Duration,
         avoidedVersions: Set<String> = emptySet(),
-    ): Duration? = usable(service, avoidedVersions, now).minOfOrNull { it.pausedUntil }?.takeIf { it > now }
+    ): Duration? = usable(service, avoidedVersions, now).minOfOrNull { it.availableAt }?.takeIf { it > now }
 
     /** Excludes the endpoint of [state], which said that it is leaving, for as long as this incarnation is known. */
     fun onLeaving(
@@ -84,6 +89,9 @@
         until: Duration,
     ) = state.pause(until)
 
+    /** The endpoints that have stated a limit, or have ended one. */
+    fun statesWithCallLimit(): List<EndpointState> = states.values.filter { it.callLimit != null }
+
     /** Returns the state of the endpoint [id]; null if it is not in the directory. */
     fun state(
         id: EndpointId,
@@ -111,7 +119,7 @@
 
     /**
      * Evicts the state of endpoints that are no longer in the directory. That of a leaving endpoint, or of one that asked
-     * for a pause, is kept for a while, because its entry may be back after an outage of the store.
+     * for a pause or stated a limit, is kept for a while, because its entry may be back after an outage of the store.
      */
     fun evictRemoved(now: Duration) {
         val known = directory.all(now).mapTo(HashSet()) { it.id }
@@ -122,8 +130,8 @@
         state: EndpointState,
         now: Duration,
     ): Boolean {
-        val leavingSince = state.leavingSince
-        return state.pausedUntil > now || (leavingSince != null && now - leavingSince < policy.leavingRetention)
+        val notedAt = state.leavingSince ?: state.callLimit?.takeIf { it.callsPerSecond != null }?.statedAt
+        return state.pausedUntil > now || (notedAt != null && now - notedAt < policy.noticeRetention)
     }
 
     /**
@@ -148,7 +156,7 @@
         versions: VersionPreference?,
         now: Duration,
     ): List<EndpointState> {
-        val available = usable.filter { it.pausedUntil <= now }
+        val available = usable.filter { it.availableAt <= now }
         if (versions == null) return available
         val isPreferred = { state: EndpointState ->
             (state.endpoint.version == versions.target) == versions.isTargetPreferred
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
@@ -36,6 +36,17 @@
     var pausedUntil: Duration = Duration.ZERO
         private set
 
+    /** What the endpoint last said about the calls that it takes; null while it has stated no limit. */
+    var callLimit: CallLimitStatement? = null
+        internal set
+
+    /** When this router may send the next call to the endpoint while that is limited. */
+    internal var nextCallAt: Duration = Duration.ZERO
+
+    /** From when on the endpoint takes a call of this router, by what it has said itself. */
+    val availableAt: Duration
+        get() = if (callLimit?.callsPerSecond == null) pausedUntil else maxOf(pausedUntil, nextCallAt)
+
     private var consecutiveFailures = 0
 
     internal fun onLeaving(now: Duration) {
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/PickerPolicy.kt
@@ -17,7 +17,8 @@
  * @property failureSmoothing weight of the newest outcome in the moving average of failures.
  * @property maxFailureShare an endpoint is passed over, except for a few calls, when its failure share is above this
  * and above twice the median.
- * @property leavingRetention how long an endpoint that is leaving is remembered while it is not in the directory.
+ * @property noticeRetention how long an endpoint that is leaving or has stated a limit is remembered while it is not in
+ * the directory.
  */
 data class PickerPolicy(
     val maxLoadFactor: Double = 1.5,
@@ -29,7 +30,7 @@
     val rejectionPause: Duration = REJECTION_PAUSE,
     val failureSmoothing: Double = 0.15,
     val maxFailureShare: Double = 0.3,
-    val leavingRetention: Duration = Duration.ofMinutes(10),
+    val noticeRetention: Duration = Duration.ofMinutes(10),
 ) {
     private companion object {
         val FIRST_EJECTION: Duration = Duration.ofMillis(400)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import io.limpetfold.core.VersionId
 import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
+import io.limpetfold.dispatch.CallShare
 import io.limpetfold.dispatch.EndpointPicker
 import io.limpetfold.gateway.call.BodyBudget
 import io.limpetfold.gateway.call.BodyReader
@@ -46,6 +47,7 @@
 import io.limpetfold.gateway.operate.StoreInstanceDirectory
 import io.limpetfold.gateway.operate.ZoneLenderSelector
 import io.limpetfold.gateway.operate.ZoneRelaySelector
+import io.limpetfold.gateway.state.CallLimitSync
 import io.limpetfold.gateway.state.CallerLimitsReplica
 import io.limpetfold.gateway.state.EndpointDirectoryUpdater
 import io.limpetfold.gateway.state.ObjectFeed
@@ -192,7 +194,10 @@
     private val shutdown = GracefulShutdown({ reloadableSettings.current.shutdown }, monotonic)
     private val quarantineSync = QuarantineSync(quarantine, quarantineRecord, peers, monotonic, loops.dispatcher)
     private val bodyBudget = BodyBudget(settings.calls.maxBodiesBytes)
-    private val picker = EndpointPicker(directory, settings.zone, settings.picker, random)
+    private val callShare = CallShare.among(self.instance.value, ::listedRouters)
+    private val picker = EndpointPicker(directory, settings.zone, settings.picker, random, callShare)
+    private val noticeObserver = EndpointNoticeObserver(log, metrics)
+    private val callLimitSync = CallLimitSync(picker, noticeObserver, peers, monotonic, loops.dispatcher)
     private val callerServer = server(settings.callerListenAddress, callHandler(), callerLimits)
     private val readinessAndMetricsHandler = ReadinessAndMetricsHandler({ readiness }, metrics)
     private val readinessServer = server(settings.readinessListenAddress, readinessAndMetricsHandler)
@@ -225,6 +230,7 @@
         lender.register(peers)
         tokens.register()
         quarantineSync.register()
+        callLimitSync.register()
         watchedStore.register()
         gauges().registerIn(metrics)
         readinessServer.start()
@@ -338,8 +344,9 @@
             registration.connect()
         }
         work.every(DEFAULT_INTERVAL, "peer sync") { sync.maintain(membership.members()) }
-        work.every(SHORT_INTERVAL, "quarantine and moves") {
+        work.every(SHORT_INTERVAL, "quarantine, limits and moves") {
             quarantineSync.maintain(membership.members())
+            callLimitSync.maintain(membership.members())
             moveCoordinator.maintain(membership.members())
         }
         work.every(SHORT_INTERVAL, "quarantine record") { quarantineRecord.maintain() }
@@ -411,6 +418,8 @@
         }
     }
 
+    private fun listedRouters() = membership.otherListedRouters().map { it.instance.value } + self.instance.value
+
     private fun paidTotalOf(workspace: WorkspaceId): PaidTotal? {
         val table = routing.current ?: return null
         return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
@@ -420,7 +429,7 @@
         directory.all(monotonic.now()).mapTo(HashSet()) { ServiceVersion(it.service, VersionId(it.version)) }
 
     private fun callHandler(): CallHandler {
-        val notices = EndpointNotices(picker, codec, monotonic, EndpointNoticeObserver(log, metrics))
+        val notices = EndpointNotices(picker, codec, monotonic, noticeObserver)
         val sender = EndpointSender(client, codec, monotonic, settings.calls, notices)
         val dispatcher =
             CallDispatcher(picker, sender, quarantine, codec, monotonic, settings.calls, {
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/CallDispatcher.kt
@@ -106,10 +106,15 @@
                 call.deadline - now < policy.minAttemptTime -> "too little time is left"
                 quarantine.blocks(call.headers.prompt, now) -> "a part of its prompt is quarantined"
                 !picker.isInUse(state, pickRequest(), now) -> "the endpoint is no longer in use"
-                else -> choiceAge.withdrawal()
+                else -> choiceAge.withdrawal() ?: limitWithdrawal(state, now)
             }
         }
 
+        private fun limitWithdrawal(
+            state: EndpointState,
+            now: Duration,
+        ): String? = if (picker.callLimits.tryAcquire(state, now)) null else "the limit of the endpoint is used up"
+
         private fun takeSuccessor(): Attempt? = successor.also { successor = null }
 
         private fun pickUntried(): EndpointState? = picker.pick(pickRequest(), clock.now())
@@ -340,7 +345,7 @@
                 else -> paused() ?: CallEnd.Refused(RefusalReason.NO_ENDPOINT)
             }
 
-        /** The refusal of a call while all endpoints of its service want no calls; null if one of them takes calls. */
+        /** The refusal of a call while no endpoint of its service takes calls by what it has said; null if one does. */
         private fun paused(): CallEnd? {
             val resumesAt = picker.resumesAt(call.service, clock.now(), avoidedVersions()) ?: return null
             return CallEnd.Refused(RefusalReason.ENDPOINTS_PAUSED, retryAfter = resumesAt - clock.now())
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -56,13 +56,22 @@
         val mayHaveRunBefore = call.mayHaveRun
         // Set in the step that writes the call: one that ends before was not sent and never will be, and one that is
         // cancelled while its response is awaited has an unknown outcome.
-        val checkAndMark = SendCheck { check.withdrawal().also { if (it == null) call.mayHaveRun = true } }
+        var sentAt = clock.now()
+        val checkAndMark =
+            SendCheck {
+                check.withdrawal().also {
+                    if (it == null) {
+                        call.mayHaveRun = true
+                        sentAt = clock.now()
+                    }
+                }
+            }
         val response =
             client.send(HostPort(endpoint.host, endpoint.port), request, checkAndMark).getOrElse { error ->
                 return Opened.Ended(failed(error))
             }
         state.onBytesReceived(clock.now())
-        notices.onResponse(state, response.head)
+        notices.onResponse(state, response.head, sentAt)
         if (!codec.isNotRun(response.head)) return Opened.Responding(response)
         call.mayHaveRun = mayHaveRunBefore
         return Opened.Ended(response.use { notRun(it) })
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/RefusalReason.kt
@@ -32,8 +32,8 @@
     ENDPOINTS_PAUSED(
         503,
         "endpoints_paused",
-        "all endpoints of the service asked for a pause",
-        "retry after the pause",
+        "all endpoints of the service asked for a pause, or named a limit of calls that is used up",
+        "retry after the time given",
     ),
     ENDPOINT_FULL(503, "endpoint_full", "the endpoint refused the call without running it", "retry later"),
     PROMPT_PART_QUARANTINED(
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/codec/CallCodec.kt
@@ -46,6 +46,9 @@
     /** Whether the endpoint that sent a response says that it is leaving. */
     fun isLeaving(head: ResponseHead): Boolean
 
+    /** The calls a second that the endpoint that sent a response takes from all routers together; null if it names none. */
+    fun callLimit(head: ResponseHead): String?
+
     /** The endpoint that sent a response to a call to [intended]; null if it was another one that is not named. */
     fun responder(
         head: ResponseHead,
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerMessages.kt
@@ -1,5 +1,6 @@
 package io.limpetfold.gateway.state
 
+import io.limpetfold.core.EndpointId
 import io.limpetfold.core.Incarnation
 import io.limpetfold.directory.Endpoint
 import io.limpetfold.peer.PeerTopic
@@ -53,6 +54,28 @@
     val trials: List<VersionTrial> = emptyList(),
 )
 
+/** The limits of calls that a router knows, and those that have ended; the reply carries those of the receiver. */
+@Serializable
+internal data class CallLimitReports(
+    val reports: List<CallLimitReport> = emptyList(),
+)
+
+/**
+ * What an endpoint said in a response. Times are ages, because routers have no common clock.
+ *
+ * @property startedAtMillis tells the incarnations of the endpoint apart.
+ * @property callsPerSecond null if it takes calls without a limit.
+ */
+@Serializable
+internal data class CallLimitReport(
+    val endpoint: EndpointId,
+    val startedAtMillis: Long,
+    val callsPerSecond: Double?,
+    val ageMillis: Long,
+)
+
+internal val CALL_LIMITS_TOPIC =
+    PeerTopic("gateway.call_limits", CallLimitReports.serializer(), CallLimitReports.serializer())
 internal val QUARANTINE_TOPIC =
     PeerTopic("gateway.quarantine", QuarantineReport.serializer(), QuarantineReport.serializer())
 internal val MOVES_TOPIC = PeerTopic("gateway.moves", MoveReports.serializer(), MoveReports.serializer())
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/DispatchFixture.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/call/DispatchFixture.kt
@@ -173,6 +173,8 @@
 
         override fun isLeaving(head: ResponseHead) = false
 
+        override fun callLimit(head: ResponseHead): String? = null
+
         override fun responder(
             head: ResponseHead,
             intended: EndpointId,
