core, membership, replication: the platform's names stay in platform/

The check of names failed: a test outside platform/ had the field names of the platform's configuration.

--- a/limpetfold-core/src/main/kotlin/io/limpetfold/peer/ListedInstance.kt
+++ b/limpetfold-core/src/main/kotlin/io/limpetfold/peer/ListedInstance.kt
@@ -11,7 +11,7 @@
  * @property service the service that the instance runs, for example `jezik`; routers are listed under [ROUTER_SERVICE].
  * @property host an IP address.
  * @property port the peer port of a router, or the service port of an endpoint.
- * @property linkMbps the capacity of the instance's network link, in Mbit/s; 0 if it is not known.
+ * @property linkCapacityMbps the capacity of the instance's network link, in Mbit/s; 0 if it is not known.
  */
 @Serializable
 data class ListedInstance(
@@ -22,7 +22,7 @@
     val host: String,
     val port: Int,
     val isLeaving: Boolean = false,
-    val linkMbps: Double = 0.0,
+    val linkCapacityMbps: Double = 0.0,
 ) {
     companion object {
         /** The service name under which the platform lists the routers of the fleet. */
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/GatewaySettings.kt
@@ -28,7 +28,7 @@
  * @property configKey key of the object that holds the configuration.
  * @property endpointPrefix key prefix of the objects that list endpoints.
  * @property movePrefix key prefix of the objects that order moves between versions.
- * @property linkMbps the capacity of the instance's network link, in Mbit/s, by which routers choose those that pass
+ * @property linkCapacityMbps the capacity of the instance's network link, in Mbit/s, by which routers choose those that pass
  * changes on; 0 if it is not known.
  * @property callerLimits limits of callers' connections where the configuration states none.
  */
@@ -51,7 +51,7 @@
     val callerLimits: ConnectionLimits = GatewayDefaults.CALLER_LIMITS,
     val contactTime: Duration = DEFAULT_CONTACT_TIME,
     val shutdown: ShutdownPolicy = ShutdownPolicy(),
-    val linkMbps: Double = 0.0,
+    val linkCapacityMbps: Double = 0.0,
 ) {
     private companion object {
         val DEFAULT_CONTACT_TIME: Duration = Duration.ofSeconds(3)
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/operate/FleetRegistration.kt
@@ -28,7 +28,7 @@
     fun setSeedRouters() =
         membership.setSeedRouters(
             settings.seedHosts.filter { it != settings.instance.value }.map {
-                listedInstance(InstanceId(it), it, SEED_VERSION, linkMbps = 0.0)
+                listedInstance(InstanceId(it), it, SEED_VERSION, linkCapacityMbps = 0.0)
             },
         )
 
@@ -75,13 +75,13 @@
     }
 
     private fun ownEntry() =
-        listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION, settings.linkMbps)
+        listedInstance(settings.instance, settings.peerListenAddress.host, OWN_VERSION, settings.linkCapacityMbps)
 
     private fun listedInstance(
         instance: InstanceId,
         host: String,
         version: VersionId,
-        linkMbps: Double,
+        linkCapacityMbps: Double,
     ) = ListedInstance(
         instance,
         ListedInstance.ROUTER_SERVICE,
@@ -89,7 +89,7 @@
         settings.zone,
         host,
         settings.peerListenAddress.port,
-        linkMbps = linkMbps,
+        linkCapacityMbps = linkCapacityMbps,
     )
 
     private companion object {
--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
@@ -79,7 +79,7 @@
         val ofZone = routers.filter { it.zone == zone }
         return RendezvousHash
             .rank(zone.value, ofZone) { it.instance.value }
-            .sortedByDescending { it.linkMbps }
+            .sortedByDescending { it.linkCapacityMbps }
             .take(groupCount(ofZone.size) * LEADERS_PER_GROUP)
             .map { it.instance }
     }
--- a/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
+++ b/limpetfold-membership/src/test/kotlin/io/limpetfold/membership/MembershipTest.kt
@@ -142,8 +142,11 @@
         test("guards against a large fleet whose changes pass through the narrowest links") {
             val listed =
                 (1..40).map {
-                    val linkMbps = if (it % 10 == 0) 200.0 else 10.0
-                    listedRouter(InstanceId("router-$it"), ZoneId("z${it % 2}")).copy(linkMbps = linkMbps)
+                    val linkCapacityMbps = if (it % 10 == 0) 200.0 else 10.0
+                    listedRouter(
+                        InstanceId("router-$it"),
+                        ZoneId("z${it % 2}"),
+                    ).copy(linkCapacityMbps = linkCapacityMbps)
                 }
             val leaders = listed.flatMap { PeerSelection.groupLeaders(it.instance, it.zone, listed) }.distinct()
             leaders shouldHaveSize 2 * 4
--- a/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
+++ b/limpetfold-replication/src/test/kotlin/io/limpetfold/replication/RelayedObjectStoreTest.kt
@@ -18,11 +18,12 @@
 /** A configuration of 2,000 routes with names and paths of their own, as JSON of about 700 kB. */
 private fun largeConfiguration(random: Random): String =
     (1..2_000).joinToString(",", "{\"version\":63,\"routes\":[", "]}") {
-        """{"name":"r-${random.nextInt().toString(36)}","host":"ficu95.example","pathPrefix":"/${random
-            .nextLong()
-            .toString(36)}/","routeType":"streaming","timeoutMs":4000,"goalMs":615,"priority":1,""" +
-            """"trafficSplit":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],""" +
-            """"maxAttempts":1,"public":false,"sessionAffinity":true,"streamResume":false,"gapTargetMs":400}"""
+        val name = random.nextInt().toString(36)
+        val path = random.nextLong().toString(36)
+        """{"name":"r-$name","host":"app.example","path":"/$path/","kind":"streaming","timeoutMillis":4000,""" +
+            """"latencyObjectiveMillis":615,"priority":1,"services":[{"service":"engine-old","weight":90},""" +
+            """{"service":"engine-new","weight":10}],"attempts":1,"isPublic":false,"hasAffinity":true,""" +
+            """"isResumable":false,"eventGapObjectiveMillis":400}"""
     }
 
 /** Load patterns: many routers that start together, and many routers that follow a store whose objects change. */
