dispatch: a raised limit of an endpoint shortens the wait for the next call

A router that had paced its next call by a low limit kept that pace after the endpoint had named a higher one. CallLimitPropertyTest, "guards against a router that waits at the pace of a limit that has been raised since": red without the change, green with it.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
@@ -29,9 +29,13 @@
         state.callLimit = statement
         val callsPerSecond = statement.callsPerSecond
         val wasLimited = known?.callsPerSecond != null
-        if (callsPerSecond != null && !wasLimited) {
-            // Routers that learn of a limit at the same time do not all send their first call at the same time.
-            state.nextCallAt = now + interval(state, callsPerSecond).share(random.nextDouble())
+        if (callsPerSecond != null) {
+            val interval = interval(state, callsPerSecond)
+            // Routers that learn of a limit at the same time do not all send their first call at the same time, and one
+            // that waits at the pace of a lower limit does not wait longer than at the new one.
+            if (!wasLimited || state.nextCallAt > now + interval) {
+                state.nextCallAt = now + interval.share(random.nextDouble())
+            }
         }
         val isChanged = (callsPerSecond != null) != wasLimited
         if (isChanged || isFarFrom(callsPerSecond, known?.callsPerSecond)) revision++
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
@@ -39,6 +39,21 @@
             fleet.arrivals.size shouldBeGreaterThan 24
         }
 
+        test("guards against a router that waits at the pace of a limit that has been raised since") {
+            val directory = EndpointDirectory()
+            val endpoint = Endpoint(EndpointId("i-0"), 1, "s", "h", 80, ZoneId("z"), "v1", 8)
+            directory.applyList(listOf(endpoint), ObjectVersion.of(1), Duration.ZERO)
+            val picker = EndpointPicker(directory, ZoneId("z"), random = Random(1))
+            val state = checkNotNull(picker.state(endpoint.id, Duration.ZERO))
+            val start = Duration.ofSeconds(100)
+            picker.callLimits.apply(state, CallLimitStatement(0.05, start), start)
+            val calledAt = state.availableAt
+            picker.callLimits.tryAcquire(state, calledAt) shouldBe true
+            val raisedAt = calledAt + Duration.ofSeconds(1)
+            picker.callLimits.apply(state, CallLimitStatement(10.0, raisedAt), raisedAt)
+            (state.availableAt <= raisedAt + Duration.ofMillis(200)) shouldBe true
+        }
+
         test("guards against shares of the routers that add up to more than the limit") {
             for (routerCount in listOf(1, 2, 7, 8, 60, 100)) {
                 for (callsPerSecond in listOf(0.0, 0.3, 1.6, 20.0, 500.0)) {
