--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -344,11 +344,11 @@
             registration.connect()
         }
         work.every(DEFAULT_INTERVAL, "peer sync") { sync.maintain(membership.members()) }
-        work.every(SHORT_INTERVAL, "quarantine, limits and moves") {
+        work.every(SHORT_INTERVAL, "quarantine and moves") {
             quarantineSync.maintain(membership.members())
-            callLimitSync.maintain(membership.members())
             moveCoordinator.maintain(membership.members())
         }
+        work.every(SHORT_INTERVAL, "limits of endpoints") { callLimitSync.maintain(membership.members()) }
         work.every(SHORT_INTERVAL, "quarantine record") { quarantineRecord.maintain() }
         val accountWarmer =
             BudgetAccountWarmer(
