--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
@@ -90,11 +90,11 @@
             while (responses.isNotEmpty() && responses.peek().first <= nowMillis) {
                 responses.poll().second.onLimitStated(nowMillis)
             }
-            if (random.nextDouble() * 1_000 >= demandPerSecond) continue
             val router = routers.random(random)
-            if (router.call(nowMillis) != LIMITED) continue
-            arrivals += router to nowMillis
-            responses += nowMillis + random.nextLong(5, 300) to router
+            if (random.nextDouble() * 1_000 < demandPerSecond && router.call(nowMillis) == LIMITED) {
+                arrivals += router to nowMillis
+                responses += nowMillis + random.nextLong(5, 300) to router
+            }
         }
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/CallLimitSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/CallLimitSync.kt
@@ -4,6 +4,7 @@
 import io.limpetfold.core.InstanceId
 import io.limpetfold.dispatch.CallLimitStatement
 import io.limpetfold.dispatch.EndpointPicker
+import io.limpetfold.dispatch.EndpointState
 import io.limpetfold.gateway.MonotonicClock
 import io.limpetfold.gateway.observe.EndpointNoticeObserver
 import io.limpetfold.membership.Member
@@ -81,19 +82,33 @@
 
     private fun merge(received: CallLimitReports) {
         val now = clock.now()
-        for (report in received.reports.take(MAX_REPORTS)) {
-            val state = picker.state(report.endpoint, now) ?: continue
-            if (state.endpoint.startedAtMillis != report.startedAtMillis || !report.isValid) continue
-            val known = state.callLimit
-            val statedAt = now - Duration.ofMillis(report.ageMillis)
-            // The end of a limit that this router does not know of is no news.
-            if (known == null && report.callsPerSecond == null) continue
-            // Ages leave out the time of the message, so the same statement seems a little later at each router.
-            if (known != null && statedAt - known.statedAt < MESSAGE_TIME) continue
-            val statement = CallLimitStatement(report.callsPerSecond, statedAt)
-            if (picker.callLimits.apply(state, statement, now)) {
-                observer.onCallLimit(state.endpoint, report.callsPerSecond)
+        received.reports
+            .take(MAX_REPORTS)
+            .filter { it.isValid }
+            .forEach { report ->
+                val state = picker.state(report.endpoint, now)
+                if (state != null && state.endpoint.startedAtMillis == report.startedAtMillis) merge(report, state, now)
             }
+    }
+
+    private fun merge(
+        report: CallLimitReport,
+        state: EndpointState,
+        now: Duration,
+    ) {
+        val known = state.callLimit
+        val statedAt = now - Duration.ofMillis(report.ageMillis)
+        val isNews =
+            if (known == null) {
+                // The end of a limit that this router does not know of changes nothing.
+                report.callsPerSecond != null
+            } else {
+                // Ages leave out the time of the message, so the same statement seems a little later at each router.
+                statedAt - known.statedAt >= MESSAGE_TIME
+            }
+        val statement = CallLimitStatement(report.callsPerSecond, statedAt)
+        if (isNews && picker.callLimits.apply(state, statement, now)) {
+            observer.onCallLimit(state.endpoint, report.callsPerSecond)
         }
     }
 
