dispatch: a caller that a limited endpoint can't take comes back within the time of one call

Cause: Retry-After was the time to the next call of this router. A router with a small share of the limit of the only endpoint told callers to stay away for minutes, though others would have taken the call.

Change: the time is at most that of one call at the limit. RoutingTableReplica.compressedText hides how it is kept.

Test: CallLimitPropertyTest, "guards against callers that are told to stay away for minutes by a router with a small share of a limit": red before, green now.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
@@ -53,6 +53,16 @@
         return true
     }
 
+    /** When a caller that is refused may come back for the endpoint of [state]; another router may take the call then. */
+    fun retryAt(
+        state: EndpointState,
+        now: Duration,
+    ): Duration {
+        val callsPerSecond = state.callLimit?.callsPerSecond ?: return state.availableAt
+        val fleetInterval = Duration.ofNanos((NANOS_PER_SECOND / maxOf(callsPerSecond, MIN_CALLS_PER_SECOND)).toLong())
+        return maxOf(state.pausedUntil, minOf(state.availableAt, now + fleetInterval))
+    }
+
     private fun interval(
         state: EndpointState,
         callsPerSecond: Double,
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -75,7 +75,8 @@
         service: String,
         now: Duration,
         avoidedVersions: Set<String> = emptySet(),
-    ): Duration? = usable(service, avoidedVersions, now).minOfOrNull { it.availableAt }?.takeIf { it > now }
+    ): Duration? =
+        usable(service, avoidedVersions, now).minOfOrNull { callLimits.retryAt(it, now) }?.takeIf { it > now }
 
     /** Excludes the endpoint of [state], which said that it is leaving, for as long as this incarnation is known. */
     fun onLeaving(
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
@@ -51,6 +51,29 @@
             repeat(100) { picker.callLimits.tryAcquire(state, later) shouldBe true }
         }
 
+        test(
+            "guards against callers that are told to stay away for minutes by a router with a small share of a limit",
+        ) {
+            val directory = EndpointDirectory()
+            val endpoint = Endpoint(EndpointId("i-0"), 1, "s", "h", 80, ZoneId("z"), "v1", 8)
+            directory.applyList(listOf(endpoint), ObjectVersion.of(1), Duration.ZERO)
+            val start = Duration.ofSeconds(100)
+            val fleet = (1..100).map { "r-$it" }
+            for (router in fleet) {
+                val picker =
+                    EndpointPicker(
+                        directory,
+                        ZoneId("z"),
+                        random = Random(1),
+                        share = CallShare.among(router) { fleet },
+                    )
+                val state = checkNotNull(picker.state(endpoint.id, start))
+                picker.callLimits.apply(state, CallLimitStatement(2.0, start), start)
+                val retryAt = checkNotNull(picker.resumesAt("s", start))
+                (retryAt > start && retryAt <= start + Duration.ofMillis(500)) shouldBe true
+            }
+        }
+
         test("guards against a router that waits at the pace of a limit that has been raised since") {
             val directory = EndpointDirectory()
             val endpoint = Endpoint(EndpointId("i-0"), 1, "s", "h", 80, ZoneId("z"), "v1", 8)
@@ -87,7 +110,8 @@
 ) {
     private val random = Random(seed)
     private val routerCount = routerCount ?: random.nextInt(1, 101)
-    private val callsPerSecond = callsPerSecond ?: if (seed % 3 == 0) random.nextDouble(0.1, 3.0) else random.nextDouble(3.0, 60.0)
+    private val callsPerSecond =
+        callsPerSecond ?: if (seed % 3 == 0) random.nextDouble(0.1, 3.0) else random.nextDouble(3.0, 60.0)
     private val endpointCount = random.nextInt(1, 5)
     private val demandPerSecond = this.callsPerSecond * endpointCount * random.nextDouble(1.0, 8.0) + 20
     private val names = (1..this.routerCount).map { "r-$it" }
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/PeerSync.kt
@@ -57,7 +57,7 @@
 
     private fun routingReply(request: RoutingRequest): RoutingReply {
         if ((routing.current?.version ?: 0) <= request.knownVersion) return RoutingReply(text = null)
-        val compressed = if (request.acceptsCompressed) routing.compressedText.value else null
+        val compressed = if (request.acceptsCompressed) routing.compressedText else null
         return if (compressed == null) RoutingReply(routing.storedText) else RoutingReply(text = null, compressed)
     }
 
--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/RoutingTableReplica.kt
@@ -35,9 +35,10 @@
     var storedText: String? = null
         private set
 
+    private var lazyCompressedText: Lazy<CompressedText?> = lazyOf(null)
+
     /** [storedText] compressed, which is made once for all peers; null if it is short. */
-    var compressedText: Lazy<CompressedText?> = lazyOf(null)
-        private set
+    val compressedText: CompressedText? get() = lazyCompressedText.value
 
     private val storeState = DependencyState("store.config", log)
 
@@ -83,7 +84,7 @@
         }
         current = table
         storedText = stored
-        compressedText = lazy(LazyThreadSafetyMode.NONE) { CompressedText.ofLong(stored) }
+        lazyCompressedText = lazy(LazyThreadSafetyMode.NONE) { CompressedText.ofLong(stored) }
         log.info(
             "config.accepted",
             "version" to table.version,
