--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/Gateway.kt
@@ -5,14 +5,12 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
 import io.limpetfold.budget.BudgetAgent
-import io.limpetfold.budget.PaidTotal
 import io.limpetfold.budget.PredecessorSpendLookup
 import io.limpetfold.budget.WitnessCandidates
 import io.limpetfold.budget.loan.TokenBorrower
 import io.limpetfold.budget.loan.TokenLender
 import io.limpetfold.core.Incarnation
 import io.limpetfold.core.VersionId
-import io.limpetfold.core.WorkspaceId
 import io.limpetfold.directory.EndpointDirectory
 import io.limpetfold.dispatch.CallShare
 import io.limpetfold.dispatch.EndpointPicker
@@ -41,6 +39,7 @@
 import io.limpetfold.gateway.operate.FleetRegistration
 import io.limpetfold.gateway.operate.GracefulShutdown
 import io.limpetfold.gateway.operate.PeriodicWork
+import io.limpetfold.gateway.operate.PrepaidTotals
 import io.limpetfold.gateway.operate.Readiness
 import io.limpetfold.gateway.operate.ReadinessAndMetricsHandler
 import io.limpetfold.gateway.operate.ReloadableSettings
@@ -170,6 +169,7 @@
         FleetRegistration(settings, instances, membership, peers, random, log)
     private val sync =
         PeerSync(peers, routing, directory, directoryUpdater, monotonic, loops.dispatcher, random, store::onVersionTold)
+    private val prepaidTotals = PrepaidTotals(log) { routing.current }
     private val budgetObserver = BudgetObserver(log, metrics)
     private val budget: BudgetAgent =
         BudgetAgent(
@@ -181,7 +181,7 @@
             listener = budgetObserver,
             maxWorkspacesPerRound = MAX_WORKSPACES_PER_ROUND,
             predecessorSpendLookup = { _, _ -> PredecessorSpendLookup.WHOLE_GRANT },
-            paidTotalOf = ::paidTotalOf,
+            paidTotalOf = prepaidTotals::of,
             confirmationsPerRound = { maxOf(1, CONFIRMATIONS_PER_ROUND / maxOf(1, lenderSelector.holderCount)) },
             witnessCandidates = WitnessCandidates { membership.runningRouters(settings.zone) },
         )
@@ -403,28 +403,11 @@
         current: RoutingTable,
     ) {
         callerLimits.apply(current.callerLimits, current.version)
-        val previousPrepaid = previous?.workspaces?.associate { it.workspace to it.prepaidTokens }.orEmpty()
-        val changed = current.workspaces.filter { it.prepaidTokens != previousPrepaid[it.workspace] }
-        if (changed.isEmpty()) return
-        budget.resetPlatformBackoff()
-        for (workspace in changed.take(MAX_LOGGED_WORKSPACES)) {
-            log.info(
-                "config.prepaid",
-                "workspace" to workspace.workspace,
-                "version" to current.version,
-                "before" to previousPrepaid[workspace.workspace],
-                "tokens" to workspace.prepaidTokens,
-            )
-        }
+        if (prepaidTotals.logChanges(previous, current)) budget.resetPlatformBackoff()
     }
 
     private fun listedRouters() = membership.otherListedRouters().map { it.instance.value } + self.instance.value
 
-    private fun paidTotalOf(workspace: WorkspaceId): PaidTotal? {
-        val table = routing.current ?: return null
-        return table.workspace(workspace.value)?.prepaidTokens?.let { PaidTotal(it, table.version) }
-    }
-
     private fun presentVersions() =
         directory.all(monotonic.now()).mapTo(HashSet()) { ServiceVersion(it.service, VersionId(it.version)) }
 
@@ -480,7 +463,6 @@
     private companion object {
         const val MAX_BUFFERED_BYTES = 48L * 1024 * 1024
         const val MAX_WORKSPACES_PER_ROUND = 24
-        const val MAX_LOGGED_WORKSPACES = 32
 
         /** Time to write the last answers of calls that are ended or refused. */
         val FINAL_RESPONSE_TIMEOUT: Duration = Duration.ofMillis(100)
