dispatch: routers with a small share of a limit save no calls

Cause: a router that does not share a limit sends next to nothing, but after a quiet time it had its next call at once, and so had all the others of a large fleet: 87 routers could send 87 calls in one moment where a limit of 3.2 calls a second allows 23 in four seconds. The property test had no quiet times, and so did not show either why the limit is not divided among all routers.

Change: such a router gives up a call that it has not sent within 2 s. CallPace has the times of calls, CallShare.Part says whether calls are saved.

Test: half of the fleets of CallLimitPropertyTest are quiet for up to 20 minutes, then busier than before.

--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointCallLimits.kt
@@ -29,27 +29,26 @@
         state.callLimit = statement
         val callsPerSecond = statement.callsPerSecond
         val wasLimited = known?.callsPerSecond != null
-        if (callsPerSecond != null) {
-            val interval = interval(state, callsPerSecond)
-            // Routers that learn of a limit at the same time do not all send their first call at the same time, and one
-            // that waits at the pace of a lower limit does not wait longer than at the new one.
-            if (!wasLimited || state.nextCallAt > now + interval) {
-                state.nextCallAt = now + interval.share(random.nextDouble())
-            }
-        }
+        state.callPace = callsPerSecond?.let { paceAt(it, state, now) }
         val isChanged = (callsPerSecond != null) != wasLimited
         if (isChanged || isFarFrom(callsPerSecond, known?.callsPerSecond)) revision++
         return isChanged
     }
 
-    /** Acquires one call to the endpoint of [state]; false if this router has to wait until [EndpointState.availableAt]. */
+    /** From when on the endpoint of [state] takes a call of this router, by what it has said itself. */
+    fun availableAt(
+        state: EndpointState,
+        now: Duration,
+    ): Duration = maxOf(state.pausedUntil, state.callPace?.at(now)?.nextCallAt ?: Duration.ZERO)
+
+    /** Acquires one call to the endpoint of [state]; false if this router has to wait for its next one. */
     fun tryAcquire(
         state: EndpointState,
         now: Duration,
     ): Boolean {
-        val callsPerSecond = state.callLimit?.callsPerSecond ?: return true
-        if (state.nextCallAt > now) return false
-        state.nextCallAt = maxOf(state.nextCallAt, now - SAVED_TIME) + interval(state, callsPerSecond)
+        val pace = state.callPace?.at(now) ?: return true
+        if (pace.nextCallAt > now) return false
+        state.callPace = pace.afterCall(now)
         return true
     }
 
@@ -58,17 +57,27 @@
         state: EndpointState,
         now: Duration,
     ): Duration {
-        val callsPerSecond = state.callLimit?.callsPerSecond ?: return state.availableAt
+        val availableAt = availableAt(state, now)
+        val callsPerSecond = state.callLimit?.callsPerSecond ?: return availableAt
         val fleetInterval = Duration.ofNanos((NANOS_PER_SECOND / maxOf(callsPerSecond, MIN_CALLS_PER_SECOND)).toLong())
-        return maxOf(state.pausedUntil, minOf(state.availableAt, now + fleetInterval))
+        return maxOf(state.pausedUntil, minOf(availableAt, now + fleetInterval))
     }
 
-    private fun interval(
-        state: EndpointState,
+    /**
+     * The pace at [callsPerSecond] from [now] on. It goes on from the known pace, unless that has a later call than the
+     * new one allows; routers that learn of a limit at the same time do not all send their first call at the same time.
+     */
+    private fun paceAt(
         callsPerSecond: Double,
-    ): Duration {
-        val rate = maxOf(callsPerSecond, MIN_CALLS_PER_SECOND) * USED_PART
-        return Duration.ofNanos((NANOS_PER_SECOND / (rate * share.of(state.endpoint.id, callsPerSecond))).toLong())
+        state: EndpointState,
+        now: Duration,
+    ): CallPace {
+        val part = share.of(state.endpoint.id, callsPerSecond)
+        val rate = maxOf(callsPerSecond, MIN_CALLS_PER_SECOND) * USED_PART * part.fraction
+        val interval = Duration.ofNanos((NANOS_PER_SECOND / rate).toLong())
+        val known = state.callPace?.nextCallAt?.takeIf { it <= now + interval }
+        val firstCallAt = known ?: (now + interval.share(random.nextDouble()))
+        return CallPace(firstCallAt, interval, part.savesCalls)
     }
 
     private fun isFarFrom(
@@ -85,13 +94,6 @@
         /** The rest is for calls of routers that do not know of the limit yet. */
         const val USED_PART = 0.9
 
-        /**
-         * The calls of this time may be sent at once if they were not before, so that calls which arrive together are not
-         * refused where the limit is high. Over four seconds, first and saved calls of all routers included, an endpoint
-         * gets less than one and a half times its limit and five calls.
-         */
-        val SAVED_TIME: Duration = Duration.ofMillis(750)
-
         /** The ratio of two limits from which on the other routers are told of the later one. */
         const val TOLD_RATIO = 1.25
 
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointPicker.kt
@@ -157,7 +157,7 @@
         versions: VersionPreference?,
         now: Duration,
     ): List<EndpointState> {
-        val available = usable.filter { it.availableAt <= now }
+        val available = usable.filter { callLimits.availableAt(it, now) <= now }
         if (versions == null) return available
         val isPreferred = { state: EndpointState ->
             (state.endpoint.version == versions.target) == versions.isTargetPreferred
--- a/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
+++ b/limpetfold-dispatch/src/main/kotlin/io/limpetfold/dispatch/EndpointState.kt
@@ -40,12 +40,8 @@
     var callLimit: CallLimitStatement? = null
         internal set
 
-    /** When this router may send the next call to the endpoint while that is limited. */
-    internal var nextCallAt: Duration = Duration.ZERO
-
-    /** From when on the endpoint takes a call of this router, by what it has said itself. */
-    val availableAt: Duration
-        get() = if (callLimit?.callsPerSecond == null) pausedUntil else maxOf(pausedUntil, nextCallAt)
+    /** When this router may send its next calls; null while the endpoint is not limited. */
+    internal var callPace: CallPace? = null
 
     private var consecutiveFailures = 0
 
--- a/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
+++ b/limpetfold-dispatch/src/test/kotlin/io/limpetfold/dispatch/CallLimitPropertyTest.kt
@@ -17,6 +17,7 @@
 
 private const val SEEDS = 300
 private const val SECONDS = 24
+private const val DEMAND_AFTER_QUIET_TIME = 4
 private const val WINDOW_MILLIS = 4_000L
 
 /** How long after a response that named the limit the calls of its router count against it. */
@@ -82,18 +83,26 @@
             val state = checkNotNull(picker.state(endpoint.id, Duration.ZERO))
             val start = Duration.ofSeconds(100)
             picker.callLimits.apply(state, CallLimitStatement(0.05, start), start)
-            val calledAt = state.availableAt
+            val calledAt = picker.callLimits.availableAt(state, start)
             picker.callLimits.tryAcquire(state, calledAt) shouldBe true
             val raisedAt = calledAt + Duration.ofSeconds(1)
             picker.callLimits.apply(state, CallLimitStatement(10.0, raisedAt), raisedAt)
-            (state.availableAt <= raisedAt + Duration.ofMillis(200)) shouldBe true
+            (picker.callLimits.availableAt(state, raisedAt) <= raisedAt + Duration.ofMillis(200)) shouldBe true
         }
 
         test("guards against shares of the routers that add up to more than the limit") {
             for (routerCount in listOf(1, 2, 7, 8, 60, 100)) {
                 for (callsPerSecond in listOf(0.0, 0.3, 1.6, 20.0, 500.0)) {
                     val routers = (1..routerCount).map { "r-$it" }
-                    val sum = routers.sumOf { CallShare.among(it) { routers }.of(EndpointId("i-1"), callsPerSecond) }
+                    val sum =
+                        routers.sumOf {
+                            CallShare
+                                .among(
+                                    it,
+                                ) { routers }
+                                .of(EndpointId("i-1"), callsPerSecond)
+                                .fraction
+                        }
                     withClue("$routerCount routers, $callsPerSecond calls a second") {
                         (sum * 1_000).roundToInt() shouldBe 1_000
                     }
@@ -113,6 +122,9 @@
     private val callsPerSecond =
         callsPerSecond ?: if (seed % 3 == 0) random.nextDouble(0.1, 3.0) else random.nextDouble(3.0, 60.0)
     private val endpointCount = random.nextInt(1, 5)
+
+    /** A time without calls, after which all routers have some at once. */
+    private val quietMillis = if (seed % 2 == 0) 0L else random.nextLong(1_200_000)
     private val demandPerSecond = this.callsPerSecond * endpointCount * random.nextDouble(1.0, 8.0) + 20
     private val names = (1..this.routerCount).map { "r-$it" }
     private val routers = names.map { Router(it) }
@@ -122,12 +134,15 @@
 
     fun run() {
         val responses = PriorityQueue<Pair<Long, Router>>(compareBy { it.first })
-        for (nowMillis in 0L until SECONDS * 1_000L) {
+        for (millis in 0L until SECONDS * 1_000L) {
+            val isAfterQuietTime = millis >= SECONDS * 1_000L / 2
+            val nowMillis = if (isAfterQuietTime) millis + quietMillis else millis
+            val demand = if (isAfterQuietTime) demandPerSecond * DEMAND_AFTER_QUIET_TIME else demandPerSecond
             while (responses.isNotEmpty() && responses.peek().first <= nowMillis) {
                 responses.poll().second.onLimitStated(nowMillis)
             }
             val router = routers.random(random)
-            if (random.nextDouble() * 1_000 < demandPerSecond && router.call(nowMillis) == LIMITED) {
+            if (random.nextDouble() * 1_000 < demand && router.call(nowMillis) == LIMITED) {
                 arrivals += router to nowMillis
                 responses += nowMillis + random.nextLong(5, 300) to router
             }
