gateway: the end of an endpoint's limit is told again after a lost message

Cause, found on the last read of the change: a router that knew of no limit any more sent the news of its end once. A member that the message did not reach kept the limit, and with a small share of it called the endpoint next to never, so that it could not see the end itself.

Change: a router tells members that it has not reached, also of limits that have ended.

Test: CallLimitSyncTest, "guards against a router that keeps a limit for good because the message of its end was lost": red before, green now.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/CallLimitSync.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/state/CallLimitSync.kt
@@ -20,8 +20,9 @@
  * Exchanges the limits that endpoints stated between routers, because most routers of a large fleet call a limited
  * endpoint too seldom to see in a response that its limit has ended.
  *
- * A router with news sends it to all members, which pass it on. While it knows a limit it also tells members that it has
- * not reached yet, such as one that has just started. A router that knows of none sends nothing.
+ * A router with news sends it to all members, which pass it on. It also tells members that it has not reached yet, such as
+ * one that has just started or to which a message was lost. A router that knows of no limit, past or present, sends
+ * nothing.
  */
 internal class CallLimitSync(
     private val picker: EndpointPicker,
@@ -46,9 +47,7 @@
     /** Sends what this router knows to all [members] if there is news, else to those that it has not reached. */
     suspend fun maintain(members: List<Member>) {
         val revision = picker.callLimits.revision
-        val states = picker.statesWithCallLimit()
-        val isAnyLimited = states.any { it.callLimit?.callsPerSecond != null }
-        if (!isAnyLimited && revision == sentRevision) return
+        if (picker.statesWithCallLimit().isEmpty()) return
         if (revision != sentRevision) reached = emptySet()
         sentRevision = revision
         val instances = members.mapTo(HashSet()) { it.instance }
--- a/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/CallLimitSyncTest.kt
+++ b/limpetfold-gateway/src/test/kotlin/io/limpetfold/gateway/state/CallLimitSyncTest.kt
@@ -17,6 +17,7 @@
 import io.limpetfold.membership.Member
 import io.limpetfold.store.ObjectVersion
 import io.limpetfold.testing.FakePeerHub
+import io.limpetfold.testing.PeerFault
 import io.limpetfold.testing.TestClock
 import kotlinx.coroutines.Dispatchers
 import java.time.Duration
@@ -40,6 +41,20 @@
             routers.map { it.callsPerSecond() } shouldBe List(5) { null }
         }
 
+        test("guards against a router that keeps a limit for good because the message of its end was lost") {
+            val fleet = Fleet()
+            val routers = List(2) { fleet.router(it) }
+            routers.first().state(2.0)
+            fleet.maintain(routers)
+            fleet.clock.advance(Duration.ofSeconds(5))
+            fleet.hub.fault = { _, _ -> PeerFault.REQUEST_LOST }
+            routers.first().state(null)
+            fleet.maintain(routers.take(1), among = routers)
+            fleet.hub.fault = { _, _ -> PeerFault.NONE }
+            fleet.maintain(routers.take(1), among = routers)
+            routers.map { it.callsPerSecond() } shouldBe List(2) { null }
+        }
+
         test("guards against a limit that another router tells late, after it has ended") {
             val fleet = Fleet()
             val (early, late) = List(2) { fleet.router(it) }
@@ -85,15 +100,17 @@
             startedAtMillis: Long = 1,
         ) = Router(this, index, startedAtMillis)
 
-        /** Runs enough rounds for news to pass from the first to the last of [routers]. */
-        suspend fun maintain(routers: List<Router>) =
-            repeat(routers.size) {
-                routers.forEachIndexed { index, router ->
-                    router.sync.maintain(
-                        listOfNotNull(routers.getOrNull(index - 1), routers.getOrNull(index + 1)).map { it.member },
-                    )
-                }
+        /** Runs enough rounds of [routers] for news to pass from the first to the last of [among], which are in a row. */
+        suspend fun maintain(
+            routers: List<Router>,
+            among: List<Router> = routers,
+        ) = repeat(among.size) {
+            for (router in routers) {
+                val index = among.indexOf(router)
+                val neighbours = listOfNotNull(among.getOrNull(index - 1), among.getOrNull(index + 1))
+                router.sync.maintain(neighbours.map { it.member })
             }
+        }
     }
 
     private class Router(
