--- a/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
+++ b/limpetfold-membership/src/main/kotlin/io/limpetfold/membership/PeerSelection.kt
@@ -16,8 +16,9 @@
  * Up to [MembershipPolicy.fullMeshLimit] these are all other routers. Above it, the routers of a zone form one or more
  * groups. Each router connects to the leaders of its group, which pass on changes and lend tokens, and the leaders of
  * all groups connect to each other. The leaders are the routers with the widest links, because a leader sends each
- * change to its whole group; rendezvous hashing decides among equal ones. The two successors on a ring ordered by instance keep the fleet connected, and
- * rendezvous hashing selects the remaining peers, which keeps the number of hops between two routers small.
+ * change to its whole group; rendezvous hashing decides among equal ones. The two successors on a ring ordered by
+ * instance keep the fleet connected, and rendezvous hashing selects the remaining peers, which keeps the number of hops
+ * between two routers small.
  */
 internal object PeerSelection {
     private const val RING_NEIGHBOURS = 2
--- a/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/CompressedText.kt
+++ b/limpetfold-replication/src/main/kotlin/io/limpetfold/replication/CompressedText.kt
@@ -34,7 +34,7 @@
         /** A store's objects are far below this limit, which bounds the memory that a damaged message takes. */
         const val MAX_TEXT_BYTES: Int = 8 * 1024 * 1024
 
-        /** Shorter texts are sent as they are: the processor time would be worth more than the bytes. */
+        /** Shorter texts are sent as they are, because compressing them saves little time on a link. */
         private const val MIN_LENGTH_CHARS = 8 * 1024
 
         /** Returns [text] compressed, or null if it is short. */
