--- a/review/standins-2/BadVersion.java
+++ b/review/standins-2/BadVersion.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 8: the operator orders a version that fails a portion of the bookings, and that is sound on the other route. */
+/** Case 9: the operator orders a version that fails a portion of the bookings, and that is sound on the other route. */
 final class BadVersion {
     private static final int ROUTERS = 3;
     private static final int REPLICAS = 3;
@@ -55,7 +55,7 @@
     }
 
     private int play(Path output) throws Exception {
-        Path folder = Files.createTempDirectory("review-8");
+        Path folder = Files.createTempDirectory("review-9");
         try (Store store = new Store("127.0.0.1")) {
             List<Http.Server> old = new ArrayList<>();
             for (int i = 0; i < REPLICAS; i++) {
