--- a/review/standins-2/DrillAndKill.java
+++ b/review/standins-2/DrillAndKill.java
@@ -150,7 +150,7 @@
         note("ledger: " + Json.write(store.spec("budget", "t1")));
         note("in the check " + served + " of " + count + " are served, " + refused + " refused with 402");
         if (most > PREPAID_TOKENS * 97 / 100 || count < 100) return 2;
-        return (IS_ONE_KILLED ? refused > 5 + count / 500 : served * 4 < count) ? 1 : 0;
+        return (IS_ONE_KILLED ? refused > 5 + sent.get() / 500 : served * 4 < count) ? 1 : 0;
     }
 
     private void request(String front, int number) {
--- a/review/standins-2/Routers.java
+++ b/review/standins-2/Routers.java
@@ -26,6 +26,8 @@
             log = folder.resolve(host + ".log");
             settings = folder.resolve(host + ".json");
             Files.writeString(settings, settings(host));
+            settings.toFile().deleteOnExit();
+            log.toFile().deleteOnExit();
         }
 
         void start() throws IOException {
@@ -34,7 +36,7 @@
             builder.environment().put("LIMPETFOLD_NODE_FILE", settings.toString());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            process = builder.start();
+            process = endedWithThisProcess(builder.start());
         }
 
         void signal(String name) throws Exception {
@@ -72,11 +74,18 @@
         this.folder = folder;
         this.store = store.address();
         this.count = count;
+        folder.toFile().deleteOnExit();
         long pid = ProcessHandle.current().pid();
         prefix = "127." + (10 + pid / 250 % 200) + "." + (1 + pid % 250) + ".";
         for (int i = 0; i < count; i++) all.add(new Router(i));
     }
 
+    /** Ends [process] at the latest when this one ends, also where that is told to stop. */
+    static Process endedWithThisProcess(Process process) {
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        return process;
+    }
+
     Router get(int number) {
         return all.get(number);
     }
