http: a response that ends with its connection is whole only if its request was read

What callers saw: an endpoint answered a long upload early with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got the part as a complete response, on all types of routes; a 500 cut like this was delivered as a complete 500.

Cause: the decoder ends a response without a length when the channel closes, whoever closed it. - A write that fails closes the channel. The failed write takes the error of the reset, so nothing but a plain end is seen after it. - An endpoint that closes with unread bytes ends the stream first; the reset follows when it is too late.

Change: a failed write fails the exchange. The send buffer is bounded, so that what is written is mostly received. Requests without a body are complete at once. Rejections and errors whose body nobody needs are not read to the end of the stream.

Why this works: an endpoint that reads the rest of the request never resets it, one that closes before does, and the write that meets the reset fails.

Ruled out: failing each response whose stream ends before the request is written loses whole responses of endpoints that read on.

--- a/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
+++ b/limpetfold-gateway/src/main/kotlin/io/limpetfold/gateway/call/EndpointSender.kt
@@ -1,6 +1,5 @@
 package io.limpetfold.gateway.call
 
-import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import io.limpetfold.dispatch.EndpointState
 import io.limpetfold.gateway.MonotonicClock
@@ -104,7 +103,7 @@
         if (isEventStream(response.head)) return relay.forward(exchange, call, state, response, handover)
         if (relay.hasStarted) return SendResult.Interrupted("status $status instead of the rest of the stream")
         if (status >= SERVER_ERROR && acquireRepeat()) {
-            response.readAll(policy.maxBufferedResponseBytes)
+            drain(response)
             return SendResult.Repeated(status)
         }
         return forwardBuffered(exchange, call, response)
@@ -174,10 +173,15 @@
 
     private suspend fun notRun(response: UpstreamResponse): SendResult {
         val status = response.head.status
-        response.readAll(policy.maxBufferedResponseBytes).fold({}, { })
+        drain(response)
         return SendResult.NotRun(status)
     }
 
+    /** Reads a body that nobody needs, so that its connection can be used again; one that ends with it is not waited for. */
+    private suspend fun drain(response: UpstreamResponse) {
+        if (response.head.isCloseDelimited) response.close() else response.readAll(policy.maxBufferedResponseBytes)
+    }
+
     private fun upstreamRequest(
         call: AdmittedCall,
         state: EndpointState,
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -4,8 +4,10 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
+import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -28,7 +30,7 @@
     private val settings: UpstreamSettings,
     private val budget: BufferBudget,
     private val owner: Owner,
-) : ChannelInboundHandlerAdapter() {
+) : ChannelDuplexHandler() {
     private val decoder =
         ResponseDecoder(
             settings.maxHeaderBytes,
@@ -43,6 +45,8 @@
     private var isRequestWritten = false
     private var isResponseComplete = false
     private var isResponseKeepAlive = false
+    private var isCloseDelimited = false
+    private val streamEndCheck = StreamEndCheck(channel)
     private var activityNanos = System.nanoTime()
     private var keepAliveLimit: Duration = settings.pooledIdleTimeout
 
@@ -158,6 +162,26 @@
         }
     }
 
+    /**
+     * Fails the exchange of a request that can't be written: the endpoint has reset the connection, and a later end of
+     * the stream does not mean that the endpoint ended its response.
+     */
+    override fun write(
+        ctx: ChannelHandlerContext,
+        msg: Any,
+        promise: ChannelPromise,
+    ) {
+        val written = promise.unvoid()
+        written.addListener {
+            if (!it.isSuccess) {
+                onConnectionLost(
+                    "the request can't be written: ${it.cause().message}",
+                )
+            }
+        }
+        ctx.write(msg, written)
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
@@ -173,10 +197,7 @@
     override fun channelReadComplete(ctx: ChannelHandlerContext) = updateAutoRead()
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        isUsable = false
-        if (!isResponseComplete) {
-            exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address closed the connection"))
-        }
+        onConnectionLost("the endpoint closed the connection")
         owner.onClosed(this)
         ctx.fireChannelInactive()
     }
@@ -186,10 +207,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        if (!isResponseComplete) {
-            exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: ${cause.message}"))
-        }
-        discard()
+        onConnectionLost(cause.message.orEmpty())
     }
 
     private fun acceptBytes(bytes: ByteBuf): Boolean {
@@ -199,6 +217,14 @@
         return isExpected
     }
 
+    private fun onConnectionLost(detail: String) {
+        if (!isResponseComplete) {
+            exchange?.fail(UpstreamException(UpstreamError.Reason.CONNECTION_CLOSED, "$address: $detail"))
+        }
+        isUsable = false
+        channel.close()
+    }
+
     private fun onUnsolicited() {
         isUsable = false
         owner.onUnsolicitedBytes(this)
@@ -222,6 +248,7 @@
         correlation.onRequest()
         isRequestWritten = false
         isResponseComplete = false
+        streamEndCheck.onRequest(request.body)
         activityNanos = System.nanoTime()
         val body = request.body
         if (body is UpstreamBody.Stream) {
@@ -240,6 +267,7 @@
     private fun onRequestWritten() {
         isRequestWritten = true
         activityNanos = System.nanoTime()
+        streamEndCheck.onRequestWritten()
     }
 
     private fun onHead(response: HttpResponse) {
@@ -254,7 +282,10 @@
         if (!correlation.isOwn(running, headers)) return onForeignHead()
         val repeatedField = singleFields.repeatedIn(response.headers())
         if (repeatedField != null) return fail(malformed("the field $repeatedField stands more than once"))
-        isResponseKeepAlive = HttpUtil.isKeepAlive(response) && !framing.isCloseDelimited
+        isCloseDelimited = framing.isCloseDelimited
+        isResponseKeepAlive = HttpUtil.isKeepAlive(response) && !isCloseDelimited
+        // The endpoint may read the rest of the request after the end of its response.
+        if (isCloseDelimited) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         keepAliveLimit = keepAliveLimit(headers, settings)
         running.onHead(ResponseHead(status, headers))
     }
@@ -270,12 +301,26 @@
         if (!isUsable || !running.isHeadReceived || isResponseComplete) return
         if (content.decoderResult().isFailure) return fail(malformed("the body is malformed"))
         running.onPiece(ByteBufUtil.getBytes(content.content()))
-        if (content is LastHttpContent) {
-            isResponseComplete = true
-            running.onEnd()
+        if (content is LastHttpContent) onBodyEnd(running)
+    }
+
+    private fun onBodyEnd(running: ClientExchange) {
+        when {
+            !isCloseDelimited -> complete(running)
+            // The decoder also ends the response when this side closes the connection.
+            !channel.isActive -> Unit
+            else ->
+                streamEndCheck.onEndOfStream { isWhole ->
+                    if (isWhole) complete(running) else onConnectionLost("the endpoint reset the connection")
+                }
         }
     }
 
+    private fun complete(running: ClientExchange) {
+        isResponseComplete = true
+        running.onEnd()
+    }
+
     private fun dropContent(content: HttpContent) {
         if (content.decoderResult().isFailure) return fail(malformed("the body is malformed"))
         if (!correlation.dropContent(content.content().readableBytes(), content is LastHttpContent)) failMismatch()
@@ -311,7 +356,7 @@
         running: ClientExchange,
         now: Long,
     ) {
-        val isReading = isRequestWritten && channel.config().isAutoRead
+        val isReading = isRequestWritten && !streamEndCheck.isPending && channel.config().isAutoRead
         val isWriting = !isRequestWritten && (running.request.body !is UpstreamBody.Stream || !running.outbound.isEmpty)
         val sinceActivityNanos =
             now - max(activityNanos, if (isWriting) running.outbound.progressNanos else activityNanos)
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
@@ -49,8 +48,9 @@
     private val bootstrap =
         Bootstrap()
             .group(loops.group)
-            .channel(NioSocketChannel::class.java)
+            .channel(EndpointChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.toMillis().toInt())
             .option(ChannelOption.RECVBUF_ALLOCATOR, HttpServer.receiveAllocator(budget))
 
@@ -222,6 +222,14 @@
         reason: UpstreamError.Reason,
         message: String,
     ) = Err(UpstreamError.NotSent(reason, message))
+
+    private companion object {
+        /**
+         * Bounds the part of a request that counts as written though the endpoint has not received it, so that the end
+         * of an early response can be told from a reset.
+         */
+        const val SEND_BUFFER_BYTES = 128 * 1024
+    }
 }
 
 private fun Char.isAsciiLetterOrDigit(): Boolean = this in 'a'..'z' || this in 'A'..'Z' || this in '0'..'9'
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/ScriptedEndpoint.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/ScriptedEndpoint.kt
@@ -1,6 +1,7 @@
 package io.limpetfold.http
 
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
@@ -9,11 +10,18 @@
 /**
  * An endpoint whose [script] reads and writes raw bytes; it runs once per connection and gets the connection's number,
  * from 1.
+ *
+ * @param receiveBufferBytes size of the receive buffers of its connections; null for the system's default.
  */
 class ScriptedEndpoint(
+    receiveBufferBytes: Int? = null,
     private val script: RawConnection.(Int) -> Unit,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val listener =
+        ServerSocket().apply {
+            receiveBufferBytes?.let { receiveBufferSize = it }
+            bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
+        }
     private val connections = AtomicInteger()
     val address = HostPort("127.0.0.1", listener.localPort)
     val connectionCount: Int get() = connections.get()
@@ -58,6 +66,12 @@
         socket.getOutputStream().flush()
     }
 
+    /** Resets the connection. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     fun respond(
         body: String,
         vararg headers: String,
