http: a status that is not a number from 100 to 599 makes a response malformed

What callers saw: reported was a 000 that reached the caller as an answer. 000 itself was refused already, and so were 101 and the other informational statuses but 100; the tests for them stay. Statuses of the same kind got through: 600, 999, 1000 and 2000 as they were, and 0200, 00200 and +200 as a 200.

Cause: Netty's decoder takes any number for a status, with sign and leading zeros; the framing check has only a lower bound.

Change: the decoder accepts three digits from 100 to 599 alone.

Why this works: the check reads the status as it was received, before it becomes a number, for all clients: endpoints, store, probes, operators' commands.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
@@ -34,8 +34,21 @@
         if (msg is ByteBuf && !accept(msg)) msg.release() else super.channelRead(ctx, msg)
     }
 
+    /** Netty reads any number as a status, also with a sign or leading zeros. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val status = initialLine[STATUS_INDEX]
+        require(STATUS.matches(status)) { "the status is not a number from 100 to 599" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean = isBodiless() || super.isContentAlwaysEmpty(msg)
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding are present")
+
+    private companion object {
+        /** Position of the status between the version and the reason. */
+        const val STATUS_INDEX = 1
+        val STATUS = Regex("[1-5][0-9]{2}")
+    }
 }
