--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamClient.kt
@@ -193,7 +193,8 @@
         val isMethodValid = request.method.isNotEmpty() && request.method.all { it in 'A'..'Z' }
         val invalidHeader =
             request.headers.entries.firstOrNull { (name, value) ->
-                !isToken(name) ||
+                name.isEmpty() ||
+                    !name.all(Char::isTokenChar) ||
                     value.any { it < ' ' && it != '\t' }
             }
         return when {
@@ -204,9 +205,6 @@
         }
     }
 
-    private fun isToken(name: String): Boolean =
-        name.isNotEmpty() && name.all { it.isAsciiLetterOrDigit() || it in "!#$%&'*+-.^_`|~" }
-
     /**
      * Streams a large body, so that the idle timeout applies to the progress of the endpoint and not to the transfer of
      * the whole body.
@@ -231,5 +229,3 @@
         const val SEND_BUFFER_BYTES = 128 * 1024
     }
 }
-
-private fun Char.isAsciiLetterOrDigit(): Boolean = this in 'a'..'z' || this in 'A'..'Z' || this in '0'..'9'
