http: an unfinished response that ends with its connection resets it

What callers would see: a caller of HTTP/1.0 gets a response without a length, whose end is the end of the connection. When the router gave it up (the endpoint broke off, a timeout, the end of a stop), the caller got the part as a complete response.

Cause: the connection of an unfinished response was closed like that of a finished one.

Change: from the head of such a response to its last byte the linger time of the socket is 0, so that closing it resets the connection, also when the process is killed. Responses with a length or in chunks are as they were: their end can be told.

Measured: CutResponseTest, three ways to give a response up: all look complete before, all are reset after; a finished one still ends cleanly.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/FinalResponse.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/FinalResponse.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpVersion
@@ -36,11 +37,15 @@
     fun lingerAndClose(onLinger: () -> Unit) {
         if (!channel.isActive) return
         onLinger()
+        channel.config().setOption(ChannelOption.SO_LINGER, NO_RESET)
         (channel as? SocketChannel)?.shutdownOutput()
         channel.eventLoop().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
         const val LINGER_MILLIS = 500L
+
+        /** Turns the linger time of a socket off, with which an unfinished response resets its connection. */
+        const val NO_RESET = -1
     }
 }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
@@ -112,6 +113,8 @@
         if (framing.lengthBytes != null) response.headers().set("Content-Length", framing.lengthBytes)
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         if (isKeepAlive) announceIdleTimeout(response) else response.headers().set("Connection", "close")
+        // Until it is finished, the response must not look complete when the connection or the process ends.
+        if (!framing.isDelimited) channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
         channel.write(response)
         // Only a head that a body of unknown length follows is flushed at once. Any other one could complete the
         // response before the connection is ready for the next request; see Sink.
@@ -237,4 +240,9 @@
             channel.close()
         }
     }
+
+    private companion object {
+        /** With this linger time in seconds, closing a socket resets its connection. */
+        const val RESET_ON_CLOSE = 0
+    }
 }
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import java.net.Socket
 
 /** Load pattern: uploads whose endpoint answers early and without a length, and then ends the connection. */
 class CutResponseTest :
@@ -117,9 +118,45 @@
         test("guards against a lost response to a request without a body whose endpoint closes the connection") {
             completeResponses({ UpstreamBody.None }, 0, null) { socket.close() } shouldBe CALLS
         }
+
+        val endings =
+            mapOf<String, suspend (ResponseSink) -> Unit>(
+                "is aborted" to { it.abort() },
+                "is left unfinished" to { },
+                "fails" to { error("the handler fails") },
+            )
+        for ((ending, end) in endings) {
+            test("guards against a response to a caller of HTTP/1.0 that looks complete though it $ending") {
+                respondToHttp10(loops, end) shouldBe "reset"
+            }
+        }
+
+        test("guards against a finished response to a caller of HTTP/1.0 that ends with a reset") {
+            respondToHttp10(loops) { it.finish() } shouldBe "part"
+        }
     }) {
     private companion object {
         const val CALLS = 8
         const val RESPONSE_BYTES = 2_000
+
+        /** Returns the body of a response without a length that begins with a part and ends with [end]. */
+        suspend fun respondToHttp10(
+            loops: HttpEventLoops,
+            end: suspend (ResponseSink) -> Unit,
+        ): String {
+            val handler =
+                HttpHandler {
+                    val sink = it.respondStream(200, Headers.EMPTY)
+                    sink.write("part".encodeToByteArray())
+                    delay(50)
+                    end(sink)
+                }
+            return HttpServer(HttpServerSettings(), loops, BufferBudget(), handler).start().use { server ->
+                val caller = RawConnection(Socket(server.address.host, server.address.port).apply { soTimeout = 5_000 })
+                caller.write("GET / HTTP/1.0\r\n\r\n")
+                caller.readHead()
+                caller.readToEnd()
+            }
+        }
     }
 }
