http: no refusal is added to a response that ends with its connection

What callers would see: a caller of HTTP/1.0 that sends a second request before its response has ended gets "HTTP/1.1 400 Bad Request" and the rest of that refusal at the end of the response's body.

Cause: a pipelined request is refused after the response to the one before it, also when only the end of the connection delimits that response.

Change: after such a response the connection ends without the refusal.

Measured: CutResponseTest: expected "part" but was "partHTTP/1.1 400 ..." before, passes after.

--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerConnection.kt
@@ -203,7 +203,7 @@
             if (done.isSuccess) ended.onResponseWritten() else ended.onConnectionLost()
             when {
                 mayContinue -> if (isCloseAfterResponse) closeIfIdle()
-                isPipelined -> writeRefusal(Refusals.PIPELINED)
+                isPipelined && ended.isDelimited -> writeRefusal(Refusals.PIPELINED)
                 else -> finalResponse.lingerAndClose(::updateAutoRead)
             }
         }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ServerExchange.kt
@@ -51,6 +51,11 @@
     var isKeepAlive = traits.isKeepAlive
         private set
 
+    /** Whether the end of the response can be told while the connection is open; valid once the response has started. */
+    @Volatile
+    var isDelimited = true
+        private set
+
     /** The limits in force when the response head was written; null before that. */
     @Volatile
     var announcedLimits: ConnectionLimits? = null
@@ -113,8 +118,9 @@
         if (framing.lengthBytes != null) response.headers().set("Content-Length", framing.lengthBytes)
         if (framing.isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         if (isKeepAlive) announceIdleTimeout(response) else response.headers().set("Connection", "close")
+        isDelimited = framing.isDelimited
         // Until it is finished, the response must not look complete when the connection or the process ends.
-        if (!framing.isDelimited) channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
+        if (!isDelimited) channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
         channel.write(response)
         // Only a head that a body of unknown length follows is flushed at once. Any other one could complete the
         // response before the connection is ready for the next request; see Sink.
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
@@ -127,13 +127,17 @@
             )
         for ((ending, end) in endings) {
             test("guards against a response to a caller of HTTP/1.0 that looks complete though it $ending") {
-                respondToHttp10(loops, end) shouldBe "reset"
+                respondToHttp10(loops, end = end) shouldBe "reset"
             }
         }
 
         test("guards against a finished response to a caller of HTTP/1.0 that ends with a reset") {
             respondToHttp10(loops) { it.finish() } shouldBe "part"
         }
+
+        test("guards against a refusal of a second request that is added to a response of HTTP/1.0") {
+            respondToHttp10(loops, requests = 2) { it.finish() } shouldBe "part"
+        }
     }) {
     private companion object {
         const val CALLS = 8
@@ -142,6 +146,7 @@
         /** Returns the body of a response without a length that begins with a part and ends with [end]. */
         suspend fun respondToHttp10(
             loops: HttpEventLoops,
+            requests: Int = 1,
             end: suspend (ResponseSink) -> Unit,
         ): String {
             val handler =
@@ -153,7 +158,7 @@
                 }
             return HttpServer(HttpServerSettings(), loops, BufferBudget(), handler).start().use { server ->
                 val caller = RawConnection(Socket(server.address.host, server.address.port).apply { soTimeout = 5_000 })
-                caller.write("GET / HTTP/1.0\r\n\r\n")
+                caller.write("GET / HTTP/1.0\r\n\r\n".repeat(requests))
                 caller.readHead()
                 caller.readToEnd()
             }
