--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/UpstreamSettings.kt
@@ -14,7 +14,7 @@
  * used.
  * @property requestIdHeader the request header field whose echo in the response is checked.
  * @property acceptsCloseDelimitedResponses whether a response without a length may end with its connection. A truncated
- * one then looks complete unless the endpoint resets the connection.
+ * one then looks complete unless the endpoint resets the connection, or does not read the request to its end.
  * @property singleFields names of the header fields that may stand only once in a response, besides [requestIdHeader]
  * and those that frame the body; a response with two of one can't be used.
  */
--- a/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
+++ b/limpetfold-http/src/test/kotlin/io/limpetfold/http/CutResponseTest.kt
@@ -115,6 +115,21 @@
             } shouldBe 0
         }
 
+        test("guards against a complete response whose reader comes after its connection was reset") {
+            ScriptedEndpoint {
+                readHead()
+                write("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(LONG_RESPONSE_BYTES))
+                socket.shutdownOutput()
+                Thread.sleep(5)
+                socket.close()
+            }.use { endpoint ->
+                val request = UpstreamRequest("POST", "/", body = atOnce(1_200_000)())
+                val response = client.send(endpoint.address, request).get()!!
+                delay(700)
+                response.readAll(LONG_RESPONSE_BYTES).isOk shouldBe false
+            }
+        }
+
         test("guards against a lost response to a request without a body whose endpoint closes the connection") {
             completeResponses({ UpstreamBody.None }, 0, null) { socket.close() } shouldBe CALLS
         }
@@ -143,6 +158,9 @@
         const val CALLS = 8
         const val RESPONSE_BYTES = 2_000
 
+        /** More than the client buffers for a reader. */
+        const val LONG_RESPONSE_BYTES = 200_000
+
         /** Returns the body of a response without a length that begins with a part and ends with [end]. */
         suspend fun respondToHttp10(
             loops: HttpEventLoops,
