--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ClientConnection.kt
@@ -168,12 +168,8 @@
         promise: ChannelPromise,
     ) {
         val written = promise.unvoid()
-        written.addListener {
-            if (!it.isSuccess) {
-                onConnectionLost(
-                    "the request can't be written: ${it.cause().message}",
-                )
-            }
+        written.addListener { done ->
+            done.cause()?.let { onConnectionLost("the request can't be written: ${it.message}") }
         }
         ctx.write(msg, written)
     }
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/HeadScanner.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/HeadScanner.kt
@@ -15,7 +15,7 @@
     private var isHeadComplete = false
     private var isNameComplete = false
 
-    /** The size of the header field lines scanned so far, line ends included; the request line does not count. */
+    /** The size of the header field lines scanned so far, line ends included; the first line does not count. */
     var fieldBytes = 0L
         private set
 
@@ -27,7 +27,7 @@
     var hasMalformedName = false
         private set
 
-    /** Prepares for the head of the next request. */
+    /** Prepares for the head of the next message. */
     fun reset() {
         lineBytes = 0
         lines = 0
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/RequestCheck.kt
@@ -153,7 +153,7 @@
                 )
             encodings.isNotEmpty() && lengths.isNotEmpty() ->
                 badRequest("both Content-Length and Transfer-Encoding are present", "send only one of them")
-            lengths.size > 1 || lengths.any { it.isEmpty() || !it.all(Char::isAsciiDigit) } ->
+            lengths.size > 1 || lengths.any { !it.isDecimalNumber() } ->
                 badRequest("Content-Length is not one number", "send one decimal Content-Length")
             (lengths.firstOrNull()?.toLongOrNull() ?: if (lengths.isEmpty()) 0 else Long.MAX_VALUE) >
                 limits.maxBodyBytes ->
@@ -207,5 +207,3 @@
         const val SERVED_METHODS = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"
     }
 }
-
-private fun Char.isAsciiDigit(): Boolean = this in '0'..'9'
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseDecoder.kt
@@ -69,13 +69,11 @@
     }
 
     private fun malformed(decoded: Any): Any {
-        val failure = DecoderResult.failure(IllegalArgumentException("a line does not begin with a field name"))
-        if (decoded !==
-            LastHttpContent.EMPTY_LAST_CONTENT
-        ) {
-            return decoded.also { (it as HttpObject).decoderResult = failure }
-        }
-        return DefaultLastHttpContent().apply { decoderResult = failure }
+        // The end of a body that the decoder shares can't be marked.
+        val isShared = decoded === LastHttpContent.EMPTY_LAST_CONTENT
+        val marked = if (isShared) DefaultLastHttpContent() else decoded as HttpObject
+        marked.decoderResult = DecoderResult.failure(IllegalArgumentException("a line has no field name"))
+        return marked
     }
 
     /** Netty accepts any version, and reads any number as a status, also with a sign or leading zeros. */
--- a/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseFraming.kt
+++ b/limpetfold-http/src/main/kotlin/io/limpetfold/http/ResponseFraming.kt
@@ -25,7 +25,7 @@
         when {
             status < HttpResponseStatus.OK.code() -> "status $status is not supported"
             encodings.isNotEmpty() && !isChunked -> "Transfer-Encoding is not exactly 'chunked'"
-            lengths.size > 1 || lengths.any { it.isEmpty() || !it.all { digit -> digit in '0'..'9' } } ->
+            lengths.size > 1 || lengths.any { !it.isDecimalNumber() } ->
                 "Content-Length is not one number"
             // Without a length, a truncated response looks complete.
             isCloseDelimited && !acceptsCloseDelimited -> "the answer has no length"
